Start the project: result codes, settings, logging, metrics and peer transport

Cause: an empty repository. The parts that every role needs come first: the numbered result codes, settings checked by schema with every error at once, bounded rings, metrics, and nghttp2 streams over Asio with a guard against connections that fall silent.

--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,20 @@
+# Every library comes from the distribution's packages; tools/packages lists them.
+find_package(Threads REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(Catch2 REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(fmt REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+pkg_check_modules(POPT REQUIRED IMPORTED_TARGET popt)
+pkg_check_modules(LOG4CPLUS REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+
+add_library(papayarack_options INTERFACE)
+target_compile_options(papayarack_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
+target_compile_definitions(papayarack_options INTERFACE ASIO_STANDALONE ASIO_NO_DEPRECATED
+                           MSGPACK_NO_BOOST)
+target_include_directories(papayarack_options INTERFACE ${PROJECT_SOURCE_DIR}/src)
+target_link_libraries(papayarack_options INTERFACE Threads::Threads)
--- /dev/null
+++ b/src/global/internal/logging.cpp
@@ -0,0 +1,104 @@
+#include "global/logging.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <map>
+#include <memory>
+
+#include "global/resultcode.h"
+#include "global/timepoint.h"
+
+namespace papayarack {
+namespace {
+
+log4cplus::LogLevel ToLibraryLevel(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::kInfo:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::kWarn:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::kError:
+      return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+const char* NameOf(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarn:
+      return "warn";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "info";
+}
+
+log4cplus::LogLevel ParseLevel(const std::string& name) {
+  static const std::map<std::string, LogLevel> kLevels = {{"debug", LogLevel::kDebug},
+                                                          {"info", LogLevel::kInfo},
+                                                          {"warn", LogLevel::kWarn},
+                                                          {"error", LogLevel::kError}};
+  const auto found = kLevels.find(name);
+  if (found == kLevels.end()) {
+    throw ResultError(ResultCode::kBadInput, "/log/level: expected debug, info, warn or error");
+  }
+  return ToLibraryLevel(found->second);
+}
+
+std::string& RoleName() {
+  static std::string name = "papayarack";
+  return name;
+}
+
+log4cplus::Logger& TheLogger() {
+  static log4cplus::Initializer initializer;
+  static log4cplus::Logger logger = log4cplus::Logger::getInstance("papayarack");
+  return logger;
+}
+
+}  // namespace
+
+void StartLogging(const LogSettings& settings, std::string_view role) {
+  RoleName() = role;
+  log4cplus::Logger& logger = TheLogger();
+  log4cplus::SharedAppenderPtr appender;
+  if (settings.target == "stderr") {
+    appender = new log4cplus::ConsoleAppender(true, true);
+  } else {
+    appender = new log4cplus::FileAppender(settings.target, std::ios_base::app);
+  }
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+  logger.removeAllAppenders();
+  logger.addAppender(appender);
+  logger.setLogLevel(ParseLevel(settings.level));
+}
+
+void Log(LogLevel level, std::string_view event, const nlohmann::json& fields) {
+  log4cplus::Logger& logger = TheLogger();
+  const log4cplus::LogLevel library_level = ToLibraryLevel(level);
+  if (!logger.isEnabledFor(library_level)) {
+    return;
+  }
+  nlohmann::ordered_json line;
+  line["time_ms"] = WallNow();
+  line["level"] = NameOf(level);
+  line["role"] = RoleName();
+  line["event"] = event;
+  for (const auto& [key, value] : fields.items()) {
+    line[key] = value;
+  }
+  logger.log(library_level, line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+}  // namespace papayarack
--- /dev/null
+++ b/src/global/messagecodec.h
@@ -0,0 +1,85 @@
+#ifndef PAPAYARACK_GLOBAL_MESSAGECODEC_H_
+#define PAPAYARACK_GLOBAL_MESSAGECODEC_H_
+
+#include <cstdint>
+#include <exception>
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+
+#include "global/resultcode.h"
+
+namespace papayarack {
+
+/// Version of the messages between processes. Fields are only ever added at the end of a
+/// message; a peer that is older reads the ones it knows.
+inline constexpr std::uint32_t kMessageVersion = 1;
+
+/// Encodes a message type that carries MSGPACK_DEFINE. Thread safety: any thread.
+template <typename T>
+std::string EncodeMessage(const T& message) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, message);
+  return {buffer.data(), buffer.size()};
+}
+
+/// Decodes bytes that may come from a peer or a disk. Throws ResultError(kProtocol) on any
+/// malformed input. Thread safety: any thread.
+template <typename T>
+T DecodeMessage(std::string_view bytes) {
+  try {
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    return handle.get().as<T>();
+  } catch (const std::exception& error) {
+    throw ResultError(ResultCode::kProtocol, std::string("message: ") + error.what());
+  }
+}
+
+/// Cuts a byte stream into length-prefixed messages. Thread safety: none, one owner.
+class MessageSplitter {
+ public:
+  static constexpr std::size_t kMaxMessage = 64U << 20U;
+
+  /// The message with its length in front.
+  static std::string Frame(std::string_view message) {
+    const auto length = static_cast<std::uint32_t>(message.size());
+    std::string framed;
+    framed.reserve(message.size() + kPrefix);
+    for (unsigned shift = 0; shift < 32; shift += 8) {
+      framed.push_back(static_cast<char>((length >> shift) & 0xFFU));
+    }
+    framed.append(message);
+    return framed;
+  }
+
+  void Add(std::string_view bytes) { this->pending.append(bytes); }
+
+  /// Takes the next whole message; false when more bytes are needed.
+  /// Throws ResultError(kProtocol) when the length is beyond kMaxMessage.
+  bool Next(std::string& message) {
+    if (this->pending.size() < kPrefix) {
+      return false;
+    }
+    std::size_t length = 0;
+    for (unsigned i = 0; i < kPrefix; ++i) {
+      length |= static_cast<std::size_t>(static_cast<unsigned char>(this->pending[i])) << (8 * i);
+    }
+    if (length > kMaxMessage) {
+      throw ResultError(ResultCode::kProtocol, "message length beyond the limit");
+    }
+    if (this->pending.size() < kPrefix + length) {
+      return false;
+    }
+    message = this->pending.substr(kPrefix, length);
+    this->pending.erase(0, kPrefix + length);
+    return true;
+  }
+
+ private:
+  static constexpr std::size_t kPrefix = 4;
+  std::string pending;
+};
+
+}  // namespace papayarack
+
+#endif  // PAPAYARACK_GLOBAL_MESSAGECODEC_H_
--- /dev/null
+++ b/src/global/resultcode.h
@@ -0,0 +1,90 @@
+#ifndef PAPAYARACK_GLOBAL_RESULTCODE_H_
+#define PAPAYARACK_GLOBAL_RESULTCODE_H_
+
+#include <chrono>
+#include <span>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace papayarack {
+
+/// The one numbered list of outcomes. Numbers are part of the API: never reuse one.
+/// docs/RESULT_CODES.md is held equal to this list by a test.
+enum class ResultCode : int {
+  kOk = 0,
+  // 1xx: the input is wrong; nothing was stored and nothing ran.
+  kBadInput = 100,
+  kNotFound = 101,
+  kTooLarge = 102,
+  kConflict = 103,
+  kUnauthorized = 104,
+  kForbidden = 105,
+  // 2xx: refused, not run; may be sent again.
+  kOverloaded = 200,
+  kNoUpstream = 201,
+  kLeaving = 202,
+  kStaleRevision = 203,
+  kNotLeader = 204,
+  kNoQuorum = 205,
+  kNotReady = 206,
+  kDeadlineBeforeStart = 207,
+  kStorageFull = 208,
+  // 3xx: it may have run; the outcome is not known or was cut.
+  kUnknownOutcome = 300,
+  kUpstreamFailed = 301,
+  kDeadlineWhileRunning = 302,
+  kStillRunning = 303,
+  kConnectionLost = 304,
+  // 4xx: ended on purpose.
+  kCancelled = 400,
+  kPreempted = 401,
+  kAlreadyDone = 402,
+  kAttemptsExhausted = 403,
+  kItemImpossible = 404,
+  // 9xx: a fault of papayarack itself.
+  kInternal = 900,
+  kStorageDamaged = 901,
+  kProtocol = 902,
+};
+
+/// What one result code means to a caller and to the person on call.
+struct ResultCodeInfo {
+  ResultCode code;
+  std::string_view name;
+  int http_status;
+  bool not_run;  ///< True only where the request certainly did not run.
+  std::string_view meaning;
+  std::string_view advice;
+};
+
+/// All codes in ascending order. Thread safety: immutable.
+std::span<const ResultCodeInfo> AllResultCodes();
+
+/// The entry for `code`; that of kInternal for a number not in the list.
+const ResultCodeInfo& Describe(ResultCode code);
+
+/// An outcome with its explanation.
+struct Result {
+  ResultCode code = ResultCode::kOk;
+  std::string text;                           ///< For people; names field and place.
+  std::chrono::milliseconds retry_after{0};   ///< Zero: no advice on when.
+
+  bool Ok() const { return this->code == ResultCode::kOk; }
+};
+
+/// The one exception type of the project: a Result that stopped the work at hand.
+class ResultError : public std::runtime_error {
+ public:
+  ResultError(ResultCode code, const std::string& text);
+  explicit ResultError(Result result);
+  /// Thread safety: const, safe from any thread.
+  const Result& result() const { return this->outcome; }
+
+ private:
+  Result outcome;
+};
+
+}  // namespace papayarack
+
+#endif  // PAPAYARACK_GLOBAL_RESULTCODE_H_
--- /dev/null
+++ b/src/global/tests/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/transport/internal/peerserver.cpp
@@ -0,0 +1,193 @@
+#include "transport/peerserver.h"
+
+#include <asio.hpp>
+#include <atomic>
+#include <map>
+#include <thread>
+#include <utility>
+
+#include "global/messagecodec.h"
+#include "transport/internal/http2session.h"
+
+namespace papayarack::transport {
+
+struct PeerServer::Impl {
+  /// Where a stream lives: which connection, which HTTP/2 stream.
+  struct Place {
+    std::uint64_t connection = 0;
+    std::int32_t stream = 0;
+  };
+  /// One request as it arrives.
+  struct Incoming {
+    StreamId id = 0;
+    std::string body;
+    bool delivered = false;
+  };
+  struct Connection {
+    std::shared_ptr<Http2Session> session;
+    std::map<std::int32_t, Incoming> streams;
+  };
+
+  Impl(const Endpoint& listen, PeerServerHandlers handlers)
+      : handlers(std::move(handlers)), acceptor(this->context) {
+    try {
+      const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(listen.host), listen.port);
+      this->acceptor.open(endpoint.protocol());
+      this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+      this->acceptor.bind(endpoint);
+      this->acceptor.listen(asio::socket_base::max_listen_connections);
+      this->bound_port = this->acceptor.local_endpoint().port();
+    } catch (const std::system_error& error) {
+      throw ResultError(ResultCode::kBadInput,
+                        "cannot listen on " + listen.ToString() + ": " + error.what());
+    }
+    this->Accept();
+    this->thread = std::thread([this] { this->context.run(); });
+  }
+
+  ~Impl() {
+    asio::post(this->context, [this] {
+      this->stopping = true;
+      this->acceptor.close();
+      auto doomed = std::exchange(this->connections, {});
+      for (auto& [id, connection] : doomed) {
+        connection.session->Close();
+      }
+      this->context.stop();
+    });
+    this->thread.join();
+  }
+
+  void Accept() {
+    this->acceptor.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
+      if (error) {
+        return;
+      }
+      this->Adopt(std::move(socket));
+      this->Accept();
+    });
+  }
+
+  void Adopt(asio::ip::tcp::socket socket) {
+    const std::uint64_t id = ++this->last_connection;
+    Http2Session::Callbacks callbacks;
+    callbacks.on_data = [this, id](std::int32_t stream, std::string_view bytes) {
+      this->connections[id].streams[stream].body.append(bytes);
+    };
+    callbacks.on_stream_end = [this, id](std::int32_t stream) { this->Deliver(id, stream); };
+    callbacks.on_stream_close = [this, id](std::int32_t stream, std::uint32_t) {
+      this->Forget(id, stream);
+    };
+    callbacks.on_closed = [this, id] { this->Lose(id); };
+    auto session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Side::kServer,
+                                                  std::move(callbacks));
+    this->connections[id].session = session;
+    session->Start();
+  }
+
+  void Deliver(std::uint64_t connection, std::int32_t stream) {
+    Connection& owner = this->connections[connection];
+    Incoming& incoming = owner.streams[stream];
+    incoming.id = ++this->last_stream;
+    incoming.delivered = true;
+    this->places[incoming.id] = {connection, stream};
+    this->open_streams = this->places.size();
+    owner.session->StartResponse(stream);
+    this->handlers.on_request(incoming.id, owner.session->PathOf(stream),
+                              std::move(incoming.body));
+  }
+
+  /// A stream that closes before our side finished it was reset by the requester.
+  void Forget(std::uint64_t connection, std::int32_t stream) {
+    const auto owner = this->connections.find(connection);
+    if (owner == this->connections.end()) {
+      return;
+    }
+    const auto found = owner->second.streams.find(stream);
+    if (found == owner->second.streams.end()) {
+      return;
+    }
+    const Incoming incoming = std::move(found->second);
+    owner->second.streams.erase(found);
+    if (incoming.delivered && this->places.erase(incoming.id) > 0) {
+      this->open_streams = this->places.size();
+      this->handlers.on_cancel(incoming.id);
+    }
+  }
+
+  void Lose(std::uint64_t connection) {
+    const auto owner = this->connections.find(connection);
+    if (owner == this->connections.end()) {
+      return;
+    }
+    const auto streams = std::move(owner->second.streams);
+    // The session is still on the call stack; let it go afterwards.
+    asio::post(this->context, [session = owner->second.session] {});
+    this->connections.erase(owner);
+    for (const auto& [stream, incoming] : streams) {
+      if (incoming.delivered && this->places.erase(incoming.id) > 0) {
+        this->handlers.on_cancel(incoming.id);
+      }
+    }
+    this->open_streams = this->places.size();
+  }
+
+  void Write(StreamId id, std::string bytes, bool last) {
+    asio::post(this->context, [this, id, bytes = std::move(bytes), last] {
+      const auto place = this->places.find(id);
+      if (place == this->places.end()) {
+        return;
+      }
+      const auto owner = this->connections.find(place->second.connection);
+      if (owner == this->connections.end()) {
+        return;
+      }
+      const auto session = owner->second.session;
+      const std::int32_t stream = place->second.stream;
+      if (last) {
+        this->places.erase(place);
+        this->open_streams = this->places.size();
+      }
+      session->AddBody(stream, bytes, last);
+      session->Flush();
+    });
+  }
+
+  PeerServerHandlers handlers;
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor;
+  std::uint16_t bound_port = 0;
+  std::map<std::uint64_t, Connection> connections;
+  std::map<StreamId, Place> places;
+  std::atomic<std::size_t> open_streams = 0;
+  std::uint64_t last_connection = 0;
+  StreamId last_stream = 0;
+  bool stopping = false;
+  std::thread thread;
+};
+
+PeerServer::PeerServer(const Endpoint& listen, PeerServerHandlers handlers)
+    : impl(std::make_unique<Impl>(listen, std::move(handlers))) {}
+
+PeerServer::~PeerServer() = default;
+
+void PeerServer::Send(StreamId stream, std::string_view message) {
+  this->impl->Write(stream, MessageSplitter::Frame(message), false);
+}
+
+void PeerServer::Finish(StreamId stream) { this->impl->Write(stream, {}, true); }
+
+std::uint16_t PeerServer::port() const { return this->impl->bound_port; }
+
+void PeerServer::BeginLeave() {
+  asio::post(this->impl->context, [impl = this->impl.get()] {
+    impl->acceptor.close();
+    for (auto& [id, connection] : impl->connections) {
+      connection.session->SendGoaway();
+    }
+  });
+}
+
+std::size_t PeerServer::OpenStreams() const { return this->impl->open_streams; }
+
+}  // namespace papayarack::transport
--- /dev/null
+++ b/src/transport/tests/transport_tests.cpp
@@ -0,0 +1,121 @@
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <thread>
+
+#include "global/boundedring.h"
+#include "transport/peerclient.h"
+#include "transport/peerserver.h"
+
+namespace papayarack::transport {
+namespace {
+
+constexpr std::chrono::seconds kPatience{20};
+
+struct Seen {
+  StreamId stream = 0;
+  std::string path;
+  std::string body;
+  bool cancelled = false;
+};
+
+struct Server {
+  BoundedRing<Seen> seen{64};
+  PeerServer server{{"127.0.0.1", 0},
+                    {[this](StreamId id, std::string_view path, std::string body) {
+                       this->seen.TryPush({id, std::string(path), std::move(body), false});
+                     },
+                     [this](StreamId id) { this->seen.TryPush({id, {}, {}, true}); }}};
+  Endpoint endpoint() const { return {"127.0.0.1", this->server.port()}; }
+};
+
+struct Caller {
+  BoundedRing<std::string> messages{64};
+  std::promise<CallEnd> end;
+  CallHandlers Handlers() {
+    return {[this](std::string message) { this->messages.TryPush(std::move(message)); },
+            [this](CallEnd how) { this->end.set_value(how); }};
+  }
+};
+
+}  // namespace
+
+TEST_CASE("two processes talk") {
+  Server server;
+  PeerClient client;
+  Caller caller;
+  const CallId call = client.Call(server.endpoint(), "/echo", std::string(100000, 'x'),
+                                  caller.Handlers());
+  const auto request = server.seen.Pop(kPatience);
+  REQUIRE(request.has_value());
+  CHECK(request->path == "/echo");
+  CHECK(request->body.size() == 100000);
+
+  SECTION("and the answer streams back message by message, then ends whole") {
+    server.server.Send(request->stream, "one");
+    CHECK(caller.messages.Pop(kPatience) == "one");
+    server.server.Send(request->stream, "two");
+    server.server.Finish(request->stream);
+    CHECK(caller.messages.Pop(kPatience) == "two");
+    CHECK(caller.end.get_future().get() == CallEnd::kFinished);
+  }
+  SECTION("and a caller that gives up cancels the work") {
+    client.Cancel(call);
+    CHECK(caller.end.get_future().get() == CallEnd::kLost);
+    const auto cancelled = server.seen.Pop(kPatience);
+    REQUIRE(cancelled.has_value());
+    CHECK(cancelled->cancelled);
+    CHECK(cancelled->stream == request->stream);
+  }
+  SECTION("and a leaving server finishes what is open") {
+    server.server.BeginLeave();
+    server.server.Send(request->stream, "still here");
+    server.server.Finish(request->stream);
+    CHECK(caller.messages.Pop(kPatience) == "still here");
+    CHECK(caller.end.get_future().get() == CallEnd::kFinished);
+  }
+}
+
+TEST_CASE("nobody listens: the call is reported as not sent") {
+  std::uint16_t port = 0;
+  {
+    Server gone;
+    port = gone.server.port();
+  }
+  PeerClient client;
+  Caller caller;
+  client.Call({"127.0.0.1", port}, "/x", "", caller.Handlers());
+  CHECK(caller.end.get_future().get() == CallEnd::kNotSent);
+}
+
+// Symptom: calls on one connection hang for good while new connections work.
+// Sequence: a listener accepts and then never reads or answers; a call is made.
+// Cause: something between the two ends lost track of the connection; no reset ever comes.
+TEST_CASE("a connection that falls silent is dropped and its calls end as lost") {
+  asio::io_context context;
+  asio::ip::tcp::acceptor mute(context, {asio::ip::make_address("127.0.0.1"), 0});
+  PeerClient client({std::chrono::milliseconds(1000), std::chrono::milliseconds(40),
+                     std::chrono::milliseconds(120)});
+  Caller caller;
+  client.Call({"127.0.0.1", mute.local_endpoint().port()}, "/x", "", caller.Handlers());
+  CHECK(caller.end.get_future().get() == CallEnd::kLost);
+}
+
+// Symptom: a caller waits for an answer that cannot come.
+// Sequence: a request is in progress; the server process goes away.
+// Cause: the connection closes before the stream ended.
+TEST_CASE("a server that goes away in mid-answer: the call ends as lost, never as whole") {
+  PeerClient client;
+  Caller caller;
+  {
+    Server server;
+    client.Call(server.endpoint(), "/x", "", caller.Handlers());
+    const auto request = server.seen.Pop(kPatience);
+    REQUIRE(request.has_value());
+    server.server.Send(request->stream, "half");
+    REQUIRE(caller.messages.Pop(kPatience) == "half");
+  }
+  CHECK(caller.end.get_future().get() == CallEnd::kLost);
+}
+
+}  // namespace papayarack::transport
