Add durable storage: segmented log, blob store, checked files and a faulty disk for tests

Cause: what is acknowledged must survive power loss, torn writes, damage and a full disk. Change: records carry length, number and XXH3; a torn tail is cut, but only when no whole record lies behind the bad bytes; damage before the tail is an error and never a shorter log.

--- /dev/null
+++ b/src/storage/internal/blobstore.cpp
@@ -0,0 +1,146 @@
+#include "storage/blobstore.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "global/resultcode.h"
+
+namespace papayarack::storage {
+
+BlobStore::BlobStore(FileSystem& files, std::string prefix, std::uint64_t segment_bytes)
+    : files(files), prefix(std::move(prefix)), segment_bytes(segment_bytes) {
+  this->FindSegments();
+}
+
+std::string BlobStore::NameFor(std::uint64_t start) const {
+  return fmt::format("{}-{:020}.blob", this->prefix, start);
+}
+
+void BlobStore::FindSegments() {
+  for (const std::string& name : this->files.List()) {
+    if (name.starts_with(this->prefix + "-") && name.ends_with(".blob")) {
+      const std::uint64_t start =
+          std::stoull(name.substr(this->prefix.size() + 1, name.size() - 6 - this->prefix.size()));
+      this->segments[start] = this->files.Size(name);
+    }
+  }
+}
+
+std::uint64_t BlobStore::LengthOnDisk() const {
+  if (this->segments.empty()) {
+    return 0;
+  }
+  return this->segments.rbegin()->first + this->segments.rbegin()->second;
+}
+
+void BlobStore::Open(std::uint64_t length) {
+  if (this->LengthOnDisk() < length) {
+    throw ResultError(ResultCode::kStorageDamaged,
+                      fmt::format("{}: {} bytes on disk, the snapshot needs {}", this->prefix,
+                                  this->LengthOnDisk(), length));
+  }
+  while (!this->segments.empty() && this->segments.rbegin()->first >= length) {
+    this->files.Remove(this->NameFor(this->segments.rbegin()->first));
+    this->segments.erase(std::prev(this->segments.end()));
+  }
+  if (!this->segments.empty()) {
+    auto& [start, size] = *this->segments.rbegin();
+    if (start + size > length) {
+      size = length - start;
+      this->files.Truncate(this->NameFor(start), size);
+    }
+  }
+  this->total = length;
+}
+
+BlobRef BlobStore::Append(std::string_view bytes) {
+  const bool need_segment =
+      this->segments.empty() || this->segments.rbegin()->second >= this->segment_bytes;
+  if (need_segment) {
+    if (this->dirty) {
+      this->files.SyncFile(this->NameFor(this->segments.rbegin()->first));
+    }
+    this->segments[this->total] = 0;
+    this->folder_dirty = true;
+  }
+  auto& [start, size] = *this->segments.rbegin();
+  const std::string name = this->NameFor(start);
+  try {
+    this->files.Append(name, bytes);
+  } catch (const ResultError&) {
+    if (this->files.Exists(name)) {
+      this->files.Truncate(name, size);
+    }
+    throw;
+  }
+  const BlobRef ref{this->total, static_cast<std::uint32_t>(bytes.size())};
+  size += bytes.size();
+  this->total += bytes.size();
+  this->dirty = true;
+  return ref;
+}
+
+std::string BlobStore::ReadAt(std::uint64_t offset, std::size_t length) const {
+  std::string bytes;
+  while (bytes.size() < length) {
+    const std::uint64_t at = offset + bytes.size();
+    auto segment = this->segments.upper_bound(at);
+    if (segment == this->segments.begin()) {
+      throw ResultError(ResultCode::kNotFound, "the bytes were removed by retention");
+    }
+    --segment;
+    const std::uint64_t inside = at - segment->first;
+    if (inside >= segment->second) {
+      throw ResultError(ResultCode::kNotFound, "no bytes were written there");
+    }
+    const std::size_t wanted =
+        std::min<std::uint64_t>(length - bytes.size(), segment->second - inside);
+    const std::string part = this->files.Read(this->NameFor(segment->first), inside, wanted);
+    if (part.size() != wanted) {
+      throw ResultError(ResultCode::kStorageDamaged, this->NameFor(segment->first) + ": too short");
+    }
+    bytes += part;
+  }
+  return bytes;
+}
+
+void BlobStore::Sync() {
+  if (this->dirty && !this->segments.empty()) {
+    this->files.SyncFile(this->NameFor(this->segments.rbegin()->first));
+    this->dirty = false;
+  }
+  if (this->folder_dirty) {
+    this->files.SyncFolder();
+    this->folder_dirty = false;
+  }
+}
+
+void BlobStore::DropBefore(std::uint64_t offset) {
+  while (this->segments.size() > 1) {
+    const auto& [start, size] = *this->segments.begin();
+    if (start + size > offset) {
+      return;
+    }
+    this->files.Remove(this->NameFor(start));
+    this->segments.erase(this->segments.begin());
+    this->folder_dirty = true;
+  }
+}
+
+void BlobStore::Reset(std::uint64_t start) {
+  for (const auto& [offset, size] : this->segments) {
+    this->files.Remove(this->NameFor(offset));
+  }
+  this->segments.clear();
+  this->total = start;
+  this->dirty = false;
+  this->folder_dirty = true;
+}
+
+std::uint64_t BlobStore::FirstKept() const {
+  return this->segments.empty() ? this->total : this->segments.begin()->first;
+}
+
+}  // namespace papayarack::storage
--- /dev/null
+++ b/src/storage/segmentedlog.h
@@ -0,0 +1,74 @@
+#ifndef PAPAYARACK_STORAGE_SEGMENTEDLOG_H_
+#define PAPAYARACK_STORAGE_SEGMENTEDLOG_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "storage/filesystem.h"
+
+namespace papayarack::storage {
+
+/// What opening a log found.
+struct LogOpenReport {
+  std::uint64_t first = 0;      ///< Number of the first record, 0 when there is none.
+  std::uint64_t last = 0;       ///< Number of the last record, 0 when there is none.
+  std::uint64_t cut_bytes = 0;  ///< Bytes of a torn tail that were cut.
+};
+
+/// Numbered records in segment files, each record with length, number and XXH3.
+/// Records become durable by Sync. A torn tail in the last segment is cut on opening, since
+/// nothing unsynced was ever acknowledged; any damage before the tail throws
+/// ResultError(kStorageDamaged), since shortening there would take back what was acknowledged.
+/// Thread safety: none, one owner.
+class SegmentedLog {
+ public:
+  /// Called for each record in order while opening.
+  using Visitor = std::function<void(std::uint64_t number, std::string_view record)>;
+
+  SegmentedLog(FileSystem& files, std::string prefix,
+               std::uint64_t segment_bytes = kDefaultSegmentBytes);
+
+  /// Reads all; call once before any other method.
+  LogOpenReport Open(const Visitor& visitor);
+  /// Adds a record. Precondition: number is last + 1, or anything when the log is empty.
+  void Append(std::uint64_t number, std::string_view record);
+  /// Makes everything durable. The folder is synced only when a segment was added.
+  void Sync();
+  /// Removes every record with a number of at least `from`; durable on return.
+  void TruncateFrom(std::uint64_t from);
+  /// Removes whole segments whose records are all below `below`.
+  void DropBefore(std::uint64_t below);
+  /// Removes everything; the next record may have any number.
+  void Clear();
+  std::uint64_t last() const { return this->last_number; }
+  /// Bytes in all segments.
+  std::uint64_t Bytes() const;
+
+  static constexpr std::uint64_t kDefaultSegmentBytes = 8U << 20U;
+
+ private:
+  struct Segment {
+    std::string name;
+    std::uint64_t bytes = 0;
+    std::uint64_t last = 0;
+  };
+  std::string NameFor(std::uint64_t first) const;
+  void ReadSegment(Segment& segment, bool is_last, const Visitor& visitor, LogOpenReport& report);
+  void StartSegment(std::uint64_t first);
+
+  FileSystem& files;
+  std::string prefix;
+  std::uint64_t segment_bytes;
+  std::map<std::uint64_t, Segment> segments;  ///< By the number of their first record.
+  std::uint64_t last_number = 0;
+  bool folder_dirty = false;
+  bool file_dirty = false;
+};
+
+}  // namespace papayarack::storage
+
+#endif  // PAPAYARACK_STORAGE_SEGMENTEDLOG_H_
--- /dev/null
+++ b/src/storage/tests/storage_tests.cpp
@@ -0,0 +1,178 @@
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <unistd.h>
+
+#include "global/resultcode.h"
+#include "storage/blobstore.h"
+#include "storage/checkedfile.h"
+#include "storage/memoryfilesystem.h"
+#include "storage/segmentedlog.h"
+
+namespace papayarack::storage {
+namespace {
+
+constexpr std::uint64_t kSmallSegment = 200;
+
+std::vector<std::string> ReadAll(FileSystem& files, LogOpenReport* report = nullptr) {
+  SegmentedLog log(files, "raft", kSmallSegment);
+  std::vector<std::string> records;
+  const LogOpenReport found =
+      log.Open([&](std::uint64_t, std::string_view record) { records.emplace_back(record); });
+  if (report != nullptr) {
+    *report = found;
+  }
+  return records;
+}
+
+void Fill(SegmentedLog& log, std::uint64_t first, std::uint64_t last) {
+  for (std::uint64_t number = first; number <= last; ++number) {
+    log.Append(number, "record " + std::to_string(number));
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a segmented log") {
+  MemoryFileSystem files;
+  SegmentedLog log(files, "raft", kSmallSegment);
+  log.Open([](std::uint64_t, std::string_view) {});
+  Fill(log, 1, 30);
+  log.Sync();
+
+  SECTION("gives back every synced record after power loss") {
+    files.Crash(0);
+    CHECK(ReadAll(files).size() == 30);
+  }
+  // Symptom: a member does not start after power loss. Sequence: records are written, half of
+  // the bytes reach the disk, power goes. Cause: the last write is torn; it was never synced, so
+  // nothing that was acknowledged is in it and it may be cut.
+  SECTION("cuts a torn tail") {
+    Fill(log, 31, 33);
+    files.Crash(50);
+    LogOpenReport report;
+    const auto records = ReadAll(files, &report);
+    CHECK(records.size() >= 30);
+    CHECK(records.size() < 33);
+    CHECK(ReadAll(files).size() == records.size());
+  }
+  // Symptom: acknowledged entries vanish. Sequence: a byte in the middle goes bad, the member
+  // restarts. Cause: taking the damage for a torn tail would cut records that were promised.
+  SECTION("refuses to shorten what lies before the tail") {
+    SECTION("in an earlier segment") {
+      files.Corrupt(files.List().front(), 30);
+      CHECK_THROWS_AS(ReadAll(files), ResultError);
+    }
+    SECTION("early in the last segment") {
+      files.Corrupt(files.List().back(), 10);
+      CHECK_THROWS_AS(ReadAll(files), ResultError);
+    }
+  }
+  SECTION("takes back its end when the leader says so") {
+    log.TruncateFrom(12);
+    CHECK(log.last() == 11);
+    log.Append(12, "other");
+    log.Sync();
+    files.Crash(0);
+    const auto records = ReadAll(files);
+    REQUIRE(records.size() == 12);
+    CHECK(records.back() == "other");
+  }
+  SECTION("drops old segments") {
+    const std::uint64_t before = log.Bytes();
+    log.DropBefore(20);
+    CHECK(log.Bytes() < before);
+    LogOpenReport report;
+    ReadAll(files, &report);
+    CHECK(report.first <= 20);
+    CHECK(report.first > 1);
+    CHECK(report.last == 30);
+  }
+  // Symptom: entries acknowledged on a full disk are lost. Sequence: the disk fills in mid-record.
+  // Cause: a partial record would hide later ones; so it is cut and the error reaches the caller.
+  SECTION("reports a full disk and stays readable") {
+    files.LimitSpace(10);
+    CHECK_THROWS_AS(Fill(log, 31, 31), ResultError);
+    CHECK(log.last() == 30);
+    files.LimitSpace(UINT64_MAX);
+    Fill(log, 31, 31);
+    log.Sync();
+    CHECK(ReadAll(files).size() == 31);
+  }
+  SECTION("reports a failed sync") {
+    Fill(log, 31, 31);
+    files.FailSyncs(true);
+    CHECK_THROWS_AS(log.Sync(), ResultError);
+  }
+}
+
+TEST_CASE("a checked file is old or new, never mixed") {
+  MemoryFileSystem files;
+  WriteCheckedFile(files, "state", "old");
+  SECTION("power loss right after the replacement") {
+    WriteCheckedFile(files, "state", "new");
+    files.Crash(0);
+    CHECK(ReadCheckedFile(files, "state") == "new");
+  }
+  SECTION("power loss before the folder was synced") {
+    files.Append("state.new", "half");
+    files.Crash(30);
+    CHECK(ReadCheckedFile(files, "state") == "old");
+  }
+  SECTION("damage is noticed") {
+    files.Corrupt("state", 13);
+    CHECK_THROWS_AS(ReadCheckedFile(files, "state"), ResultError);
+  }
+  CHECK_FALSE(ReadCheckedFile(files, "absent").has_value());
+}
+
+TEST_CASE("a blob store") {
+  MemoryFileSystem files;
+  BlobStore blobs(files, "blob", 64);
+  blobs.Open(0);
+  std::vector<BlobRef> refs;
+  for (int i = 0; i < 20; ++i) {
+    refs.push_back(blobs.Append("result " + std::to_string(i)));
+  }
+  blobs.Sync();
+  SECTION("reads every blob, across segments too") {
+    CHECK(blobs.Read(refs.at(13)) == "result 13");
+    CHECK(blobs.ReadAt(0, 100).size() == 100);
+  }
+  SECTION("goes back to the length of the snapshot and takes the replayed bytes again") {
+    BlobStore reopened(files, "blob", 64);
+    reopened.Open(refs.at(10).offset);
+    CHECK(reopened.Append("result 10").offset == refs.at(10).offset);
+    CHECK(reopened.Read(refs.at(9)) == "result 9");
+    CHECK_THROWS_AS(reopened.Read(refs.at(12)), ResultError);
+  }
+  SECTION("says when bytes are missing") {
+    BlobStore reopened(files, "blob", 64);
+    CHECK_THROWS_AS(reopened.Open(blobs.length() + 1), ResultError);
+  }
+  SECTION("forgets what retention dropped and keeps the offsets of the rest") {
+    blobs.DropBefore(refs.at(15).offset);
+    CHECK_THROWS_AS(blobs.Read(refs.at(0)), ResultError);
+    CHECK(blobs.Read(refs.at(16)) == "result 16");
+  }
+}
+
+TEST_CASE("the real file system does what the one in memory does") {
+  const std::string folder =
+      (std::filesystem::temp_directory_path() / ("papayarack-storage-" + std::to_string(getpid())))
+          .string();
+  {
+    const auto files = OpenPosixFileSystem(folder);
+    SegmentedLog log(*files, "raft", kSmallSegment);
+    log.Open([](std::uint64_t, std::string_view) {});
+    Fill(log, 1, 30);
+    log.Sync();
+    log.TruncateFrom(25);
+    WriteCheckedFile(*files, "state", "content");
+  }
+  const auto files = OpenPosixFileSystem(folder);
+  CHECK(ReadAll(*files).size() == 24);
+  CHECK(ReadCheckedFile(*files, "state") == "content");
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace papayarack::storage
