--- /dev/null
+++ b/src/jobs/internal/filebook.cpp
@@ -0,0 +1,59 @@
+#include "jobs/filebook.h"
+
+#include <algorithm>
+
+#include "global/resultcode.h"
+
+namespace papayarack::jobs {
+
+void FileBook::Append(const std::string& id, const std::string& owner, std::uint64_t at,
+                      std::string_view bytes, bool last, std::int64_t now_ms) {
+  StoredFile& file = this->files[id];
+  if (file.bytes == 0 && file.extents.empty()) {
+    file.owner = owner;
+    file.created_ms = now_ms;
+  }
+  if (at > file.bytes) {
+    throw ResultError(ResultCode::kBadInput, "a chunk of the file is missing");
+  }
+  if (!file.complete && at == file.bytes && !bytes.empty()) {
+    const storage::BlobRef ref = this->blobs.Append(bytes);
+    file.extents.push_back({ref.offset, ref.length});
+    file.bytes += bytes.size();
+  }
+  file.complete = file.complete || (last && at + bytes.size() == file.bytes);
+}
+
+const StoredFile* FileBook::Find(const std::string& id) const {
+  const auto found = this->files.find(id);
+  return found != this->files.end() ? &found->second : nullptr;
+}
+
+std::string FileBook::Read(const StoredFile& file, std::uint64_t at, std::size_t length) const {
+  std::string bytes;
+  std::uint64_t start = 0;
+  for (const Extent& extent : file.extents) {
+    const std::uint64_t end = start + extent.length;
+    if (at < end && bytes.size() < length) {
+      const std::uint64_t inside = std::max(at, start) - start;
+      const std::size_t wanted =
+          std::min<std::uint64_t>(extent.length - inside, length - bytes.size());
+      bytes += this->blobs.ReadAt(extent.offset + inside, wanted);
+      at += wanted;
+    }
+    start = end;
+  }
+  return bytes;
+}
+
+std::uint64_t FileBook::FirstNeeded(std::uint64_t none) const {
+  std::uint64_t first = none;
+  for (const auto& [id, file] : this->files) {
+    if (!file.extents.empty()) {
+      first = std::min(first, file.extents.front().offset);
+    }
+  }
+  return first;
+}
+
+}  // namespace papayarack::jobs
--- /dev/null
+++ b/src/jobs/internal/jobleasing.cpp
@@ -0,0 +1,174 @@
+#include <algorithm>
+
+#include "jobs/itemline.h"
+#include "jobs/jobbook.h"
+
+namespace papayarack::jobs {
+namespace {
+
+/// Of every so many grants, one goes to the job that was granted least, whatever its due time:
+/// a job of 63,000 items must not hold back a job of ten that is due a little later.
+constexpr std::uint64_t kFairEvery = 2;
+
+}  // namespace
+
+std::vector<LeasedItem> JobBook::Lease(const LeaseRequest& request) {
+  this->TakeBackUnlisted(request);
+  std::vector<LeasedItem> granted;
+  bool has_suspect = this->HolderHasSuspect(request.holder);
+  while (granted.size() < request.count) {
+    Job* job = this->PickJob(request.service, has_suspect, granted.size());
+    if (job == nullptr) {
+      break;
+    }
+    const std::uint32_t item = *this->PickItem(*job, has_suspect);
+    const ItemKey key{job->summary.request.id, item};
+    const bool suspect = job->items.attempts[item] > 0;
+    has_suspect = has_suspect || suspect;
+    job->items.attempts[item] += 1;
+    job->items.state[item] = static_cast<std::uint8_t>(ItemState::kLeased);
+    job->granted += 1;
+    job->summary.leased += 1;
+    job->summary.attempts += 1;
+    const std::int64_t expires = request.now_ms + request.lease_ms;
+    this->leases[key] = {request.holder, request.incarnation, job->items.attempts[item], expires,
+                         suspect};
+    this->expiries.insert({expires, key});
+    granted.push_back(
+        {key, job->items.attempts[item], job->summary.request.due_ms, job->summary.request.work,
+         this->blobs.ReadAt(job->items.input_offset[item], job->items.input_length[item])});
+  }
+  return granted;
+}
+
+JobBook::Job* JobBook::PickJob(std::string_view service, bool holder_has_suspect,
+                               std::uint64_t picks) {
+  const auto open = this->open_jobs.find(service);
+  if (open == this->open_jobs.end()) {
+    return nullptr;
+  }
+  Job* first_due = nullptr;
+  Job* least_granted = nullptr;
+  for (const std::string& id : open->second) {
+    Job& job = this->jobs.at(id);
+    if (!this->PickItem(job, holder_has_suspect).has_value()) {
+      continue;
+    }
+    if (first_due == nullptr ||
+        job.summary.request.due_ms < first_due->summary.request.due_ms) {
+      first_due = &job;
+    }
+    if (least_granted == nullptr || job.granted < least_granted->granted) {
+      least_granted = &job;
+    }
+  }
+  return picks % kFairEvery == kFairEvery - 1 ? least_granted : first_due;
+}
+
+/// Moves nothing but the cursor over items that ended meanwhile; the caller takes the item.
+/// Symptom guarded against: one item that kills its upstream takes down gate after gate. An item
+/// whose earlier attempt ended without a word goes only to a holder without another such item.
+std::optional<std::uint32_t> JobBook::PickItem(Job& job, bool holder_has_suspect) {
+  const auto pending = static_cast<std::uint8_t>(ItemState::kPending);
+  while (job.next_fresh < job.summary.items && job.items.state[job.next_fresh] != pending) {
+    ++job.next_fresh;
+  }
+  while (!job.again.empty() && job.items.state[job.again.front()] != pending) {
+    job.again.pop_front();
+  }
+  if (!job.again.empty()) {
+    const bool suspect = job.items.attempts[job.again.front()] > 0;
+    if (!suspect || !holder_has_suspect) {
+      return job.again.front();
+    }
+  }
+  while (job.next_fresh < job.summary.items &&
+         (job.items.state[job.next_fresh] != pending || job.items.attempts[job.next_fresh] > 0)) {
+    ++job.next_fresh;
+  }
+  if (job.next_fresh < job.summary.items) {
+    return job.next_fresh;
+  }
+  return std::nullopt;
+}
+
+bool JobBook::HolderHasSuspect(std::string_view holder) const {
+  return std::ranges::any_of(this->leases, [holder](const auto& entry) {
+    return entry.second.suspect && entry.second.holder == holder;
+  });
+}
+
+void JobBook::TakeBackUnlisted(const LeaseRequest& request) {
+  std::vector<ItemKey> lost;
+  for (auto& [key, lease] : this->leases) {
+    if (lease.holder != request.holder) {
+      continue;
+    }
+    const bool listed = std::ranges::find(request.holding, key) != request.holding.end();
+    if (!listed) {
+      lost.push_back(key);
+      continue;
+    }
+    this->expiries.erase({lease.expires_ms, key});
+    lease.expires_ms = request.now_ms + request.lease_ms;
+    this->expiries.insert({lease.expires_ms, key});
+  }
+  for (const ItemKey& key : lost) {
+    const ItemLease& lease = this->leases.at(key);
+    if (lease.incarnation == request.incarnation) {
+      // The same process never got the grant: nothing ran, so no attempt is counted.
+      Job& job = this->jobs.at(key.job);
+      this->EndLease(key);
+      job.items.attempts[key.item] -= 1;
+      this->RunAgain(job, key.item);
+    } else {
+      this->AttemptLost(key, "the process that ran it restarted", request.now_ms);
+    }
+  }
+}
+
+void JobBook::EndLease(const ItemKey& key) {
+  const auto lease = this->leases.find(key);
+  if (lease == this->leases.end()) {
+    return;
+  }
+  this->expiries.erase({lease->second.expires_ms, key});
+  this->leases.erase(lease);
+  this->jobs.at(key.job).summary.leased -= 1;
+}
+
+void JobBook::RunAgain(Job& job, std::uint32_t item) {
+  job.items.state[item] = static_cast<std::uint8_t>(ItemState::kPending);
+  job.again.push_back(item);
+}
+
+void JobBook::AttemptLost(const ItemKey& key, std::string_view reason, std::int64_t now_ms) {
+  Job& job = this->jobs.at(key.job);
+  this->EndLease(key);
+  const JobRequest& request = job.summary.request;
+  const bool spent = job.items.attempts[key.item] >= request.max_attempts;
+  if (!spent && request.repeatable) {
+    this->RunAgain(job, key.item);
+    return;
+  }
+  // An item that may not be repeated and whose attempt is in doubt is never handed out again.
+  const ResultCode code =
+      request.repeatable ? ResultCode::kAttemptsExhausted : ResultCode::kUnknownOutcome;
+  const std::string line =
+      ErrorLine(key.job, key.item, this->CustomIdOf(job, key.item), code, reason);
+  this->FinishItem(job, key.item, ItemState::kFailed, line, now_ms);
+}
+
+bool JobBook::HasExpired(std::int64_t now_ms) const {
+  return !this->expiries.empty() && this->expiries.begin()->first <= now_ms;
+}
+
+void JobBook::ExpireLeases(std::int64_t now_ms) {
+  while (this->HasExpired(now_ms)) {
+    const ItemKey key = this->expiries.begin()->second;
+    this->AttemptLost(key, "its lease ran out: the process or upstream that ran it went away",
+                      now_ms);
+  }
+}
+
+}  // namespace papayarack::jobs
