--- /dev/null
+++ b/src/control/internal/groupmember.cpp
@@ -0,0 +1,340 @@
+#include "control/internal/groupmember.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "global/logging.h"
+#include "global/variantcodec.h"
+
+namespace papayarack::control {
+namespace {
+
+constexpr std::uint64_t kSnapshotAfterBytes = 8U << 20U;
+constexpr std::int64_t kPassTimeEveryMs = 60'000;
+constexpr std::size_t kCopyChunk = 1U << 20U;
+constexpr RequestToken kNobody = 0;
+
+/// Only the leader's clock counts, so that members with unlike clocks decide alike.
+void StampTime(statemachine::Command& command, WallMillis wall) {
+  using namespace statemachine;  // NOLINT(google-build-using-namespace): visitors below
+  std::visit(Overloaded{[](SubmitDocument&) {},
+                        [wall](AppendFile& body) { body.now_ms = wall; },
+                        [wall](CreateJob& body) {
+                          body.request.due_ms += wall - body.request.created_ms;
+                          body.request.created_ms = wall;
+                        },
+                        [wall](CancelJob& body) { body.now_ms = wall; },
+                        [wall](PullItems& body) { body.lease.now_ms = wall; },
+                        [wall](PassTime& body) { body.now_ms = wall; },
+                        [wall](MakeClaim& body) {
+                          body.request.deadline_ms += wall - body.request.now_ms;
+                          body.request.now_ms = wall;
+                        },
+                        [](EndClaim&) {}},
+             command);
+}
+
+const char* NameOf(consensus::RaftRole role) {
+  switch (role) {
+    case consensus::RaftRole::kFollower:
+      return "follower";
+    case consensus::RaftRole::kPreCandidate:
+      return "pre-candidate";
+    case consensus::RaftRole::kCandidate:
+      return "candidate";
+    case consensus::RaftRole::kLeader:
+      return "leader";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+GroupMember::GroupMember(storage::FileSystem& files, const consensus::RaftOptions& options,
+                         GroupHandlers handlers, Time now)
+    : files(files),
+      options(options),
+      handlers(std::move(handlers)),
+      log(files, options.group),
+      blob_store(files, fmt::format("blob-{:04}", options.group)),
+      machine(blob_store) {
+  consensus::RecoveredState recovered = this->log.Recover();
+  this->blob_store.Open(recovered.snapshot.blob_length);
+  if (!recovered.state.empty()) {
+    this->machine.Load(recovered.state);
+  }
+  this->applied = recovered.snapshot.index;
+  this->applied_term = recovered.snapshot.term;
+  Log(LogLevel::kInfo, "recovered",
+      {{"group", options.group},
+       {"snapshot", recovered.snapshot.index},
+       {"entries", recovered.entries.size()},
+       {"cut_bytes", recovered.cut_bytes}});
+  this->core = std::make_unique<consensus::RaftCore>(
+      options, recovered.hard_state, recovered.snapshot, std::move(recovered.entries), now);
+  this->writer = std::make_unique<LogWriter>(
+      files, this->log,
+      LogWriterHandlers{this->handlers.send, this->handlers.synced, this->handlers.snapshot_saved,
+                        this->handlers.storage_failed});
+}
+
+void GroupMember::Tick(Time now, WallMillis wall) {
+  if (this->Failed()) {
+    return;
+  }
+  this->core->Tick(now);
+  const bool due = this->machine.NeedsPassTime(wall) || wall - this->last_pass_time > kPassTimeEveryMs;
+  if (this->core->LeaderReady() && due && !this->pass_time_under_way) {
+    this->pass_time_under_way = true;
+    this->last_pass_time = wall;
+    this->Propose(kNobody, statemachine::PassTime{}, wall);
+  }
+  this->MaybePromoteLearner();
+  this->Pump();
+}
+
+void GroupMember::Step(const consensus::RaftMessage& message, Time now) {
+  if (!this->Failed()) {
+    this->core->Step(message, now);
+    this->Pump();
+  }
+}
+
+void GroupMember::Refuse(RequestToken token, ResultCode code, const std::string& text) {
+  if (token == kNobody) {
+    return;
+  }
+  statemachine::CommandReply reply;
+  reply.code = static_cast<int>(code);
+  reply.text = text;
+  reply.leader = this->LeaderAddress();
+  this->handlers.answer(token, reply);
+}
+
+void GroupMember::Propose(RequestToken token, statemachine::Command command, WallMillis wall) {
+  if (this->Failed()) {
+    this->Refuse(token, ResultCode::kStorageFull, this->failure);
+    return;
+  }
+  this->last_wall = std::max(this->last_wall, wall);
+  StampTime(command, this->last_wall);
+  try {
+    const consensus::ProposalPlace place = this->core->Propose(EncodeVariant(command));
+    this->waiting.insert({place.index, {token, place.term}});
+  } catch (const ResultError& error) {
+    this->pass_time_under_way = this->pass_time_under_way && token != kNobody;
+    this->Refuse(token, error.result().code, error.what());
+  }
+}
+
+void GroupMember::ProposeMembers(RequestToken token, const MembersChange& change) {
+  try {
+    consensus::MemberList list = this->core->members();
+    const bool present = list.Find(change.id) != nullptr;
+    if (present == change.add) {
+      throw ResultError(ResultCode::kConflict,
+                        present ? "this member is in the group" : "no such member");
+    }
+    if (change.add) {
+      list.members.push_back({change.id, change.address, false});
+    } else {
+      std::erase_if(list.members,
+                    [&](const consensus::Member& member) { return member.id == change.id; });
+    }
+    const consensus::ProposalPlace place = this->core->ProposeMembers(list);
+    this->waiting.insert({place.index, {token, place.term}});
+  } catch (const ResultError& error) {
+    this->Refuse(token, error.result().code, error.what());
+  }
+  this->Pump();
+}
+
+void GroupMember::MaybePromoteLearner() {
+  if (!this->core->LeaderReady()) {
+    return;
+  }
+  consensus::MemberList list = this->core->members();
+  for (consensus::Member& member : list.members) {
+    const bool caught_up = this->core->MatchOf(member.id) >= this->core->commit();
+    if (!member.voter && caught_up) {
+      member.voter = true;
+      try {
+        this->core->ProposeMembers(list);
+        Log(LogLevel::kInfo, "learner_votes_now", {{"member", member.id}});
+      } catch (const ResultError&) {
+        // Another change is under way; the next tick tries again.
+      }
+      return;
+    }
+  }
+}
+
+void GroupMember::Read(RequestToken token, Time now) {
+  if (this->core->role() != consensus::RaftRole::kLeader) {
+    this->Refuse(token, ResultCode::kNotLeader, "this member does not lead");
+    return;
+  }
+  this->core->RequestRead(token, now);
+}
+
+void GroupMember::Synced(const consensus::RaftBatch& batch) {
+  this->core->Persisted(batch);
+  this->Pump();
+}
+
+void GroupMember::Pump() {
+  if (this->Failed()) {
+    return;
+  }
+  consensus::RaftReady ready = this->core->TakeReady();
+  if (!ready.before_sync.empty()) {
+    this->handlers.send(std::move(ready.before_sync));
+  }
+  this->writer->Offer(ready);
+  try {
+    for (const consensus::Entry& entry : ready.committed) {
+      this->Apply(entry);
+    }
+  } catch (const ResultError& error) {
+    this->StorageFailed(error.what());
+    return;
+  }
+  for (const std::uint64_t token : ready.reads_ready) {
+    this->handlers.read_confirmed(token);
+  }
+  for (const std::uint64_t token : ready.reads_failed) {
+    this->Refuse(token, ResultCode::kNotLeader, "leadership could not be confirmed");
+  }
+  if (this->core->role() != consensus::RaftRole::kLeader && !this->waiting.empty()) {
+    this->FailWaiting();
+  }
+  if (ready.fetch_snapshot.has_value()) {
+    this->handlers.fetch_snapshot(ready.fetch_from);
+  }
+  this->MaybeSnapshot();
+}
+
+void GroupMember::Apply(const consensus::Entry& entry) {
+  this->applied = entry.index;
+  this->applied_term = entry.term;
+  this->bytes_since_snapshot += entry.payload.size();
+  statemachine::CommandReply reply;
+  if (entry.Kind() == consensus::EntryKind::kCommand) {
+    reply = this->machine.Apply(entry.payload);
+  }
+  const auto [first, last] = this->waiting.equal_range(entry.index);
+  for (auto waiter = first; waiter != last; ++waiter) {
+    if (waiter->second.token == kNobody) {
+      this->pass_time_under_way = false;
+    } else if (waiter->second.term == entry.term) {
+      this->handlers.answer(waiter->second.token, reply);
+    } else {
+      this->Refuse(waiter->second.token, ResultCode::kNotLeader, "another leader took over");
+    }
+  }
+  this->waiting.erase(first, last);
+}
+
+void GroupMember::FailWaiting() {
+  this->pass_time_under_way = false;
+  for (const auto& [index, waiter] : std::exchange(this->waiting, {})) {
+    this->Refuse(waiter.token, ResultCode::kUnknownOutcome,
+                 "leadership was lost before the command was confirmed");
+  }
+}
+
+void GroupMember::MaybeSnapshot() {
+  if (this->snapshot_under_way || this->bytes_since_snapshot < kSnapshotAfterBytes) {
+    return;
+  }
+  consensus::SnapshotMeta meta;
+  meta.index = this->applied;
+  meta.term = this->applied_term;
+  meta.members = this->core->log().MembersAt(this->applied);
+  meta.blob_length = this->blob_store.length();
+  this->snapshot_under_way = true;
+  this->bytes_since_snapshot = 0;
+  this->writer->OfferSnapshot(std::move(meta), this->machine.Save(),
+                              this->blob_store.TakeDirtyFiles());
+}
+
+void GroupMember::SnapshotSaved(const consensus::SnapshotMeta& meta) {
+  this->snapshot_under_way = false;
+  this->core->Compact(meta);
+}
+
+void GroupMember::Install(const consensus::SnapshotMeta& meta, std::string_view state,
+                          const std::string& blob_file, std::uint64_t blob_start) {
+  this->writer->Drain();
+  if (!this->core->WantsSnapshot(meta)) {
+    return;
+  }
+  try {
+    if (blob_start != this->blob_store.length()) {
+      this->blob_store.Reset(blob_start);
+    }
+    const std::uint64_t size = this->files.Exists(blob_file) ? this->files.Size(blob_file) : 0;
+    for (std::uint64_t offset = 0; offset < size; offset += kCopyChunk) {
+      this->blob_store.Append(this->files.Read(blob_file, offset, kCopyChunk));
+    }
+    this->blob_store.Sync();
+    this->log.InstallSnapshot(meta, state);
+    this->files.Remove(blob_file);
+    this->machine.Load(state);
+    this->core->SnapshotInstalled(meta);
+    this->applied = meta.index;
+    this->applied_term = meta.term;
+    this->bytes_since_snapshot = 0;
+    Log(LogLevel::kInfo, "snapshot_installed", {{"index", meta.index}});
+  } catch (const ResultError& error) {
+    this->StorageFailed(error.what());
+  }
+  this->Pump();
+}
+
+void GroupMember::StorageFailed(const std::string& reason) {
+  this->failure = reason;
+  Log(LogLevel::kError, "storage_failed", {{"group", this->options.group}, {"reason", reason}});
+  for (const auto& [index, waiter] : std::exchange(this->waiting, {})) {
+    this->Refuse(waiter.token, ResultCode::kUnknownOutcome, reason);
+  }
+}
+
+std::string GroupMember::AddressOf(consensus::MemberId member) const {
+  const consensus::Member* found = this->core->members().Find(member);
+  return found != nullptr ? found->address : std::string();
+}
+
+std::string GroupMember::LeaderAddress() const { return this->AddressOf(this->core->leader()); }
+
+nlohmann::json GroupMember::Dump() const {
+  nlohmann::json members = nlohmann::json::array();
+  for (const consensus::Member& member : this->core->members().members) {
+    members.push_back({{"id", member.id},
+                       {"address", member.address},
+                       {"voter", member.voter},
+                       {"synced_index", this->core->MatchOf(member.id)}});
+  }
+  return {{"group", this->options.group},
+          {"state", this->Failed() ? "storage failed" : NameOf(this->core->role())},
+          {"failure", this->failure},
+          {"term", this->core->term()},
+          {"leader", this->core->leader()},
+          {"confirmed_by_quorum", this->core->LeaderReady()},
+          {"commit_index", this->core->commit()},
+          {"applied_index", this->applied},
+          {"synced_index", this->core->persisted()},
+          {"log_first_index", this->core->log().FirstIndex()},
+          {"log_bytes_in_memory", this->core->log().Bytes()},
+          {"snapshot_index", this->core->log().snapshot().index},
+          {"blob_bytes", this->blob_store.length() - this->blob_store.FirstKept()},
+          {"waiting_requests", this->waiting.size()},
+          {"members", members},
+          {"documents_revision", this->machine.documents().revision()},
+          {"leases", this->machine.jobs().LeaseCount()},
+          {"claims", this->machine.claims().Count()}};
+}
+
+}  // namespace papayarack::control
--- a/src/global/internal/logging.cpp
+++ b/src/global/internal/logging.cpp
@@ -7,6 +7,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <atomic>
 #include <map>
 #include <memory>
 
@@ -56,6 +57,11 @@
   return ToLibraryLevel(found->second);
 }
 
+std::atomic<bool>& Started() {
+  static std::atomic<bool> started = false;
+  return started;
+}
+
 std::string& RoleName() {
   static std::string name = "papayarack";
   return name;
@@ -82,9 +88,13 @@
   logger.removeAllAppenders();
   logger.addAppender(appender);
   logger.setLogLevel(ParseLevel(settings.level));
+  Started() = true;
 }
 
 void Log(LogLevel level, std::string_view event, const nlohmann::json& fields) {
+  if (!Started()) {
+    return;
+  }
   log4cplus::Logger& logger = TheLogger();
   const log4cplus::LogLevel library_level = ToLibraryLevel(level);
   if (!logger.isEnabledFor(library_level)) {
--- a/src/storage/blobstore.h
+++ b/src/storage/blobstore.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "storage/filesystem.h"
 
@@ -35,6 +36,8 @@
   std::string ReadAt(std::uint64_t offset, std::size_t length) const;
   std::string Read(const BlobRef& ref) const { return this->ReadAt(ref.offset, ref.length); }
   void Sync();
+  /// Names of files with bytes that no Sync covered; the caller takes over syncing them.
+  std::vector<std::string> TakeDirtyFiles();
   /// Removes whole segments that end at or before `offset`.
   void DropBefore(std::uint64_t offset);
   std::uint64_t length() const { return this->total; }
--- a/src/storage/internal/blobstore.cpp
+++ b/src/storage/internal/blobstore.cpp
@@ -117,6 +117,16 @@
   }
 }
 
+std::vector<std::string> BlobStore::TakeDirtyFiles() {
+  std::vector<std::string> names;
+  if (this->dirty && !this->segments.empty()) {
+    names.push_back(this->NameFor(this->segments.rbegin()->first));
+  }
+  this->dirty = false;
+  this->folder_dirty = false;
+  return names;
+}
+
 void BlobStore::DropBefore(std::uint64_t offset) {
   while (this->segments.size() > 1) {
     const auto& [start, size] = *this->segments.begin();
