Add the gate: decisions, learned limit, batch desk, upstream client, server

Cause: engines know no priority, so one process beside each must decide what runs. Change: a core that starts online work at once and lets the batch work with least done step aside; limits learned from the times between tokens; bounded queues with early refusals; preempted items continue behind the text already received; answers are replayed to an entry that lost its connection. Ruled out: pooled connections to the engine, since a connection that something forgot would be used again; a fresh one for each call costs a loopback connect. Result: stateful fuzz of the core against an oracle (100 histories of 400 steps) and focused tests.

--- /dev/null
+++ b/src/gate/internal/gatecore.cpp
@@ -0,0 +1,314 @@
+#include "gate/gatecore.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papayarack::gate {
+namespace {
+
+constexpr Duration kBurstBucket = std::chrono::milliseconds(250);
+constexpr std::size_t kBurstBuckets = 40;  // Ten seconds of memory.
+constexpr double kServiceSmoothing = 0.1;
+
+}  // namespace
+
+GateCore::GateCore(const GateOptions& options, Time now)
+    : options(options), limit(options.limit, now) {}
+
+void GateCore::SetOptions(const GateOptions& changed) {
+  this->options = changed;
+  this->limit.SetOptions(changed.limit);
+}
+
+std::size_t GateCore::OnlineLimit() const {
+  return this->options.learns ? this->limit.Online() : this->options.limit.max_concurrent;
+}
+
+std::size_t GateCore::SharedLimit() const {
+  return this->options.learns ? this->limit.Shared() : this->options.limit.max_concurrent;
+}
+
+void GateCore::NoteArrival(Time now) {
+  if (this->bursts.empty() || now - this->bursts.back().start >= kBurstBucket) {
+    this->bursts.push_back({now, 0});
+  }
+  this->bursts.back().arrivals += 1;
+  while (this->bursts.size() > kBurstBuckets ||
+         now - this->bursts.front().start > kBurstBucket * kBurstBuckets) {
+    this->bursts.pop_front();
+  }
+}
+
+std::size_t GateCore::Headroom() const {
+  std::size_t largest = 0;
+  for (const Burst& burst : this->bursts) {
+    largest = std::max(largest, burst.arrivals);
+  }
+  // One bucket's burst is spread over it; stepping aside covers the rest at once.
+  return std::min(largest / 2, this->SharedLimit() / 4);
+}
+
+Duration GateCore::PredictedWait() const {
+  const std::size_t limit_now = std::max<std::size_t>(1, this->OnlineLimit());
+  if (this->running_online < limit_now) {
+    return Duration(0);
+  }
+  const double rounds =
+      static_cast<double>(this->waiting_count + 1) / static_cast<double>(limit_now);
+  return Duration(
+      static_cast<std::int64_t>(rounds * static_cast<double>(this->mean_service.count())));
+}
+
+std::optional<Result> GateCore::RefusalFor(const OnlineWork& work, Time now) const {
+  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(this->PredictedWait());
+  if (this->leaving) {
+    return Result{ResultCode::kLeaving, "the gate is leaving", {}};
+  }
+  if (!this->upstream_up) {
+    return Result{ResultCode::kNoUpstream, "the upstream is not reachable", {}};
+  }
+  if (now >= work.deadline) {
+    return Result{ResultCode::kDeadlineBeforeStart, "the deadline has passed", {}};
+  }
+  const bool queue_full = this->waiting_count >= this->options.max_queue;
+  const bool must_wait = this->running_online >= this->OnlineLimit();
+  // A wait that ends past the deadline is a refusal now, when the caller can still go elsewhere.
+  const bool too_late = must_wait && now + this->PredictedWait() >= work.deadline;
+  if ((must_wait && queue_full) || too_late) {
+    return Result{ResultCode::kOverloaded,
+                  queue_full ? "the queue is full" : "the wait would pass the deadline",
+                  std::max(wait, std::chrono::milliseconds(50))};
+  }
+  return std::nullopt;
+}
+
+std::vector<GateAction> GateCore::Online(const OnlineWork& work, Time now) {
+  std::vector<GateAction> actions;
+  this->NoteArrival(now);
+  if (const auto refusal = this->RefusalFor(work, now)) {
+    actions.emplace_back(RefuseOnline{work.id, *refusal});
+    return actions;
+  }
+  this->waiting[work.urgency].by_caller[work.caller].push_back(work);
+  ++this->waiting_count;
+  this->Fill(now, actions);
+  return actions;
+}
+
+std::vector<GateAction> GateCore::Batch(const BatchWork& work, Time now) {
+  std::vector<GateAction> actions;
+  this->waiting_batch.insert({work.due, work.id});
+  this->Fill(now, actions);
+  return actions;
+}
+
+void GateCore::StartNow(WorkId id, bool online, Time now, std::vector<GateAction>& actions) {
+  Running run;
+  run.online = online;
+  run.started = now;
+  run.last_token = now;
+  this->running[id] = run;
+  this->running_online += online ? 1 : 0;
+  actions.emplace_back(StartWork{id});
+}
+
+/// Of the batch work at the upstream, the one with the fewest tokens loses least.
+bool GateCore::PreemptOne(std::vector<GateAction>& actions) {
+  auto victim = this->running.end();
+  for (auto run = this->running.begin(); run != this->running.end(); ++run) {
+    const bool candidate = !run->second.online && !run->second.dropped;
+    if (candidate && (victim == this->running.end() || run->second.tokens < victim->second.tokens)) {
+      victim = run;
+    }
+  }
+  if (victim == this->running.end()) {
+    return false;
+  }
+  victim->second.dropped = true;
+  ++this->dropped_count;
+  actions.emplace_back(PreemptBatch{victim->first});
+  return true;
+}
+
+std::optional<OnlineWork> GateCore::TakeNextOnline() {
+  for (auto& [urgency, queue] : this->waiting) {
+    if (queue.by_caller.empty()) {
+      continue;
+    }
+    auto turn = queue.by_caller.upper_bound(queue.last_served);
+    turn = turn == queue.by_caller.end() ? queue.by_caller.begin() : turn;
+    OnlineWork work = std::move(turn->second.front());
+    turn->second.pop_front();
+    queue.last_served = turn->first;
+    if (turn->second.empty()) {
+      queue.by_caller.erase(turn);
+    }
+    --this->waiting_count;
+    return work;
+  }
+  return std::nullopt;
+}
+
+void GateCore::RefuseOverdue(Time now, std::vector<GateAction>& actions) {
+  for (auto& [urgency, queue] : this->waiting) {
+    for (auto& [caller, line] : queue.by_caller) {
+      const std::size_t removed = std::erase_if(line, [&](const OnlineWork& work) {
+        const bool overdue = now >= work.deadline;
+        if (overdue) {
+          actions.emplace_back(RefuseOnline{
+              work.id, {ResultCode::kDeadlineBeforeStart, "the deadline passed in the queue", {}}});
+        }
+        return overdue;
+      });
+      this->waiting_count -= removed;
+    }
+    std::erase_if(queue.by_caller, [](const auto& entry) { return entry.second.empty(); });
+  }
+}
+
+void GateCore::Fill(Time now, std::vector<GateAction>& actions) {
+  this->RefuseOverdue(now, actions);
+  if (!this->upstream_up) {
+    return;
+  }
+  while (this->waiting_count > 0 && this->running_online < this->OnlineLimit()) {
+    // Symptom guarded against: a teller waits behind batch work. Online work that fits by its own
+    // limit starts now; batch work above the shared limit leaves for it, and is not waited for.
+    if (this->Occupied() >= this->SharedLimit()) {
+      this->PreemptOne(actions);
+    }
+    const std::optional<OnlineWork> next = this->TakeNextOnline();
+    this->StartNow(next->id, true, now, actions);
+  }
+  this->FillBatch(now, actions);
+}
+
+void GateCore::FillBatch(Time now, std::vector<GateAction>& actions) {
+  if (this->waiting_count > 0) {
+    return;
+  }
+  const std::size_t kept = this->running_online == 0 && this->bursts.empty() ? 0 : this->Headroom();
+  const std::size_t room = this->SharedLimit() > kept ? this->SharedLimit() - kept : 0;
+  while (!this->waiting_batch.empty() && this->Occupied() < std::max<std::size_t>(room, 1)) {
+    const bool paced = this->running_online > 0;
+    if (paced && now - this->last_batch_start < this->options.batch_start_pace) {
+      return;
+    }
+    const auto first = this->waiting_batch.begin();
+    if (this->running.count(first->second) > 0) {
+      return;  // It was preempted and the upstream has not yet let go of it.
+    }
+    this->last_batch_start = now;
+    this->batch_due[first->second] = first->first;
+    const WorkId id = first->second;
+    this->waiting_batch.erase(first);
+    this->StartNow(id, false, now, actions);
+  }
+}
+
+std::vector<GateAction> GateCore::Token(WorkId id, Time now) {
+  std::vector<GateAction> actions;
+  const auto run = this->running.find(id);
+  if (run == this->running.end()) {
+    return actions;
+  }
+  run->second.tokens += 1;
+  if (run->second.tokens > 1) {
+    this->limit.OnToken(now - run->second.last_token, this->Occupied(), now);
+  }
+  run->second.last_token = now;
+  return actions;
+}
+
+std::vector<GateAction> GateCore::Ended(WorkId id, Time now) {
+  std::vector<GateAction> actions;
+  const auto run = this->running.find(id);
+  if (run != this->running.end()) {
+    if (run->second.online) {
+      const auto took = static_cast<double>((now - run->second.started).count());
+      const auto mean = static_cast<double>(this->mean_service.count());
+      this->mean_service =
+          Duration(static_cast<std::int64_t>(mean + (took - mean) * kServiceSmoothing));
+      --this->running_online;
+    }
+    this->dropped_count -= run->second.dropped ? 1 : 0;
+    this->running.erase(run);
+    this->batch_due.erase(id);
+  }
+  this->Fill(now, actions);
+  return actions;
+}
+
+bool GateCore::RemoveWaiting(WorkId id) {
+  const auto batch = std::ranges::find(this->waiting_batch, id,
+                                       [](const auto& entry) { return entry.second; });
+  if (batch != this->waiting_batch.end()) {
+    this->waiting_batch.erase(batch);
+    return true;
+  }
+  for (auto& [urgency, queue] : this->waiting) {
+    for (auto& [caller, line] : queue.by_caller) {
+      const auto place = std::ranges::find(line, id, &OnlineWork::id);
+      if (place != line.end()) {
+        line.erase(place);
+        --this->waiting_count;
+        if (line.empty()) {
+          queue.by_caller.erase(caller);
+        }
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+bool GateCore::Drop(WorkId id) {
+  this->RemoveWaiting(id);
+  const auto run = this->running.find(id);
+  if (run == this->running.end()) {
+    return false;
+  }
+  if (!run->second.dropped) {
+    run->second.dropped = true;
+    ++this->dropped_count;
+  }
+  return true;
+}
+
+std::vector<GateAction> GateCore::Tick(Time now) {
+  std::vector<GateAction> actions;
+  this->limit.Tick(this->Occupied(), now);
+  if (!this->bursts.empty() &&
+      now - this->bursts.front().start > kBurstBucket * kBurstBuckets) {
+    this->bursts.pop_front();
+  }
+  this->Fill(now, actions);
+  return actions;
+}
+
+std::vector<GateAction> GateCore::SetUpstreamUp(bool up, Time now) {
+  std::vector<GateAction> actions;
+  this->upstream_up = up;
+  if (!up) {
+    // What waits has not run: saying so now lets the entry try elsewhere while there is time.
+    while (const std::optional<OnlineWork> work = this->TakeNextOnline()) {
+      actions.emplace_back(RefuseOnline{
+          work->id, {ResultCode::kNoUpstream, "the upstream went away", {}}});
+    }
+  }
+  this->Fill(now, actions);
+  return actions;
+}
+
+std::size_t GateCore::BatchWanted(Time /*now*/) const {
+  if (this->leaving || !this->upstream_up || this->waiting_count > 0) {
+    return 0;
+  }
+  const std::size_t room = std::max<std::size_t>(
+      1, this->SharedLimit() > this->Headroom() ? this->SharedLimit() - this->Headroom() : 1);
+  const std::size_t wanted = room + this->options.pull_ahead;
+  const std::size_t have = this->Occupied() + this->waiting_batch.size();
+  return wanted > have ? wanted - have : 0;
+}
+
+}  // namespace papayarack::gate
--- /dev/null
+++ b/src/gate/internal/replaybuffer.h
@@ -0,0 +1,41 @@
+#ifndef PAPAYARACK_GATE_INTERNAL_REPLAYBUFFER_H_
+#define PAPAYARACK_GATE_INTERNAL_REPLAYBUFFER_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "transport/peerserver.h"
+
+namespace papayarack::gate {
+
+/// The messages of one answer, kept until the answer is over and a little longer, so that an
+/// entry whose connection fell silent can take up the stream where it was.
+/// Thread safety: none, the deciding thread.
+class ReplayBuffer {
+ public:
+  ReplayBuffer(transport::PeerServer& server, transport::StreamId stream)
+      : server(&server), stream(stream) {}
+
+  /// Sends the message on the attached stream and keeps it.
+  void Send(std::string message);
+  /// Ends the attached stream; later attachments are ended after the replay.
+  void Finish();
+  /// The stream is gone; the messages wait for another.
+  void Detach() { this->stream = 0; }
+  /// Continues on a new stream after the first `have` messages.
+  void Attach(transport::StreamId next, std::size_t have);
+  bool Attached() const { return this->stream != 0; }
+  bool Finished() const { return this->finished; }
+  transport::StreamId Stream() const { return this->stream; }
+
+ private:
+  transport::PeerServer* server;
+  transport::StreamId stream;
+  std::vector<std::string> messages;
+  bool finished = false;
+};
+
+}  // namespace papayarack::gate
+
+#endif  // PAPAYARACK_GATE_INTERNAL_REPLAYBUFFER_H_
