Add the entry: routing, repeats, callers' and operators' HTTP

Cause: callers need one address that chooses a gate, repeats only what is harmless and never passes a cut answer as whole.

--- /dev/null
+++ b/src/entry/internal/onlineapi.h
@@ -0,0 +1,15 @@
+#ifndef PAPAYARACK_ENTRY_INTERNAL_ONLINEAPI_H_
+#define PAPAYARACK_ENTRY_INTERNAL_ONLINEAPI_H_
+
+#include <httplib.h>
+
+#include "entry/internal/entrycontext.h"
+
+namespace papayarack::entry {
+
+/// Adds the callers' online API: completions, models and plain services.
+void AddOnlineApi(httplib::Server& server, EntryContext& context);
+
+}  // namespace papayarack::entry
+
+#endif  // PAPAYARACK_ENTRY_INTERNAL_ONLINEAPI_H_
--- /dev/null
+++ b/src/entry/internal/onlinecall.cpp
@@ -0,0 +1,232 @@
+#include "entry/onlinecall.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include "global/logging.h"
+#include "global/variantcodec.h"
+
+namespace papayarack::entry {
+namespace {
+
+constexpr std::uint32_t kMostAttempts = 4;
+constexpr std::uint32_t kMostReconnects = 3;
+constexpr std::uint32_t kMostStaleTries = 3;
+constexpr std::chrono::milliseconds kReconnectPause{50};
+constexpr std::chrono::milliseconds kStaleWait{1500};
+/// Beyond the deadline the gate itself ends the request; this waits for its word.
+constexpr Duration kGrace = std::chrono::milliseconds(500);
+
+}  // namespace
+
+OnlineCall::OnlineCall(FleetView& fleet, transport::PeerClient& client, Metrics& metrics,
+                       gate::OnlineRequest request, bool repeatable, std::uint64_t prefix_hash)
+    : fleet(fleet),
+      client(client),
+      metrics(metrics),
+      request(std::move(request)),
+      repeatable(repeatable),
+      prefix_hash(prefix_hash),
+      deadline(MonotonicNow() + std::chrono::milliseconds(this->request.deadline_ms)) {
+  this->fleet.CountRequest(this->request.service);
+}
+
+OnlineCall::~OnlineCall() {
+  if (!this->over && !this->gate.empty()) {
+    // The caller is gone. Resetting the stream alone would look like a lost connection, after
+    // which the gate keeps the answer for us; so say it.
+    const std::string address = this->fleet.AddressOf(this->gate);
+    if (!address.empty()) {
+      this->client.Call(ParseEndpoint(address, "gate"), gate::path::kCancel,
+                        EncodeMessage(gate::CancelRequest{this->request.id, this->request.attempt}),
+                        {});
+    }
+    this->metrics.Add("online_callers_gone_total");
+  }
+  this->LeaveGate();
+}
+
+Duration OnlineCall::TimeLeft() const { return this->deadline - MonotonicNow(); }
+
+CallPiece OnlineCall::Fail(Result result, bool not_run) {
+  this->over = true;
+  this->LeaveGate();
+  if (this->maybe_ran && Describe(result.code).not_run) {
+    // "Not run" must be true of the request, not just of its last attempt.
+    result.code = ResultCode::kUnknownOutcome;
+    result.text = "an earlier attempt may have run; then: " + result.text;
+  }
+  return CallFailed{std::move(result), not_run && !this->maybe_ran};
+}
+
+void OnlineCall::LeaveGate() {
+  if (this->gate.empty()) {
+    return;
+  }
+  if (this->call != 0) {
+    this->client.Cancel(std::exchange(this->call, 0));
+  }
+  this->fleet.Finish(this->gate);
+  this->gate.clear();
+}
+
+bool OnlineCall::Begin() {
+  const RouteQuery query{this->request.service, this->prefix_hash, this->tried};
+  std::optional<std::string> chosen = this->fleet.Choose(query);
+  if (!chosen.has_value()) {
+    return false;
+  }
+  this->gate = std::move(*chosen);
+  this->request.attempt += 1;
+  this->received = 0;
+  this->reconnects = 0;
+  this->Connect();
+  return true;
+}
+
+void OnlineCall::Connect() {
+  this->ring = std::make_shared<WireRing>(kRing);
+  this->sent = MonotonicNow();
+  this->request.revision = this->fleet.Revision();
+  this->request.have_messages = this->received;
+  this->request.take_up = this->reconnects > 0;
+  this->request.deadline_ms = std::max<std::int64_t>(
+      1, std::chrono::duration_cast<std::chrono::milliseconds>(this->TimeLeft()).count());
+  transport::CallHandlers handlers;
+  handlers.on_message = [ring = this->ring](std::string message) {
+    // A caller who reads so slowly that the ring fills loses the answer, not the I/O thread.
+    if (!ring->TryPush(std::move(message))) {
+      ring->Close();
+    }
+  };
+  handlers.on_end = [ring = this->ring](transport::CallEnd end) {
+    if (!ring->TryPush(end)) {
+      ring->Close();
+    }
+  };
+  this->call = this->client.Call(ParseEndpoint(this->fleet.AddressOf(this->gate), "gate"),
+                                 gate::path::kOnline, EncodeMessage(this->request),
+                                 std::move(handlers));
+}
+
+CallPiece OnlineCall::Next() {
+  while (true) {
+    if (this->gate.empty() && !this->Begin()) {
+      return this->Fail({ResultCode::kNoUpstream, "no upstream of " + this->request.service +
+                                                      " can take the request",
+                         std::chrono::milliseconds(500)},
+                        true);
+    }
+    const Duration wait = std::max(this->TimeLeft() + kGrace, Duration(1));
+    const std::optional<WireEvent> event = this->ring->Pop(wait);
+    if (!event.has_value()) {
+      const bool slow = this->ring->Closed();
+      return this->Fail({slow ? ResultCode::kOverloaded : ResultCode::kDeadlineWhileRunning,
+                         slow ? "the caller reads too slowly" : "the deadline passed", {}},
+                        false);
+    }
+    if (std::optional<CallPiece> piece = this->OnWire(*event)) {
+      return std::move(*piece);
+    }
+  }
+}
+
+std::optional<CallPiece> OnlineCall::OnWire(const WireEvent& event) {
+  return std::visit(
+      Overloaded{[this](const std::string& message) { return this->OnMessage(message); },
+                 [this](transport::CallEnd how) { return this->OnLost(how); }},
+      event);
+}
+
+std::optional<CallPiece> OnlineCall::OnMessage(const std::string& bytes) {
+  gate::GateMessage message;
+  try {
+    message = DecodeVariant<gate::GateMessage>(bytes);
+  } catch (const ResultError& error) {
+    return this->Fail({ResultCode::kProtocol, error.what(), {}}, false);
+  }
+  ++this->received;
+  return std::visit(
+      Overloaded{
+          [this](gate::Refused& refused) { return this->OnRefused(refused); },
+          [this](gate::AnswerHead& head) -> std::optional<CallPiece> {
+            this->fleet.Report(this->gate, RouteOutcome::kAnswered, MonotonicNow() - this->sent);
+            this->delivered = true;
+            return CallHead{head.status, std::move(head.content_type)};
+          },
+          [](gate::AnswerBytes& body) -> std::optional<CallPiece> {
+            return CallBytes{std::move(body.bytes)};
+          },
+          [this](gate::AnswerEnd& end) { return this->OnEnd(end); },
+      },
+      message);
+}
+
+std::optional<CallPiece> OnlineCall::OnRefused(const gate::Refused& refused) {
+  const auto code = static_cast<ResultCode>(refused.code);
+  const Result result{code, refused.text, std::chrono::milliseconds(refused.retry_after_ms)};
+  this->metrics.Add("online_gate_refusals_total");
+  if (code == ResultCode::kStaleRevision && this->stale_tries++ < kMostStaleTries) {
+    // The gate knows a newer document. Once we know it too the request is decided anew.
+    this->fleet.WaitForRevision(refused.revision, std::min<Duration>(kStaleWait, this->TimeLeft()));
+    this->LeaveGate();
+    return std::nullopt;
+  }
+  if (code == ResultCode::kLeaving) {
+    this->fleet.MarkLeaving(this->gate);
+  }
+  const bool fault = code == ResultCode::kNoUpstream;
+  this->fleet.Report(this->gate, fault ? RouteOutcome::kFailed : RouteOutcome::kRefused, {});
+  return this->Again(result, Describe(code).not_run);
+}
+
+std::optional<CallPiece> OnlineCall::OnEnd(const gate::AnswerEnd& end) {
+  const auto code = static_cast<ResultCode>(end.code);
+  if (code == ResultCode::kOk) {
+    this->over = true;
+    this->LeaveGate();
+    return CallWhole{};
+  }
+  if (code == ResultCode::kUpstreamFailed) {
+    this->fleet.Report(this->gate, RouteOutcome::kFailed, {});
+  }
+  return this->Again({code, end.text, {}}, false);
+}
+
+std::optional<CallPiece> OnlineCall::OnLost(transport::CallEnd how) {
+  this->call = 0;
+  if (how == transport::CallEnd::kNotSent && this->received == 0 && this->reconnects == 0) {
+    this->fleet.Report(this->gate, RouteOutcome::kFailed, {});
+    return this->Again({ResultCode::kNoUpstream, "the gate cannot be reached", {}}, true);
+  }
+  // The request may be running. The gate keeps its answer a while: take it up on a new connection.
+  if (this->reconnects++ < kMostReconnects && this->TimeLeft() > Duration(0)) {
+    this->metrics.Add("online_reconnects_total");
+    std::this_thread::sleep_for(kReconnectPause);
+    this->Connect();
+    return std::nullopt;
+  }
+  this->fleet.Report(this->gate, RouteOutcome::kFailed, {});
+  return this->Again({ResultCode::kUnknownOutcome, "the gate went away with the request", {}},
+                     false);
+}
+
+std::optional<CallPiece> OnlineCall::Again(const Result& why, bool not_run) {
+  this->maybe_ran = this->maybe_ran || !not_run;
+  const bool harmless = not_run || (this->repeatable && !this->delivered);
+  const bool in_time = this->TimeLeft() > Duration(0);
+  const bool left = this->request.attempt < kMostAttempts;
+  if (harmless && in_time && left && this->fleet.TryRepeat(this->request.service)) {
+    this->metrics.Add("online_repeats_total");
+    Log(LogLevel::kInfo, "repeat",
+        {{"request", this->request.id}, {"attempt", this->request.attempt},
+         {"gate", this->gate}, {"why", why.text}});
+    this->tried.push_back(this->gate);
+    this->LeaveGate();
+    return std::nullopt;
+  }
+  return this->Fail(why, not_run);
+}
+
+}  // namespace papayarack::entry
--- /dev/null
+++ b/src/entry/internal/retrybudget.cpp
@@ -0,0 +1,17 @@
+#include "entry/retrybudget.h"
+
+#include <algorithm>
+
+namespace papayarack::entry {
+
+void RetryBudget::OnRequest() { this->tokens = std::min(kLargest, this->tokens + kPerRequest); }
+
+bool RetryBudget::TryRepeat() {
+  if (this->tokens < 1.0) {
+    return false;
+  }
+  this->tokens -= 1.0;
+  return true;
+}
+
+}  // namespace papayarack::entry
--- a/src/gate/gateprotocol.h
+++ b/src/gate/gateprotocol.h
@@ -31,8 +31,11 @@
   std::uint32_t prompt_tokens = 0;  ///< Estimate, for pacing.
   bool stream = false;              ///< The caller wants server-sent events.
   std::uint32_t have_messages = 0;  ///< Taking up a stream: messages that did arrive.
+  /// Only take up what is known under this id and attempt; never run it anew. A gate that was
+  /// restarted meanwhile knows nothing of it, while the upstream may have run it.
+  bool take_up = false;
   MSGPACK_DEFINE(version, id, attempt, caller, service, work, deadline_ms, revision, method,
-                 target, content_type, body, prompt_tokens, stream, have_messages)
+                 target, content_type, body, prompt_tokens, stream, have_messages, take_up)
 };
 
 /// The caller is gone: stop the work.
--- a/src/gate/internal/gateserver.cpp
+++ b/src/gate/internal/gateserver.cpp
@@ -279,7 +279,7 @@
       this->by_stream[peer.stream] = known->second;
       return;
     }
-    if (request.have_messages > 0) {
+    if (request.take_up) {
       throw ResultError(ResultCode::kUnknownOutcome, "this gate does not know the request");
     }
     this->RequireAcceptable(request);
