--- a/src/entry/internal/onlineapi.cpp
+++ b/src/entry/internal/onlineapi.cpp
@@ -271,14 +271,8 @@
       });
 }
 
-void RefuseWhenLeaving(const EntryContext& context) {
-  if (context.leaving) {
-    throw ResultError(ResultCode::kLeaving, "this entry is shutting down");
-  }
-}
 
 void Answer(EntryContext& context, Prepared prepared, httplib::Response& response) {
-  RefuseWhenLeaving(context);
   response.set_header(header::kRequestId, prepared.caller.request_id);
   const Time came = MonotonicNow();
   if (prepared.request.stream) {
--- a/src/global/internal/settings.cpp
+++ b/src/global/internal/settings.cpp
@@ -38,6 +38,7 @@
     "election_ms": {"type": "integer", "minimum": 50, "maximum": 60000},
     "lease_ms": {"type": "integer", "minimum": 500, "maximum": 600000},
     "shutdown_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
+    "drain_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "max_body_bytes": {"type": "integer", "minimum": 1024, "maximum": 1073741824},
     "max_line_bytes": {"type": "integer", "minimum": 256, "maximum": 16777216},
     "max_job_items": {"type": "integer", "minimum": 1, "maximum": 1000000},
@@ -90,6 +91,7 @@
   ReadMillis(document, "election_ms", settings.election);
   ReadMillis(document, "lease_ms", settings.lease);
   ReadMillis(document, "shutdown_grace_ms", settings.shutdown_grace);
+  ReadMillis(document, "drain_ms", settings.drain);
   ReadInto(document, "max_body_bytes", settings.max_body_bytes);
   ReadInto(document, "max_line_bytes", settings.max_line_bytes);
   ReadInto(document, "max_job_items", settings.max_job_items);
--- a/src/global/settings.h
+++ b/src/global/settings.h
@@ -54,6 +54,7 @@
   std::chrono::milliseconds election{600};
   std::chrono::milliseconds lease{8000};
   std::chrono::milliseconds shutdown_grace{30000};
+  std::chrono::milliseconds drain{1000};  ///< entry: unhealthy but serving, for the balancer.
   std::size_t max_body_bytes = 64U << 20U;
   std::size_t max_line_bytes = 1U << 20U;
   std::size_t max_job_items = 63000;
--- /dev/null
+++ b/src/roles/internal/signalwait.h
@@ -0,0 +1,15 @@
+#ifndef PAPAYARACK_ROLES_INTERNAL_SIGNALWAIT_H_
+#define PAPAYARACK_ROLES_INTERNAL_SIGNALWAIT_H_
+
+namespace papayarack::roles {
+
+/// Blocks SIGTERM and SIGINT for this thread and those it starts, and ignores SIGPIPE.
+/// Call it before any thread is made.
+void BlockStopSignals();
+
+/// Waits for SIGTERM or SIGINT.
+void WaitForStopSignal();
+
+}  // namespace papayarack::roles
+
+#endif  // PAPAYARACK_ROLES_INTERNAL_SIGNALWAIT_H_
