--- a/src/entry/internal/retrybudget.cpp
+++ b/src/entry/internal/retrybudget.cpp
@@ -4,7 +4,9 @@
 
 namespace papayarack::entry {
 
-void RetryBudget::OnRequest() { this->tokens = std::min(kLargest, this->tokens + kPerRequest); }
+void RetryBudget::OnRequest() {
+  this->tokens = std::min(kLargest, this->tokens + kPerRequest);
+}
 
 bool RetryBudget::TryRepeat() {
   if (this->tokens < 1.0) {
--- a/src/entry/internal/routercore.cpp
+++ b/src/entry/internal/routercore.cpp
@@ -17,9 +17,11 @@
 
 }  // namespace
 
-RouterCore::RouterCore(const RouterOptions& options) : options(options), random(options.seed) {}
+RouterCore::RouterCore(const RouterOptions& options)
+    : options(options), random(options.seed) {}
 
-void RouterCore::SetFleet(std::span<const fleet::FleetMember> members, bool settled) {
+void RouterCore::SetFleet(std::span<const fleet::FleetMember> members,
+                          bool settled) {
   std::set<std::string_view> listed;
   for (const fleet::FleetMember& member : members) {
     if (member.report.role != "side") {
@@ -52,15 +54,20 @@
 
 double RouterCore::LoadOf(const Gate& gate) const {
   const double limit = std::max<double>(1.0, gate.report.limit);
-  return (static_cast<double>(gate.in_flight) + static_cast<double>(gate.reported)) / limit;
+  return (static_cast<double>(gate.in_flight) +
+          static_cast<double>(gate.reported)) /
+         limit;
 }
 
-std::vector<std::string> RouterCore::Candidates(const RouteQuery& query, Time now) const {
+std::vector<std::string> RouterCore::Candidates(const RouteQuery& query,
+                                                Time now) const {
   std::vector<std::string> open;
   std::vector<std::string> aside;
   for (const auto& [name, gate] : this->gates) {
-    const bool tried = std::ranges::find(query.tried, name) != query.tried.end();
-    if (gate.report.service != query.service || gate.leaving || !gate.alive || tried) {
+    const bool tried =
+        std::ranges::find(query.tried, name) != query.tried.end();
+    if (gate.report.service != query.service || gate.leaving || !gate.alive ||
+        tried) {
       continue;
     }
     const bool closed = gate.aside && now < gate.aside_until;
@@ -77,7 +84,8 @@
   std::vector<std::string> own;
   for (const std::string& name : candidates) {
     const Gate& gate = this->gates.find(name)->second;
-    if (gate.report.zone == this->options.zone && this->LoadOf(gate) < kZoneFull) {
+    if (gate.report.zone == this->options.zone &&
+        this->LoadOf(gate) < kZoneFull) {
       own.push_back(name);
     }
   }
@@ -98,20 +106,23 @@
   return *best;
 }
 
-const std::string& RouterCore::Better(const std::string& one, const std::string& other) const {
+const std::string& RouterCore::Better(const std::string& one,
+                                      const std::string& other) const {
   const double first = this->LoadOf(this->gates.find(one)->second);
   const double second = this->LoadOf(this->gates.find(other)->second);
   return first <= second ? one : other;
 }
 
-std::optional<std::string> RouterCore::Choose(const RouteQuery& query, Time now) {
+std::optional<std::string> RouterCore::Choose(const RouteQuery& query,
+                                              Time now) {
   const std::vector<std::string> all = this->Candidates(query, now);
   if (all.empty()) {
     return std::nullopt;
   }
   const std::vector<std::string> near = this->PreferOwnZone(all);
   std::uniform_int_distribution<std::size_t> any(0, near.size() - 1);
-  std::string chosen = this->Better(near[any(this->random)], near[any(this->random)]);
+  std::string chosen =
+      this->Better(near[any(this->random)], near[any(this->random)]);
   if (query.prefix_hash != 0) {
     const std::string favourite = this->PickByPrefix(near, query.prefix_hash);
     const double load = this->LoadOf(this->gates.find(favourite)->second);
@@ -123,7 +134,8 @@
 
 std::string RouterCore::AddressOf(std::string_view name) const {
   const auto found = this->gates.find(name);
-  return found != this->gates.end() ? found->second.report.address : std::string();
+  return found != this->gates.end() ? found->second.report.address
+                                    : std::string();
 }
 
 void RouterCore::Finish(std::string_view name) {
@@ -143,8 +155,9 @@
   if (latencies.empty()) {
     return 0;
   }
-  std::ranges::nth_element(latencies,
-                           latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2));
+  std::ranges::nth_element(
+      latencies,
+      latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2));
   return latencies[latencies.size() / 2];
 }
 
@@ -152,12 +165,14 @@
   std::size_t peers = 0;
   std::size_t aside = 0;
   for (const auto& [name, other] : this->gates) {
-    if (other.report.service == gate.report.service && other.alive && !other.leaving) {
+    if (other.report.service == gate.report.service && other.alive &&
+        !other.leaving) {
       ++peers;
       aside += other.aside ? 1 : 0;
     }
   }
-  // Were all to fail alike, setting them aside would only move the load onto fewer.
+  // Were all to fail alike, setting them aside would only move the load onto
+  // fewer.
   const auto allowed = static_cast<std::size_t>(this->options.max_set_aside *
                                                 static_cast<double>(peers));
   if (gate.aside || aside < allowed) {
@@ -167,7 +182,8 @@
   }
 }
 
-void RouterCore::Report(std::string_view name, RouteOutcome outcome, Duration took, Time now) {
+void RouterCore::Report(std::string_view name, RouteOutcome outcome,
+                        Duration took, Time now) {
   const auto found = this->gates.find(name);
   if (found == this->gates.end()) {
     return;
@@ -175,7 +191,9 @@
   Gate& gate = found->second;
   if (outcome == RouteOutcome::kFailed) {
     if (++gate.failures >= kFailuresUntilAside) {
-      this->SetAside(gate, "failed " + std::to_string(gate.failures) + " times in a row", now);
+      this->SetAside(
+          gate, "failed " + std::to_string(gate.failures) + " times in a row",
+          now);
     }
     return;
   }
@@ -185,15 +203,20 @@
   }
   const double took_ms = ToSeconds(took) * 1000;
   gate.latency_ms =
-      gate.samples == 0 ? took_ms : gate.latency_ms + (took_ms - gate.latency_ms) * kSmoothing;
+      gate.samples == 0
+          ? took_ms
+          : gate.latency_ms + (took_ms - gate.latency_ms) * kSmoothing;
   ++gate.samples;
   const double median = this->MedianLatency(gate.report.service);
-  const bool slow = gate.samples >= kSamplesUntilJudged && gate.latency_ms > kMinSlowMs &&
+  const bool slow = gate.samples >= kSamplesUntilJudged &&
+                    gate.latency_ms > kMinSlowMs &&
                     gate.latency_ms > median * this->options.slow_factor;
   if (slow) {
     this->SetAside(gate, "slower than its peers", now);
     gate.samples = kSamplesUntilJudged / 2;
-  } else if (gate.aside && took_ms <= std::max(kMinSlowMs, median * this->options.slow_factor)) {
+  } else if (gate.aside &&
+             took_ms <=
+                 std::max(kMinSlowMs, median * this->options.slow_factor)) {
     gate.aside = false;
     gate.latency_ms = took_ms;
     gate.why.clear();
@@ -210,17 +233,20 @@
 std::vector<GateView> RouterCore::View(Time now) const {
   std::vector<GateView> views;
   for (const auto& [name, gate] : this->gates) {
-    views.push_back({name, gate.report.address, gate.report.zone, gate.in_flight, gate.reported,
-                     gate.latency_ms, gate.aside && now < gate.aside_until,
-                     gate.leaving ? "leaving" : (!gate.alive ? "not heard of" : gate.why)});
+    views.push_back(
+        {name, gate.report.address, gate.report.zone, gate.in_flight,
+         gate.reported, gate.latency_ms, gate.aside && now < gate.aside_until,
+         gate.leaving ? "leaving" : (!gate.alive ? "not heard of" : gate.why)});
   }
   return views;
 }
 
 std::size_t RouterCore::CountFor(std::string_view service) const {
-  return static_cast<std::size_t>(std::ranges::count_if(this->gates, [service](const auto& entry) {
-    return entry.second.report.service == service && entry.second.alive && !entry.second.leaving;
-  }));
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->gates, [service](const auto& entry) {
+        return entry.second.report.service == service && entry.second.alive &&
+               !entry.second.leaving;
+      }));
 }
 
 }  // namespace papayarack::entry
--- a/src/entry/onlinecall.h
+++ b/src/entry/onlinecall.h
@@ -31,15 +31,16 @@
 };
 using CallPiece = std::variant<CallHead, CallBytes, CallWhole, CallFailed>;
 
-/// Carries one online request to a gate and its answer back. Repeats it elsewhere only when it
-/// was certainly not run, or when it may be repeated and the caller has received nothing yet;
-/// never more often than the retry budget and the deadline allow. A connection that falls
-/// silent is replaced and the answer taken up where it was.
-/// Thread safety: one caller's thread.
+/// Carries one online request to a gate and its answer back. Repeats it
+/// elsewhere only when it was certainly not run, or when it may be repeated and
+/// the caller has received nothing yet; never more often than the retry budget
+/// and the deadline allow. A connection that falls silent is replaced and the
+/// answer taken up where it was. Thread safety: one caller's thread.
 class OnlineCall {
  public:
   OnlineCall(FleetView& fleet, transport::PeerClient& client, Metrics& metrics,
-             gate::OnlineRequest request, bool repeatable, std::uint64_t prefix_hash);
+             gate::OnlineRequest request, bool repeatable,
+             std::uint64_t prefix_hash);
   /// Cancels what is still running.
   ~OnlineCall();
   OnlineCall(const OnlineCall&) = delete;
@@ -78,11 +79,11 @@
   std::vector<std::string> tried;
   std::shared_ptr<WireRing> ring;
   transport::CallId call = 0;
-  std::uint32_t received = 0;     ///< Messages of this attempt.
+  std::uint32_t received = 0;  ///< Messages of this attempt.
   std::uint32_t reconnects = 0;
   std::uint32_t stale_tries = 0;
-  bool delivered = false;         ///< The caller has got something of the answer.
-  bool maybe_ran = false;         ///< An earlier attempt may have run.
+  bool delivered = false;  ///< The caller has got something of the answer.
+  bool maybe_ran = false;  ///< An earlier attempt may have run.
   bool over = false;
 };
 
--- a/src/entry/retrybudget.h
+++ b/src/entry/retrybudget.h
@@ -3,8 +3,8 @@
 
 namespace papayarack::entry {
 
-/// Bounds the repeats of one service to a part of its first requests, so that an overload is not
-/// made worse by the repeats it causes. Thread safety: none.
+/// Bounds the repeats of one service to a part of its first requests, so that
+/// an overload is not made worse by the repeats it causes. Thread safety: none.
 class RetryBudget {
  public:
   /// A first request came: it adds a little to what may be repeated.
--- a/src/entry/routercore.h
+++ b/src/entry/routercore.h
@@ -28,7 +28,8 @@
 /// What a choice depends on.
 struct RouteQuery {
   std::string_view service;
-  std::uint64_t prefix_hash = 0;  ///< Of the prompt's leading bytes; 0 for none.
+  std::uint64_t prefix_hash =
+      0;  ///< Of the prompt's leading bytes; 0 for none.
   std::span<const std::string> tried;
 };
 
@@ -51,23 +52,26 @@
   std::string why;
 };
 
-/// Chooses the gate for each request: own requests in flight as truth, reports aged, two random
-/// choices, prefix affinity, own zone first until it is full, slow and failing gates set aside
-/// by comparison with their peers and let back by single trial requests.
-/// No clock or threads; the generator is seeded. Thread safety: none, one owner.
+/// Chooses the gate for each request: own requests in flight as truth, reports
+/// aged, two random choices, prefix affinity, own zone first until it is full,
+/// slow and failing gates set aside by comparison with their peers and let back
+/// by single trial requests. No clock or threads; the generator is seeded.
+/// Thread safety: none, one owner.
 class RouterCore {
  public:
   explicit RouterCore(const RouterOptions& options);
 
-  /// Takes the fleet as control sees it. While `settled` is false, gates that are missing from
-  /// the list are kept: a new control leader has not heard all of them yet.
+  /// Takes the fleet as control sees it. While `settled` is false, gates that
+  /// are missing from the list are kept: a new control leader has not heard all
+  /// of them yet.
   void SetFleet(std::span<const fleet::FleetMember> members, bool settled);
-  /// The name of a gate, or nothing when no gate can take the request. The request counts as in
-  /// flight there until Finish.
+  /// The name of a gate, or nothing when no gate can take the request. The
+  /// request counts as in flight there until Finish.
   std::optional<std::string> Choose(const RouteQuery& query, Time now);
   std::string AddressOf(std::string_view gate) const;
   void Finish(std::string_view gate);
-  void Report(std::string_view gate, RouteOutcome outcome, Duration took, Time now);
+  void Report(std::string_view gate, RouteOutcome outcome, Duration took,
+              Time now);
   /// The gate itself says that it leaves, before control does.
   void MarkLeaving(std::string_view gate);
   std::vector<GateView> View(Time now) const;
@@ -79,10 +83,11 @@
     bool leaving = false;
     bool alive = true;
     std::uint32_t in_flight = 0;
-    std::uint32_t reported = 0;      ///< Load that others caused, halved at each own update.
-    double latency_ms = 0;           ///< Smoothed time until an answer begins.
+    std::uint32_t reported =
+        0;  ///< Load that others caused, halved at each own update.
+    double latency_ms = 0;  ///< Smoothed time until an answer begins.
     std::uint32_t samples = 0;
-    std::uint32_t failures = 0;      ///< In a row.
+    std::uint32_t failures = 0;  ///< In a row.
     Time aside_until{};
     bool aside = false;
     std::string why;
@@ -90,10 +95,13 @@
   using Gates = std::map<std::string, Gate, std::less<>>;
 
   std::vector<std::string> Candidates(const RouteQuery& query, Time now) const;
-  std::vector<std::string> PreferOwnZone(const std::vector<std::string>& candidates) const;
+  std::vector<std::string> PreferOwnZone(
+      const std::vector<std::string>& candidates) const;
   double LoadOf(const Gate& gate) const;
-  const std::string& Better(const std::string& one, const std::string& other) const;
-  std::string PickByPrefix(const std::vector<std::string>& candidates, std::uint64_t hash) const;
+  const std::string& Better(const std::string& one,
+                            const std::string& other) const;
+  std::string PickByPrefix(const std::vector<std::string>& candidates,
+                           std::uint64_t hash) const;
   void SetAside(Gate& gate, std::string why, Time now);
   double MedianLatency(std::string_view service) const;
 
--- a/src/entry/tests/onlinecall_tests.cpp
+++ b/src/entry/tests/onlinecall_tests.cpp
@@ -19,12 +19,14 @@
   BoundedRing<std::string> cancelled{64};
   transport::PeerServer server{
       {"127.0.0.1", 0},
-      {[this](transport::StreamId stream, std::string_view path, std::string body) {
+      {[this](transport::StreamId stream, std::string_view path,
+              const std::string& body) {
          if (path == gate::path::kCancel) {
            this->cancelled.TryPush(DecodeMessage<gate::CancelRequest>(body).id);
            this->server.Finish(stream);
          } else {
-           this->seen.TryPush({stream, DecodeMessage<gate::OnlineRequest>(body)});
+           this->seen.TryPush(
+               {stream, DecodeMessage<gate::OnlineRequest>(body)});
          }
        },
        [](transport::StreamId) {}}};
@@ -55,11 +57,15 @@
     request.id = "r1";
     request.service = "counter";
     request.deadline_ms = 20000;
-    return {this->fleet, this->client, this->metrics, std::move(request), repeatable, 0};
+    return {this->fleet,        this->client, this->metrics,
+            std::move(request), repeatable,   0};
+  }
+  void OnlyFirst() {
+    this->fleet.TakeFleet({this->first.Member("first")}, true);
   }
-  void OnlyFirst() { this->fleet.TakeFleet({this->first.Member("first")}, true); }
   void Both() {
-    this->fleet.TakeFleet({this->first.Member("first"), this->second.Member("second")}, true);
+    this->fleet.TakeFleet(
+        {this->first.Member("first"), this->second.Member("second")}, true);
   }
   /// The gate that the request came to.
   std::pair<FakeGate*, FakeGate::Seen> Arrived() {
@@ -105,9 +111,11 @@
   gates.join();
 }
 
-// Symptom: a caller takes half an answer for the whole. Sequence: the upstream dies in the middle
-// of the answer. Cause: a stream that ends looks like a stream that was finished.
-TEST_CASE("an answer that ends without its last message is a failure, never whole") {
+// Symptom: a caller takes half an answer for the whole. Sequence: the upstream
+// dies in the middle of the answer. Cause: a stream that ends looks like a
+// stream that was finished.
+TEST_CASE(
+    "an answer that ends without its last message is a failure, never whole") {
   Setup setup;
   setup.OnlyFirst();
   OnlineCall call = setup.Call(true);
@@ -126,9 +134,11 @@
   gate.join();
 }
 
-// Symptom: a payment posts twice. Sequence: the gate takes the request and its connection breaks;
-// the gate has been restarted when the entry comes back. Cause: the entry sends the request again.
-TEST_CASE("a request that may not be repeated is only taken up, never run anew") {
+// Symptom: a payment posts twice. Sequence: the gate takes the request and its
+// connection breaks; the gate has been restarted when the entry comes back.
+// Cause: the entry sends the request again.
+TEST_CASE(
+    "a request that may not be repeated is only taken up, never run anew") {
   Setup setup;
   setup.OnlyFirst();
   OnlineCall call = setup.Call(false);
@@ -171,8 +181,9 @@
   gate.join();
 }
 
-// Symptom: "not run" is said of a request that ran. Sequence: the first attempt may have run, the
-// repeat finds no gate. Cause: the last attempt's refusal is reported for the whole request.
+// Symptom: "not run" is said of a request that ran. Sequence: the first attempt
+// may have run, the repeat finds no gate. Cause: the last attempt's refusal is
+// reported for the whole request.
 TEST_CASE("not run is never said when an earlier attempt may have run") {
   Setup setup;
   setup.OnlyFirst();
--- a/src/entry/tests/routercore_tests.cpp
+++ b/src/entry/tests/routercore_tests.cpp
@@ -10,7 +10,8 @@
 constexpr Time kStart{std::chrono::seconds(100)};
 constexpr Duration kMs = std::chrono::milliseconds(1);
 
-fleet::FleetMember Side(const std::string& name, const std::string& zone = "a") {
+fleet::FleetMember Side(const std::string& name,
+                        const std::string& zone = "a") {
   fleet::FleetMember member;
   member.report.name = name;
   member.report.role = "side";
@@ -22,10 +23,13 @@
   return member;
 }
 
-RouteQuery Query(std::span<const std::string> tried = {}) { return {"counter", 0, tried}; }
+RouteQuery Query(std::span<const std::string> tried = {}) {
+  return {"counter", 0, tried};
+}
 
 std::vector<fleet::FleetMember> Sides(int count) {
   std::vector<fleet::FleetMember> members;
+  members.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     members.push_back(Side("g" + std::to_string(i)));
   }
@@ -52,7 +56,9 @@
     const std::vector<std::string> tried = {"g0", "g1", "g2"};
     CHECK(router.Choose(Query(tried), kStart) == "g3");
   }
-  SECTION("sends nothing more to a gate that says it leaves, even when control's list lags") {
+  SECTION(
+      "sends nothing more to a gate that says it leaves, even when control's "
+      "list lags") {
     router.MarkLeaving("g0");
     router.SetFleet(members, true);
     for (int i = 0; i < 50; ++i) {
@@ -68,8 +74,9 @@
       CHECK(chosen);
     }
   }
-  // Symptom: all gates vanish for a second. Sequence: control elects a new leader, which has heard
-  // of one gate so far. Cause: its list is taken for the whole fleet.
+  // Symptom: all gates vanish for a second. Sequence: control elects a new
+  // leader, which has heard of one gate so far. Cause: its list is taken for
+  // the whole fleet.
   SECTION("keeps gates that a new control leader has not heard of yet") {
     router.SetFleet(std::span(members).first(1), false);
     CHECK(router.CountFor("counter") == 4);
@@ -96,8 +103,8 @@
     }
     CHECK(chosen > 10);
   }
-  // Symptom: a fault that all gates share takes the service away. Sequence: every gate fails a
-  // few times. Cause: each is judged alone.
+  // Symptom: a fault that all gates share takes the service away. Sequence:
+  // every gate fails a few times. Cause: each is judged alone.
   SECTION("never sets aside more than a part of its gates") {
     for (int i = 0; i < 10; ++i) {
       for (const char* name : {"g0", "g1", "g2", "g3"}) {
@@ -131,7 +138,8 @@
 
 TEST_CASE("an entry prefers its own zone until that is full") {
   RouterCore router({"a", 3, 0.34, 3.0});
-  const std::vector<fleet::FleetMember> members = {Side("near"), Side("far", "b")};
+  const std::vector<fleet::FleetMember> members = {Side("near"),
+                                                   Side("far", "b")};
   router.SetFleet(members, true);
   for (int i = 0; i < 3; ++i) {
     CHECK(router.Choose(Query(), kStart) == "near");
--- a/src/fleet/internal/fleettable.cpp
+++ b/src/fleet/internal/fleettable.cpp
@@ -15,10 +15,13 @@
     entry.leaving = false;
     const auto listed = this->platform_leaving.find(report.name);
     if (listed != this->platform_leaving.end()) {
-      // The list named it before this start was known. The list lags, so the mark counts for an
-      // unknown or the same start, and not for one that came after the mark was seen.
-      const bool marked_now = listed->second == 0 || listed->second == report.incarnation;
-      listed->second = listed->second == 0 ? report.incarnation : listed->second;
+      // The list named it before this start was known. The list lags, so the
+      // mark counts for an unknown or the same start, and not for one that came
+      // after the mark was seen.
+      const bool marked_now =
+          listed->second == 0 || listed->second == report.incarnation;
+      listed->second =
+          listed->second == 0 ? report.incarnation : listed->second;
       entry.leaving = marked_now;
     }
   }
@@ -43,7 +46,8 @@
     const auto known = this->entries.find(name);
     const std::uint64_t incarnation =
         known != this->entries.end() ? known->second.report.incarnation : 0;
-    const bool new_mark = this->platform_leaving.try_emplace(name, incarnation).second;
+    const bool new_mark =
+        this->platform_leaving.try_emplace(name, incarnation).second;
     if (new_mark && known != this->entries.end() && !known->second.leaving) {
       known->second.leaving = true;
       ++this->change_count;
@@ -53,9 +57,10 @@
 
 void FleetTable::Refresh(Time now) {
   const Duration forget_after = this->dead_after * kForgetAfterDeadTimes;
-  const std::size_t forgotten = std::erase_if(this->entries, [&](const auto& entry) {
-    return now - entry.second.heard > forget_after;
-  });
+  const std::size_t forgotten =
+      std::erase_if(this->entries, [&](const auto& entry) {
+        return now - entry.second.heard > forget_after;
+      });
   this->change_count += forgotten;
   for (auto& [name, entry] : this->entries) {
     const bool alive = now - entry.heard <= this->dead_after;
@@ -69,8 +74,10 @@
   std::vector<FleetMember> members;
   members.reserve(this->entries.size());
   for (const auto& [name, entry] : this->entries) {
-    const auto quiet = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.heard);
-    members.push_back({entry.report, entry.leaving, entry.alive, quiet.count()});
+    const auto quiet = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - entry.heard);
+    members.push_back(
+        {entry.report, entry.leaving, entry.alive, quiet.count()});
   }
   return members;
 }
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -23,9 +23,10 @@
   fleet.Heard(Report(1), kStart);
   REQUIRE(fleet.Members(kStart).size() == 1);
 
-  // Symptom: a leaving upstream gets new work again. Sequence: it says that it leaves; the
-  // platform's list, which lags, still calls it live; or a late heartbeat arrives out of order.
-  // Cause: the newest word wins instead of the word "leaving".
+  // Symptom: a leaving upstream gets new work again. Sequence: it says that it
+  // leaves; the platform's list, which lags, still calls it live; or a late
+  // heartbeat arrives out of order. Cause: the newest word wins instead of the
+  // word "leaving".
   SECTION("its own word that it leaves sticks") {
     fleet.Heard(Report(1, true), kStart);
     fleet.PlatformSaysLeaving({});
@@ -42,13 +43,16 @@
       CHECK_FALSE(fleet.Members(kStart).at(0).leaving);
     }
   }
-  SECTION("a restart is not held back by a list that still shows the old mark") {
+  SECTION(
+      "a restart is not held back by a list that still shows the old mark") {
     fleet.PlatformSaysLeaving({"side-1"});
     fleet.Heard(Report(2), kStart);
     fleet.PlatformSaysLeaving({"side-1"});
     CHECK_FALSE(fleet.Members(kStart).at(0).leaving);
   }
-  SECTION("a mark for a process that nobody has heard of yet counts when it comes") {
+  SECTION(
+      "a mark for a process that nobody has heard of yet counts when it "
+      "comes") {
     fleet.PlatformSaysLeaving({"side-2"});
     ProcessReport other = Report(5);
     other.name = "side-2";
--- a/src/gate/answerassembler.h
+++ b/src/gate/answerassembler.h
@@ -9,13 +9,13 @@
 
 namespace papayarack::gate {
 
-/// Follows the server-sent events of one engine answer: counts tokens, knows whether the answer
-/// is whole, and puts the pieces together for callers that did not ask for a stream.
-/// Thread safety: none, one owner.
+/// Follows the server-sent events of one engine answer: counts tokens, knows
+/// whether the answer is whole, and puts the pieces together for callers that
+/// did not ask for a stream. Thread safety: none, one owner.
 class AnswerAssembler {
  public:
-  /// Adds bytes as they come. Returns the number of token events that they completed.
-  /// Throws ResultError(kProtocol) for an event that is not JSON.
+  /// Adds bytes as they come. Returns the number of token events that they
+  /// completed. Throws ResultError(kProtocol) for an event that is not JSON.
   std::size_t Add(std::string_view bytes);
   /// True after the closing event; an answer without it was cut.
   bool Whole() const { return this->done; }
@@ -24,7 +24,8 @@
   /// Text received so far; with it a preempted stream is taken up again.
   const std::string& Text() const { return this->text; }
   std::size_t Tokens() const { return this->tokens; }
-  /// Starts with text that an earlier run of the same work has already received.
+  /// Starts with text that an earlier run of the same work has already
+  /// received.
   void StartFrom(std::string text, std::size_t tokens);
 
  private:
--- a/src/gate/gatecore.h
+++ b/src/gate/gatecore.h
@@ -21,12 +21,14 @@
 struct GateOptions {
   LimitOptions limit;
   std::size_t max_queue = 256;
-  /// Learn the limit from tokens; plain services use max_concurrent as it stands.
+  /// Learn the limit from tokens; plain services use max_concurrent as it
+  /// stands.
   bool learns = true;
   /// How far ahead items are pulled, beyond what runs.
   std::size_t pull_ahead = 2;
-  /// While online work runs, batch starts are at least so far apart, so that prompts of batch
-  /// items do not stall the tokens of online answers one after another.
+  /// While online work runs, batch starts are at least so far apart, so that
+  /// prompts of batch items do not stall the tokens of online answers one after
+  /// another.
   Duration batch_start_pace{std::chrono::milliseconds(25)};
 };
 
@@ -35,7 +37,8 @@
   WorkId id = 0;
   std::string caller;
   Time deadline{};
-  std::uint32_t urgency = 0;  ///< Smaller first; the place of its kind in the document.
+  std::uint32_t urgency =
+      0;  ///< Smaller first; the place of its kind in the document.
 };
 
 struct BatchWork {
@@ -47,7 +50,8 @@
 struct StartWork {
   WorkId id = 0;
 };
-/// Take this batch work off the upstream; it stays with the gate and starts again later.
+/// Take this batch work off the upstream; it stays with the gate and starts
+/// again later.
 struct PreemptBatch {
   WorkId id = 0;
 };
@@ -58,10 +62,11 @@
 };
 using GateAction = std::variant<StartWork, PreemptBatch, RefuseOnline>;
 
-/// All decisions of one gate: what runs at its upstream, what waits, what steps aside.
-/// The rules: no batch work starts while online work waits; an online request that finds no room
-/// takes the place of batch work at once; queues are bounded and refusals are early.
-/// No sockets, clock, threads or randomness. Thread safety: none, the deciding thread.
+/// All decisions of one gate: what runs at its upstream, what waits, what steps
+/// aside. The rules: no batch work starts while online work waits; an online
+/// request that finds no room takes the place of batch work at once; queues are
+/// bounded and refusals are early. No sockets, clock, threads or randomness.
+/// Thread safety: none, the deciding thread.
 class GateCore {
  public:
   GateCore(const GateOptions& options, Time now);
@@ -73,13 +78,15 @@
   std::vector<GateAction> Token(WorkId id, Time now);
   /// The work ended at the upstream, well or badly.
   std::vector<GateAction> Ended(WorkId id, Time now);
-  /// The work must not go on: its caller is gone or its job was cancelled. The upstream's end of
-  /// it, if it ran, is still to be reported by Ended. True when it was running.
+  /// The work must not go on: its caller is gone or its job was cancelled. The
+  /// upstream's end of it, if it ran, is still to be reported by Ended. True
+  /// when it was running.
   bool Drop(WorkId id);
   std::vector<GateAction> Tick(Time now);
 
   void SetOptions(const GateOptions& options);
-  /// Upstream reachable or not; while not, nothing starts and online requests are refused.
+  /// Upstream reachable or not; while not, nothing starts and online requests
+  /// are refused.
   std::vector<GateAction> SetUpstreamUp(bool up, Time now);
   /// From now on everything new is refused; what waits and runs is finished.
   void BeginLeave() { this->leaving = true; }
@@ -87,7 +94,9 @@
   /// How many more items are worth pulling now.
   std::size_t BatchWanted(Time now) const;
   std::size_t RunningOnline() const { return this->running_online; }
-  std::size_t RunningBatch() const { return this->running.size() - this->running_online; }
+  std::size_t RunningBatch() const {
+    return this->running.size() - this->running_online;
+  }
   std::size_t WaitingOnline() const { return this->waiting_count; }
   std::size_t WaitingBatch() const { return this->waiting_batch.size(); }
   std::size_t OnlineLimit() const;
@@ -103,7 +112,8 @@
     Time started{};
     Time last_token{};
     std::uint32_t tokens = 0;
-    bool dropped = false;     ///< Preempted or dropped: leaves its place at once, ends later.
+    bool dropped =
+        false;  ///< Preempted or dropped: leaves its place at once, ends later.
   };
   struct Burst {
     Time start{};
@@ -116,9 +126,12 @@
     std::string last_served;
   };
 
-  std::size_t Occupied() const { return this->running.size() - this->dropped_count; }
+  std::size_t Occupied() const {
+    return this->running.size() - this->dropped_count;
+  }
   void NoteArrival(Time now);
-  void StartNow(WorkId id, bool online, Time now, std::vector<GateAction>& actions);
+  void StartNow(WorkId id, bool online, Time now,
+                std::vector<GateAction>& actions);
   bool PreemptOne(std::vector<GateAction>& actions);
   std::optional<OnlineWork> TakeNextOnline();
   void RefuseOverdue(Time now, std::vector<GateAction>& actions);
@@ -135,7 +148,7 @@
   std::map<std::uint32_t, UrgencyQueue> waiting;
   std::size_t waiting_count = 0;
   std::multimap<Time, WorkId> waiting_batch;  ///< By due time.
-  std::map<WorkId, Time> batch_due;           ///< Due time of running batch work.
+  std::map<WorkId, Time> batch_due;  ///< Due time of running batch work.
   std::deque<Burst> bursts;
   Time last_batch_start{};
   Duration mean_service{std::chrono::milliseconds(500)};
--- a/src/gate/gateprotocol.h
+++ b/src/gate/gateprotocol.h
@@ -10,8 +10,10 @@
 namespace papayarack::gate {
 
 namespace path {
-inline constexpr const char* kOnline = "/online";  ///< OnlineRequest; a stream of GateMessage.
-inline constexpr const char* kCancel = "/cancel";  ///< CancelRequest; no answer.
+inline constexpr const char* kOnline =
+    "/online";  ///< OnlineRequest; a stream of GateMessage.
+inline constexpr const char* kCancel =
+    "/cancel";  ///< CancelRequest; no answer.
 }  // namespace path
 
 /// One caller's request on its way to an upstream.
@@ -19,23 +21,27 @@
   std::uint32_t version = kMessageVersion;
   std::string id;
   std::uint32_t attempt = 0;
-  std::string caller;            ///< Team of the caller's token; fairness is by caller.
+  std::string caller;  ///< Team of the caller's token; fairness is by caller.
   std::string service;
   std::string work;
   std::int64_t deadline_ms = 0;  ///< Time left when it was sent.
-  std::uint64_t revision = 0;    ///< Document revision that the entry decided under.
+  std::uint64_t revision =
+      0;  ///< Document revision that the entry decided under.
   std::string method;
-  std::string target;            ///< Path and query at the upstream.
+  std::string target;  ///< Path and query at the upstream.
   std::string content_type;
   std::string body;
   std::uint32_t prompt_tokens = 0;  ///< Estimate, for pacing.
   bool stream = false;              ///< The caller wants server-sent events.
-  std::uint32_t have_messages = 0;  ///< Taking up a stream: messages that did arrive.
-  /// Only take up what is known under this id and attempt; never run it anew. A gate that was
-  /// restarted meanwhile knows nothing of it, while the upstream may have run it.
+  std::uint32_t have_messages =
+      0;  ///< Taking up a stream: messages that did arrive.
+  /// Only take up what is known under this id and attempt; never run it anew. A
+  /// gate that was restarted meanwhile knows nothing of it, while the upstream
+  /// may have run it.
   bool take_up = false;
-  MSGPACK_DEFINE(version, id, attempt, caller, service, work, deadline_ms, revision, method,
-                 target, content_type, body, prompt_tokens, stream, have_messages, take_up)
+  MSGPACK_DEFINE(version, id, attempt, caller, service, work, deadline_ms,
+                 revision, method, target, content_type, body, prompt_tokens,
+                 stream, have_messages, take_up)
 };
 
 /// The caller is gone: stop the work.
@@ -63,7 +69,8 @@
   std::string bytes;
   MSGPACK_DEFINE(bytes)
 };
-/// The end. Only with kOk is the answer whole; without this message it never is.
+/// The end. Only with kOk is the answer whole; without this message it never
+/// is.
 struct AnswerEnd {
   int code = 0;
   std::string text;
--- a/src/gate/gateserver.h
+++ b/src/gate/gateserver.h
@@ -9,12 +9,13 @@
 
 namespace papayarack::gate {
 
-/// The role side: the gate in front of one upstream. Threads: peer I/O, deciding, one worker for
-/// each running upstream call, control (heartbeats and items), probing of the upstream.
-/// Thread safety: any thread.
+/// The role side: the gate in front of one upstream. Threads: peer I/O,
+/// deciding, one worker for each running upstream call, control (heartbeats and
+/// items), probing of the upstream. Thread safety: any thread.
 class GateServer {
  public:
-  /// Precondition: settings.upstreams[upstream] exists. Throws ResultError(kBadInput).
+  /// Precondition: settings.upstreams[upstream] exists. Throws
+  /// ResultError(kBadInput).
   GateServer(const Settings& settings, std::size_t upstream, Metrics& metrics);
   ~GateServer();
   GateServer(const GateServer&) = delete;
--- a/src/gate/internal/answerassembler.cpp
+++ b/src/gate/internal/answerassembler.cpp
@@ -45,7 +45,8 @@
   }
   const nlohmann::json event = nlohmann::json::parse(data, nullptr, false);
   if (event.is_discarded()) {
-    throw ResultError(ResultCode::kProtocol, "the upstream sent an event that is not JSON");
+    throw ResultError(ResultCode::kProtocol,
+                      "the upstream sent an event that is not JSON");
   }
   if (this->first.is_null()) {
     this->first = event;
@@ -53,7 +54,8 @@
   if (event.contains("usage") && event["usage"].is_object()) {
     this->usage = event["usage"];
   }
-  if (!event.contains("choices") || !event["choices"].is_array() || event["choices"].empty()) {
+  if (!event.contains("choices") || !event["choices"].is_array() ||
+      event["choices"].empty()) {
     return false;
   }
   const nlohmann::json& choice = event["choices"][0];
@@ -72,14 +74,16 @@
 }
 
 nlohmann::json AnswerAssembler::Assemble() const {
-  nlohmann::json choice = {{"index", 0}, {"finish_reason", this->finish_reason}};
+  nlohmann::json choice = {{"index", 0},
+                           {"finish_reason", this->finish_reason}};
   if (this->chat) {
     choice["message"] = {{"role", "assistant"}, {"content", this->text}};
   } else {
     choice["text"] = this->text;
   }
-  nlohmann::json answer = {{"object", this->chat ? "chat.completion" : "text_completion"},
-                           {"choices", nlohmann::json::array({choice})}};
+  nlohmann::json answer = {
+      {"object", this->chat ? "chat.completion" : "text_completion"},
+      {"choices", nlohmann::json::array({choice})}};
   for (const char* field : {"id", "created", "model"}) {
     if (this->first.contains(field)) {
       answer[field] = this->first[field];
--- a/src/gate/internal/batchdesk.cpp
+++ b/src/gate/internal/batchdesk.cpp
@@ -13,12 +13,14 @@
 
 /// The upstream says that this request can never be answered.
 bool NeverPossible(int status) {
-  return status == 400 || status == 404 || status == 413 || status == 415 || status == 422;
+  return status == 400 || status == 404 || status == 413 || status == 415 ||
+         status == 422;
 }
 
 std::string ReasonFrom(const std::string& body, int status) {
   const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
-  if (document.is_object() && document.contains("error") && document["error"].is_object()) {
+  if (document.is_object() && document.contains("error") &&
+      document["error"].is_object()) {
     return document["error"].value("message", fmt::format("status {}", status));
   }
   return fmt::format("status {}: {}", status, body.substr(0, kReasonBytes));
@@ -26,8 +28,8 @@
 
 }  // namespace
 
-BatchDesk::BatchDesk(std::string holder, std::uint64_t incarnation, std::string service,
-                     std::int64_t lease_ms)
+BatchDesk::BatchDesk(std::string holder, std::uint64_t incarnation,
+                     std::string service, std::int64_t lease_ms)
     : holder(std::move(holder)),
       incarnation(incarnation),
       service(std::move(service)),
@@ -40,8 +42,8 @@
     item.line = jobs::ParseItemLine(lease.line, lease.key.item + 1);
   } catch (const ResultError& error) {
     this->Report(item, jobs::AttemptEnd::kImpossible,
-                 jobs::ErrorLine(lease.key.job, lease.key.item, "", ResultCode::kItemImpossible,
-                                 error.what()),
+                 jobs::ErrorLine(lease.key.job, lease.key.item, "",
+                                 ResultCode::kItemImpossible, error.what()),
                  {});
     return false;
   }
@@ -53,13 +55,14 @@
   const Item& item = this->items.at(id);
   UpstreamCall call;
   call.id = id;
-  call.request_id =
-      fmt::format("{}-{}-{}", item.lease.key.job, item.lease.key.item, item.lease.attempt);
+  call.request_id = fmt::format("{}-{}-{}", item.lease.key.job,
+                                item.lease.key.item, item.lease.attempt);
   call.target = item.line.url;
   nlohmann::json body = item.line.body;
   body["stream"] = true;
   if (!item.answer.Text().empty()) {
-    body["resume"] = {{"text", item.answer.Text()}, {"tokens", item.answer.Tokens()}};
+    body["resume"] = {{"text", item.answer.Text()},
+                      {"tokens", item.answer.Tokens()}};
   }
   call.body = body.dump();
   call.silence = silence;
@@ -88,26 +91,30 @@
 
 void BatchDesk::Report(const Item& item, jobs::AttemptEnd end, std::string line,
                        std::string reason) {
-  this->outcomes.push_back({item.lease.key, item.lease.attempt, static_cast<std::uint8_t>(end),
-                            std::move(line), std::move(reason)});
+  this->outcomes.push_back({item.lease.key, item.lease.attempt,
+                            static_cast<std::uint8_t>(end), std::move(line),
+                            std::move(reason)});
 }
 
 void BatchDesk::ReportAnswer(const Item& item) {
   const jobs::ItemKey& key = item.lease.key;
   if (item.status == kHttpOk && item.answer.Whole()) {
     this->Report(item, jobs::AttemptEnd::kDone,
-                 jobs::OutputLine(key.job, key.item, item.line.custom_id, item.status,
-                                  item.answer.Assemble()),
+                 jobs::OutputLine(key.job, key.item, item.line.custom_id,
+                                  item.status, item.answer.Assemble()),
                  {});
   } else if (NeverPossible(item.status)) {
     this->Report(item, jobs::AttemptEnd::kImpossible,
                  jobs::ErrorLine(key.job, key.item, item.line.custom_id,
-                                 ResultCode::kItemImpossible, ReasonFrom(item.raw, item.status)),
+                                 ResultCode::kItemImpossible,
+                                 ReasonFrom(item.raw, item.status)),
                  {});
   } else if (item.status == kHttpOk) {
-    this->Report(item, jobs::AttemptEnd::kFailed, {}, "the answer ended before it was whole");
+    this->Report(item, jobs::AttemptEnd::kFailed, {},
+                 "the answer ended before it was whole");
   } else {
-    this->Report(item, jobs::AttemptEnd::kFailed, {}, ReasonFrom(item.raw, item.status));
+    this->Report(item, jobs::AttemptEnd::kFailed, {},
+                 ReasonFrom(item.raw, item.status));
   }
 }
 
@@ -117,7 +124,8 @@
     return false;
   }
   Item& item = found->second;
-  if (end == UpstreamEnd::kComplete && (item.status != kHttpOk || item.answer.Whole())) {
+  if (end == UpstreamEnd::kComplete &&
+      (item.status != kHttpOk || item.answer.Whole())) {
     this->ReportAnswer(item);
   } else if (item.preempted) {
     item.preempted = false;
@@ -138,12 +146,15 @@
   return false;
 }
 
-void BatchDesk::MarkPreempted(WorkId id) { this->items.at(id).preempted = true; }
+void BatchDesk::MarkPreempted(WorkId id) {
+  this->items.at(id).preempted = true;
+}
 
 void BatchDesk::GiveBack(WorkId id) {
   const auto found = this->items.find(id);
   if (found != this->items.end()) {
-    this->Report(found->second, jobs::AttemptEnd::kReturned, {}, "the gate is leaving");
+    this->Report(found->second, jobs::AttemptEnd::kReturned, {},
+                 "the gate is leaving");
     this->items.erase(found);
   }
 }
@@ -160,8 +171,10 @@
 
 std::optional<WorkId> BatchDesk::Find(const jobs::ItemKey& key) const {
   const auto found = std::ranges::find_if(
-      this->items, [&key](const auto& entry) { return entry.second.lease.key == key; });
-  return found != this->items.end() ? std::optional(found->first) : std::nullopt;
+      this->items,
+      [&key](const auto& entry) { return entry.second.lease.key == key; });
+  return found != this->items.end() ? std::optional(found->first)
+                                    : std::nullopt;
 }
 
 statemachine::PullItems BatchDesk::MakePull(std::uint32_t count) const {
@@ -179,8 +192,9 @@
 }
 
 void BatchDesk::Reported(std::size_t count) {
-  this->outcomes.erase(this->outcomes.begin(),
-                       this->outcomes.begin() + static_cast<std::ptrdiff_t>(count));
+  this->outcomes.erase(
+      this->outcomes.begin(),
+      this->outcomes.begin() + static_cast<std::ptrdiff_t>(count));
 }
 
 }  // namespace papayarack::gate
--- a/src/gate/internal/gatecore.cpp
+++ b/src/gate/internal/gatecore.cpp
@@ -21,11 +21,13 @@
 }
 
 std::size_t GateCore::OnlineLimit() const {
-  return this->options.learns ? this->limit.Online() : this->options.limit.max_concurrent;
+  return this->options.learns ? this->limit.Online()
+                              : this->options.limit.max_concurrent;
 }
 
 std::size_t GateCore::SharedLimit() const {
-  return this->options.learns ? this->limit.Shared() : this->options.limit.max_concurrent;
+  return this->options.learns ? this->limit.Shared()
+                              : this->options.limit.max_concurrent;
 }
 
 void GateCore::NoteArrival(Time now) {
@@ -44,7 +46,8 @@
   for (const Burst& burst : this->bursts) {
     largest = std::max(largest, burst.arrivals);
   }
-  // One bucket's burst is spread over it; stepping aside covers the rest at once.
+  // One bucket's burst is spread over it; stepping aside covers the rest at
+  // once.
   return std::min(largest / 2, this->SharedLimit() / 4);
 }
 
@@ -53,14 +56,16 @@
   if (this->running_online < limit_now) {
     return Duration(0);
   }
-  const double rounds =
-      static_cast<double>(this->waiting_count + 1) / static_cast<double>(limit_now);
-  return Duration(
-      static_cast<std::int64_t>(rounds * static_cast<double>(this->mean_service.count())));
+  const double rounds = static_cast<double>(this->waiting_count + 1) /
+                        static_cast<double>(limit_now);
+  return Duration(static_cast<std::int64_t>(
+      rounds * static_cast<double>(this->mean_service.count())));
 }
 
-std::optional<Result> GateCore::RefusalFor(const OnlineWork& work, Time now) const {
-  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(this->PredictedWait());
+std::optional<Result> GateCore::RefusalFor(const OnlineWork& work,
+                                           Time now) const {
+  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->PredictedWait());
   if (this->leaving) {
     return Result{ResultCode::kLeaving, "the gate is leaving", {}};
   }
@@ -68,16 +73,20 @@
     return Result{ResultCode::kNoUpstream, "the upstream is not reachable", {}};
   }
   if (now >= work.deadline) {
-    return Result{ResultCode::kDeadlineBeforeStart, "the deadline has passed", {}};
+    return Result{
+        ResultCode::kDeadlineBeforeStart, "the deadline has passed", {}};
   }
   const bool queue_full = this->waiting_count >= this->options.max_queue;
   const bool must_wait = this->running_online >= this->OnlineLimit();
-  // A wait that ends past the deadline is a refusal now, when the caller can still go elsewhere.
-  const bool too_late = must_wait && now + this->PredictedWait() >= work.deadline;
+  // A wait that ends past the deadline is a refusal now, when the caller can
+  // still go elsewhere.
+  const bool too_late =
+      must_wait && now + this->PredictedWait() >= work.deadline;
   if ((must_wait && queue_full) || too_late) {
-    return Result{ResultCode::kOverloaded,
-                  queue_full ? "the queue is full" : "the wait would pass the deadline",
-                  std::max(wait, std::chrono::milliseconds(50))};
+    return Result{
+        ResultCode::kOverloaded,
+        queue_full ? "the queue is full" : "the wait would pass the deadline",
+        std::max(wait, std::chrono::milliseconds(50))};
   }
   return std::nullopt;
 }
@@ -102,7 +111,8 @@
   return actions;
 }
 
-void GateCore::StartNow(WorkId id, bool online, Time now, std::vector<GateAction>& actions) {
+void GateCore::StartNow(WorkId id, bool online, Time now,
+                        std::vector<GateAction>& actions) {
   Running run;
   run.online = online;
   run.started = now;
@@ -112,12 +122,14 @@
   actions.emplace_back(StartWork{id});
 }
 
-/// Of the batch work at the upstream, the one with the fewest tokens loses least.
+/// Of the batch work at the upstream, the one with the fewest tokens loses
+/// least.
 bool GateCore::PreemptOne(std::vector<GateAction>& actions) {
   auto victim = this->running.end();
   for (auto run = this->running.begin(); run != this->running.end(); ++run) {
     const bool candidate = !run->second.online && !run->second.dropped;
-    if (candidate && (victim == this->running.end() || run->second.tokens < victim->second.tokens)) {
+    if (candidate && (victim == this->running.end() ||
+                      run->second.tokens < victim->second.tokens)) {
       victim = run;
     }
   }
@@ -152,17 +164,22 @@
 void GateCore::RefuseOverdue(Time now, std::vector<GateAction>& actions) {
   for (auto& [urgency, queue] : this->waiting) {
     for (auto& [caller, line] : queue.by_caller) {
-      const std::size_t removed = std::erase_if(line, [&](const OnlineWork& work) {
-        const bool overdue = now >= work.deadline;
-        if (overdue) {
-          actions.emplace_back(RefuseOnline{
-              work.id, {ResultCode::kDeadlineBeforeStart, "the deadline passed in the queue", {}}});
-        }
-        return overdue;
-      });
+      const std::size_t removed =
+          std::erase_if(line, [&](const OnlineWork& work) {
+            const bool overdue = now >= work.deadline;
+            if (overdue) {
+              actions.emplace_back(
+                  RefuseOnline{work.id,
+                               {ResultCode::kDeadlineBeforeStart,
+                                "the deadline passed in the queue",
+                                {}}});
+            }
+            return overdue;
+          });
       this->waiting_count -= removed;
     }
-    std::erase_if(queue.by_caller, [](const auto& entry) { return entry.second.empty(); });
+    std::erase_if(queue.by_caller,
+                  [](const auto& entry) { return entry.second.empty(); });
   }
 }
 
@@ -171,9 +188,11 @@
   if (!this->upstream_up) {
     return;
   }
-  while (this->waiting_count > 0 && this->running_online < this->OnlineLimit()) {
-    // Symptom guarded against: a teller waits behind batch work. Online work that fits by its own
-    // limit starts now; batch work above the shared limit leaves for it, and is not waited for.
+  while (this->waiting_count > 0 &&
+         this->running_online < this->OnlineLimit()) {
+    // Symptom guarded against: a teller waits behind batch work. Online work
+    // that fits by its own limit starts now; batch work above the shared limit
+    // leaves for it, and is not waited for.
     if (this->Occupied() >= this->SharedLimit()) {
       this->PreemptOne(actions);
     }
@@ -187,11 +206,15 @@
   if (this->waiting_count > 0) {
     return;
   }
-  const std::size_t kept = this->running_online == 0 && this->bursts.empty() ? 0 : this->Headroom();
-  const std::size_t room = this->SharedLimit() > kept ? this->SharedLimit() - kept : 0;
-  while (!this->waiting_batch.empty() && this->Occupied() < std::max<std::size_t>(room, 1)) {
+  const std::size_t kept =
+      this->running_online == 0 && this->bursts.empty() ? 0 : this->Headroom();
+  const std::size_t room =
+      this->SharedLimit() > kept ? this->SharedLimit() - kept : 0;
+  while (!this->waiting_batch.empty() &&
+         this->Occupied() < std::max<std::size_t>(room, 1)) {
     const bool paced = this->running_online > 0;
-    if (paced && now - this->last_batch_start < this->options.batch_start_pace) {
+    if (paced &&
+        now - this->last_batch_start < this->options.batch_start_pace) {
       return;
     }
     const auto first = this->waiting_batch.begin();
@@ -225,10 +248,11 @@
   const auto run = this->running.find(id);
   if (run != this->running.end()) {
     if (run->second.online) {
-      const auto took = static_cast<double>((now - run->second.started).count());
+      const auto took =
+          static_cast<double>((now - run->second.started).count());
       const auto mean = static_cast<double>(this->mean_service.count());
-      this->mean_service =
-          Duration(static_cast<std::int64_t>(mean + (took - mean) * kServiceSmoothing));
+      this->mean_service = Duration(
+          static_cast<std::int64_t>(mean + (took - mean) * kServiceSmoothing));
       --this->running_online;
     }
     this->dropped_count -= run->second.dropped ? 1 : 0;
@@ -240,8 +264,8 @@
 }
 
 bool GateCore::RemoveWaiting(WorkId id) {
-  const auto batch = std::ranges::find(this->waiting_batch, id,
-                                       [](const auto& entry) { return entry.second; });
+  const auto batch = std::ranges::find(
+      this->waiting_batch, id, [](const auto& entry) { return entry.second; });
   if (batch != this->waiting_batch.end()) {
     this->waiting_batch.erase(batch);
     return true;
@@ -290,7 +314,8 @@
   std::vector<GateAction> actions;
   this->upstream_up = up;
   if (!up) {
-    // What waits has not run: saying so now lets the entry try elsewhere while there is time.
+    // What waits has not run: saying so now lets the entry try elsewhere while
+    // there is time.
     while (const std::optional<OnlineWork> work = this->TakeNextOnline()) {
       actions.emplace_back(RefuseOnline{
           work->id, {ResultCode::kNoUpstream, "the upstream went away", {}}});
@@ -304,8 +329,10 @@
   if (this->leaving || !this->upstream_up || this->waiting_count > 0) {
     return 0;
   }
-  const std::size_t room = std::max<std::size_t>(
-      1, this->SharedLimit() > this->Headroom() ? this->SharedLimit() - this->Headroom() : 1);
+  const std::size_t room =
+      std::max<std::size_t>(1, this->SharedLimit() > this->Headroom()
+                                   ? this->SharedLimit() - this->Headroom()
+                                   : 1);
   const std::size_t wanted = room + this->options.pull_ahead;
   const std::size_t have = this->Occupied() + this->waiting_batch.size();
   return wanted > have ? wanted - have : 0;
--- a/src/gate/internal/gateserver.cpp
+++ b/src/gate/internal/gateserver.cpp
@@ -59,7 +59,8 @@
 };
 struct PullFinished {
   std::size_t reported = 0;
-  std::optional<statemachine::LeaseReply> reply;  ///< Empty: control did not answer.
+  std::optional<statemachine::LeaseReply>
+      reply;  ///< Empty: control did not answer.
 };
 struct DocumentsArrived {
   std::uint64_t revision = 0;
@@ -73,8 +74,9 @@
 };
 struct LeaveWanted {};
 
-using Event = std::variant<PeerRequest, PeerGone, UpstreamHead, UpstreamBytes, UpstreamEnded,
-                           PullFinished, DocumentsArrived, ProbeResult, DumpWanted, LeaveWanted>;
+using Event = std::variant<PeerRequest, PeerGone, UpstreamHead, UpstreamBytes,
+                           UpstreamEnded, PullFinished, DocumentsArrived,
+                           ProbeResult, DumpWanted, LeaveWanted>;
 
 /// An online request at this gate.
 struct OnlineState {
@@ -86,8 +88,9 @@
   bool engine = false;
   Time deadline{};
   Time came{};
-  Time lost_at{};   ///< When its stream went away; zero while attached.
-  Time over_at{};   ///< When it was finished; kept a while for a late attachment.
+  Time lost_at{};  ///< When its stream went away; zero while attached.
+  Time
+      over_at{};  ///< When it was finished; kept a while for a late attachment.
   bool first_token_seen = false;
 };
 
@@ -98,14 +101,16 @@
       : settings(settings),
         upstream_settings(settings.upstreams.at(upstream_index)),
         metrics(metrics),
-        name(settings.role == "solo" ? settings.name + "-side-" + std::to_string(upstream_index)
-                                     : settings.name),
+        name(settings.role == "solo"
+                 ? settings.name + "-side-" + std::to_string(upstream_index)
+                 : settings.name),
         incarnation(static_cast<std::uint64_t>(WallNow())),
         events(kEventRing),
         pulls(2),
         control(client, settings.control),
         core(MakeOptions(nullptr), MonotonicNow()),
-        desk(name, incarnation, upstream_settings.service, settings.lease.count()) {
+        desk(name, incarnation, upstream_settings.service,
+             settings.lease.count()) {
     UpstreamHandlers handlers;
     handlers.on_head = [this](WorkId id, int status, std::string content_type) {
       this->events.Push(UpstreamHead{id, status, std::move(content_type)});
@@ -117,19 +122,24 @@
       this->events.Push(UpstreamEnded{id, end, std::move(reason)});
     };
     this->upstream = std::make_unique<UpstreamClient>(
-        ParseEndpoint(this->upstream_settings.address, "/upstreams/address"), kWorkers,
-        std::move(handlers));
+        ParseEndpoint(this->upstream_settings.address, "/upstreams/address"),
+        kWorkers, std::move(handlers));
     transport::PeerServerHandlers peer;
-    peer.on_request = [this](transport::StreamId stream, std::string_view path, std::string body) {
-      if (!this->events.TryPush(PeerRequest{stream, std::string(path), std::move(body)})) {
-        this->RefuseStream(stream, {ResultCode::kOverloaded, "the gate has too much to do", {}});
+    peer.on_request = [this](transport::StreamId stream, std::string_view path,
+                             std::string body) {
+      if (!this->events.TryPush(
+              PeerRequest{stream, std::string(path), std::move(body)})) {
+        this->RefuseStream(
+            stream,
+            {ResultCode::kOverloaded, "the gate has too much to do", {}});
       }
     };
     peer.on_cancel = [this](transport::StreamId stream) {
       this->events.TryPush(PeerGone{stream});
     };
     this->server = std::make_unique<transport::PeerServer>(
-        ParseEndpoint(this->upstream_settings.gate_listen, "/upstreams/gate_listen"),
+        ParseEndpoint(this->upstream_settings.gate_listen,
+                      "/upstreams/gate_listen"),
         std::move(peer));
     this->decider = std::thread([this] { this->Decide(); });
     this->beater = std::thread([this] { this->BeatLoop(); });
@@ -156,7 +166,8 @@
       options.max_queue = document->max_queue;
       options.limit.max_concurrent =
           std::min<std::uint32_t>(document->max_concurrent, kWorkers - 16);
-      const documents::WorkKind* work = document->FindWork("", documents::WorkClass::kOnline);
+      const documents::WorkKind* work =
+          document->FindWork("", documents::WorkClass::kOnline);
       if (work != nullptr) {
         options.limit.between_tokens = work->between_tokens;
       }
@@ -181,16 +192,17 @@
 
   void Follow(const std::vector<GateAction>& actions) {
     for (const GateAction& action : actions) {
-      std::visit(Overloaded{[this](const StartWork& start) { this->Start(start.id); },
-                            [this](const PreemptBatch& preempt) {
-                              this->metrics.Add("batch_preemptions_total");
-                              this->desk.MarkPreempted(preempt.id);
-                              this->upstream->Cancel(preempt.id);
-                            },
-                            [this](const RefuseOnline& refuse) {
-                              this->RefuseOnlineWork(refuse.id, refuse.result);
-                            }},
-                 action);
+      std::visit(
+          Overloaded{[this](const StartWork& start) { this->Start(start.id); },
+                     [this](const PreemptBatch& preempt) {
+                       this->metrics.Add("batch_preemptions_total");
+                       this->desk.MarkPreempted(preempt.id);
+                       this->upstream->Cancel(preempt.id);
+                     },
+                     [this](const RefuseOnline& refuse) {
+                       this->RefuseOnlineWork(refuse.id, refuse.result);
+                     }},
+          action);
     }
   }
 
@@ -203,21 +215,24 @@
       call = this->desk.MakeCall(id, kSilence);
     }
     if (call.id == 0 || !this->upstream->Start(std::move(call))) {
-      this->events.TryPush(UpstreamEnded{id, UpstreamEnd::kNotSent, "no worker is free"});
+      this->events.TryPush(
+          UpstreamEnded{id, UpstreamEnd::kNotSent, "no worker is free"});
     }
   }
 
   UpstreamCall MakeOnlineCall(WorkId id, const OnlineState& state) const {
     UpstreamCall call;
     call.id = id;
-    call.request_id = state.request.id + "-" + std::to_string(state.request.attempt);
+    call.request_id =
+        state.request.id + "-" + std::to_string(state.request.attempt);
     call.method = state.request.method;
     call.target = state.request.target;
     call.content_type = state.request.content_type;
     call.body = state.request.body;
     call.silence = kSilence;
     if (state.engine) {
-      // The engine always streams: only so does the gate see tokens and know a whole answer.
+      // The engine always streams: only so does the gate see tokens and know a
+      // whole answer.
       nlohmann::json body = nlohmann::json::parse(call.body, nullptr, false);
       if (body.is_object()) {
         body["stream"] = true;
@@ -228,8 +243,8 @@
   }
 
   void RefuseStream(transport::StreamId stream, const Result& result) {
-    Refused refused{static_cast<int>(result.code), result.text, result.retry_after.count(),
-                    this->service_revision};
+    Refused refused{static_cast<int>(result.code), result.text,
+                    result.retry_after.count(), this->service_revision};
     this->server->Send(stream, EncodeVariant(GateMessage(refused)));
     this->server->Finish(stream);
   }
@@ -247,7 +262,8 @@
   }
 
   void Erase(std::map<WorkId, OnlineState>::iterator found) {
-    this->by_request.erase({found->second.request.id, found->second.request.attempt});
+    this->by_request.erase(
+        {found->second.request.id, found->second.request.attempt});
     this->by_stream.erase(found->second.out.Stream());
     this->online.erase(found);
   }
@@ -260,7 +276,8 @@
         this->OnCancel(DecodeMessage<CancelRequest>(peer.body));
         this->server->Finish(peer.stream);
       } else {
-        throw ResultError(ResultCode::kProtocol, "unknown request " + peer.path);
+        throw ResultError(ResultCode::kProtocol,
+                          "unknown request " + peer.path);
       }
     } catch (const ResultError& error) {
       this->RefuseStream(peer.stream, error.result());
@@ -271,7 +288,8 @@
     auto request = DecodeMessage<OnlineRequest>(peer.body);
     const auto known = this->by_request.find({request.id, request.attempt});
     if (known != this->by_request.end()) {
-      // The entry lost its connection to us: the same attempt goes on, it does not run again.
+      // The entry lost its connection to us: the same attempt goes on, it does
+      // not run again.
       OnlineState& state = this->online.at(known->second);
       this->by_stream.erase(state.out.Stream());
       state.out.Attach(peer.stream, request.have_messages);
@@ -280,7 +298,8 @@
       return;
     }
     if (request.take_up) {
-      throw ResultError(ResultCode::kUnknownOutcome, "this gate does not know the request");
+      throw ResultError(ResultCode::kUnknownOutcome,
+                        "this gate does not know the request");
     }
     this->RequireAcceptable(request);
     const Time now = MonotonicNow();
@@ -288,9 +307,19 @@
     const Time deadline = now + std::chrono::milliseconds(request.deadline_ms);
     this->by_request[{request.id, request.attempt}] = id;
     this->by_stream[peer.stream] = id;
-    OnlineState state{std::move(request), ReplayBuffer(*this->server, peer.stream), {}, {}, 0,
-                      this->upstream_settings.kind == "engine", deadline, now, {}, {}, false};
-    const OnlineWork work{id, state.request.caller, deadline, this->UrgencyOf(state.request.work)};
+    OnlineState state{std::move(request),
+                      ReplayBuffer(*this->server, peer.stream),
+                      {},
+                      {},
+                      0,
+                      this->upstream_settings.kind == "engine",
+                      deadline,
+                      now,
+                      {},
+                      {},
+                      false};
+    const OnlineWork work{id, state.request.caller, deadline,
+                          this->UrgencyOf(state.request.work)};
     this->online.emplace(id, std::move(state));
     this->metrics.Add("online_requests_total");
     this->Follow(this->core.Online(work, now));
@@ -298,17 +327,22 @@
 
   void RequireAcceptable(const OnlineRequest& request) const {
     if (request.version != kMessageVersion) {
-      throw ResultError(ResultCode::kProtocol, "the entry speaks another message version");
+      throw ResultError(ResultCode::kProtocol,
+                        "the entry speaks another message version");
     }
     if (!this->ready) {
-      throw ResultError(ResultCode::kNotReady, "the gate has not confirmed its documents");
+      throw ResultError(ResultCode::kNotReady,
+                        "the gate has not confirmed its documents");
     }
     if (request.service != this->upstream_settings.service) {
-      throw ResultError(ResultCode::kNoUpstream, "this gate serves another service");
+      throw ResultError(ResultCode::kNoUpstream,
+                        "this gate serves another service");
     }
-    // A request decided under an older document must not run under the newer one.
+    // A request decided under an older document must not run under the newer
+    // one.
     if (request.revision < this->service_revision) {
-      throw ResultError(ResultCode::kStaleRevision, "a newer document is in force");
+      throw ResultError(ResultCode::kStaleRevision,
+                        "a newer document is in force");
     }
   }
 
@@ -353,14 +387,18 @@
   void SweepOnline(Time now) {
     std::vector<WorkId> gone;
     for (auto& [id, state] : this->online) {
-      const bool unclaimed = state.lost_at != Time{} && now - state.lost_at > kReattach;
-      const bool over = state.over_at != Time{} && now - state.over_at > kReattach;
+      const bool unclaimed =
+          state.lost_at != Time{} && now - state.lost_at > kReattach;
+      const bool over =
+          state.over_at != Time{} && now - state.over_at > kReattach;
       const bool late = state.over_at == Time{} && now >= state.deadline;
       if (unclaimed || over) {
         gone.push_back(id);
       } else if (late) {
-        // What waited past its deadline was refused by the core's tick; this one is running.
-        this->EndOnline(state, ResultCode::kDeadlineWhileRunning, "the deadline passed");
+        // What waited past its deadline was refused by the core's tick; this
+        // one is running.
+        this->EndOnline(state, ResultCode::kDeadlineWhileRunning,
+                        "the deadline passed");
         this->StopRunning(id);
       }
     }
@@ -379,7 +417,8 @@
     if (state.out.Finished()) {
       return;
     }
-    state.out.Send(EncodeVariant(GateMessage(AnswerEnd{static_cast<int>(code), text})));
+    state.out.Send(
+        EncodeVariant(GateMessage(AnswerEnd{static_cast<int>(code), text})));
     state.out.Finish();
     state.over_at = MonotonicNow();
   }
@@ -393,10 +432,11 @@
     OnlineState& state = found->second;
     state.status = head.status;
     state.content_type = head.content_type;
-    const bool assembled = state.engine && !state.request.stream && head.status == kHttpOk;
+    const bool assembled =
+        state.engine && !state.request.stream && head.status == kHttpOk;
     if (!assembled) {
-      state.out.Send(
-          EncodeVariant(GateMessage(AnswerHead{head.status, head.content_type})));
+      state.out.Send(EncodeVariant(
+          GateMessage(AnswerHead{head.status, head.content_type})));
     }
   }
 
@@ -419,7 +459,8 @@
     }
   }
 
-  std::size_t OnOnlineBytes(OnlineState& state, const std::string& bytes, Time now) {
+  std::size_t OnOnlineBytes(OnlineState& state, const std::string& bytes,
+                            Time now) {
     if (state.out.Finished()) {
       return 0;
     }
@@ -429,7 +470,8 @@
       state.out.Send(EncodeVariant(GateMessage(AnswerBytes{bytes})));
     }
     if (tokens > 0 && !std::exchange(state.first_token_seen, true)) {
-      this->metrics.Observe("online_first_token_seconds", ToSeconds(now - state.came));
+      this->metrics.Observe("online_first_token_seconds",
+                            ToSeconds(now - state.came));
     }
     this->metrics.Add("online_tokens_total", tokens);
     return tokens;
@@ -442,31 +484,37 @@
     } else if (this->desk.Holds(ended.id) &&
                this->desk.OnEnd(ended.id, ended.end, ended.reason)) {
       this->Follow(this->core.Ended(ended.id, MonotonicNow()));
-      this->Follow(this->core.Batch({ended.id, MonotonicNow()}, MonotonicNow()));
+      this->Follow(
+          this->core.Batch({ended.id, MonotonicNow()}, MonotonicNow()));
       return;
     }
     this->Follow(this->core.Ended(ended.id, MonotonicNow()));
   }
 
-  void FinishOnline(std::map<WorkId, OnlineState>::iterator found, const UpstreamEnded& ended) {
+  void FinishOnline(std::map<WorkId, OnlineState>::iterator found,
+                    const UpstreamEnded& ended) {
     OnlineState& state = found->second;
     if (ended.end == UpstreamEnd::kNotSent && state.status == 0) {
-      this->RefuseOnlineWork(found->first,
-                             {ResultCode::kNoUpstream, ended.reason, kProbeEvery});
+      this->RefuseOnlineWork(
+          found->first, {ResultCode::kNoUpstream, ended.reason, kProbeEvery});
       return;
     }
     const bool events = state.engine && state.status == kHttpOk;
-    const bool whole = ended.end == UpstreamEnd::kComplete && (!events || state.answer.Whole());
+    const bool whole = ended.end == UpstreamEnd::kComplete &&
+                       (!events || state.answer.Whole());
     if (!whole) {
       this->metrics.Add("online_cut_total");
       this->EndOnline(state, ResultCode::kUpstreamFailed,
-                      ended.reason.empty() ? "the answer ended before it was whole" : ended.reason);
+                      ended.reason.empty()
+                          ? "the answer ended before it was whole"
+                          : ended.reason);
       return;
     }
     if (events && !state.request.stream) {
-      state.out.Send(EncodeVariant(GateMessage(AnswerHead{state.status, "application/json"})));
-      state.out.Send(
-          EncodeVariant(GateMessage(AnswerBytes{state.answer.Assemble().dump()})));
+      state.out.Send(EncodeVariant(
+          GateMessage(AnswerHead{state.status, "application/json"})));
+      state.out.Send(EncodeVariant(
+          GateMessage(AnswerBytes{state.answer.Assemble().dump()})));
     }
     this->EndOnline(state, ResultCode::kOk, {});
   }
@@ -477,19 +525,23 @@
     if (this->pull_in_flight) {
       return;
     }
-    const std::size_t wanted =
-        this->ready && !this->leaving && this->upstream_settings.kind == "engine"
-            ? this->core.BatchWanted(now)
-            : 0;
+    const std::size_t wanted = this->ready && !this->leaving &&
+                                       this->upstream_settings.kind == "engine"
+                                   ? this->core.BatchWanted(now)
+                                   : 0;
     const Duration since = now - this->last_pull;
-    const bool report = this->desk.Unreported() > 0 && since > std::chrono::milliseconds(10);
-    const bool ask = wanted > 0 && (!this->last_pull_empty || since > kEmptyPullPause);
-    const bool renew = this->desk.Held() > 0 && since > this->settings.lease / 4;
+    const bool report =
+        this->desk.Unreported() > 0 && since > std::chrono::milliseconds(10);
+    const bool worth_asking = !this->last_pull_empty || this->batch_work_known;
+    const bool ask = wanted > 0 && worth_asking &&
+                     (!this->last_pull_empty || since > kEmptyPullPause);
+    const bool renew =
+        this->desk.Held() > 0 && since > this->settings.lease / 4;
     if (!report && !ask && !renew) {
       return;
     }
-    this->pull_in_flight = this->pulls.TryPush(
-        this->desk.MakePull(static_cast<std::uint32_t>(ask || report ? wanted : 0)));
+    this->pull_in_flight = this->pulls.TryPush(this->desk.MakePull(
+        static_cast<std::uint32_t>(ask || report ? wanted : 0)));
     this->last_pull = now;
   }
 
@@ -525,19 +577,23 @@
     this->revision = std::max(this->revision, arrived.revision);
     for (const documents::AcceptedDocument& accepted : arrived.changes) {
       const bool ours = accepted.service == this->upstream_settings.service;
-      // Answers can overtake each other; an older document never replaces a newer one.
+      // Answers can overtake each other; an older document never replaces a
+      // newer one.
       if (!ours || accepted.revision <= this->service_revision) {
         continue;
       }
       try {
-        this->document = documents::ParseDocument(ParseJson(accepted.text, "document"));
+        this->document =
+            documents::ParseDocument(ParseJson(accepted.text, "document"));
         this->service_revision = accepted.revision;
         this->core.SetOptions(this->MakeOptions(&this->document));
         Log(LogLevel::kInfo, "document_in_force",
-            {{"service", accepted.service}, {"version", accepted.version},
+            {{"service", accepted.service},
+             {"version", accepted.version},
              {"revision", accepted.revision}});
       } catch (const ResultError& error) {
-        Log(LogLevel::kError, "document_unreadable", {{"reason", error.what()}});
+        Log(LogLevel::kError, "document_unreadable",
+            {{"reason", error.what()}});
       }
     }
     this->ready = true;
@@ -562,7 +618,9 @@
     Log(LogLevel::kInfo, "leaving", {{"online", this->online.size()}});
   }
 
-  void On(const DumpWanted& wanted) { wanted.answer->set_value(this->BuildDump()); }
+  void On(const DumpWanted& wanted) {
+    wanted.answer->set_value(this->BuildDump());
+  }
 
   /// Shows other threads what the deciding thread knows.
   void Publish() {
@@ -581,11 +639,14 @@
     this->report.address = this->upstream_settings.gate_listen;
     this->report.incarnation = this->incarnation;
     this->report.revision = this->revision;
-    // A gate without its upstream is of no use to entries, but may come back: it is not leaving.
+    // A gate without its upstream is of no use to entries, but may come back:
+    // it is not leaving.
     this->report.leaving = this->leaving;
-    this->report.running = static_cast<std::uint32_t>(this->core.RunningOnline());
+    this->report.running =
+        static_cast<std::uint32_t>(this->core.RunningOnline());
     this->report.limit = static_cast<std::uint32_t>(this->core.OnlineLimit());
-    this->report.waiting = static_cast<std::uint32_t>(this->core.WaitingOnline());
+    this->report.waiting =
+        static_cast<std::uint32_t>(this->core.WaitingOnline());
   }
 
   nlohmann::json BuildDump() {
@@ -599,28 +660,29 @@
                           {"tokens", state.answer.Tokens()},
                           {"over", state.over_at != Time{}}});
     }
-    return {{"role", "side"},
-            {"name", this->name},
-            {"service", this->upstream_settings.service},
-            {"upstream", this->upstream_settings.address},
-            {"upstream_up", this->upstream_up},
-            {"leaving", this->leaving.load()},
-            {"ready", this->ready.load()},
-            {"revision", this->revision},
-            {"service_revision", this->service_revision.load()},
-            {"service_version", this->document.version},
-            {"control_quiet_ms", ToSeconds(now - this->last_control.load()) * 1000},
-            {"running_online", this->core.RunningOnline()},
-            {"running_batch", this->core.RunningBatch()},
-            {"waiting_online", this->core.WaitingOnline()},
-            {"waiting_batch", this->core.WaitingBatch()},
-            {"online_limit", this->core.OnlineLimit()},
-            {"shared_limit", this->core.SharedLimit()},
-            {"headroom", this->core.Headroom()},
-            {"items_held", this->desk.Held()},
-            {"outcomes_unreported", this->desk.Unreported()},
-            {"tokens_kept_over_preemptions", this->desk.tokens_kept()},
-            {"requests", requests}};
+    return {
+        {"role", "side"},
+        {"name", this->name},
+        {"service", this->upstream_settings.service},
+        {"upstream", this->upstream_settings.address},
+        {"upstream_up", this->upstream_up},
+        {"leaving", this->leaving.load()},
+        {"ready", this->ready.load()},
+        {"revision", this->revision},
+        {"service_revision", this->service_revision.load()},
+        {"service_version", this->document.version},
+        {"control_quiet_ms", ToSeconds(now - this->last_control.load()) * 1000},
+        {"running_online", this->core.RunningOnline()},
+        {"running_batch", this->core.RunningBatch()},
+        {"waiting_online", this->core.WaitingOnline()},
+        {"waiting_batch", this->core.WaitingBatch()},
+        {"online_limit", this->core.OnlineLimit()},
+        {"shared_limit", this->core.SharedLimit()},
+        {"headroom", this->core.Headroom()},
+        {"items_held", this->desk.Held()},
+        {"outcomes_unreported", this->desk.Unreported()},
+        {"tokens_kept_over_preemptions", this->desk.tokens_kept()},
+        {"requests", requests}};
   }
 
   // --- threads that wait for the network
@@ -630,26 +692,28 @@
     while (!this->stopping) {
       try {
         if (!this->ready) {
-          const auto reply = this->control.Ask(control::QueryChanges{0}, kControlTimeout);
+          const auto reply =
+              this->control.Ask(control::QueryChanges{0}, kControlTimeout);
           control::RequireOk(reply);
           auto body = DecodeMessage<control::ChangesReply>(reply.body);
           known = body.revision;
-          this->events.Push(DocumentsArrived{body.revision, std::move(body.changes)});
+          this->events.Push(
+              DocumentsArrived{body.revision, std::move(body.changes)});
         }
         control::Heartbeat heartbeat;
         {
           const std::lock_guard lock(this->report_mutex);
           heartbeat.report = this->report;
         }
-        heartbeat.fleet_version = UINT64_MAX;
         const auto reply = this->control.Beat(heartbeat, kControlTimeout);
         control::RequireOk(reply);
         auto body = DecodeMessage<control::HeartbeatReply>(reply.body);
         this->last_control = MonotonicNow();
+        this->batch_work_known = body.has_batch_work;
         if (body.documents.revision > known) {
           known = body.documents.revision;
-          this->events.Push(
-              DocumentsArrived{body.documents.revision, std::move(body.documents.changes)});
+          this->events.Push(DocumentsArrived{
+              body.documents.revision, std::move(body.documents.changes)});
         }
       } catch (const ResultError& error) {
         Log(LogLevel::kDebug, "heartbeat_failed", {{"reason", error.what()}});
@@ -722,11 +786,12 @@
   std::atomic<bool> ready = false;
   std::atomic<bool> leaving = false;
   std::atomic<bool> drained = false;
+  std::atomic<bool> batch_work_known = false;
   std::atomic<bool> stopping = false;
   std::atomic<Time> last_control = Time{};
   bool upstream_up = true;
   bool pull_in_flight = false;
-  bool last_pull_empty = false;
+  bool last_pull_empty = true;
   Time last_pull{};
   std::mutex report_mutex;
   fleet::ProcessReport report;
@@ -736,7 +801,8 @@
   std::thread prober;
 };
 
-GateServer::GateServer(const Settings& settings, std::size_t upstream, Metrics& metrics)
+GateServer::GateServer(const Settings& settings, std::size_t upstream,
+                       Metrics& metrics)
     : impl(std::make_unique<Impl>(settings, upstream, metrics)) {}
 
 GateServer::~GateServer() = default;
--- a/src/gate/internal/replaybuffer.h
+++ b/src/gate/internal/replaybuffer.h
@@ -9,9 +9,9 @@
 
 namespace papayarack::gate {
 
-/// The messages of one answer, kept until the answer is over and a little longer, so that an
-/// entry whose connection fell silent can take up the stream where it was.
-/// Thread safety: none, the deciding thread.
+/// The messages of one answer, kept until the answer is over and a little
+/// longer, so that an entry whose connection fell silent can take up the stream
+/// where it was. Thread safety: none, the deciding thread.
 class ReplayBuffer {
  public:
   ReplayBuffer(transport::PeerServer& server, transport::StreamId stream)
--- a/src/gate/internal/upstreamclient.cpp
+++ b/src/gate/internal/upstreamclient.cpp
@@ -51,7 +51,8 @@
     }
   }
 
-  /// Makes the client known for Cancel; false when the call was cancelled before it began.
+  /// Makes the client known for Cancel; false when the call was cancelled
+  /// before it began.
   bool Enter(WorkId id, httplib::Client* client) {
     const std::lock_guard lock(this->mutex);
     if (this->cancelled.erase(id) > 0) {
@@ -74,7 +75,8 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(call.silence));
     client.set_tcp_nodelay(true);
     if (!this->Enter(call.id, &client)) {
-      this->handlers.on_end(call.id, UpstreamEnd::kNotSent, "cancelled before it was sent");
+      this->handlers.on_end(call.id, UpstreamEnd::kNotSent,
+                            "cancelled before it was sent");
       return;
     }
     httplib::Request request;
@@ -85,11 +87,14 @@
     if (!call.content_type.empty()) {
       request.set_header("Content-Type", call.content_type);
     }
-    request.response_handler = [this, &call](const httplib::Response& response) {
-      this->handlers.on_head(call.id, response.status, response.get_header_value("Content-Type"));
+    request.response_handler = [this,
+                                &call](const httplib::Response& response) {
+      this->handlers.on_head(call.id, response.status,
+                             response.get_header_value("Content-Type"));
       return true;
     };
-    request.content_receiver = [this, &call](const char* data, std::size_t length, std::uint64_t,
+    request.content_receiver = [this, &call](const char* data,
+                                             std::size_t length, std::uint64_t,
                                              std::uint64_t) {
       this->handlers.on_bytes(call.id, std::string(data, length));
       return true;
@@ -100,9 +105,11 @@
       this->handlers.on_end(call.id, UpstreamEnd::kComplete, {});
     } else if (result.error() == httplib::Error::Connection ||
                result.error() == httplib::Error::ConnectionTimeout) {
-      this->handlers.on_end(call.id, UpstreamEnd::kNotSent, "no connection to the upstream");
+      this->handlers.on_end(call.id, UpstreamEnd::kNotSent,
+                            "no connection to the upstream");
     } else {
-      this->handlers.on_end(call.id, UpstreamEnd::kBroken, httplib::to_string(result.error()));
+      this->handlers.on_end(call.id, UpstreamEnd::kBroken,
+                            httplib::to_string(result.error()));
     }
   }
 
@@ -121,7 +128,9 @@
 
 UpstreamClient::~UpstreamClient() = default;
 
-bool UpstreamClient::Start(UpstreamCall call) { return this->impl->calls.TryPush(std::move(call)); }
+bool UpstreamClient::Start(UpstreamCall call) {
+  return this->impl->calls.TryPush(std::move(call));
+}
 
 void UpstreamClient::Cancel(WorkId id) {
   const std::lock_guard lock(this->impl->mutex);
--- a/src/gate/tests/gatecore_tests.cpp
+++ b/src/gate/tests/gatecore_tests.cpp
@@ -17,7 +17,8 @@
   return options;
 }
 
-OnlineWork Online(WorkId id, const std::string& caller = "kivu", Time deadline = kStart + 60000 * kMs) {
+OnlineWork Online(WorkId id, const std::string& caller = "kivu",
+                  Time deadline = kStart + 60000 * kMs) {
   return {id, caller, deadline, 0};
 }
 
@@ -41,16 +42,20 @@
   REQUIRE(gate.RunningBatch() == 2);
   gate.Token(1, kStart + kMs);
 
-  // Symptom: a teller waits behind batch work. Sequence: batch fills the upstream; a teller asks.
-  // Cause: the engine knows no priorities and admits in order of arrival.
-  SECTION("starts an online request at once and lets the batch work with least done step aside") {
+  // Symptom: a teller waits behind batch work. Sequence: batch fills the
+  // upstream; a teller asks. Cause: the engine knows no priorities and admits
+  // in order of arrival.
+  SECTION(
+      "starts an online request at once and lets the batch work with least "
+      "done step aside") {
     const auto actions = gate.Online(Online(10), kStart + 2 * kMs);
     CHECK(Ids<StartWork>(actions) == std::vector<WorkId>{10});
     CHECK(Ids<PreemptBatch>(actions) == std::vector<WorkId>{2});
     SECTION("and takes the batch work up again when there is room") {
       gate.Batch({2, kStart + 2000 * kMs}, kStart + 3 * kMs);
       CHECK(Ids<StartWork>(gate.Ended(10, kStart + 4 * kMs)).empty());
-      CHECK(Ids<StartWork>(gate.Ended(2, kStart + 5 * kMs)) == std::vector<WorkId>{2});
+      CHECK(Ids<StartWork>(gate.Ended(2, kStart + 5 * kMs)) ==
+            std::vector<WorkId>{2});
     }
   }
   SECTION("never starts batch work while online work waits") {
@@ -59,9 +64,12 @@
     gate.Online(Online(12), kStart);
     REQUIRE(gate.WaitingOnline() == 1);
     gate.Batch({3, kStart}, kStart);
-    CHECK(Ids<StartWork>(gate.Ended(10, kStart + kMs)) == std::vector<WorkId>{12});
+    CHECK(Ids<StartWork>(gate.Ended(10, kStart + kMs)) ==
+          std::vector<WorkId>{12});
+  }
+  SECTION("pulls no more than there is room for") {
+    CHECK(gate.BatchWanted(kStart) <= 2);
   }
-  SECTION("pulls no more than there is room for") { CHECK(gate.BatchWanted(kStart) <= 2); }
 }
 
 TEST_CASE("a gate under overload") {
@@ -80,14 +88,16 @@
   SECTION("refuses at once what would wait past its deadline") {
     GateCore fresh(Plain(1, 50), kStart);
     fresh.Online(Online(1), kStart);
-    const auto actions = fresh.Online(Online(2, "kivu", kStart + 5 * kMs), kStart);
+    const auto actions =
+        fresh.Online(Online(2, "kivu", kStart + 5 * kMs), kStart);
     CHECK(Ids<RefuseOnline>(actions) == std::vector<WorkId>{2});
   }
   SECTION("drops what passed its deadline in the queue before it starts") {
     GateCore fresh(Plain(1, 50), kStart);
     fresh.Online(Online(1), kStart);
     fresh.Online(Online(2, "kivu", kStart + 1500 * kMs), kStart);
-    CHECK(Ids<RefuseOnline>(fresh.Tick(kStart + 1500 * kMs)) == std::vector<WorkId>{2});
+    CHECK(Ids<RefuseOnline>(fresh.Tick(kStart + 1500 * kMs)) ==
+          std::vector<WorkId>{2});
     CHECK(Ids<StartWork>(fresh.Ended(1, kStart + 1600 * kMs)).empty());
   }
 }
@@ -115,7 +125,8 @@
   SECTION("says of what waits that it was not run, and starts nothing") {
     const auto actions = gate.SetUpstreamUp(false, kStart);
     CHECK(Ids<RefuseOnline>(actions) == std::vector<WorkId>{2});
-    CHECK(Ids<RefuseOnline>(gate.Online(Online(3), kStart)) == std::vector<WorkId>{3});
+    CHECK(Ids<RefuseOnline>(gate.Online(Online(3), kStart)) ==
+          std::vector<WorkId>{3});
     CHECK(gate.BatchWanted(kStart) == 0);
   }
 }
@@ -125,7 +136,8 @@
   gate.Online(Online(1), kStart);
   gate.Online(Online(2), kStart);
   gate.BeginLeave();
-  CHECK(Ids<RefuseOnline>(gate.Online(Online(3), kStart)) == std::vector<WorkId>{3});
+  CHECK(Ids<RefuseOnline>(gate.Online(Online(3), kStart)) ==
+        std::vector<WorkId>{3});
   CHECK(Ids<StartWork>(gate.Ended(1, kStart)) == std::vector<WorkId>{2});
 }
 
@@ -137,7 +149,8 @@
   const auto run = [&](int windows) {
     for (int window = 0; window < windows; ++window) {
       const std::size_t running = limit.Shared();
-      const Duration gap = 20 * kMs * static_cast<std::int64_t>(std::max(running, kKnee)) /
+      const Duration gap = 20 * kMs *
+                           static_cast<std::int64_t>(std::max(running, kKnee)) /
                            static_cast<std::int64_t>(kKnee);
       for (int token = 0; token < 20; ++token) {
         now += 10 * kMs;
--- a/src/gate/tests/gatefuzz_tests.cpp
+++ b/src/gate/tests/gatefuzz_tests.cpp
@@ -14,7 +14,8 @@
 /// What any gate must keep, whatever comes: a plain list of what is where.
 class GateOracle {
  public:
-  explicit GateOracle(const GateOptions& options) : gate(options, this->now), options(options) {}
+  explicit GateOracle(const GateOptions& options)
+      : gate(options, this->now), options(options) {}
 
   void Step(std::uint32_t kind, std::uint32_t pick) {
     switch (kind % 8) {
@@ -34,7 +35,8 @@
         break;
       case 5:
         if (!this->running.empty()) {
-          this->Follow(this->gate.Token(this->Nth(this->running, pick), this->now));
+          this->Follow(
+              this->gate.Token(this->Nth(this->running, pick), this->now));
         }
         break;
       case 6:
@@ -50,8 +52,9 @@
 
   /// Once nothing new comes, everything ends: nothing is stuck or lost.
   void Finish() {
-    for (int i = 0; i < 5000 && (!this->running.empty() || !this->waiting.empty() ||
-                                 !this->batch.empty());
+    for (int i = 0;
+         i < 5000 && (!this->running.empty() || !this->waiting.empty() ||
+                      !this->batch.empty());
          ++i) {
       this->now += 50 * kMs;
       this->End(0);
@@ -64,7 +67,8 @@
 
  private:
   static WorkId Nth(const std::set<WorkId>& ids, std::uint32_t pick) {
-    return *std::next(ids.begin(), pick % static_cast<std::uint32_t>(ids.size()));
+    return *std::next(ids.begin(),
+                      pick % static_cast<std::uint32_t>(ids.size()));
   }
 
   void Arrive(std::uint32_t pick) {
@@ -72,7 +76,9 @@
     this->waiting.insert(id);
     const Time deadline = this->now + (1 + pick % 5000) * kMs;
     this->Follow(this->gate.Online(
-        {id, std::string(1, static_cast<char>('a' + pick % 3)), deadline, pick % 2}, this->now));
+        {id, std::string(1, static_cast<char>('a' + pick % 3)), deadline,
+         pick % 2},
+        this->now));
   }
 
   void End(std::uint32_t pick) {
@@ -107,9 +113,12 @@
   void Follow(const std::vector<GateAction>& actions) {
     for (const GateAction& action : actions) {
       if (const auto* start = std::get_if<StartWork>(&action)) {
-        RC_ASSERT(this->running.count(start->id) == 0U);   // At most once at a time.
-        RC_ASSERT(this->refused.count(start->id) == 0U);   // "Not run" stays true.
-        RC_ASSERT(this->dropped.count(start->id) == 0U);   // Dropped work does not start.
+        RC_ASSERT(this->running.count(start->id) ==
+                  0U);  // At most once at a time.
+        RC_ASSERT(this->refused.count(start->id) ==
+                  0U);  // "Not run" stays true.
+        RC_ASSERT(this->dropped.count(start->id) ==
+                  0U);  // Dropped work does not start.
         const bool online = this->waiting.erase(start->id) > 0;
         if (!online) {
           RC_ASSERT(this->batch.erase(start->id) == 1U);
@@ -135,7 +144,8 @@
     RC_ASSERT(this->gate.WaitingOnline() == this->waiting.size());
     RC_ASSERT(this->gate.WaitingOnline() <= this->options.max_queue);
     RC_ASSERT(this->gate.RunningOnline() == this->online_running.size());
-    // Work conservation and no head of line: online waits only while online fills its limit.
+    // Work conservation and no head of line: online waits only while online
+    // fills its limit.
     if (!this->waiting.empty()) {
       RC_ASSERT(this->online_running.size() >= this->gate.OnlineLimit());
     }
@@ -163,7 +173,8 @@
     options.limit.max_concurrent = *rc::gen::inRange(1, 12);
     options.max_queue = *rc::gen::inRange(1, 8);
     GateOracle oracle(options);
-    const auto steps = *rc::gen::container<std::vector<std::pair<std::uint32_t, std::uint32_t>>>(
+    const auto steps = *rc::gen::container<
+        std::vector<std::pair<std::uint32_t, std::uint32_t>>>(
         400, rc::gen::pair(rc::gen::inRange<std::uint32_t>(0, 10000),
                            rc::gen::inRange<std::uint32_t>(0, 10000)));
     for (const auto& [kind, pick] : steps) {
--- a/src/gate/upstreamclient.h
+++ b/src/gate/upstreamclient.h
@@ -30,24 +30,28 @@
   kBroken,    ///< Cut, silent or cancelled: it may have run.
 };
 
-/// Called on worker threads, for one call always in the order head, bytes, end; end once.
+/// Called on worker threads, for one call always in the order head, bytes, end;
+/// end once.
 struct UpstreamHandlers {
   std::function<void(WorkId, int status, std::string content_type)> on_head;
   std::function<void(WorkId, std::string bytes)> on_bytes;
   std::function<void(WorkId, UpstreamEnd, std::string reason)> on_end;
 };
 
-/// Talks HTTP to the upstream, a worker thread and a fresh connection for each running call:
-/// a connection that something has forgotten is never used again, and cancelling a call closes
-/// its connection, which is how engines learn of it. Thread safety: every method, any thread.
+/// Talks HTTP to the upstream, a worker thread and a fresh connection for each
+/// running call: a connection that something has forgotten is never used again,
+/// and cancelling a call closes its connection, which is how engines learn of
+/// it. Thread safety: every method, any thread.
 class UpstreamClient {
  public:
-  UpstreamClient(const Endpoint& upstream, std::size_t workers, UpstreamHandlers handlers);
+  UpstreamClient(const Endpoint& upstream, std::size_t workers,
+                 UpstreamHandlers handlers);
   ~UpstreamClient();
   UpstreamClient(const UpstreamClient&) = delete;
   UpstreamClient& operator=(const UpstreamClient&) = delete;
 
-  /// Begins a call; false when every worker is taken and the ring is full: nothing was sent.
+  /// Begins a call; false when every worker is taken and the ring is full:
+  /// nothing was sent.
   bool Start(UpstreamCall call);
   /// Ends a call early; its on_end(kBroken) follows.
   void Cancel(WorkId id);
--- a/src/global/boundedring.h
+++ b/src/global/boundedring.h
@@ -39,7 +39,8 @@
   bool Push(T element) {
     {
       std::unique_lock lock(this->mutex);
-      this->not_full.wait(lock, [this] { return this->closed || !this->elements.full(); });
+      this->not_full.wait(
+          lock, [this] { return this->closed || !this->elements.full(); });
       if (this->closed) {
         return false;
       }
@@ -49,11 +50,12 @@
     return true;
   }
 
-  /// Takes the oldest, waiting up to `wait`. Empty on timeout, or when closed and drained.
+  /// Takes the oldest, waiting up to `wait`. Empty on timeout, or when closed
+  /// and drained.
   std::optional<T> Pop(std::chrono::microseconds wait) {
     std::unique_lock lock(this->mutex);
-    this->not_empty.wait_for(lock, wait,
-                             [this] { return this->closed || !this->elements.empty(); });
+    this->not_empty.wait_for(
+        lock, wait, [this] { return this->closed || !this->elements.empty(); });
     return this->TakeLocked(lock);
   }
 
@@ -62,8 +64,9 @@
     std::vector<T> taken;
     {
       std::unique_lock lock(this->mutex);
-      this->not_empty.wait_for(lock, wait,
-                               [this] { return this->closed || !this->elements.empty(); });
+      this->not_empty.wait_for(lock, wait, [this] {
+        return this->closed || !this->elements.empty();
+      });
       taken.reserve(this->elements.size());
       for (T& element : this->elements) {
         taken.push_back(std::move(element));
--- a/src/global/internal/hash.cpp
+++ b/src/global/internal/hash.cpp
@@ -18,7 +18,8 @@
 std::string Sha256Hex(std::string_view bytes) {
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
   unsigned length = 0;
-  EVP_Digest(bytes.data(), bytes.size(), digest.data(), &length, EVP_sha256(), nullptr);
+  EVP_Digest(bytes.data(), bytes.size(), digest.data(), &length, EVP_sha256(),
+             nullptr);
   std::string hex;
   for (unsigned i = 0; i < length; ++i) {
     hex += fmt::format("{:02x}", digest.at(i));
--- a/src/global/internal/jsonschema.cpp
+++ b/src/global/internal/jsonschema.cpp
@@ -57,13 +57,16 @@
   try {
     return nlohmann::json::parse(text);
   } catch (const nlohmann::json::parse_error& error) {
-    const std::string_view before = text.substr(0, std::min(error.byte, text.size()));
+    const std::string_view before =
+        text.substr(0, std::min(error.byte, text.size()));
     const auto line = std::ranges::count(before, '\n') + 1;
     const std::size_t last_newline = before.rfind('\n');
-    const std::size_t column =
-        last_newline == std::string_view::npos ? before.size() : before.size() - last_newline - 1;
-    throw ResultError(ResultCode::kBadInput,
-                      fmt::format("{}: not JSON at line {}, column {}", what, line, column));
+    const std::size_t column = last_newline == std::string_view::npos
+                                   ? before.size()
+                                   : before.size() - last_newline - 1;
+    throw ResultError(
+        ResultCode::kBadInput,
+        fmt::format("{}: not JSON at line {}, column {}", what, line, column));
   }
 }
 
--- a/src/global/internal/logging.cpp
+++ b/src/global/internal/logging.cpp
@@ -46,13 +46,15 @@
 }
 
 log4cplus::LogLevel ParseLevel(const std::string& name) {
-  static const std::map<std::string, LogLevel> kLevels = {{"debug", LogLevel::kDebug},
-                                                          {"info", LogLevel::kInfo},
-                                                          {"warn", LogLevel::kWarn},
-                                                          {"error", LogLevel::kError}};
+  static const std::map<std::string, LogLevel> kLevels = {
+      {"debug", LogLevel::kDebug},
+      {"info", LogLevel::kInfo},
+      {"warn", LogLevel::kWarn},
+      {"error", LogLevel::kError}};
   const auto found = kLevels.find(name);
   if (found == kLevels.end()) {
-    throw ResultError(ResultCode::kBadInput, "/log/level: expected debug, info, warn or error");
+    throw ResultError(ResultCode::kBadInput,
+                      "/log/level: expected debug, info, warn or error");
   }
   return ToLibraryLevel(found->second);
 }
@@ -69,7 +71,8 @@
 
 log4cplus::Logger& TheLogger() {
   static log4cplus::Initializer initializer;
-  static log4cplus::Logger logger = log4cplus::Logger::getInstance("papayarack");
+  static log4cplus::Logger logger =
+      log4cplus::Logger::getInstance("papayarack");
   return logger;
 }
 
@@ -108,7 +111,9 @@
   for (const auto& [key, value] : fields.items()) {
     line[key] = value;
   }
-  logger.log(library_level, line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  logger.log(
+      library_level,
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 }  // namespace papayarack
--- a/src/global/internal/metrics.cpp
+++ b/src/global/internal/metrics.cpp
@@ -16,8 +16,8 @@
 namespace {
 constexpr std::array<double, 4> kQuantiles = {0.5, 0.9, 0.95, 0.99};
 using Accumulator =
-    acc::accumulator_set<double,
-                         acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>;
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
+                                            acc::tag::extended_p_square>>;
 }  // namespace
 
 struct Metrics::Distribution {
@@ -46,7 +46,8 @@
   const std::lock_guard lock(this->mutex);
   auto found = this->distributions.find(name);
   if (found == this->distributions.end()) {
-    found = this->distributions.emplace(name, std::make_unique<Distribution>()).first;
+    found = this->distributions.emplace(name, std::make_unique<Distribution>())
+                .first;
   }
   found->second->values(value);
 }
@@ -55,19 +56,24 @@
   const std::lock_guard lock(this->mutex);
   std::string text;
   for (const auto& [name, value] : this->counters) {
-    text += fmt::format("# TYPE papayarack_{0} counter\npapayarack_{0} {1}\n", name, value);
+    text += fmt::format("# TYPE papayarack_{0} counter\npapayarack_{0} {1}\n",
+                        name, value);
   }
   for (const auto& [name, value] : this->gauges) {
-    text += fmt::format("# TYPE papayarack_{0} gauge\npapayarack_{0} {1}\n", name, value);
+    text += fmt::format("# TYPE papayarack_{0} gauge\npapayarack_{0} {1}\n",
+                        name, value);
   }
   for (const auto& [name, distribution] : this->distributions) {
     text += fmt::format("# TYPE papayarack_{} summary\n", name);
     for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
-      text += fmt::format("papayarack_{}{{quantile=\"{}\"}} {}\n", name, kQuantiles.at(i),
-                          acc::extended_p_square(distribution->values)[i]);
+      text += fmt::format("papayarack_{}{{quantile=\"{}\"}} {}\n", name,
+                          kQuantiles.at(i),
+                          acc::extended_p_square(distribution->values)
+                              [static_cast<std::ptrdiff_t>(i)]);
     }
-    text += fmt::format("papayarack_{0}_sum {1}\npapayarack_{0}_count {2}\n", name,
-                        acc::sum(distribution->values), acc::count(distribution->values));
+    text += fmt::format("papayarack_{0}_sum {1}\npapayarack_{0}_count {2}\n",
+                        name, acc::sum(distribution->values),
+                        acc::count(distribution->values));
   }
   return text;
 }
--- a/src/global/internal/settings.cpp
+++ b/src/global/internal/settings.cpp
@@ -98,10 +98,12 @@
   ReadInto(document, "http_threads", settings.http_threads);
 }
 
-void RequireField(const std::string& value, const Settings& settings, const char* field) {
+void RequireField(const std::string& value, const Settings& settings,
+                  const char* field) {
   if (value.empty()) {
-    throw ResultError(ResultCode::kBadInput, std::string("settings: [/") + field +
-                                                 "] required for role " + settings.role);
+    throw ResultError(ResultCode::kBadInput,
+                      std::string("settings: [/") + field +
+                          "] required for role " + settings.role);
   }
 }
 
@@ -115,11 +117,13 @@
     RequireField(settings.peer_listen, settings, "peer_listen");
   }
   if (settings.role == "side" && settings.upstreams.size() != 1) {
-    throw ResultError(ResultCode::kBadInput,
-                      "settings: [/upstreams] role side expects exactly one upstream");
+    throw ResultError(
+        ResultCode::kBadInput,
+        "settings: [/upstreams] role side expects exactly one upstream");
   }
   if (!solo && settings.control.empty()) {
-    throw ResultError(ResultCode::kBadInput, "settings: [/control] expected at least one member");
+    throw ResultError(ResultCode::kBadInput,
+                      "settings: [/control] expected at least one member");
   }
 }
 
@@ -131,13 +135,16 @@
   bool good = colon != std::string_view::npos && colon > 0;
   if (good) {
     const std::string_view digits = text.substr(colon + 1);
-    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    good = parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size() &&
+    const auto parsed =
+        std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    good = parsed.ec == std::errc() &&
+           parsed.ptr == digits.data() + digits.size() &&
            port <= std::numeric_limits<std::uint16_t>::max();
   }
   if (!good) {
-    throw ResultError(ResultCode::kBadInput,
-                      std::string(field) + ": expected host:port, got " + std::string(text));
+    throw ResultError(
+        ResultCode::kBadInput,
+        std::string(field) + ": expected host:port, got " + std::string(text));
   }
   return {std::string(text.substr(0, colon)), static_cast<std::uint16_t>(port)};
 }
@@ -153,8 +160,8 @@
   ReadScalars(document, settings);
   if (document.contains("control")) {
     for (const nlohmann::json& member : document["control"]) {
-      settings.control.push_back(
-          {member["id"].get<std::uint64_t>(), member["address"].get<std::string>()});
+      settings.control.push_back({member["id"].get<std::uint64_t>(),
+                                  member["address"].get<std::string>()});
     }
   }
   if (document.contains("upstreams")) {
--- a/src/global/jsonschema.h
+++ b/src/global/jsonschema.h
@@ -10,7 +10,8 @@
 
 /// One broken rule of a JSON document.
 struct SchemaError {
-  std::string pointer;  ///< JSON pointer to the place, empty for the whole document.
+  std::string
+      pointer;  ///< JSON pointer to the place, empty for the whole document.
   std::string message;  ///< What was expected.
 };
 
--- a/src/global/logging.h
+++ b/src/global/logging.h
@@ -19,9 +19,10 @@
 /// Throws ResultError(kBadInput) for an unknown level.
 void StartLogging(const LogSettings& settings, std::string_view role);
 
-/// Writes one JSON line: time, level, role, event and `fields`. Put the ids of the request,
-/// job or item concerned in `fields`. Thread safety: any thread.
-void Log(LogLevel level, std::string_view event, const nlohmann::json& fields = {});
+/// Writes one JSON line: time, level, role, event and `fields`. Put the ids of
+/// the request, job or item concerned in `fields`. Thread safety: any thread.
+void Log(LogLevel level, std::string_view event,
+         const nlohmann::json& fields = {});
 
 }  // namespace papayarack
 
--- a/src/global/messagecodec.h
+++ b/src/global/messagecodec.h
@@ -11,11 +11,12 @@
 
 namespace papayarack {
 
-/// Version of the messages between processes. Fields are only ever added at the end of a
-/// message; a peer that is older reads the ones it knows.
+/// Version of the messages between processes. Fields are only ever added at the
+/// end of a message; a peer that is older reads the ones it knows.
 inline constexpr std::uint32_t kMessageVersion = 1;
 
-/// Encodes a message type that carries MSGPACK_DEFINE. Thread safety: any thread.
+/// Encodes a message type that carries MSGPACK_DEFINE. Thread safety: any
+/// thread.
 template <typename T>
 std::string EncodeMessage(const T& message) {
   msgpack::sbuffer buffer;
@@ -23,19 +24,22 @@
   return {buffer.data(), buffer.size()};
 }
 
-/// Decodes bytes that may come from a peer or a disk. Throws ResultError(kProtocol) on any
-/// malformed input. Thread safety: any thread.
+/// Decodes bytes that may come from a peer or a disk. Throws
+/// ResultError(kProtocol) on any malformed input. Thread safety: any thread.
 template <typename T>
 T DecodeMessage(std::string_view bytes) {
   try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle =
+        msgpack::unpack(bytes.data(), bytes.size());
     return handle.get().as<T>();
   } catch (const std::exception& error) {
-    throw ResultError(ResultCode::kProtocol, std::string("message: ") + error.what());
+    throw ResultError(ResultCode::kProtocol,
+                      std::string("message: ") + error.what());
   }
 }
 
-/// Cuts a byte stream into length-prefixed messages. Thread safety: none, one owner.
+/// Cuts a byte stream into length-prefixed messages. Thread safety: none, one
+/// owner.
 class MessageSplitter {
  public:
   static constexpr std::size_t kMaxMessage = 64U << 20U;
@@ -62,10 +66,13 @@
     }
     std::size_t length = 0;
     for (unsigned i = 0; i < kPrefix; ++i) {
-      length |= static_cast<std::size_t>(static_cast<unsigned char>(this->pending[i])) << (8 * i);
+      length |=
+          static_cast<std::size_t>(static_cast<unsigned char>(this->pending[i]))
+          << (8 * i);
     }
     if (length > kMaxMessage) {
-      throw ResultError(ResultCode::kProtocol, "message length beyond the limit");
+      throw ResultError(ResultCode::kProtocol,
+                        "message length beyond the limit");
     }
     if (this->pending.size() < kPrefix + length) {
       return false;
--- a/src/global/metrics.h
+++ b/src/global/metrics.h
@@ -10,8 +10,8 @@
 
 namespace papayarack {
 
-/// Counters and distributions of one process, shown in the common text exposition format.
-/// Thread safety: every method, any thread.
+/// Counters and distributions of one process, shown in the common text
+/// exposition format. Thread safety: every method, any thread.
 class Metrics {
  public:
   Metrics();
@@ -33,7 +33,8 @@
   mutable std::mutex mutex;
   std::map<std::string, std::uint64_t, std::less<>> counters;
   std::map<std::string, double, std::less<>> gauges;
-  std::map<std::string, std::unique_ptr<Distribution>, std::less<>> distributions;
+  std::map<std::string, std::unique_ptr<Distribution>, std::less<>>
+      distributions;
 };
 
 }  // namespace papayarack
--- a/src/global/resultcode.h
+++ b/src/global/resultcode.h
@@ -9,8 +9,8 @@
 
 namespace papayarack {
 
-/// The one numbered list of outcomes. Numbers are part of the API: never reuse one.
-/// docs/RESULT_CODES.md is held equal to this list by a test.
+/// The one numbered list of outcomes. Numbers are part of the API: never reuse
+/// one. docs/RESULT_CODES.md is held equal to this list by a test.
 enum class ResultCode : int {
   kOk = 0,
   // 1xx: the input is wrong; nothing was stored and nothing ran.
@@ -67,13 +67,14 @@
 /// An outcome with its explanation.
 struct Result {
   ResultCode code = ResultCode::kOk;
-  std::string text;                           ///< For people; names field and place.
-  std::chrono::milliseconds retry_after{0};   ///< Zero: no advice on when.
+  std::string text;  ///< For people; names field and place.
+  std::chrono::milliseconds retry_after{0};  ///< Zero: no advice on when.
 
   bool Ok() const { return this->code == ResultCode::kOk; }
 };
 
-/// The one exception type of the project: a Result that stopped the work at hand.
+/// The one exception type of the project: a Result that stopped the work at
+/// hand.
 class ResultError : public std::runtime_error {
  public:
   ResultError(ResultCode code, const std::string& text);
--- a/src/global/settings.h
+++ b/src/global/settings.h
@@ -17,7 +17,9 @@
   std::string host;
   std::uint16_t port = 0;
 
-  std::string ToString() const { return this->host + ":" + std::to_string(this->port); }
+  std::string ToString() const {
+    return this->host + ":" + std::to_string(this->port);
+  }
 };
 
 /// Parses "host:port". Throws ResultError(kBadInput) naming `field`.
@@ -34,7 +36,7 @@
   std::string service;
   std::string kind = "engine";  ///< "engine" or "plain".
   std::string address;
-  std::string gate_listen;      ///< Peer listener of the gate in front of it.
+  std::string gate_listen;  ///< Peer listener of the gate in front of it.
   bool checks_fencing = true;
 };
 
@@ -43,18 +45,21 @@
   std::string role;
   std::string name;
   std::string zone;
-  std::string peer_listen;      ///< side and control: the listener for other processes.
+  std::string
+      peer_listen;  ///< side and control: the listener for other processes.
   std::string http_listen;      ///< entry: callers' HTTP.
   std::string operator_listen;  ///< every role: operators' HTTP.
   std::string data_folder;      ///< control: its files.
-  std::string platform_list;    ///< Path of the platform's VM list, empty when there is none.
+  std::string platform_list;    ///< Path of the platform's VM list, empty when
+                                ///< there is none.
   std::vector<ControlMemberSettings> control;
   std::vector<UpstreamSettings> upstreams;
   std::chrono::milliseconds heartbeat{500};
   std::chrono::milliseconds election{600};
   std::chrono::milliseconds lease{8000};
   std::chrono::milliseconds shutdown_grace{30000};
-  std::chrono::milliseconds drain{1000};  ///< entry: unhealthy but serving, for the balancer.
+  std::chrono::milliseconds drain{
+      1000};  ///< entry: unhealthy but serving, for the balancer.
   std::size_t max_body_bytes = 64U << 20U;
   std::size_t max_line_bytes = 1U << 20U;
   std::size_t max_job_items = 63000;
@@ -65,8 +70,8 @@
 /// The JSON schema of a settings file.
 const nlohmann::json& SettingsSchema();
 
-/// Reads checked settings. Throws ResultError(kBadInput) that lists every error with its
-/// JSON pointer.
+/// Reads checked settings. Throws ResultError(kBadInput) that lists every error
+/// with its JSON pointer.
 Settings ParseSettings(const nlohmann::json& document);
 
 }  // namespace papayarack
--- a/src/global/tests/global_tests.cpp
+++ b/src/global/tests/global_tests.cpp
@@ -11,14 +11,15 @@
 namespace papayarack {
 
 TEST_CASE("a settings file") {
-  nlohmann::json document = {{"role", "side"},
-                             {"name", "side-1"},
-                             {"peer_listen", "127.0.0.1:7101"},
-                             {"control", {{{"id", 1}, {"address", "127.0.0.1:7001"}}}},
-                             {"upstreams",
-                              {{{"service", "counter"},
-                                {"address", "127.0.0.1:9001"},
-                                {"gate_listen", "127.0.0.1:7101"}}}}};
+  nlohmann::json document = {
+      {"role", "side"},
+      {"name", "side-1"},
+      {"peer_listen", "127.0.0.1:7101"},
+      {"control", {{{"id", 1}, {"address", "127.0.0.1:7001"}}}},
+      {"upstreams",
+       {{{"service", "counter"},
+         {"address", "127.0.0.1:9001"},
+         {"gate_listen", "127.0.0.1:7101"}}}}};
   SECTION("that is right is read") {
     const Settings settings = ParseSettings(document);
     CHECK(settings.upstreams.at(0).service == "counter");
@@ -84,7 +85,8 @@
     CHECK(DecodeMessage<OldMessage>(EncodeMessage(NewMessage{7, "x"})).id == 7);
   }
   SECTION("a newer reader keeps its defaults for fields that are missing") {
-    CHECK(DecodeMessage<NewMessage>(EncodeMessage(OldMessage{7})).note == "none");
+    CHECK(DecodeMessage<NewMessage>(EncodeMessage(OldMessage{7})).note ==
+          "none");
   }
   SECTION("bytes that are no message are an error, not a crash") {
     CHECK_THROWS_AS(DecodeMessage<NewMessage>("\xc1\xff junk"), ResultError);
@@ -93,7 +95,8 @@
 }
 
 TEST_CASE("a byte stream is cut into whole messages however it arrives") {
-  const std::string stream = MessageSplitter::Frame("alpha") + MessageSplitter::Frame("");
+  const std::string stream =
+      MessageSplitter::Frame("alpha") + MessageSplitter::Frame("");
   MessageSplitter splitter;
   std::vector<std::string> messages;
   for (const char byte : stream) {
--- a/src/global/timepoint.h
+++ b/src/global/timepoint.h
@@ -8,7 +8,8 @@
 
 using Duration = std::chrono::microseconds;
 
-/// Monotonic time; every core receives it as an argument and never reads a clock.
+/// Monotonic time; every core receives it as an argument and never reads a
+/// clock.
 using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 /// Wall-clock milliseconds since 1970, for what is stored and shown to people.
@@ -16,13 +17,15 @@
 
 /// Thread safety: any thread.
 inline Time MonotonicNow() {
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
 }
 
 /// Thread safety: any thread.
 inline WallMillis WallNow() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
+      .count();
 }
 
 inline double ToSeconds(Duration duration) {
--- a/src/global/variantcodec.h
+++ b/src/global/variantcodec.h
@@ -19,8 +19,8 @@
 template <typename... Visitors>
 Overloaded(Visitors...) -> Overloaded<Visitors...>;
 
-/// A variant on the wire: the position of its alternative, then the alternative's bytes.
-/// Alternatives are only ever added at the end.
+/// A variant on the wire: the position of its alternative, then the
+/// alternative's bytes. Alternatives are only ever added at the end.
 struct TaggedMessage {
   std::uint32_t tag = 0;
   std::string body;
@@ -32,28 +32,33 @@
 std::string EncodeVariant(const std::variant<Alternatives...>& message) {
   TaggedMessage tagged;
   tagged.tag = static_cast<std::uint32_t>(message.index());
-  tagged.body = std::visit([](const auto& body) { return EncodeMessage(body); }, message);
+  tagged.body =
+      std::visit([](const auto& body) { return EncodeMessage(body); }, message);
   return EncodeMessage(tagged);
 }
 
 namespace internal {
 template <typename Variant, std::size_t... Positions>
-Variant DecodeAlternative(const TaggedMessage& tagged, std::index_sequence<Positions...> /*all*/) {
+Variant DecodeAlternative(const TaggedMessage& tagged,
+                          std::index_sequence<Positions...> /*all*/) {
   Variant decoded;
   const bool known =
       ((tagged.tag == Positions
-            ? (decoded = DecodeMessage<std::variant_alternative_t<Positions, Variant>>(tagged.body),
+            ? (decoded = DecodeMessage<
+                   std::variant_alternative_t<Positions, Variant>>(tagged.body),
                true)
             : false) ||
        ...);
   if (!known) {
-    throw ResultError(ResultCode::kProtocol, "message of a kind that this release does not know");
+    throw ResultError(ResultCode::kProtocol,
+                      "message of a kind that this release does not know");
   }
   return decoded;
 }
 }  // namespace internal
 
-/// Throws ResultError(kProtocol) for malformed bytes or an alternative this release lacks.
+/// Throws ResultError(kProtocol) for malformed bytes or an alternative this
+/// release lacks.
 template <typename Variant>
 Variant DecodeVariant(std::string_view bytes) {
   const auto tagged = DecodeMessage<TaggedMessage>(bytes);
--- a/src/introspection/internal/statusserver.cpp
+++ b/src/introspection/internal/statusserver.cpp
@@ -22,22 +22,30 @@
   httplib::Server& server = this->impl->server;
   server.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
   server.set_keep_alive_max_count(1);
-  server.Get("/v1/dump", [this](const httplib::Request&, httplib::Response& response) {
-    response.set_content(this->impl->sources.dump().dump(2) + "\n", "application/json");
-  });
-  server.Get("/healthz", [this](const httplib::Request&, httplib::Response& response) {
-    const bool healthy = this->impl->sources.healthy();
-    response.status = healthy ? 200 : 503;
-    response.set_content(healthy ? "ok\n" : "not ready or leaving\n", "text/plain");
-  });
-  server.Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
-    response.set_content(this->impl->sources.metrics(), "text/plain; version=0.0.4");
-  });
+  server.Get("/v1/dump",
+             [this](const httplib::Request&, httplib::Response& response) {
+               response.set_content(this->impl->sources.dump().dump(2) + "\n",
+                                    "application/json");
+             });
+  server.Get("/healthz",
+             [this](const httplib::Request&, httplib::Response& response) {
+               const bool healthy = this->impl->sources.healthy();
+               response.status = healthy ? 200 : 503;
+               response.set_content(healthy ? "ok\n" : "not ready or leaving\n",
+                                    "text/plain");
+             });
+  server.Get("/metrics",
+             [this](const httplib::Request&, httplib::Response& response) {
+               response.set_content(this->impl->sources.metrics(),
+                                    "text/plain; version=0.0.4");
+             });
   if (!server.bind_to_port(listen.host.c_str(), listen.port)) {
-    throw ResultError(ResultCode::kBadInput,
-                      "[/operator_listen] cannot listen on " + listen.ToString());
+    throw ResultError(
+        ResultCode::kBadInput,
+        "[/operator_listen] cannot listen on " + listen.ToString());
   }
-  this->impl->thread = std::thread([this] { this->impl->server.listen_after_bind(); });
+  this->impl->thread =
+      std::thread([this] { this->impl->server.listen_after_bind(); });
 }
 
 StatusServer::~StatusServer() {
--- a/src/jobs/internal/filebook.cpp
+++ b/src/jobs/internal/filebook.cpp
@@ -6,8 +6,9 @@
 
 namespace papayarack::jobs {
 
-void FileBook::Append(const std::string& id, const std::string& owner, std::uint64_t at,
-                      std::string_view bytes, bool last, std::int64_t now_ms) {
+void FileBook::Append(const std::string& id, const std::string& owner,
+                      std::uint64_t at, std::string_view bytes, bool last,
+                      std::int64_t now_ms) {
   StoredFile& file = this->files[id];
   if (file.bytes == 0 && file.extents.empty()) {
     file.owner = owner;
@@ -29,15 +30,16 @@
   return found != this->files.end() ? &found->second : nullptr;
 }
 
-std::string FileBook::Read(const StoredFile& file, std::uint64_t at, std::size_t length) const {
+std::string FileBook::Read(const StoredFile& file, std::uint64_t at,
+                           std::size_t length) const {
   std::string bytes;
   std::uint64_t start = 0;
   for (const Extent& extent : file.extents) {
     const std::uint64_t end = start + extent.length;
     if (at < end && bytes.size() < length) {
       const std::uint64_t inside = std::max(at, start) - start;
-      const std::size_t wanted =
-          std::min<std::uint64_t>(extent.length - inside, length - bytes.size());
+      const std::size_t wanted = std::min<std::uint64_t>(extent.length - inside,
+                                                         length - bytes.size());
       bytes += this->blobs.ReadAt(extent.offset + inside, wanted);
       at += wanted;
     }
--- a/src/jobs/internal/itemline.cpp
+++ b/src/jobs/internal/itemline.cpp
@@ -9,20 +9,24 @@
 namespace papayarack::jobs {
 namespace {
 
-[[noreturn]] void Refuse(ResultCode code, std::size_t line, std::string_view what) {
+[[noreturn]] void Refuse(ResultCode code, std::size_t line,
+                         std::string_view what) {
   throw ResultError(code, fmt::format("line {}: {}", line, what));
 }
 
 }  // namespace
 
 ItemLine ParseItemLine(std::string_view line, std::size_t line_number) {
-  const nlohmann::json document = ParseJson(line, fmt::format("line {}", line_number));
+  const nlohmann::json document =
+      ParseJson(line, fmt::format("line {}", line_number));
   if (!document.is_object()) {
     Refuse(ResultCode::kBadInput, line_number, "expected a JSON object");
   }
   const auto id = document.find("custom_id");
-  if (id == document.end() || !id->is_string() || id->get_ref<const std::string&>().empty()) {
-    Refuse(ResultCode::kBadInput, line_number, "[/custom_id] expected a text that is not empty");
+  if (id == document.end() || !id->is_string() ||
+      id->get_ref<const std::string&>().empty()) {
+    Refuse(ResultCode::kBadInput, line_number,
+           "[/custom_id] expected a text that is not empty");
   }
   const auto body = document.find("body");
   if (body == document.end() || !body->is_object()) {
@@ -32,11 +36,14 @@
   if (url != document.end() && !url->is_string()) {
     Refuse(ResultCode::kBadInput, line_number, "[/url] expected a text");
   }
-  return {id->get<std::string>(),
-          url != document.end() ? url->get<std::string>() : "/v1/chat/completions", *body};
+  return {
+      id->get<std::string>(),
+      url != document.end() ? url->get<std::string>() : "/v1/chat/completions",
+      *body};
 }
 
-std::size_t CheckInputFile(std::string_view content, const InputLimits& limits) {
+std::size_t CheckInputFile(std::string_view content,
+                           const InputLimits& limits) {
   std::unordered_map<std::string, std::size_t> seen;
   std::size_t line_number = 0;
   std::size_t start = 0;
@@ -48,14 +55,15 @@
     ++line_number;
     if (line.size() > limits.max_line_bytes) {
       Refuse(ResultCode::kTooLarge, line_number,
-             fmt::format("{} bytes, the limit is {}", line.size(), limits.max_line_bytes));
+             fmt::format("{} bytes, the limit is {}", line.size(),
+                         limits.max_line_bytes));
     }
     const ItemLine item = ParseItemLine(line, line_number);
     const auto [place, fresh] = seen.emplace(item.custom_id, line_number);
     if (!fresh) {
       Refuse(ResultCode::kBadInput, line_number,
-             fmt::format("[/custom_id] \"{}\" stands already in line {}", item.custom_id,
-                         place->second));
+             fmt::format("[/custom_id] \"{}\" stands already in line {}",
+                         item.custom_id, place->second));
     }
     if (line_number > limits.max_items) {
       Refuse(ResultCode::kTooLarge, line_number,
@@ -68,8 +76,9 @@
   return line_number;
 }
 
-std::string OutputLine(std::string_view job, std::uint32_t item, std::string_view custom_id,
-                       int status, const nlohmann::json& body) {
+std::string OutputLine(std::string_view job, std::uint32_t item,
+                       std::string_view custom_id, int status,
+                       const nlohmann::json& body) {
   const nlohmann::json line = {
       {"id", fmt::format("{}-{}", job, item)},
       {"custom_id", custom_id},
@@ -78,14 +87,16 @@
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-std::string ErrorLine(std::string_view job, std::uint32_t item, std::string_view custom_id,
-                      ResultCode code, std::string_view reason) {
-  const nlohmann::json line = {
-      {"id", fmt::format("{}-{}", job, item)},
-      {"custom_id", custom_id},
-      {"response", nullptr},
-      {"error",
-       {{"code", Describe(code).name}, {"number", static_cast<int>(code)}, {"message", reason}}}};
+std::string ErrorLine(std::string_view job, std::uint32_t item,
+                      std::string_view custom_id, ResultCode code,
+                      std::string_view reason) {
+  const nlohmann::json line = {{"id", fmt::format("{}-{}", job, item)},
+                               {"custom_id", custom_id},
+                               {"response", nullptr},
+                               {"error",
+                                {{"code", Describe(code).name},
+                                 {"number", static_cast<int>(code)},
+                                 {"message", reason}}}};
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/jobs/internal/jobbook.cpp
+++ b/src/jobs/internal/jobbook.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 bool SameContent(const JobRequest& one, const JobRequest& other) {
-  return one.service == other.service && one.work == other.work && one.file == other.file;
+  return one.service == other.service && one.work == other.work &&
+         one.file == other.file;
 }
 
 constexpr std::int64_t kMillisPerDay = 86'400'000;
@@ -20,26 +21,30 @@
   if (known != this->keys.end()) {
     const JobSummary& first = this->jobs.at(known->second).summary;
     if (!SameContent(first.request, request)) {
-      throw ResultError(ResultCode::kConflict,
-                        "this key was used for other content: job " + first.request.id);
+      throw ResultError(
+          ResultCode::kConflict,
+          "this key was used for other content: job " + first.request.id);
     }
     return first;
   }
   const StoredFile* file = this->files.Find(request.file);
   if (file == nullptr || !file->complete || file->owner != request.owner) {
-    throw ResultError(ResultCode::kNotFound, "[/input_file_id] no such file: " + request.file);
+    throw ResultError(ResultCode::kNotFound,
+                      "[/input_file_id] no such file: " + request.file);
   }
   Job job;
   job.summary.request = request;
   this->LoadItems(job, *file);
   if (job.summary.items > request.max_items) {
-    throw ResultError(ResultCode::kTooLarge, "the job holds " + std::to_string(job.summary.items) +
-                                                 " items, the document allows " +
-                                                 std::to_string(request.max_items));
+    throw ResultError(ResultCode::kTooLarge,
+                      "the job holds " + std::to_string(job.summary.items) +
+                          " items, the document allows " +
+                          std::to_string(request.max_items));
   }
   this->keys[{request.owner, request.key}] = request.id;
   this->open_jobs[request.service].insert(request.id);
-  return this->jobs.insert_or_assign(request.id, std::move(job)).first->second.summary;
+  return this->jobs.insert_or_assign(request.id, std::move(job))
+      .first->second.summary;
 }
 
 void JobBook::LoadItems(Job& job, const StoredFile& file) {
@@ -65,7 +70,8 @@
 
 ResultCode JobBook::Complete(const ItemOutcome& outcome, std::int64_t now_ms) {
   const auto found = this->jobs.find(outcome.key.job);
-  if (found == this->jobs.end() || outcome.key.item >= found->second.summary.items) {
+  if (found == this->jobs.end() ||
+      outcome.key.item >= found->second.summary.items) {
     return ResultCode::kNotFound;
   }
   Job& job = found->second;
@@ -77,14 +83,17 @@
     return ResultCode::kCancelled;
   }
   const auto lease = this->leases.find(outcome.key);
-  const bool holds = lease != this->leases.end() && lease->second.attempt == outcome.attempt;
+  const bool holds =
+      lease != this->leases.end() && lease->second.attempt == outcome.attempt;
   switch (outcome.End()) {
     case AttemptEnd::kDone:
     case AttemptEnd::kImpossible: {
-      // A late completion of an attempt whose lease ran out is as good as any: the first stands.
+      // A late completion of an attempt whose lease ran out is as good as any:
+      // the first stands.
       this->EndLease(outcome.key);
       const bool done = outcome.End() == AttemptEnd::kDone;
-      this->FinishItem(job, outcome.key.item, done ? ItemState::kDone : ItemState::kFailed,
+      this->FinishItem(job, outcome.key.item,
+                       done ? ItemState::kDone : ItemState::kFailed,
                        outcome.line, now_ms);
       return ResultCode::kOk;
     }
@@ -104,8 +113,8 @@
   return ResultCode::kBadInput;
 }
 
-void JobBook::FinishItem(Job& job, std::uint32_t item, ItemState state, std::string_view line,
-                         std::int64_t now_ms) {
+void JobBook::FinishItem(Job& job, std::uint32_t item, ItemState state,
+                         std::string_view line, std::int64_t now_ms) {
   const storage::BlobRef ref = this->blobs.Append(std::string(line) + "\n");
   job.items.result_offset[item] = ref.offset;
   job.items.result_length[item] = ref.length;
@@ -159,19 +168,22 @@
   return list;
 }
 
-std::string JobBook::ReadResults(std::string_view id, bool errors, std::uint32_t from_item,
-                                 std::size_t max_bytes, std::uint32_t& next_item) const {
+std::string JobBook::ReadResults(std::string_view id, bool errors,
+                                 std::uint32_t from_item, std::size_t max_bytes,
+                                 std::uint32_t& next_item) const {
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) {
     throw ResultError(ResultCode::kNotFound, "no such job: " + std::string(id));
   }
   const Job& job = found->second;
-  const auto wanted = static_cast<std::uint8_t>(errors ? ItemState::kFailed : ItemState::kDone);
+  const auto wanted =
+      static_cast<std::uint8_t>(errors ? ItemState::kFailed : ItemState::kDone);
   std::string lines;
   std::uint32_t item = from_item;
   for (; item < job.summary.items && lines.size() < max_bytes; ++item) {
     if (job.items.state[item] == wanted) {
-      lines += this->blobs.ReadAt(job.items.result_offset[item], job.items.result_length[item]);
+      lines += this->blobs.ReadAt(job.items.result_offset[item],
+                                  job.items.result_length[item]);
     }
   }
   next_item = item;
@@ -179,8 +191,8 @@
 }
 
 std::string JobBook::CustomIdOf(const Job& job, std::uint32_t item) const {
-  const std::string line =
-      this->blobs.ReadAt(job.items.input_offset[item], job.items.input_length[item]);
+  const std::string line = this->blobs.ReadAt(job.items.input_offset[item],
+                                              job.items.input_length[item]);
   try {
     return ParseItemLine(line, item + 1).custom_id;
   } catch (const ResultError&) {
@@ -197,7 +209,8 @@
   std::erase_if(this->jobs, [&](const auto& entry) {
     const JobSummary& summary = entry.second.summary;
     const bool over = summary.State() != JobState::kRunning &&
-                      now_ms - summary.finished_ms > summary.request.keep_days * kMillisPerDay;
+                      now_ms - summary.finished_ms >
+                          summary.request.keep_days * kMillisPerDay;
     if (over) {
       this->keys.erase({summary.request.owner, summary.request.key});
     }
--- a/src/jobs/internal/jobleasing.cpp
+++ b/src/jobs/internal/jobleasing.cpp
@@ -6,8 +6,9 @@
 namespace papayarack::jobs {
 namespace {
 
-/// Of every so many grants, one goes to the job that was granted least, whatever its due time:
-/// a job of 63,000 items must not hold back a job of ten that is due a little later.
+/// Of every so many grants, one goes to the job that was granted least,
+/// whatever its due time: a job of 63,000 items must not hold back a job of ten
+/// that is due a little later.
 constexpr std::uint64_t kFairEvery = 2;
 
 }  // namespace
@@ -31,18 +32,19 @@
     job->summary.leased += 1;
     job->summary.attempts += 1;
     const std::int64_t expires = request.now_ms + request.lease_ms;
-    this->leases[key] = {request.holder, request.incarnation, job->items.attempts[item], expires,
-                         suspect};
+    this->leases[key] = {request.holder, request.incarnation,
+                         job->items.attempts[item], expires, suspect};
     this->expiries.insert({expires, key});
-    granted.push_back(
-        {key, job->items.attempts[item], job->summary.request.due_ms, job->summary.request.work,
-         this->blobs.ReadAt(job->items.input_offset[item], job->items.input_length[item])});
+    granted.push_back({key, job->items.attempts[item],
+                       job->summary.request.due_ms, job->summary.request.work,
+                       this->blobs.ReadAt(job->items.input_offset[item],
+                                          job->items.input_length[item])});
   }
   return granted;
 }
 
-JobBook::Job* JobBook::PickJob(std::string_view service, bool holder_has_suspect,
-                               std::uint64_t picks) {
+JobBook::Job* JobBook::PickJob(std::string_view service,
+                               bool holder_has_suspect, std::uint64_t picks) {
   const auto open = this->open_jobs.find(service);
   if (open == this->open_jobs.end()) {
     return nullptr;
@@ -65,12 +67,15 @@
   return picks % kFairEvery == kFairEvery - 1 ? least_granted : first_due;
 }
 
-/// Moves nothing but the cursor over items that ended meanwhile; the caller takes the item.
-/// Symptom guarded against: one item that kills its upstream takes down gate after gate. An item
-/// whose earlier attempt ended without a word goes only to a holder without another such item.
-std::optional<std::uint32_t> JobBook::PickItem(Job& job, bool holder_has_suspect) {
+/// Moves nothing but the cursor over items that ended meanwhile; the caller
+/// takes the item. Symptom guarded against: one item that kills its upstream
+/// takes down gate after gate. An item whose earlier attempt ended without a
+/// word goes only to a holder without another such item.
+std::optional<std::uint32_t> JobBook::PickItem(Job& job,
+                                               bool holder_has_suspect) {
   const auto pending = static_cast<std::uint8_t>(ItemState::kPending);
-  while (job.next_fresh < job.summary.items && job.items.state[job.next_fresh] != pending) {
+  while (job.next_fresh < job.summary.items &&
+         job.items.state[job.next_fresh] != pending) {
     ++job.next_fresh;
   }
   while (!job.again.empty() && job.items.state[job.again.front()] != pending) {
@@ -83,7 +88,8 @@
     }
   }
   while (job.next_fresh < job.summary.items &&
-         (job.items.state[job.next_fresh] != pending || job.items.attempts[job.next_fresh] > 0)) {
+         (job.items.state[job.next_fresh] != pending ||
+          job.items.attempts[job.next_fresh] > 0)) {
     ++job.next_fresh;
   }
   if (job.next_fresh < job.summary.items) {
@@ -104,7 +110,8 @@
     if (lease.holder != request.holder) {
       continue;
     }
-    const bool listed = std::ranges::find(request.holding, key) != request.holding.end();
+    const bool listed =
+        std::ranges::find(request.holding, key) != request.holding.end();
     if (!listed) {
       lost.push_back(key);
       continue;
@@ -116,13 +123,15 @@
   for (const ItemKey& key : lost) {
     const ItemLease& lease = this->leases.at(key);
     if (lease.incarnation == request.incarnation) {
-      // The same process never got the grant: nothing ran, so no attempt is counted.
+      // The same process never got the grant: nothing ran, so no attempt is
+      // counted.
       Job& job = this->jobs.at(key.job);
       this->EndLease(key);
       job.items.attempts[key.item] -= 1;
       this->RunAgain(job, key.item);
     } else {
-      this->AttemptLost(key, "the process that ran it restarted", request.now_ms);
+      this->AttemptLost(key, "the process that ran it restarted",
+                        request.now_ms);
     }
   }
 }
@@ -142,7 +151,8 @@
   job.again.push_back(item);
 }
 
-void JobBook::AttemptLost(const ItemKey& key, std::string_view reason, std::int64_t now_ms) {
+void JobBook::AttemptLost(const ItemKey& key, std::string_view reason,
+                          std::int64_t now_ms) {
   Job& job = this->jobs.at(key.job);
   this->EndLease(key);
   const JobRequest& request = job.summary.request;
@@ -151,11 +161,12 @@
     this->RunAgain(job, key.item);
     return;
   }
-  // An item that may not be repeated and whose attempt is in doubt is never handed out again.
-  const ResultCode code =
-      request.repeatable ? ResultCode::kAttemptsExhausted : ResultCode::kUnknownOutcome;
-  const std::string line =
-      ErrorLine(key.job, key.item, this->CustomIdOf(job, key.item), code, reason);
+  // An item that may not be repeated and whose attempt is in doubt is never
+  // handed out again.
+  const ResultCode code = request.repeatable ? ResultCode::kAttemptsExhausted
+                                             : ResultCode::kUnknownOutcome;
+  const std::string line = ErrorLine(
+      key.job, key.item, this->CustomIdOf(job, key.item), code, reason);
   this->FinishItem(job, key.item, ItemState::kFailed, line, now_ms);
 }
 
@@ -166,8 +177,9 @@
 void JobBook::ExpireLeases(std::int64_t now_ms) {
   while (this->HasExpired(now_ms)) {
     const ItemKey key = this->expiries.begin()->second;
-    this->AttemptLost(key, "its lease ran out: the process or upstream that ran it went away",
-                      now_ms);
+    this->AttemptLost(
+        key, "its lease ran out: the process or upstream that ran it went away",
+        now_ms);
   }
 }
 
--- a/src/jobs/internal/jobsnapshot.cpp
+++ b/src/jobs/internal/jobsnapshot.cpp
@@ -35,8 +35,10 @@
     }
     this->jobs.emplace(id, std::move(job));
   }
-  for (std::size_t i = 0; i < snapshot.lease_keys.size() && i < snapshot.leases.size(); ++i) {
-    this->expiries.insert({snapshot.leases[i].expires_ms, snapshot.lease_keys[i]});
+  for (std::size_t i = 0;
+       i < snapshot.lease_keys.size() && i < snapshot.leases.size(); ++i) {
+    this->expiries.insert(
+        {snapshot.leases[i].expires_ms, snapshot.lease_keys[i]});
     this->leases.emplace(snapshot.lease_keys[i], std::move(snapshot.leases[i]));
   }
 }
--- a/src/jobs/itemline.h
+++ b/src/jobs/itemline.h
@@ -18,7 +18,8 @@
   nlohmann::json body;
 };
 
-/// Reads one line. Throws ResultError(kBadInput) naming `line_number` and the field.
+/// Reads one line. Throws ResultError(kBadInput) naming `line_number` and the
+/// field.
 ItemLine ParseItemLine(std::string_view line, std::size_t line_number);
 
 /// The bounds of a batch input file.
@@ -27,17 +28,20 @@
   std::size_t max_line_bytes = 1U << 20U;
 };
 
-/// Checks a whole file: each line an item, each custom_id once. Returns the number of items.
-/// Throws ResultError(kBadInput, kTooLarge) naming the line and the field.
+/// Checks a whole file: each line an item, each custom_id once. Returns the
+/// number of items. Throws ResultError(kBadInput, kTooLarge) naming the line
+/// and the field.
 std::size_t CheckInputFile(std::string_view content, const InputLimits& limits);
 
 /// The output line of an item that was answered.
-std::string OutputLine(std::string_view job, std::uint32_t item, std::string_view custom_id,
-                       int status, const nlohmann::json& body);
+std::string OutputLine(std::string_view job, std::uint32_t item,
+                       std::string_view custom_id, int status,
+                       const nlohmann::json& body);
 
 /// The error line of an item that could not be done.
-std::string ErrorLine(std::string_view job, std::uint32_t item, std::string_view custom_id,
-                      ResultCode code, std::string_view reason);
+std::string ErrorLine(std::string_view job, std::uint32_t item,
+                      std::string_view custom_id, ResultCode code,
+                      std::string_view reason);
 
 }  // namespace papayarack::jobs
 
--- a/src/operators/internal/checkcommand.cpp
+++ b/src/operators/internal/checkcommand.cpp
@@ -12,9 +12,11 @@
 namespace papayarack::operators {
 namespace {
 
-cli::ExitCode PrintErrors(const std::string& path, const std::vector<SchemaError>& errors) {
+cli::ExitCode PrintErrors(const std::string& path,
+                          const std::vector<SchemaError>& errors) {
   for (const SchemaError& error : errors) {
-    std::cerr << path << ": [" << error.pointer << "] " << error.message << "\n";
+    std::cerr << path << ": [" << error.pointer << "] " << error.message
+              << "\n";
   }
   return cli::ExitCode::kBadInput;
 }
@@ -22,7 +24,8 @@
 cli::ExitCode CheckJsonFile(const std::string& path) {
   const nlohmann::json document = ParseJson(ReadWholeFile(path), path);
   const bool settings = document.is_object() && document.contains("role");
-  const nlohmann::json& schema = settings ? SettingsSchema() : documents::DocumentSchema();
+  const nlohmann::json& schema =
+      settings ? SettingsSchema() : documents::DocumentSchema();
   const std::vector<SchemaError> errors = ValidateJson(schema, document);
   if (!errors.empty()) {
     return PrintErrors(path, errors);
@@ -32,24 +35,32 @@
   } else {
     documents::ParseDocument(document);
   }
-  std::cout << path << ": good " << (settings ? "settings" : "service document") << "\n";
+  std::cout << path << ": good " << (settings ? "settings" : "service document")
+            << "\n";
   return cli::ExitCode::kOk;
 }
 
-/// Reads everything as a starting member would, but on a view of the folder that changes nothing.
+/// Reads everything as a starting member would, but on a view of the folder
+/// that changes nothing.
 class ReadOnlyView : public storage::FileSystem {
  public:
   explicit ReadOnlyView(storage::FileSystem& real) : real(real) {}
   std::vector<std::string> List() const override { return this->real.List(); }
-  bool Exists(const std::string& name) const override { return this->real.Exists(name); }
-  std::uint64_t Size(const std::string& name) const override { return this->real.Size(name); }
+  bool Exists(const std::string& name) const override {
+    return this->real.Exists(name);
+  }
+  std::uint64_t Size(const std::string& name) const override {
+    return this->real.Size(name);
+  }
   std::string Read(const std::string& name, std::uint64_t offset,
                    std::size_t length) const override {
     return this->real.Read(name, offset, length);
   }
-  void Append(const std::string& /*name*/, std::string_view /*bytes*/) override {}
+  void Append(const std::string& /*name*/,
+              std::string_view /*bytes*/) override {}
   void Truncate(const std::string& /*name*/, std::uint64_t /*size*/) override {}
-  void Rename(const std::string& /*from*/, const std::string& /*to*/) override {}
+  void Rename(const std::string& /*from*/, const std::string& /*to*/) override {
+  }
   void Remove(const std::string& /*name*/) override {}
   void SyncFile(const std::string& /*name*/) override {}
   void SyncFolder() override {}
@@ -68,11 +79,13 @@
   ReadOnlyView view(*files);
   consensus::DurableLog log(view, 0);
   const consensus::RecoveredState state = log.Recover();
-  std::cout << path << ": member " << identity->member << ", term " << state.hard_state.term
-            << ", snapshot at " << state.snapshot.index << " with " << state.snapshot.blob_length
-            << " blob bytes, " << state.entries.size() << " entries after it";
+  std::cout << path << ": member " << identity->member << ", term "
+            << state.hard_state.term << ", snapshot at " << state.snapshot.index
+            << " with " << state.snapshot.blob_length << " blob bytes, "
+            << state.entries.size() << " entries after it";
   if (state.cut_bytes > 0) {
-    std::cout << ", a torn tail of " << state.cut_bytes << " bytes that a start will cut";
+    std::cout << ", a torn tail of " << state.cut_bytes
+              << " bytes that a start will cut";
   }
   std::cout << "\n";
   for (const std::string& name : files->List()) {
@@ -84,7 +97,8 @@
 }  // namespace
 
 cli::ExitCode RunCheck(const std::string& path) {
-  return std::filesystem::is_directory(path) ? CheckFolder(path) : CheckJsonFile(path);
+  return std::filesystem::is_directory(path) ? CheckFolder(path)
+                                             : CheckJsonFile(path);
 }
 
 }  // namespace papayarack::operators
--- a/src/operators/internal/entryclient.h
+++ b/src/operators/internal/entryclient.h
@@ -16,11 +16,12 @@
   bool Ok() const { return this->status >= 200 && this->status < 300; }
 };
 
-/// Talks to one process by its HTTP. Throws ResultError(kNoUpstream) when it cannot be reached.
-/// Thread safety: none, one owner.
+/// Talks to one process by its HTTP. Throws ResultError(kNoUpstream) when it
+/// cannot be reached. Thread safety: none, one owner.
 class EntryClient {
  public:
-  /// The address comes from --entry, else from PAPAYARACK_ENTRY, else 127.0.0.1:8080.
+  /// The address comes from --entry, else from PAPAYARACK_ENTRY, else
+  /// 127.0.0.1:8080.
   explicit EntryClient(const cli::Arguments& arguments);
   EntryAnswer Get(const std::string& path) const;
   EntryAnswer Put(const std::string& path, const std::string& body) const;
--- a/src/operators/internal/operatorsmodule.cpp
+++ b/src/operators/internal/operatorsmodule.cpp
@@ -24,7 +24,8 @@
 constexpr int kDefaultWaitSeconds = 30;
 
 const std::vector<cli::OptionSpec> kCommon = {
-    {"entry", "HOST:PORT", "an entry; else PAPAYARACK_ENTRY, else 127.0.0.1:8080"},
+    {"entry", "HOST:PORT",
+     "an entry; else PAPAYARACK_ENTRY, else 127.0.0.1:8080"},
     {"team", "NAME", "whose jobs"},
     {"json", "", "print the answer as JSON"}};
 
@@ -36,32 +37,38 @@
 
 const std::string& OneOperand(const Arguments& arguments, const char* what) {
   if (arguments.operands.size() != 1) {
-    throw ResultError(ResultCode::kBadInput, std::string("expected one operand: ") + what);
+    throw ResultError(ResultCode::kBadInput,
+                      std::string("expected one operand: ") + what);
   }
   return arguments.operands.front();
 }
 
-/// Waits until the service's revision is in force everywhere; names who is missing otherwise.
+/// Waits until the service's revision is in force everywhere; names who is
+/// missing otherwise.
 ExitCode WaitInForce(const EntryClient& client, const std::string& service,
                      std::uint64_t revision, int seconds) {
-  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+  const auto until =
+      std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
   nlohmann::json last;
   while (std::chrono::steady_clock::now() < until) {
     const EntryAnswer answer = client.Get("/v1/services/" + service);
     last = answer.body;
     if (answer.Ok() && last.value("revision", 0ULL) >= revision &&
         last.value("in_force_everywhere", false)) {
-      std::cout << service << ": revision " << last["revision"] << " is in force on "
-                << last["in_force_on"].size() << " processes\n";
+      std::cout << service << ": revision " << last["revision"]
+                << " is in force on " << last["in_force_on"].size()
+                << " processes\n";
       return ExitCode::kOk;
     }
     std::this_thread::sleep_for(kWaitStep);
   }
-  std::cerr << service << ": not in force everywhere after " << seconds << " s\n";
+  std::cerr << service << ": not in force everywhere after " << seconds
+            << " s\n";
   if (last.is_object() && last.contains("differs")) {
     for (const nlohmann::json& member : last["differs"]) {
       std::cerr << "  missing: " << member.value("name", "") << " at revision "
-                << member.value("revision", 0) << ": " << member.value("why", "") << "\n";
+                << member.value("revision", 0) << ": "
+                << member.value("why", "") << "\n";
     }
   }
   return ExitCode::kNotInForce;
@@ -76,35 +83,39 @@
   const std::string& path = OneOperand(arguments, "FILE");
   const std::string text = ReadWholeFile(path);
   const nlohmann::json document = ParseJson(text, path);
-  const std::string service = document.is_object() ? document.value("service", "") : "";
+  const std::string service =
+      document.is_object() ? document.value("service", "") : "";
   const EntryClient client(arguments);
   const EntryAnswer answer = client.Put("/v1/services/" + service, text);
   if (!answer.Ok()) {
     return PrintError(answer);
   }
   const auto revision = answer.body.value("revision", 0ULL);
-  std::cout << service << ": version " << answer.body.value("version", 0) << " accepted as revision "
-            << revision << "\n";
-  return arguments.Has("wait") ? WaitInForce(client, service, revision, WaitSeconds(arguments))
-                               : ExitCode::kOk;
+  std::cout << service << ": version " << answer.body.value("version", 0)
+            << " accepted as revision " << revision << "\n";
+  return arguments.Has("wait")
+             ? WaitInForce(client, service, revision, WaitSeconds(arguments))
+             : ExitCode::kOk;
 }
 
 void PrintService(const nlohmann::json& service) {
-  std::cout << fmt::format("{:<20} version {:<5} revision {:<6} in force on {}{}\n",
-                           service.value("service", ""), service.value("version", 0),
-                           service.value("revision", 0), service["in_force_on"].size(),
-                           service["differs"].empty()
-                               ? std::string()
-                               : fmt::format(", differs on {}", service["differs"].size()));
+  std::cout << fmt::format(
+      "{:<20} version {:<5} revision {:<6} in force on {}{}\n",
+      service.value("service", ""), service.value("version", 0),
+      service.value("revision", 0), service["in_force_on"].size(),
+      service["differs"].empty()
+          ? std::string()
+          : fmt::format(", differs on {}", service["differs"].size()));
   for (const nlohmann::json& member : service["differs"]) {
-    std::cout << fmt::format("    {:<24} revision {:<6} {}\n", member.value("name", ""),
-                             member.value("revision", 0), member.value("why", ""));
+    std::cout << fmt::format(
+        "    {:<24} revision {:<6} {}\n", member.value("name", ""),
+        member.value("revision", 0), member.value("why", ""));
   }
 }
 
 ExitCode RunService(const Arguments& arguments) {
-  const EntryAnswer answer =
-      EntryClient(arguments).Get("/v1/services/" + OneOperand(arguments, "SERVICE"));
+  const EntryAnswer answer = EntryClient(arguments).Get(
+      "/v1/services/" + OneOperand(arguments, "SERVICE"));
   if (!answer.Ok()) {
     return PrintError(answer);
   }
@@ -118,31 +129,34 @@
 }
 
 void PrintStatus(const nlohmann::json& status) {
-  std::cout << "control leader " << status.value("control_leader", "") << ", term "
-            << status.value("control_term", 0) << ", revision " << status.value("revision", 0)
-            << "\n\n";
+  std::cout << "control leader " << status.value("control_leader", "")
+            << ", term " << status.value("control_term", 0) << ", revision "
+            << status.value("revision", 0) << "\n\n";
   for (const nlohmann::json& service : status["services"]) {
     PrintService(service);
   }
-  std::cout << fmt::format("\n{:<24} {:<8} {:<14} {:<14} {:>8} {:>7} {:>7} {:>5}  {}\n", "process",
-                           "role", "zone", "service", "revision", "running", "waiting", "limit",
-                           "state");
+  std::cout << fmt::format(
+      "\n{:<24} {:<8} {:<14} {:<14} {:>8} {:>7} {:>7} {:>5}  {}\n", "process",
+      "role", "zone", "service", "revision", "running", "waiting", "limit",
+      "state");
   for (const nlohmann::json& member : status["members"]) {
-    const char* state = !member.value("alive", false)     ? "not heard of"
+    const char* state = !member.value("alive", false)    ? "not heard of"
                         : member.value("leaving", false) ? "leaving"
-                                                          : "in service";
-    std::cout << fmt::format("{:<24} {:<8} {:<14} {:<14} {:>8} {:>7} {:>7} {:>5}  {}\n",
-                             member.value("name", ""), member.value("role", ""),
-                             member.value("zone", ""), member.value("service", ""),
-                             member.value("revision", 0), member.value("running", 0),
-                             member.value("waiting", 0), member.value("limit", 0), state);
+                                                         : "in service";
+    std::cout << fmt::format(
+        "{:<24} {:<8} {:<14} {:<14} {:>8} {:>7} {:>7} {:>5}  {}\n",
+        member.value("name", ""), member.value("role", ""),
+        member.value("zone", ""), member.value("service", ""),
+        member.value("revision", 0), member.value("running", 0),
+        member.value("waiting", 0), member.value("limit", 0), state);
   }
 }
 
 ExitCode RunStatus(const Arguments& arguments) {
   const EntryClient client(arguments);
   if (arguments.Has("wait")) {
-    return WaitInForce(client, OneOperand(arguments, "SERVICE"), 0, WaitSeconds(arguments));
+    return WaitInForce(client, OneOperand(arguments, "SERVICE"), 0,
+                       WaitSeconds(arguments));
   }
   while (true) {
     const EntryAnswer answer = client.Get("/v1/status");
@@ -167,10 +181,11 @@
   const nlohmann::json& counts = job["request_counts"];
   const int total = counts.value("total", 0);
   const int ended = counts.value("completed", 0) + counts.value("failed", 0);
-  std::cout << fmt::format("{} {:<12} {:>6}/{} items ({}%), {} failed, {} running, {} attempts\n",
-                           job.value("id", ""), job.value("status", ""), ended, total,
-                           total > 0 ? ended * 100 / total : 0, counts.value("failed", 0),
-                           job.value("running", 0), job.value("attempts", 0));
+  std::cout << fmt::format(
+      "{} {:<12} {:>6}/{} items ({}%), {} failed, {} running, {} attempts\n",
+      job.value("id", ""), job.value("status", ""), ended, total,
+      total > 0 ? ended * 100 / total : 0, counts.value("failed", 0),
+      job.value("running", 0), job.value("attempts", 0));
 }
 
 ExitCode RunJob(const Arguments& arguments) {
@@ -186,7 +201,8 @@
     } else {
       PrintJob(answer.body);
     }
-    if (!arguments.Has("watch") || answer.body.value("status", "") != "in_progress") {
+    if (!arguments.Has("watch") ||
+        answer.body.value("status", "") != "in_progress") {
       return ExitCode::kOk;
     }
     std::cout << std::flush;
@@ -195,8 +211,8 @@
 }
 
 ExitCode RunCancel(const Arguments& arguments) {
-  const EntryAnswer answer =
-      EntryClient(arguments).Post("/v1/batches/" + OneOperand(arguments, "JOB") + "/cancel", "{}");
+  const EntryAnswer answer = EntryClient(arguments).Post(
+      "/v1/batches/" + OneOperand(arguments, "JOB") + "/cancel", "{}");
   if (!answer.Ok()) {
     return PrintError(answer);
   }
@@ -218,45 +234,59 @@
   change.id = std::strtoull(arguments.Get("member").c_str(), nullptr, 10);
   change.address = arguments.Get("address");
   if (change.id == 0 || (add && change.address.empty())) {
-    throw ResultError(ResultCode::kBadInput, "expected --member ID and, to add, --address");
+    throw ResultError(ResultCode::kBadInput,
+                      "expected --member ID and, to add, --address");
   }
   transport::PeerClient peer;
   control::ControlClient client(peer, settings.control);
   constexpr std::chrono::seconds kPatience{20};
   control::RequireOk(client.Change(change, kPatience));
-  std::cout << "member " << change.id
-            << (add ? " was added as a learner; it votes once it has caught up\n"
-                    : " was removed\n");
+  std::cout
+      << "member " << change.id
+      << (add ? " was added as a learner; it votes once it has caught up\n"
+              : " was removed\n");
   return ExitCode::kOk;
 }
 
 }  // namespace
 
 void RegisterOperators(cli::CommandTable& table) {
-  table.Add({"check", "FILE", "checks settings, a service document or a data folder", {},
+  table.Add({"check",
+             "FILE",
+             "checks settings, a service document or a data folder",
+             {},
              [](const Arguments& arguments) {
                return RunCheck(OneOperand(arguments, "FILE"));
              }});
-  const cli::OptionSpec wait{"wait", "", "return when it is in force everywhere"};
-  const cli::OptionSpec timeout{"timeout", "SECONDS", "how long --wait waits (30)"};
+  const cli::OptionSpec wait{"wait", "",
+                             "return when it is in force everywhere"};
+  const cli::OptionSpec timeout{"timeout", "SECONDS",
+                                "how long --wait waits (30)"};
   const cli::OptionSpec watch{"watch", "", "print again every second"};
-  table.Add({"submit", "FILE", "submits a service document", With({wait, timeout}), RunSubmit});
-  table.Add({"service", "SERVICE", "shows a service: wanted, in force where, what differs",
-             kCommon, RunService});
-  table.Add({"status", "[SERVICE]", "shows services and processes", With({wait, timeout, watch}),
-             RunStatus});
+  table.Add({"submit", "FILE", "submits a service document",
+             With({wait, timeout}), RunSubmit});
+  table.Add({"service", "SERVICE",
+             "shows a service: wanted, in force where, what differs", kCommon,
+             RunService});
+  table.Add({"status", "[SERVICE]", "shows services and processes",
+             With({wait, timeout, watch}), RunStatus});
   table.Add({"job", "JOB", "shows a batch job", With({watch}), RunJob});
   table.Add({"cancel", "JOB", "cancels a batch job", kCommon, RunCancel});
-  table.Add({"dump", "", "prints the state of a process (--entry: its operator_listen)", kCommon,
-             RunDump});
+  table.Add({"dump", "",
+             "prints the state of a process (--entry: its operator_listen)",
+             kCommon, RunDump});
   const std::vector<cli::OptionSpec> members = {
       {"settings", "FILE", "settings that name the control members"},
       {"member", "ID", "member to change"},
       {"address", "HOST:PORT", "its peer address"}};
   table.Add({"control-add", "", "adds a control member", members,
-             [](const Arguments& arguments) { return ChangeMembers(arguments, true); }});
+             [](const Arguments& arguments) {
+               return ChangeMembers(arguments, true);
+             }});
   table.Add({"control-remove", "", "removes a control member", members,
-             [](const Arguments& arguments) { return ChangeMembers(arguments, false); }});
+             [](const Arguments& arguments) {
+               return ChangeMembers(arguments, false);
+             }});
 }
 
 }  // namespace papayarack::operators
--- a/src/roles/internal/rolesmodule.cpp
+++ b/src/roles/internal/rolesmodule.cpp
@@ -32,7 +32,8 @@
   std::unique_ptr<introspection::StatusServer> status;
 };
 
-/// A laptop's or a first try's process: one control member, whose folder is made when missing.
+/// A laptop's or a first try's process: one control member, whose folder is
+/// made when missing.
 void CompleteSolo(Settings& settings) {
   if (settings.control.empty()) {
     settings.control.push_back({kSoloMember, settings.peer_listen});
@@ -46,15 +47,18 @@
   const Settings& settings = process.settings;
   const bool solo = settings.role == "solo";
   if (solo || settings.role == "control") {
-    process.control = std::make_unique<control::ControlServer>(settings, process.metrics);
+    process.control =
+        std::make_unique<control::ControlServer>(settings, process.metrics);
   }
   if (solo || settings.role == "side") {
     for (std::size_t i = 0; i < settings.upstreams.size(); ++i) {
-      process.gates.push_back(std::make_unique<gate::GateServer>(settings, i, process.metrics));
+      process.gates.push_back(
+          std::make_unique<gate::GateServer>(settings, i, process.metrics));
     }
   }
   if (solo || settings.role == "entry") {
-    process.entry = std::make_unique<entry::EntryServer>(settings, process.metrics);
+    process.entry =
+        std::make_unique<entry::EntryServer>(settings, process.metrics);
   }
 }
 
@@ -86,21 +90,23 @@
   }
   process.status = std::make_unique<introspection::StatusServer>(
       ParseEndpoint(process.settings.operator_listen, "/operator_listen"),
-      introspection::StatusSources{[&process] { return DumpAll(process); },
-                                   [&process] { return AllHealthy(process); },
-                                   [&process] { return process.metrics.Exposition(); }});
+      introspection::StatusSources{
+          [&process] { return DumpAll(process); },
+          [&process] { return AllHealthy(process); },
+          [&process] { return process.metrics.Exposition(); }});
 }
 
 template <typename Condition>
 void WaitUntil(const Condition& condition, std::chrono::milliseconds most) {
-  for (std::chrono::milliseconds waited{0}; waited < most && !condition(); waited += kStep) {
+  for (std::chrono::milliseconds waited{0}; waited < most && !condition();
+       waited += kStep) {
     std::this_thread::sleep_for(kStep);
   }
 }
 
-/// Symptom guarded against: requests are cut when a process is replaced. Each part first says
-/// that it leaves, then takes nothing new, then finishes what it has, then goes; in the order
-/// in which requests flow.
+/// Symptom guarded against: requests are cut when a process is replaced. Each
+/// part first says that it leaves, then takes nothing new, then finishes what
+/// it has, then goes; in the order in which requests flow.
 void StopParts(Process& process) {
   const std::chrono::milliseconds grace = process.settings.shutdown_grace;
   Log(LogLevel::kInfo, "stopping");
@@ -108,7 +114,8 @@
     process.entry->BeginLeave();
     std::this_thread::sleep_for(process.settings.drain);
     process.entry->StopAccepting();
-    WaitUntil([&process] { return process.entry->BusyConnections() == 0; }, grace);
+    WaitUntil([&process] { return process.entry->BusyConnections() == 0; },
+              grace);
     process.entry.reset();
   }
   for (const auto& gate : process.gates) {
@@ -127,7 +134,8 @@
   Log(LogLevel::kInfo, "stopped");
 }
 
-cli::ExitCode RunRole(const std::string& role, const cli::Arguments& arguments) {
+cli::ExitCode RunRole(const std::string& role,
+                      const cli::Arguments& arguments) {
   if (!arguments.Has("settings")) {
     std::cerr << "papayarack " << role << ": expected --settings FILE\n";
     return cli::ExitCode::kUsage;
@@ -136,7 +144,8 @@
   Process process;
   process.settings = ParseSettings(ParseJson(ReadWholeFile(path), path));
   if (process.settings.role != role) {
-    throw ResultError(ResultCode::kBadInput, path + ": [/role] is " + process.settings.role +
+    throw ResultError(ResultCode::kBadInput, path + ": [/role] is " +
+                                                 process.settings.role +
                                                  ", the command is " + role);
   }
   BlockStopSignals();
@@ -154,40 +163,50 @@
 
 cli::ExitCode RunFormat(const cli::Arguments& arguments) {
   if (!arguments.Has("settings") || !arguments.Has("member")) {
-    std::cerr << "papayarack format: expected --settings FILE and --member ID\n";
+    std::cerr
+        << "papayarack format: expected --settings FILE and --member ID\n";
     return cli::ExitCode::kUsage;
   }
   const std::string path = arguments.Get("settings");
   const Settings settings = ParseSettings(ParseJson(ReadWholeFile(path), path));
-  const std::uint64_t member = std::strtoull(arguments.Get("member").c_str(), nullptr, 10);
+  const std::uint64_t member =
+      std::strtoull(arguments.Get("member").c_str(), nullptr, 10);
   if (member == 0) {
-    throw ResultError(ResultCode::kBadInput, "--member: expected a number above zero");
+    throw ResultError(ResultCode::kBadInput,
+                      "--member: expected a number above zero");
   }
   control::FormatDataFolder(settings, member, arguments.Has("join"));
-  std::cout << settings.data_folder << " belongs to member " << member << " now\n";
+  std::cout << settings.data_folder << " belongs to member " << member
+            << " now\n";
   return cli::ExitCode::kOk;
 }
 
 }  // namespace
 
 void RegisterRoles(cli::CommandTable& table) {
-  const std::vector<cli::OptionSpec> options = {{"settings", "FILE", "settings of this process"}};
+  const std::vector<cli::OptionSpec> options = {
+      {"settings", "FILE", "settings of this process"}};
   const std::vector<std::pair<std::string, std::string>> roles = {
       {"entry", "runs an entry: callers' and operators' HTTP"},
       {"side", "runs the gate beside one upstream"},
       {"control", "runs a control member on a formatted data folder"},
       {"solo", "runs all roles in one process, for a laptop or a first try"}};
-  for (const auto& [role, summary] : roles) {
-    table.Add({role, "", summary, options,
-               [role](const cli::Arguments& arguments) { return RunRole(role, arguments); }});
-  }
-  table.Add({"format",
-             "",
-             "prepares the data folder of a control member, once",
-             {{"settings", "FILE", "settings of the member"},
-              {"member", "ID", "its member id; a wiped disk never gets its old one"},
-              {"join", "", "join a running cluster; then run `papayarack control-add`"}},
-             RunFormat});
+  for (const auto& entry : roles) {
+    const std::string role = entry.first;
+    table.Add({role, "", entry.second, options,
+               [role](const cli::Arguments& arguments) {
+                 return RunRole(role, arguments);
+               }});
+  }
+  table.Add(
+      {"format",
+       "",
+       "prepares the data folder of a control member, once",
+       {{"settings", "FILE", "settings of the member"},
+        {"member", "ID", "its member id; a wiped disk never gets its old one"},
+        {"join", "",
+         "join a running cluster; then run `papayarack control-add`"}},
+       RunFormat});
 }
 
 }  // namespace papayarack::roles
--- a/src/roles/internal/signalwait.h
+++ b/src/roles/internal/signalwait.h
@@ -3,8 +3,8 @@
 
 namespace papayarack::roles {
 
-/// Blocks SIGTERM and SIGINT for this thread and those it starts, and ignores SIGPIPE.
-/// Call it before any thread is made.
+/// Blocks SIGTERM and SIGINT for this thread and those it starts, and ignores
+/// SIGPIPE. Call it before any thread is made.
 void BlockStopSignals();
 
 /// Waits for SIGTERM or SIGINT.
--- a/src/statemachine/commands.h
+++ b/src/statemachine/commands.h
@@ -50,8 +50,9 @@
 };
 struct LeaseReply {
   std::vector<jobs::LeasedItem> items;
-  std::vector<int> outcome_codes;          ///< One for each reported outcome.
-  std::vector<jobs::ItemKey> stop;         ///< Held items whose job was cancelled or that ended.
+  std::vector<int> outcome_codes;  ///< One for each reported outcome.
+  std::vector<jobs::ItemKey>
+      stop;  ///< Held items whose job was cancelled or that ended.
   MSGPACK_DEFINE(items, outcome_codes, stop)
 };
 /// Time passes: leases, claims and kept results run out. No reply body.
@@ -71,15 +72,16 @@
 };
 
 /// What the log holds. Alternatives are only ever added at the end.
-using Command = std::variant<SubmitDocument, AppendFile, CreateJob, CancelJob, PullItems, PassTime,
-                             MakeClaim, EndClaim>;
+using Command = std::variant<SubmitDocument, AppendFile, CreateJob, CancelJob,
+                             PullItems, PassTime, MakeClaim, EndClaim>;
 
 /// The answer to a command or query.
 struct CommandReply {
   int code = 0;
   std::string text;
-  std::string body;    ///< The typed answer, encoded.
-  std::string leader;  ///< With kNotLeader: the address of the leader, if known.
+  std::string body;  ///< The typed answer, encoded.
+  std::string
+      leader;  ///< With kNotLeader: the address of the leader, if known.
   MSGPACK_DEFINE(code, text, body, leader)
 
   ResultCode Code() const { return static_cast<ResultCode>(this->code); }
--- a/src/statemachine/internal/statemachine.cpp
+++ b/src/statemachine/internal/statemachine.cpp
@@ -28,7 +28,8 @@
 };
 
 bool IsDiskFault(ResultCode code) {
-  return code == ResultCode::kStorageFull || code == ResultCode::kStorageDamaged;
+  return code == ResultCode::kStorageFull ||
+         code == ResultCode::kStorageDamaged;
 }
 
 }  // namespace
@@ -36,9 +37,11 @@
 CommandReply StateMachine::Apply(std::string_view bytes) {
   try {
     const auto command = DecodeVariant<Command>(bytes);
-    return std::visit([this](const auto& body) { return this->Do(body); }, command);
+    return std::visit([this](const auto& body) { return this->Do(body); },
+                      command);
   } catch (const ResultError& error) {
-    // A disk that fails here but not elsewhere would make this member differ: it must stop.
+    // A disk that fails here but not elsewhere would make this member differ:
+    // it must stop.
     if (IsDiskFault(error.result().code)) {
       throw;
     }
@@ -50,8 +53,8 @@
 }
 
 CommandReply StateMachine::Do(const SubmitDocument& command) {
-  const documents::SubmitOutcome outcome =
-      this->document_book.Submit(command.service, command.version, command.text);
+  const documents::SubmitOutcome outcome = this->document_book.Submit(
+      command.service, command.version, command.text);
   CommandReply reply = ReplyWith(outcome.code, outcome);
   if (outcome.code != 0) {
     reply.text = outcome.in_force.version == 0
@@ -64,8 +67,8 @@
 }
 
 CommandReply StateMachine::Do(const AppendFile& command) {
-  this->file_book.Append(command.file, command.owner, command.at, command.bytes, command.last,
-                         command.now_ms);
+  this->file_book.Append(command.file, command.owner, command.at, command.bytes,
+                         command.last, command.now_ms);
   return {};
 }
 
@@ -75,7 +78,8 @@
 
 CommandReply StateMachine::Do(const CancelJob& command) {
   const jobs::JobSummary* job = this->job_book.Find(command.job);
-  if (job == nullptr || (!command.owner.empty() && job->request.owner != command.owner)) {
+  if (job == nullptr ||
+      (!command.owner.empty() && job->request.owner != command.owner)) {
     throw ResultError(ResultCode::kNotFound, "no such job: " + command.job);
   }
   return ReplyWith(0, this->job_book.Cancel(command.job, command.now_ms));
@@ -84,8 +88,8 @@
 CommandReply StateMachine::Do(const PullItems& command) {
   LeaseReply reply;
   for (const jobs::ItemOutcome& outcome : command.outcomes) {
-    reply.outcome_codes.push_back(
-        static_cast<int>(this->job_book.Complete(outcome, command.lease.now_ms)));
+    reply.outcome_codes.push_back(static_cast<int>(
+        this->job_book.Complete(outcome, command.lease.now_ms)));
   }
   for (const jobs::ItemKey& key : command.lease.holding) {
     const jobs::JobSummary* job = this->job_book.Find(key.job);
@@ -101,14 +105,16 @@
   this->job_book.ExpireLeases(command.now_ms);
   this->job_book.ExpireJobs(command.now_ms);
   this->claim_book.Expire(command.now_ms);
-  this->file_book.Expire(command.now_ms - kUnusedFileKeptMs, [this](const std::string& id) {
-    const auto list = this->job_book.List("");
-    return std::ranges::any_of(
-        list, [&id](const jobs::JobSummary* job) { return job->request.file == id; });
-  });
+  this->file_book.Expire(
+      command.now_ms - kUnusedFileKeptMs, [this](const std::string& id) {
+        const auto list = this->job_book.List("");
+        return std::ranges::any_of(list, [&id](const jobs::JobSummary* job) {
+          return job->request.file == id;
+        });
+      });
   const std::uint64_t none = this->blobs.length();
-  this->blobs.DropBefore(
-      std::min(this->file_book.FirstNeeded(none), this->job_book.FirstNeeded(none)));
+  this->blobs.DropBefore(std::min(this->file_book.FirstNeeded(none),
+                                  this->job_book.FirstNeeded(none)));
   return {};
 }
 
--- a/src/statemachine/statemachine.h
+++ b/src/statemachine/statemachine.h
@@ -13,15 +13,16 @@
 
 namespace papayarack::statemachine {
 
-/// Everything that the replicated log decides, joined. The same log gives the same state and
-/// the same blob bytes on every member. Thread safety: none, one owner.
+/// Everything that the replicated log decides, joined. The same log gives the
+/// same state and the same blob bytes on every member. Thread safety: none, one
+/// owner.
 class StateMachine {
  public:
   explicit StateMachine(storage::BlobStore& blobs)
       : blobs(blobs), file_book(blobs), job_book(blobs, file_book) {}
 
-  /// Applies one committed command. Malformed or refused commands give a reply with a code and
-  /// change nothing. Throws only when the disk fails.
+  /// Applies one committed command. Malformed or refused commands give a reply
+  /// with a code and change nothing. Throws only when the disk fails.
   CommandReply Apply(std::string_view command);
   /// True when a PassTime at `now_ms` would change something soon needed.
   bool NeedsPassTime(std::int64_t now_ms) const;
@@ -30,7 +31,9 @@
   /// Throws ResultError(kProtocol) on malformed bytes.
   void Load(std::string_view bytes);
 
-  const documents::DocumentBook& documents() const { return this->document_book; }
+  const documents::DocumentBook& documents() const {
+    return this->document_book;
+  }
   const jobs::JobBook& jobs() const { return this->job_book; }
   const jobs::FileBook& files() const { return this->file_book; }
   const claims::ClaimBook& claims() const { return this->claim_book; }
--- a/src/statemachine/tests/statemachine_tests.cpp
+++ b/src/statemachine/tests/statemachine_tests.cpp
@@ -32,7 +32,8 @@
   REQUIRE(Apply(machine, CreateJob{request}).code == 0);
 
   SECTION("refuses malformed commands and changes nothing") {
-    CHECK(machine.Apply("\xc1junk").code == static_cast<int>(ResultCode::kProtocol));
+    CHECK(machine.Apply("\xc1junk").code ==
+          static_cast<int>(ResultCode::kProtocol));
     CHECK(machine.Apply("").code == static_cast<int>(ResultCode::kProtocol));
     CHECK(machine.documents().revision() == 1);
   }
@@ -45,7 +46,8 @@
           static_cast<int>(ResultCode::kNotFound));
     CHECK(Apply(machine, CancelJob{"j", "kivu", 0}).code == 0);
     lease.holding = {granted.items[0].key, granted.items[1].key};
-    granted = DecodeMessage<LeaseReply>(Apply(machine, PullItems{{}, lease}).body);
+    granted =
+        DecodeMessage<LeaseReply>(Apply(machine, PullItems{{}, lease}).body);
     CHECK(granted.stop.size() == 2);
     CHECK(granted.items.empty());
   }
--- a/src/storage/blobstore.h
+++ b/src/storage/blobstore.h
@@ -17,26 +17,32 @@
   std::uint32_t length = 0;
 };
 
-/// Append-only bytes in segment files: job inputs and results, which are never held in memory.
-/// Offsets are logical and only grow, so members that apply the same log hold the same bytes at
-/// the same offsets, and one that is behind needs only the part it lacks.
-/// Thread safety: none, one owner; ReadAt is const and may run beside other readers.
+/// Append-only bytes in segment files: job inputs and results, which are never
+/// held in memory. Offsets are logical and only grow, so members that apply the
+/// same log hold the same bytes at the same offsets, and one that is behind
+/// needs only the part it lacks. Thread safety: none, one owner; ReadAt is
+/// const and may run beside other readers.
 class BlobStore {
  public:
   BlobStore(FileSystem& files, std::string prefix,
             std::uint64_t segment_bytes = kDefaultSegmentBytes);
 
-  /// Finds the segments and cuts everything at or beyond `length`, which the replayed log will
-  /// append again. Throws ResultError(kStorageDamaged) when fewer bytes are there.
+  /// Finds the segments and cuts everything at or beyond `length`, which the
+  /// replayed log will append again. Throws ResultError(kStorageDamaged) when
+  /// fewer bytes are there.
   void Open(std::uint64_t length);
   /// Bytes on disk, before any Open; what a replaced member can keep.
   std::uint64_t LengthOnDisk() const;
   BlobRef Append(std::string_view bytes);
-  /// Throws ResultError(kNotFound) for a range that was dropped or never written.
+  /// Throws ResultError(kNotFound) for a range that was dropped or never
+  /// written.
   std::string ReadAt(std::uint64_t offset, std::size_t length) const;
-  std::string Read(const BlobRef& ref) const { return this->ReadAt(ref.offset, ref.length); }
+  std::string Read(const BlobRef& ref) const {
+    return this->ReadAt(ref.offset, ref.length);
+  }
   void Sync();
-  /// Names of files with bytes that no Sync covered; the caller takes over syncing them.
+  /// Names of files with bytes that no Sync covered; the caller takes over
+  /// syncing them.
   std::vector<std::string> TakeDirtyFiles();
   /// Removes whole segments that end at or before `offset`.
   void DropBefore(std::uint64_t offset);
--- a/src/storage/filesystem.h
+++ b/src/storage/filesystem.h
@@ -9,12 +9,13 @@
 
 namespace papayarack::storage {
 
-/// The few file operations that durable state needs, so that tests can lose unsynced data, tear
-/// a write or fill the disk. A written byte survives a crash only after SyncFile; a new, renamed
-/// or removed name only after SyncFolder. All paths lie in one flat folder.
-/// Every method throws ResultError(kStorageFull) when the disk refuses bytes, and
-/// ResultError(kStorageDamaged) for any other failure. Thread safety: any thread, but one
-/// writer for each file.
+/// The few file operations that durable state needs, so that tests can lose
+/// unsynced data, tear a write or fill the disk. A written byte survives a
+/// crash only after SyncFile; a new, renamed or removed name only after
+/// SyncFolder. All paths lie in one flat folder. Every method throws
+/// ResultError(kStorageFull) when the disk refuses bytes, and
+/// ResultError(kStorageDamaged) for any other failure. Thread safety: any
+/// thread, but one writer for each file.
 class FileSystem {
  public:
   FileSystem() = default;
--- a/src/storage/internal/blobstore.cpp
+++ b/src/storage/internal/blobstore.cpp
@@ -9,7 +9,8 @@
 
 namespace papayarack::storage {
 
-BlobStore::BlobStore(FileSystem& files, std::string prefix, std::uint64_t segment_bytes)
+BlobStore::BlobStore(FileSystem& files, std::string prefix,
+                     std::uint64_t segment_bytes)
     : files(files), prefix(std::move(prefix)), segment_bytes(segment_bytes) {
   this->FindSegments();
 }
@@ -21,8 +22,8 @@
 void BlobStore::FindSegments() {
   for (const std::string& name : this->files.List()) {
     if (name.starts_with(this->prefix + "-") && name.ends_with(".blob")) {
-      const std::uint64_t start =
-          std::stoull(name.substr(this->prefix.size() + 1, name.size() - 6 - this->prefix.size()));
+      const std::uint64_t start = std::stoull(name.substr(
+          this->prefix.size() + 1, name.size() - 6 - this->prefix.size()));
       this->segments[start] = this->files.Size(name);
     }
   }
@@ -38,8 +39,8 @@
 void BlobStore::Open(std::uint64_t length) {
   if (this->LengthOnDisk() < length) {
     throw ResultError(ResultCode::kStorageDamaged,
-                      fmt::format("{}: {} bytes on disk, the snapshot needs {}", this->prefix,
-                                  this->LengthOnDisk(), length));
+                      fmt::format("{}: {} bytes on disk, the snapshot needs {}",
+                                  this->prefix, this->LengthOnDisk(), length));
   }
   while (!this->segments.empty() && this->segments.rbegin()->first >= length) {
     this->files.Remove(this->NameFor(this->segments.rbegin()->first));
@@ -57,7 +58,8 @@
 
 BlobRef BlobStore::Append(std::string_view bytes) {
   const bool need_segment =
-      this->segments.empty() || this->segments.rbegin()->second >= this->segment_bytes;
+      this->segments.empty() ||
+      this->segments.rbegin()->second >= this->segment_bytes;
   if (need_segment) {
     if (this->dirty) {
       this->files.SyncFile(this->NameFor(this->segments.rbegin()->first));
@@ -88,18 +90,21 @@
     const std::uint64_t at = offset + bytes.size();
     auto segment = this->segments.upper_bound(at);
     if (segment == this->segments.begin()) {
-      throw ResultError(ResultCode::kNotFound, "the bytes were removed by retention");
+      throw ResultError(ResultCode::kNotFound,
+                        "the bytes were removed by retention");
     }
     --segment;
     const std::uint64_t inside = at - segment->first;
     if (inside >= segment->second) {
       throw ResultError(ResultCode::kNotFound, "no bytes were written there");
     }
-    const std::size_t wanted =
-        std::min<std::uint64_t>(length - bytes.size(), segment->second - inside);
-    const std::string part = this->files.Read(this->NameFor(segment->first), inside, wanted);
+    const std::size_t wanted = std::min<std::uint64_t>(
+        length - bytes.size(), segment->second - inside);
+    const std::string part =
+        this->files.Read(this->NameFor(segment->first), inside, wanted);
     if (part.size() != wanted) {
-      throw ResultError(ResultCode::kStorageDamaged, this->NameFor(segment->first) + ": too short");
+      throw ResultError(ResultCode::kStorageDamaged,
+                        this->NameFor(segment->first) + ": too short");
     }
     bytes += part;
   }
--- a/src/storage/internal/checkedfile.cpp
+++ b/src/storage/internal/checkedfile.cpp
@@ -9,7 +9,8 @@
 constexpr std::size_t kHead = sizeof(std::uint32_t) + sizeof(std::uint64_t);
 }  // namespace
 
-void WriteCheckedFile(FileSystem& files, const std::string& name, std::string_view content) {
+void WriteCheckedFile(FileSystem& files, const std::string& name,
+                      std::string_view content) {
   const std::string temporary = name + ".new";
   files.Remove(temporary);
   std::string head;
@@ -22,20 +23,25 @@
   files.SyncFolder();
 }
 
-std::optional<std::string> ReadCheckedFile(const FileSystem& files, const std::string& name) {
+std::optional<std::string> ReadCheckedFile(const FileSystem& files,
+                                           const std::string& name) {
   if (!files.Exists(name)) {
     return std::nullopt;
   }
   const std::string bytes = files.Read(name, 0, files.Size(name));
   if (bytes.size() < kHead) {
-    throw ResultError(ResultCode::kStorageDamaged, name + ": shorter than its head");
+    throw ResultError(ResultCode::kStorageDamaged,
+                      name + ": shorter than its head");
   }
   if (GetInteger<std::uint32_t>(bytes, 0) != kFormatVersion) {
-    throw ResultError(ResultCode::kStorageDamaged, name + ": unknown format version");
+    throw ResultError(ResultCode::kStorageDamaged,
+                      name + ": unknown format version");
   }
   const std::string content = bytes.substr(kHead);
-  if (GetInteger<std::uint64_t>(bytes, sizeof(std::uint32_t)) != Hash64(content)) {
-    throw ResultError(ResultCode::kStorageDamaged, name + ": checksum does not fit");
+  if (GetInteger<std::uint64_t>(bytes, sizeof(std::uint32_t)) !=
+      Hash64(content)) {
+    throw ResultError(ResultCode::kStorageDamaged,
+                      name + ": checksum does not fit");
   }
   return content;
 }
--- a/src/storage/internal/littleendian.h
+++ b/src/storage/internal/littleendian.h
@@ -20,7 +20,8 @@
 T GetInteger(std::string_view bytes, std::size_t offset) {
   T value = 0;
   for (unsigned i = 0; i < sizeof(T); ++i) {
-    value |= static_cast<T>(static_cast<unsigned char>(bytes[offset + i])) << (8 * i);
+    value |= static_cast<T>(static_cast<unsigned char>(bytes[offset + i]))
+             << (8 * i);
   }
   return value;
 }
--- a/src/storage/internal/memoryfilesystem.cpp
+++ b/src/storage/internal/memoryfilesystem.cpp
@@ -14,7 +14,8 @@
   return found->second;
 }
 
-const MemoryFileSystem::File& MemoryFileSystem::Get(const std::string& name) const {
+const MemoryFileSystem::File& MemoryFileSystem::Get(
+    const std::string& name) const {
   const auto found = this->files.find(name);
   if (found == this->files.end()) {
     throw ResultError(ResultCode::kStorageDamaged, name + ": no such file");
@@ -38,10 +39,12 @@
   return this->Get(name).content.size();
 }
 
-std::string MemoryFileSystem::Read(const std::string& name, std::uint64_t offset,
+std::string MemoryFileSystem::Read(const std::string& name,
+                                   std::uint64_t offset,
                                    std::size_t length) const {
   const File& file = this->Get(name);
-  return offset >= file.content.size() ? std::string() : file.content.substr(offset, length);
+  return offset >= file.content.size() ? std::string()
+                                       : file.content.substr(offset, length);
 }
 
 void MemoryFileSystem::Append(const std::string& name, std::string_view bytes) {
@@ -66,7 +69,9 @@
   this->files[to] = std::move(moved);
 }
 
-void MemoryFileSystem::Remove(const std::string& name) { this->files.erase(name); }
+void MemoryFileSystem::Remove(const std::string& name) {
+  this->files.erase(name);
+}
 
 void MemoryFileSystem::SyncFile(const std::string& name) {
   if (this->syncs_fail) {
@@ -91,11 +96,13 @@
   std::map<std::string, File> after = this->durable;
   for (auto& [name, file] : after) {
     const auto current = this->files.find(name);
-    const bool same_file = current != this->files.end() && current->second.synced >= file.synced;
+    const bool same_file =
+        current != this->files.end() && current->second.synced >= file.synced;
     if (same_file) {
       const std::uint64_t synced = current->second.synced;
       const std::uint64_t tail = current->second.content.size() - synced;
-      file.content = current->second.content.substr(0, synced + tail * kept_percent / 100);
+      file.content =
+          current->second.content.substr(0, synced + tail * kept_percent / 100);
     } else {
       file.content.resize(file.synced);
     }
--- a/src/storage/internal/posixfilesystem.cpp
+++ b/src/storage/internal/posixfilesystem.cpp
@@ -18,8 +18,9 @@
 [[noreturn]] void Fail(const std::string& what) {
   const int error = errno;
   const bool full = error == ENOSPC || error == EDQUOT || error == EFBIG;
-  throw ResultError(full ? ResultCode::kStorageFull : ResultCode::kStorageDamaged,
-                    what + ": " + std::strerror(error));
+  throw ResultError(
+      full ? ResultCode::kStorageFull : ResultCode::kStorageDamaged,
+      what + ": " + std::strerror(error));
 }
 
 /// Files on a real disk. Write descriptors stay open, a few at a time.
@@ -28,7 +29,8 @@
   explicit PosixFileSystem(std::string folder) : folder(std::move(folder)) {
     std::error_code error;
     std::filesystem::create_directories(this->folder, error);
-    this->folder_descriptor = ::open(this->folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    this->folder_descriptor =
+        ::open(this->folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (this->folder_descriptor < 0) {
       Fail(this->folder);
     }
@@ -43,7 +45,8 @@
 
   std::vector<std::string> List() const override {
     std::vector<std::string> names;
-    for (const auto& entry : std::filesystem::directory_iterator(this->folder)) {
+    for (const auto& entry :
+         std::filesystem::directory_iterator(this->folder)) {
       if (entry.is_regular_file()) {
         names.push_back(entry.path().filename().string());
       }
@@ -71,8 +74,9 @@
     std::string bytes(length, '\0');
     std::size_t filled = 0;
     while (filled < length) {
-      const ssize_t got = ::pread(descriptor, bytes.data() + filled, length - filled,
-                                  static_cast<off_t>(offset + filled));
+      const ssize_t got =
+          ::pread(descriptor, bytes.data() + filled, length - filled,
+                  static_cast<off_t>(offset + filled));
       if (got < 0 && errno == EINTR) {
         continue;
       }
@@ -114,8 +118,8 @@
     const std::lock_guard lock(this->mutex);
     this->CloseFile(from);
     this->CloseFile(to);
-    if (::renameat(this->folder_descriptor, from.c_str(), this->folder_descriptor, to.c_str()) !=
-        0) {
+    if (::renameat(this->folder_descriptor, from.c_str(),
+                   this->folder_descriptor, to.c_str()) != 0) {
       Fail(from);
     }
   }
@@ -123,7 +127,8 @@
   void Remove(const std::string& name) override {
     const std::lock_guard lock(this->mutex);
     this->CloseFile(name);
-    if (::unlinkat(this->folder_descriptor, name.c_str(), 0) != 0 && errno != ENOENT) {
+    if (::unlinkat(this->folder_descriptor, name.c_str(), 0) != 0 &&
+        errno != ENOENT) {
       Fail(name);
     }
   }
@@ -152,7 +157,9 @@
  private:
   static constexpr std::size_t kMaxOpen = 64;
 
-  std::string Path(const std::string& name) const { return this->folder + "/" + name; }
+  std::string Path(const std::string& name) const {
+    return this->folder + "/" + name;
+  }
 
   int Open(const std::string& name) const {
     const auto found = this->open_files.find(name);
@@ -165,8 +172,9 @@
       }
       this->open_files.clear();
     }
-    const int descriptor = ::openat(this->folder_descriptor, name.c_str(),
-                                    O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0640);
+    const int descriptor =
+        ::openat(this->folder_descriptor, name.c_str(),
+                 O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0640);
     if (descriptor < 0) {
       Fail(name);
     }
--- a/src/storage/internal/segmentedlog.cpp
+++ b/src/storage/internal/segmentedlog.cpp
@@ -37,14 +37,16 @@
   }
   const auto number = GetInteger<std::uint64_t>(bytes, offset + kNumberAt);
   const std::string_view record = bytes.substr(offset + kRecordHead, length);
-  const bool sum_fits =
-      GetInteger<std::uint64_t>(bytes, offset + kSumAt) == Hash64(record, number);
+  const bool sum_fits = GetInteger<std::uint64_t>(bytes, offset + kSumAt) ==
+                        Hash64(record, number);
   return {sum_fits, number, record};
 }
 
-/// True when a whole, valid record starts anywhere after `offset`: then the bad bytes are not
-/// the torn end of the last write but damage to what was written before.
-bool ValidRecordAfter(std::string_view bytes, std::size_t offset, std::uint64_t last_number) {
+/// True when a whole, valid record starts anywhere after `offset`: then the bad
+/// bytes are not the torn end of the last write but damage to what was written
+/// before.
+bool ValidRecordAfter(std::string_view bytes, std::size_t offset,
+                      std::uint64_t last_number) {
   constexpr std::uint64_t kPlausibleAhead = 1U << 20U;
   for (std::size_t at = offset + 1; at + kRecordHead <= bytes.size(); ++at) {
     const auto number = GetInteger<std::uint64_t>(bytes, at + kNumberAt);
@@ -60,7 +62,8 @@
 
 }  // namespace
 
-SegmentedLog::SegmentedLog(FileSystem& files, std::string prefix, std::uint64_t segment_bytes)
+SegmentedLog::SegmentedLog(FileSystem& files, std::string prefix,
+                           std::uint64_t segment_bytes)
     : files(files), prefix(std::move(prefix)), segment_bytes(segment_bytes) {}
 
 std::string SegmentedLog::NameFor(std::uint64_t first) const {
@@ -71,8 +74,8 @@
   LogOpenReport report;
   for (const std::string& name : this->files.List()) {
     if (name.starts_with(this->prefix + "-") && name.ends_with(".log")) {
-      const std::uint64_t first =
-          std::stoull(name.substr(this->prefix.size() + 1, name.size() - 5 - this->prefix.size()));
+      const std::uint64_t first = std::stoull(name.substr(
+          this->prefix.size() + 1, name.size() - 5 - this->prefix.size()));
       this->segments[first].name = name;
     }
   }
@@ -81,7 +84,8 @@
   for (auto& [first, segment] : this->segments) {
     ++position;
     if (this->last_number != 0 && first != this->last_number + 1) {
-      throw ResultError(ResultCode::kStorageDamaged, segment.name + ": a segment is missing before");
+      throw ResultError(ResultCode::kStorageDamaged,
+                        segment.name + ": a segment is missing before");
     }
     this->ReadSegment(segment, position == count, visitor, report);
   }
@@ -89,18 +93,21 @@
   return report;
 }
 
-void SegmentedLog::ReadSegment(Segment& segment, bool is_last, const Visitor& visitor,
-                               LogOpenReport& report) {
-  const std::string bytes = this->files.Read(segment.name, 0, this->files.Size(segment.name));
+void SegmentedLog::ReadSegment(Segment& segment, bool is_last,
+                               const Visitor& visitor, LogOpenReport& report) {
+  const std::string bytes =
+      this->files.Read(segment.name, 0, this->files.Size(segment.name));
   std::size_t offset = kSegmentHead;
   const bool head_good = bytes.size() >= kSegmentHead &&
                          GetInteger<std::uint32_t>(bytes, 0) == kFormatVersion;
   if (!head_good && bytes.size() >= kSegmentHead) {
-    throw ResultError(ResultCode::kStorageDamaged, segment.name + ": unknown format version");
+    throw ResultError(ResultCode::kStorageDamaged,
+                      segment.name + ": unknown format version");
   }
   while (head_good && offset < bytes.size()) {
     const Parsed parsed = ParseRecord(bytes, offset);
-    if (!parsed.good || (this->last_number != 0 && parsed.number != this->last_number + 1)) {
+    if (!parsed.good ||
+        (this->last_number != 0 && parsed.number != this->last_number + 1)) {
       break;
     }
     report.first = report.first == 0 ? parsed.number : report.first;
@@ -114,8 +121,9 @@
     return;
   }
   if (!is_last || ValidRecordAfter(bytes, offset, this->last_number)) {
-    throw ResultError(ResultCode::kStorageDamaged,
-                      fmt::format("{}: damaged at byte {}", segment.name, offset));
+    throw ResultError(
+        ResultCode::kStorageDamaged,
+        fmt::format("{}: damaged at byte {}", segment.name, offset));
   }
   report.cut_bytes += bytes.size() - (head_good ? offset : 0);
   if (head_good) {
@@ -145,9 +153,11 @@
 
 void SegmentedLog::Append(std::uint64_t number, std::string_view record) {
   if (this->last_number != 0 && number != this->last_number + 1) {
-    throw ResultError(ResultCode::kInternal, "log numbers must follow each other");
+    throw ResultError(ResultCode::kInternal,
+                      "log numbers must follow each other");
   }
-  if (this->segments.empty() || this->segments.rbegin()->second.bytes >= this->segment_bytes) {
+  if (this->segments.empty() ||
+      this->segments.rbegin()->second.bytes >= this->segment_bytes) {
     if (this->file_dirty) {
       this->files.SyncFile(this->segments.rbegin()->second.name);
     }
@@ -163,7 +173,8 @@
   try {
     this->files.Append(segment.name, bytes);
   } catch (const ResultError&) {
-    // A full disk may have taken a part of the record: cut it, so that what follows is readable.
+    // A full disk may have taken a part of the record: cut it, so that what
+    // follows is readable.
     this->files.Truncate(segment.name, segment.bytes);
     throw;
   }
@@ -217,7 +228,8 @@
 }
 
 void SegmentedLog::DropBefore(std::uint64_t below) {
-  while (this->segments.size() > 1 && this->segments.begin()->second.last < below) {
+  while (this->segments.size() > 1 &&
+         this->segments.begin()->second.last < below) {
     this->files.Remove(this->segments.begin()->second.name);
     this->segments.erase(this->segments.begin());
     this->folder_dirty = true;
--- a/src/storage/memoryfilesystem.h
+++ b/src/storage/memoryfilesystem.h
@@ -25,8 +25,9 @@
   void SyncFile(const std::string& name) override;
   void SyncFolder() override;
 
-  /// Power loss: unsynced names are gone or back, and of the unsynced bytes at the end of each
-  /// file only the first `kept_percent` per cent stay (a torn write).
+  /// Power loss: unsynced names are gone or back, and of the unsynced bytes at
+  /// the end of each file only the first `kept_percent` per cent stay (a torn
+  /// write).
   void Crash(unsigned kept_percent);
   /// Changes one byte that was synced long ago.
   void Corrupt(const std::string& name, std::uint64_t offset);
@@ -44,7 +45,8 @@
   const File& Get(const std::string& name) const;
 
   std::map<std::string, File> files;
-  std::map<std::string, File> durable;  ///< The names as of the last folder sync.
+  std::map<std::string, File>
+      durable;  ///< The names as of the last folder sync.
   std::uint64_t space = UINT64_MAX;
   bool syncs_fail = false;
 };
