--- a/src/storage/segmentedlog.h
+++ b/src/storage/segmentedlog.h
@@ -14,29 +14,33 @@
 
 /// What opening a log found.
 struct LogOpenReport {
-  std::uint64_t first = 0;      ///< Number of the first record, 0 when there is none.
-  std::uint64_t last = 0;       ///< Number of the last record, 0 when there is none.
+  std::uint64_t first =
+      0;  ///< Number of the first record, 0 when there is none.
+  std::uint64_t last = 0;  ///< Number of the last record, 0 when there is none.
   std::uint64_t cut_bytes = 0;  ///< Bytes of a torn tail that were cut.
 };
 
 /// Numbered records in segment files, each record with length, number and XXH3.
-/// Records become durable by Sync. A torn tail in the last segment is cut on opening, since
-/// nothing unsynced was ever acknowledged; any damage before the tail throws
-/// ResultError(kStorageDamaged), since shortening there would take back what was acknowledged.
-/// Thread safety: none, one owner.
+/// Records become durable by Sync. A torn tail in the last segment is cut on
+/// opening, since nothing unsynced was ever acknowledged; any damage before the
+/// tail throws ResultError(kStorageDamaged), since shortening there would take
+/// back what was acknowledged. Thread safety: none, one owner.
 class SegmentedLog {
  public:
   /// Called for each record in order while opening.
-  using Visitor = std::function<void(std::uint64_t number, std::string_view record)>;
+  using Visitor =
+      std::function<void(std::uint64_t number, std::string_view record)>;
 
   SegmentedLog(FileSystem& files, std::string prefix,
                std::uint64_t segment_bytes = kDefaultSegmentBytes);
 
   /// Reads all; call once before any other method.
   LogOpenReport Open(const Visitor& visitor);
-  /// Adds a record. Precondition: number is last + 1, or anything when the log is empty.
+  /// Adds a record. Precondition: number is last + 1, or anything when the log
+  /// is empty.
   void Append(std::uint64_t number, std::string_view record);
-  /// Makes everything durable. The folder is synced only when a segment was added.
+  /// Makes everything durable. The folder is synced only when a segment was
+  /// added.
   void Sync();
   /// Removes every record with a number of at least `from`; durable on return.
   void TruncateFrom(std::uint64_t from);
@@ -57,13 +61,15 @@
     std::uint64_t last = 0;
   };
   std::string NameFor(std::uint64_t first) const;
-  void ReadSegment(Segment& segment, bool is_last, const Visitor& visitor, LogOpenReport& report);
+  void ReadSegment(Segment& segment, bool is_last, const Visitor& visitor,
+                   LogOpenReport& report);
   void StartSegment(std::uint64_t first);
 
   FileSystem& files;
   std::string prefix;
   std::uint64_t segment_bytes;
-  std::map<std::uint64_t, Segment> segments;  ///< By the number of their first record.
+  std::map<std::uint64_t, Segment>
+      segments;  ///< By the number of their first record.
   std::uint64_t last_number = 0;
   bool folder_dirty = false;
   bool file_dirty = false;
--- a/src/storage/tests/storage_tests.cpp
+++ b/src/storage/tests/storage_tests.cpp
@@ -1,6 +1,7 @@
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <filesystem>
-#include <unistd.h>
 
 #include "global/resultcode.h"
 #include "storage/blobstore.h"
@@ -13,11 +14,14 @@
 
 constexpr std::uint64_t kSmallSegment = 200;
 
-std::vector<std::string> ReadAll(FileSystem& files, LogOpenReport* report = nullptr) {
+std::vector<std::string> ReadAll(FileSystem& files,
+                                 LogOpenReport* report = nullptr) {
   SegmentedLog log(files, "raft", kSmallSegment);
   std::vector<std::string> records;
   const LogOpenReport found =
-      log.Open([&](std::uint64_t, std::string_view record) { records.emplace_back(record); });
+      log.Open([&](std::uint64_t, std::string_view record) {
+        records.emplace_back(record);
+      });
   if (report != nullptr) {
     *report = found;
   }
@@ -43,9 +47,10 @@
     files.Crash(0);
     CHECK(ReadAll(files).size() == 30);
   }
-  // Symptom: a member does not start after power loss. Sequence: records are written, half of
-  // the bytes reach the disk, power goes. Cause: the last write is torn; it was never synced, so
-  // nothing that was acknowledged is in it and it may be cut.
+  // Symptom: a member does not start after power loss. Sequence: records are
+  // written, half of the bytes reach the disk, power goes. Cause: the last
+  // write is torn; it was never synced, so nothing that was acknowledged is in
+  // it and it may be cut.
   SECTION("cuts a torn tail") {
     Fill(log, 31, 33);
     files.Crash(50);
@@ -55,8 +60,9 @@
     CHECK(records.size() < 33);
     CHECK(ReadAll(files).size() == records.size());
   }
-  // Symptom: acknowledged entries vanish. Sequence: a byte in the middle goes bad, the member
-  // restarts. Cause: taking the damage for a torn tail would cut records that were promised.
+  // Symptom: acknowledged entries vanish. Sequence: a byte in the middle goes
+  // bad, the member restarts. Cause: taking the damage for a torn tail would
+  // cut records that were promised.
   SECTION("refuses to shorten what lies before the tail") {
     SECTION("in an earlier segment") {
       files.Corrupt(files.List().front(), 30);
@@ -87,8 +93,9 @@
     CHECK(report.first > 1);
     CHECK(report.last == 30);
   }
-  // Symptom: entries acknowledged on a full disk are lost. Sequence: the disk fills in mid-record.
-  // Cause: a partial record would hide later ones; so it is cut and the error reaches the caller.
+  // Symptom: entries acknowledged on a full disk are lost. Sequence: the disk
+  // fills in mid-record. Cause: a partial record would hide later ones; so it
+  // is cut and the error reaches the caller.
   SECTION("reports a full disk and stays readable") {
     files.LimitSpace(10);
     CHECK_THROWS_AS(Fill(log, 31, 31), ResultError);
@@ -130,6 +137,7 @@
   BlobStore blobs(files, "blob", 64);
   blobs.Open(0);
   std::vector<BlobRef> refs;
+  refs.reserve(20);
   for (int i = 0; i < 20; ++i) {
     refs.push_back(blobs.Append("result " + std::to_string(i)));
   }
@@ -138,7 +146,9 @@
     CHECK(blobs.Read(refs.at(13)) == "result 13");
     CHECK(blobs.ReadAt(0, 100).size() == 100);
   }
-  SECTION("goes back to the length of the snapshot and takes the replayed bytes again") {
+  SECTION(
+      "goes back to the length of the snapshot and takes the replayed bytes "
+      "again") {
     BlobStore reopened(files, "blob", 64);
     reopened.Open(refs.at(10).offset);
     CHECK(reopened.Append("result 10").offset == refs.at(10).offset);
@@ -158,7 +168,8 @@
 
 TEST_CASE("the real file system does what the one in memory does") {
   const std::string folder =
-      (std::filesystem::temp_directory_path() / ("papayarack-storage-" + std::to_string(getpid())))
+      (std::filesystem::temp_directory_path() /
+       ("papayarack-storage-" + std::to_string(getpid())))
           .string();
   {
     const auto files = OpenPosixFileSystem(folder);
--- a/src/transport/internal/http2session.cpp
+++ b/src/transport/internal/http2session.cpp
@@ -12,33 +12,37 @@
 constexpr std::uint32_t kMaxStreams = 10000;
 constexpr std::int32_t kStreamWindow = 4 << 20;
 constexpr std::int32_t kConnectionWindow = 64 << 20;
-constexpr std::size_t kWriteChunk = 256U * 1024U;
+constexpr std::size_t kWriteChunk = std::size_t{256} * 1024;
 
 nghttp2_nv Header(std::string_view name, std::string_view value) {
   // The library copies both; its type only lacks const.
   return {reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
-          reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), name.size(),
-          value.size(), NGHTTP2_NV_FLAG_NONE};
+          reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())),
+          name.size(), value.size(), NGHTTP2_NV_FLAG_NONE};
 }
 }  // namespace
 
 /// The C callbacks that nghttp2 wants, each handing over to the session.
 struct Http2Hooks {
-  static Http2Session& Self(void* user) { return *static_cast<Http2Session*>(user); }
+  static Http2Session& Self(void* user) {
+    return *static_cast<Http2Session*>(user);
+  }
 
   static int OnHeader(nghttp2_session* /*session*/, const nghttp2_frame* frame,
                       const std::uint8_t* name, std::size_t name_length,
-                      const std::uint8_t* value, std::size_t value_length, std::uint8_t /*flags*/,
-                      void* user) {
-    const std::string_view key(reinterpret_cast<const char*>(name), name_length);
+                      const std::uint8_t* value, std::size_t value_length,
+                      std::uint8_t /*flags*/, void* user) {
+    const std::string_view key(reinterpret_cast<const char*>(name),
+                               name_length);
     if (key == ":path") {
-      Self(user).outgoing[frame->hd.stream_id].path.assign(reinterpret_cast<const char*>(value),
-                                                           value_length);
+      Self(user).outgoing[frame->hd.stream_id].path.assign(
+          reinterpret_cast<const char*>(value), value_length);
     }
     return 0;
   }
 
-  static int OnFrame(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user) {
+  static int OnFrame(nghttp2_session* /*session*/, const nghttp2_frame* frame,
+                     void* user) {
     Http2Session& self = Self(user);
     const std::int32_t stream = frame->hd.stream_id;
     if (frame->hd.type == NGHTTP2_HEADERS && self.callbacks.on_headers_end) {
@@ -47,32 +51,37 @@
     if (frame->hd.type == NGHTTP2_GOAWAY && self.callbacks.on_goaway) {
       self.callbacks.on_goaway(frame->goaway.last_stream_id);
     }
-    const bool carries_end = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+    const bool carries_end =
+        frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
     if (carries_end && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
       self.callbacks.on_stream_end(stream);
     }
     return 0;
   }
 
-  static int OnData(nghttp2_session* /*session*/, std::uint8_t /*flags*/, std::int32_t stream,
-                    const std::uint8_t* data, std::size_t length, void* user) {
-    Self(user).callbacks.on_data(stream, {reinterpret_cast<const char*>(data), length});
+  static int OnData(nghttp2_session* /*session*/, std::uint8_t /*flags*/,
+                    std::int32_t stream, const std::uint8_t* data,
+                    std::size_t length, void* user) {
+    Self(user).callbacks.on_data(stream,
+                                 {reinterpret_cast<const char*>(data), length});
     return 0;
   }
 
-  static int OnClose(nghttp2_session* /*session*/, std::int32_t stream, std::uint32_t error,
-                     void* user) {
+  static int OnClose(nghttp2_session* /*session*/, std::int32_t stream,
+                     std::uint32_t error, void* user) {
     Self(user).callbacks.on_stream_close(stream, error);
     Self(user).outgoing.erase(stream);
     return 0;
   }
 
-  static ssize_t OnBody(nghttp2_session* /*session*/, std::int32_t stream, std::uint8_t* buffer,
-                        std::size_t length, std::uint32_t* flags, nghttp2_data_source* /*source*/,
+  static ssize_t OnBody(nghttp2_session* /*session*/, std::int32_t stream,
+                        std::uint8_t* buffer, std::size_t length,
+                        std::uint32_t* flags, nghttp2_data_source* /*source*/,
                         void* user) {
     Http2Session::Outgoing& out = Self(user).outgoing[stream];
     const std::size_t amount = std::min(length, out.bytes.size() - out.sent);
-    std::copy_n(out.bytes.data() + out.sent, amount, reinterpret_cast<char*>(buffer));
+    std::copy_n(out.bytes.data() + out.sent, amount,
+                reinterpret_cast<char*>(buffer));
     out.sent += amount;
     if (out.sent == out.bytes.size()) {
       out.bytes.clear();
@@ -87,17 +96,20 @@
   }
 };
 
-Http2Session::Http2Session(asio::ip::tcp::socket socket, Side side, Callbacks callbacks)
+Http2Session::Http2Session(asio::ip::tcp::socket socket, Side side,
+                           Callbacks callbacks)
     : socket(std::move(socket)),
-      side(side),
       callbacks(std::move(callbacks)),
       last_heard(MonotonicNow()) {
   nghttp2_session_callbacks* hooks = nullptr;
   nghttp2_session_callbacks_new(&hooks);
   nghttp2_session_callbacks_set_on_header_callback(hooks, Http2Hooks::OnHeader);
-  nghttp2_session_callbacks_set_on_frame_recv_callback(hooks, Http2Hooks::OnFrame);
-  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(hooks, Http2Hooks::OnData);
-  nghttp2_session_callbacks_set_on_stream_close_callback(hooks, Http2Hooks::OnClose);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(hooks,
+                                                       Http2Hooks::OnFrame);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(hooks,
+                                                            Http2Hooks::OnData);
+  nghttp2_session_callbacks_set_on_stream_close_callback(hooks,
+                                                         Http2Hooks::OnClose);
   if (side == Side::kServer) {
     nghttp2_session_server_new(&this->session, hooks, this);
   } else {
@@ -105,10 +117,14 @@
   }
   nghttp2_session_callbacks_del(hooks);
   const std::array<nghttp2_settings_entry, 2> settings = {
-      nghttp2_settings_entry{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams},
-      nghttp2_settings_entry{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindow}};
-  nghttp2_submit_settings(this->session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
-  nghttp2_session_set_local_window_size(this->session, NGHTTP2_FLAG_NONE, 0, kConnectionWindow);
+      nghttp2_settings_entry{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS,
+                             kMaxStreams},
+      nghttp2_settings_entry{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+                             kStreamWindow}};
+  nghttp2_submit_settings(this->session, NGHTTP2_FLAG_NONE, settings.data(),
+                          settings.size());
+  nghttp2_session_set_local_window_size(this->session, NGHTTP2_FLAG_NONE, 0,
+                                        kConnectionWindow);
   std::error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
@@ -120,13 +136,16 @@
   this->Flush();
 }
 
-std::int32_t Http2Session::OpenRequest(std::string_view path, std::string body) {
-  const std::array<nghttp2_nv, 4> headers = {Header(":method", "POST"), Header(":scheme", "http"),
-                                             Header(":authority", "peer"), Header(":path", path)};
+std::int32_t Http2Session::OpenRequest(std::string_view path,
+                                       std::string body) {
+  const std::array<nghttp2_nv, 4> headers = {
+      Header(":method", "POST"), Header(":scheme", "http"),
+      Header(":authority", "peer"), Header(":path", path)};
   nghttp2_data_provider provider{};
   provider.read_callback = Http2Hooks::OnBody;
-  const std::int32_t stream = nghttp2_submit_request(this->session, nullptr, headers.data(),
-                                                     headers.size(), &provider, nullptr);
+  const std::int32_t stream =
+      nghttp2_submit_request(this->session, nullptr, headers.data(),
+                             headers.size(), &provider, nullptr);
   if (stream > 0) {
     Outgoing& out = this->outgoing[stream];
     out.bytes = std::move(body);
@@ -139,10 +158,12 @@
   const std::array<nghttp2_nv, 1> headers = {Header(":status", "200")};
   nghttp2_data_provider provider{};
   provider.read_callback = Http2Hooks::OnBody;
-  nghttp2_submit_response(this->session, stream, headers.data(), headers.size(), &provider);
+  nghttp2_submit_response(this->session, stream, headers.data(), headers.size(),
+                          &provider);
 }
 
-void Http2Session::AddBody(std::int32_t stream, std::string_view bytes, bool last) {
+void Http2Session::AddBody(std::int32_t stream, std::string_view bytes,
+                           bool last) {
   const auto found = this->outgoing.find(stream);
   if (found == this->outgoing.end()) {
     return;
@@ -163,14 +184,15 @@
 
 void Http2Session::SendGoaway() {
   nghttp2_submit_goaway(this->session, NGHTTP2_FLAG_NONE,
-                        nghttp2_session_get_last_proc_stream_id(this->session), NGHTTP2_NO_ERROR,
-                        nullptr, 0);
+                        nghttp2_session_get_last_proc_stream_id(this->session),
+                        NGHTTP2_NO_ERROR, nullptr, 0);
   this->Flush();
 }
 
 std::string_view Http2Session::PathOf(std::int32_t stream) const {
   const auto found = this->outgoing.find(stream);
-  return found != this->outgoing.end() ? std::string_view(found->second.path) : std::string_view();
+  return found != this->outgoing.end() ? std::string_view(found->second.path)
+                                       : std::string_view();
 }
 
 void Http2Session::Flush() {
@@ -187,7 +209,8 @@
     if (length <= 0) {
       break;
     }
-    output.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(length));
+    output.append(reinterpret_cast<const char*>(data),
+                  static_cast<std::size_t>(length));
   }
   return output;
 }
@@ -202,28 +225,32 @@
     return;
   }
   this->writing = true;
-  asio::async_write(this->socket, asio::buffer(this->write_buffer),
-                    [self = this->shared_from_this()](std::error_code error, std::size_t) {
-                      self->writing = false;
-                      if (error) {
-                        self->Close();
-                        return;
-                      }
-                      self->Flush();
-                    });
+  asio::async_write(
+      this->socket, asio::buffer(this->write_buffer),
+      [self = this->shared_from_this()](std::error_code error, std::size_t) {
+        self->writing = false;
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->Flush();
+      });
 }
 
 void Http2Session::Read() {
   this->socket.async_read_some(
       asio::buffer(this->read_buffer),
-      [self = this->shared_from_this()](std::error_code error, std::size_t length) {
+      [self = this->shared_from_this()](std::error_code error,
+                                        std::size_t length) {
         if (error || self->closed) {
           self->Close();
           return;
         }
         self->last_heard = MonotonicNow();
         const ssize_t used = nghttp2_session_mem_recv(
-            self->session, reinterpret_cast<const std::uint8_t*>(self->read_buffer.data()), length);
+            self->session,
+            reinterpret_cast<const std::uint8_t*>(self->read_buffer.data()),
+            length);
         if (used < 0) {
           self->Close();
           return;
--- a/src/transport/internal/http2session.h
+++ b/src/transport/internal/http2session.h
@@ -16,7 +16,8 @@
 
 namespace papayarack::transport {
 
-/// One nghttp2 connection over a connected socket. Every method runs on the I/O thread.
+/// One nghttp2 connection over a connected socket. Every method runs on the I/O
+/// thread.
 class Http2Session : public std::enable_shared_from_this<Http2Session> {
  public:
   enum class Side { kServer, kClient };
@@ -24,8 +25,10 @@
   struct Callbacks {
     std::function<void(std::int32_t stream)> on_headers_end;
     std::function<void(std::int32_t stream, std::string_view bytes)> on_data;
-    std::function<void(std::int32_t stream)> on_stream_end;  ///< The peer sent its last byte.
-    std::function<void(std::int32_t stream, std::uint32_t error)> on_stream_close;
+    std::function<void(std::int32_t stream)>
+        on_stream_end;  ///< The peer sent its last byte.
+    std::function<void(std::int32_t stream, std::uint32_t error)>
+        on_stream_close;
     std::function<void()> on_closed;  ///< The connection is gone; called once.
     std::function<void(std::int32_t last_stream)> on_goaway;
   };
@@ -70,11 +73,10 @@
   std::string CollectOutput();
 
   asio::ip::tcp::socket socket;
-  Side side;
   Callbacks callbacks;
   nghttp2_session* session = nullptr;
   std::map<std::int32_t, Outgoing> outgoing;
-  std::array<char, 64U * 1024U> read_buffer{};
+  std::array<char, std::size_t{64} * 1024> read_buffer{};
   std::string write_buffer;
   bool writing = false;
   bool closed = false;
--- a/src/transport/internal/peerclient.cpp
+++ b/src/transport/internal/peerclient.cpp
@@ -28,13 +28,14 @@
     std::string address;
     std::shared_ptr<Http2Session> session;
     std::shared_ptr<asio::ip::tcp::socket> socket;
-    std::vector<CallId> waiting;             ///< Calls until the connection stands.
+    std::vector<CallId> waiting;  ///< Calls until the connection stands.
     std::map<std::int32_t, CallId> streams;
     Time started{};
-    bool draining = false;                   ///< The peer takes no new streams here.
+    bool draining = false;  ///< The peer takes no new streams here.
   };
 
-  explicit Impl(PeerClientOptions options) : options(options), timer(this->context) {
+  explicit Impl(PeerClientOptions options)
+      : options(options), timer(this->context) {
     this->StartTimer();
     this->thread = std::thread([this] { this->context.run(); });
   }
@@ -65,16 +66,19 @@
     });
   }
 
-  /// Symptom guarded against: calls on an old connection hang for good while new connections to
-  /// the same peer work, because something between the two forgot the old one. Noticed by PING
-  /// without answer. The connection is dropped, its calls end as lost, new calls connect anew.
+  /// Symptom guarded against: calls on an old connection hang for good while
+  /// new connections to the same peer work, because something between the two
+  /// forgot the old one. Noticed by PING without answer. The connection is
+  /// dropped, its calls end as lost, new calls connect anew.
   void CheckLinks() {
     const Time now = MonotonicNow();
     std::vector<std::uint64_t> silent;
     for (auto& [id, link] : this->links) {
       const bool connecting = link.session == nullptr;
-      const Duration quiet = now - (connecting ? link.started : link.session->LastHeard());
-      if (quiet >= (connecting ? this->options.connect_timeout : this->options.silent_after)) {
+      const Duration quiet =
+          now - (connecting ? link.started : link.session->LastHeard());
+      if (quiet >= (connecting ? this->options.connect_timeout
+                               : this->options.silent_after)) {
         silent.push_back(id);
       } else if (!connecting && quiet >= this->options.ping_after) {
         link.session->SendPing();
@@ -105,7 +109,8 @@
       return;
     }
     const auto session = link.session;
-    const std::int32_t stream = session->OpenRequest(call.path, std::move(call.body));
+    const std::int32_t stream =
+        session->OpenRequest(call.path, std::move(call.body));
     if (stream <= 0) {
       this->End(id, CallEnd::kNotSent);
       return;
@@ -125,27 +130,30 @@
     this->calls.at(id).session = link_id;
     link.socket = std::make_shared<asio::ip::tcp::socket>(this->context);
     std::error_code bad_address;
-    const asio::ip::address address = asio::ip::make_address(peer.host, bad_address);
+    const asio::ip::address address =
+        asio::ip::make_address(peer.host, bad_address);
     if (bad_address) {
       this->DropLink(link_id);
       return;
     }
     const auto socket = link.socket;
-    socket->async_connect({address, peer.port}, [this, link_id, socket](std::error_code error) {
-      if (this->links.count(link_id) == 0) {
-        return;
-      }
-      if (error) {
-        this->DropLink(link_id);
-        return;
-      }
-      this->Established(link_id, std::move(*socket));
-    });
+    socket->async_connect({address, peer.port},
+                          [this, link_id, socket](std::error_code error) {
+                            if (this->links.count(link_id) == 0) {
+                              return;
+                            }
+                            if (error) {
+                              this->DropLink(link_id);
+                              return;
+                            }
+                            this->Established(link_id, std::move(*socket));
+                          });
   }
 
   void Established(std::uint64_t link_id, asio::ip::tcp::socket socket) {
     Http2Session::Callbacks callbacks;
-    callbacks.on_data = [this, link_id](std::int32_t stream, std::string_view bytes) {
+    callbacks.on_data = [this, link_id](std::int32_t stream,
+                                        std::string_view bytes) {
       this->OnData(link_id, stream, bytes);
     };
     callbacks.on_stream_end = [this, link_id](std::int32_t stream) {
@@ -153,7 +161,8 @@
         call->ended_whole = true;
       }
     };
-    callbacks.on_stream_close = [this, link_id](std::int32_t stream, std::uint32_t error) {
+    callbacks.on_stream_close = [this, link_id](std::int32_t stream,
+                                                std::uint32_t error) {
       this->OnStreamClose(link_id, stream, error);
     };
     callbacks.on_goaway = [this, link_id](std::int32_t) {
@@ -166,8 +175,8 @@
       asio::post(this->context, [this, link_id] { this->DropLink(link_id); });
     };
     Link& link = this->links.at(link_id);
-    link.session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Side::kClient,
-                                                  std::move(callbacks));
+    link.session = std::make_shared<Http2Session>(
+        std::move(socket), Http2Session::Side::kClient, std::move(callbacks));
     link.session->Start();
     for (const CallId id : std::exchange(link.waiting, {})) {
       if (this->calls.count(id) > 0) {
@@ -189,7 +198,8 @@
     return call != this->calls.end() ? &call->second : nullptr;
   }
 
-  void OnData(std::uint64_t link_id, std::int32_t stream, std::string_view bytes) {
+  void OnData(std::uint64_t link_id, std::int32_t stream,
+              std::string_view bytes) {
     Pending* call = this->Find(link_id, stream);
     if (call == nullptr) {
       return;
@@ -203,11 +213,13 @@
         }
       }
     } catch (const ResultError&) {
-      this->links.at(link_id).session->ResetStream(stream, NGHTTP2_PROTOCOL_ERROR);
+      this->links.at(link_id).session->ResetStream(stream,
+                                                   NGHTTP2_PROTOCOL_ERROR);
     }
   }
 
-  void OnStreamClose(std::uint64_t link_id, std::int32_t stream, std::uint32_t error) {
+  void OnStreamClose(std::uint64_t link_id, std::int32_t stream,
+                     std::uint32_t error) {
     const auto link = this->links.find(link_id);
     if (link == this->links.end()) {
       return;
@@ -226,7 +238,8 @@
     if (error == NGHTTP2_REFUSED_STREAM) {
       this->End(id, CallEnd::kNotSent);
     } else {
-      this->End(id, call->second.ended_whole ? CallEnd::kFinished : CallEnd::kLost);
+      this->End(id,
+                call->second.ended_whole ? CallEnd::kFinished : CallEnd::kLost);
     }
   }
 
@@ -270,7 +283,8 @@
     }
     const std::int32_t stream = found->second.stream;
     const auto link = this->links.find(found->second.session);
-    if (stream > 0 && link != this->links.end() && link->second.session != nullptr) {
+    if (stream > 0 && link != this->links.end() &&
+        link->second.session != nullptr) {
       link->second.session->ResetStream(stream, NGHTTP2_CANCEL);
       link->second.session->Flush();
     }
@@ -279,7 +293,8 @@
 
   PeerClientOptions options;
   asio::io_context context;
-  asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
+  asio::executor_work_guard<asio::io_context::executor_type> work{
+      context.get_executor()};
   asio::steady_timer timer;
   std::map<std::uint64_t, Link> links;
   std::map<CallId, Pending> calls;
@@ -289,30 +304,33 @@
   std::thread thread;
 };
 
-PeerClient::PeerClient(PeerClientOptions options) : impl(std::make_unique<Impl>(options)) {}
+PeerClient::PeerClient(PeerClientOptions options)
+    : impl(std::make_unique<Impl>(options)) {}
 
 PeerClient::~PeerClient() = default;
 
-CallId PeerClient::Call(const Endpoint& peer, std::string_view path, std::string body,
-                        CallHandlers handlers) {
+CallId PeerClient::Call(const Endpoint& peer, std::string_view path,
+                        std::string body, CallHandlers handlers) {
   const CallId id = ++this->impl->last_call;
   Impl::Pending call;
   call.path = path;
   call.body = std::move(body);
   call.handlers = std::move(handlers);
-  asio::post(this->impl->context,
-             [impl = this->impl.get(), id, peer, call = std::move(call)]() mutable {
-               impl->calls.emplace(id, std::move(call));
-               impl->Begin(id, peer);
-             });
+  asio::post(this->impl->context, [impl = this->impl.get(), id, peer,
+                                   call = std::move(call)]() mutable {
+    impl->calls.emplace(id, std::move(call));
+    impl->Begin(id, peer);
+  });
   return id;
 }
 
 void PeerClient::Cancel(CallId call) {
-  asio::post(this->impl->context, [impl = this->impl.get(), call] { impl->Cancel(call); });
+  asio::post(this->impl->context,
+             [impl = this->impl.get(), call] { impl->Cancel(call); });
 }
 
-std::string PeerClient::CallAndWait(const Endpoint& peer, std::string_view path, std::string body,
+std::string PeerClient::CallAndWait(const Endpoint& peer, std::string_view path,
+                                    std::string body,
                                     std::chrono::milliseconds timeout) {
   struct Outcome {
     std::promise<std::string> promise;
@@ -329,15 +347,17 @@
   handlers.on_end = [outcome](CallEnd end) {
     if (!std::exchange(outcome->settled, true)) {
       const bool not_sent = end == CallEnd::kNotSent;
-      outcome->promise.set_exception(std::make_exception_ptr(
-          ResultError(not_sent ? ResultCode::kNoUpstream : ResultCode::kConnectionLost,
-                      not_sent ? "no connection to the peer" : "the connection broke")));
+      outcome->promise.set_exception(std::make_exception_ptr(ResultError(
+          not_sent ? ResultCode::kNoUpstream : ResultCode::kConnectionLost,
+          not_sent ? "no connection to the peer" : "the connection broke")));
     }
   };
-  const CallId id = this->Call(peer, path, std::move(body), std::move(handlers));
+  const CallId id =
+      this->Call(peer, path, std::move(body), std::move(handlers));
   if (future.wait_for(timeout) != std::future_status::ready) {
     this->Cancel(id);
-    throw ResultError(ResultCode::kConnectionLost, peer.ToString() + " did not answer in time");
+    throw ResultError(ResultCode::kConnectionLost,
+                      peer.ToString() + " did not answer in time");
   }
   return future.get();
 }
--- a/src/transport/internal/peerserver.cpp
+++ b/src/transport/internal/peerserver.cpp
@@ -31,15 +31,17 @@
   Impl(const Endpoint& listen, PeerServerHandlers handlers)
       : handlers(std::move(handlers)), acceptor(this->context) {
     try {
-      const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(listen.host), listen.port);
+      const asio::ip::tcp::endpoint endpoint(
+          asio::ip::make_address(listen.host), listen.port);
       this->acceptor.open(endpoint.protocol());
       this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
       this->acceptor.bind(endpoint);
       this->acceptor.listen(asio::socket_base::max_listen_connections);
       this->bound_port = this->acceptor.local_endpoint().port();
     } catch (const std::system_error& error) {
-      throw ResultError(ResultCode::kBadInput,
-                        "cannot listen on " + listen.ToString() + ": " + error.what());
+      throw ResultError(
+          ResultCode::kBadInput,
+          "cannot listen on " + listen.ToString() + ": " + error.what());
     }
     this->Accept();
     this->thread = std::thread([this] { this->context.run(); });
@@ -59,28 +61,32 @@
   }
 
   void Accept() {
-    this->acceptor.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
-      if (error) {
-        return;
-      }
-      this->Adopt(std::move(socket));
-      this->Accept();
-    });
+    this->acceptor.async_accept(
+        [this](std::error_code error, asio::ip::tcp::socket socket) {
+          if (error) {
+            return;
+          }
+          this->Adopt(std::move(socket));
+          this->Accept();
+        });
   }
 
   void Adopt(asio::ip::tcp::socket socket) {
     const std::uint64_t id = ++this->last_connection;
     Http2Session::Callbacks callbacks;
-    callbacks.on_data = [this, id](std::int32_t stream, std::string_view bytes) {
+    callbacks.on_data = [this, id](std::int32_t stream,
+                                   std::string_view bytes) {
       this->connections[id].streams[stream].body.append(bytes);
     };
-    callbacks.on_stream_end = [this, id](std::int32_t stream) { this->Deliver(id, stream); };
+    callbacks.on_stream_end = [this, id](std::int32_t stream) {
+      this->Deliver(id, stream);
+    };
     callbacks.on_stream_close = [this, id](std::int32_t stream, std::uint32_t) {
       this->Forget(id, stream);
     };
     callbacks.on_closed = [this, id] { this->Lose(id); };
-    auto session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Side::kServer,
-                                                  std::move(callbacks));
+    auto session = std::make_shared<Http2Session>(
+        std::move(socket), Http2Session::Side::kServer, std::move(callbacks));
     this->connections[id].session = session;
     session->Start();
   }
@@ -97,7 +103,8 @@
                               std::move(incoming.body));
   }
 
-  /// A stream that closes before our side finished it was reset by the requester.
+  /// A stream that closes before our side finished it was reset by the
+  /// requester.
   void Forget(std::uint64_t connection, std::int32_t stream) {
     const auto owner = this->connections.find(connection);
     if (owner == this->connections.end()) {
@@ -175,7 +182,9 @@
   this->impl->Write(stream, MessageSplitter::Frame(message), false);
 }
 
-void PeerServer::Finish(StreamId stream) { this->impl->Write(stream, {}, true); }
+void PeerServer::Finish(StreamId stream) {
+  this->impl->Write(stream, {}, true);
+}
 
 std::uint16_t PeerServer::port() const { return this->impl->bound_port; }
 
--- a/src/transport/peerclient.h
+++ b/src/transport/peerclient.h
@@ -18,13 +18,16 @@
 
 /// How a call ended.
 enum class CallEnd {
-  kFinished,     ///< The peer ended the stream as whole.
-  kNotSent,      ///< No byte of the request reached the peer's application: it was not run.
-  kLost,         ///< The connection or stream broke after the request may have been seen.
+  kFinished,  ///< The peer ended the stream as whole.
+  kNotSent,   ///< No byte of the request reached the peer's application: it was
+              ///< not run.
+  kLost,  ///< The connection or stream broke after the request may have been
+          ///< seen.
 };
 
-/// What a client tells the maker of one call; both run on the client's I/O thread and must not
-/// wait for anything. on_end is called exactly once, after the last on_message.
+/// What a client tells the maker of one call; both run on the client's I/O
+/// thread and must not wait for anything. on_end is called exactly once, after
+/// the last on_message.
 struct CallHandlers {
   std::function<void(std::string message)> on_message;
   std::function<void(CallEnd)> on_end;
@@ -33,12 +36,14 @@
 /// Timings of the guard against connections that fall silent.
 struct PeerClientOptions {
   std::chrono::milliseconds connect_timeout{1000};
-  std::chrono::milliseconds ping_after{1000};   ///< Quiet for this long: send PING.
-  std::chrono::milliseconds silent_after{2000}; ///< Still quiet: drop the connection.
+  std::chrono::milliseconds ping_after{
+      1000};  ///< Quiet for this long: send PING.
+  std::chrono::milliseconds silent_after{
+      2000};  ///< Still quiet: drop the connection.
 };
 
-/// Calls other papayarack processes over nghttp2, one connection for each address, on one I/O
-/// thread. Thread safety: every method, any thread.
+/// Calls other papayarack processes over nghttp2, one connection for each
+/// address, on one I/O thread. Thread safety: every method, any thread.
 class PeerClient {
  public:
   explicit PeerClient(PeerClientOptions options = {});
@@ -46,16 +51,19 @@
   PeerClient(const PeerClient&) = delete;
   PeerClient& operator=(const PeerClient&) = delete;
 
-  /// Starts a call. Its end is always reported, also when no connection can be made.
+  /// Starts a call. Its end is always reported, also when no connection can be
+  /// made.
   CallId Call(const Endpoint& peer, std::string_view path, std::string body,
               CallHandlers handlers);
-  /// Gives up on a call: the stream is reset and on_end(kLost) follows unless it already ended.
+  /// Gives up on a call: the stream is reset and on_end(kLost) follows unless
+  /// it already ended.
   void Cancel(CallId call);
 
-  /// Makes a call and waits for its first message. Throws ResultError(kConnectionLost) when
-  /// there is none within `timeout`, or kNoUpstream when it was never sent.
-  std::string CallAndWait(const Endpoint& peer, std::string_view path, std::string body,
-                          std::chrono::milliseconds timeout);
+  /// Makes a call and waits for its first message. Throws
+  /// ResultError(kConnectionLost) when there is none within `timeout`, or
+  /// kNoUpstream when it was never sent.
+  std::string CallAndWait(const Endpoint& peer, std::string_view path,
+                          std::string body, std::chrono::milliseconds timeout);
 
  private:
   struct Impl;
--- a/src/transport/peerserver.h
+++ b/src/transport/peerserver.h
@@ -15,11 +15,13 @@
 /// Names one request stream of one connection for the life of the server.
 using StreamId = std::uint64_t;
 
-/// What a server tells its owner; all three run on the server's own I/O thread and must not
-/// wait for anything.
+/// What a server tells its owner; all three run on the server's own I/O thread
+/// and must not wait for anything.
 struct PeerServerHandlers {
-  /// A whole request arrived. Answer it with Send and Finish, in any order among streams.
-  std::function<void(StreamId, std::string_view path, std::string body)> on_request;
+  /// A whole request arrived. Answer it with Send and Finish, in any order
+  /// among streams.
+  std::function<void(StreamId, std::string_view path, std::string body)>
+      on_request;
   /// The requester reset the stream or its connection is gone: stop the work.
   std::function<void(StreamId)> on_cancel;
 };
@@ -28,7 +30,8 @@
 /// Thread safety: every method, any thread.
 class PeerServer {
  public:
-  /// Binds at once. Throws ResultError(kBadInput) when the address cannot be bound.
+  /// Binds at once. Throws ResultError(kBadInput) when the address cannot be
+  /// bound.
   PeerServer(const Endpoint& listen, PeerServerHandlers handlers);
   ~PeerServer();
   PeerServer(const PeerServer&) = delete;
@@ -40,8 +43,8 @@
   void Finish(StreamId stream);
   /// Port in use; useful when the settings asked for port 0.
   std::uint16_t port() const;
-  /// Stops accepting and tells every peer that the connection takes no new streams; streams
-  /// that are open go on.
+  /// Stops accepting and tells every peer that the connection takes no new
+  /// streams; streams that are open go on.
   void BeginLeave();
   /// Number of open streams.
   std::size_t OpenStreams() const;
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -21,11 +21,14 @@
 
 struct Server {
   BoundedRing<Seen> seen{64};
-  PeerServer server{{"127.0.0.1", 0},
-                    {[this](StreamId id, std::string_view path, std::string body) {
-                       this->seen.TryPush({id, std::string(path), std::move(body), false});
-                     },
-                     [this](StreamId id) { this->seen.TryPush({id, {}, {}, true}); }}};
+  PeerServer server{
+      {"127.0.0.1", 0},
+      {[this](StreamId id, std::string_view path, std::string body) {
+         this->seen.TryPush({id, std::string(path), std::move(body), false});
+       },
+       [this](StreamId id) {
+         this->seen.TryPush({id, {}, {}, true});
+       }}};
   Endpoint endpoint() const { return {"127.0.0.1", this->server.port()}; }
 };
 
@@ -33,7 +36,9 @@
   BoundedRing<std::string> messages{64};
   std::promise<CallEnd> end;
   CallHandlers Handlers() {
-    return {[this](std::string message) { this->messages.TryPush(std::move(message)); },
+    return {[this](std::string message) {
+              this->messages.TryPush(std::move(message));
+            },
             [this](CallEnd how) { this->end.set_value(how); }};
   }
 };
@@ -44,8 +49,8 @@
   Server server;
   PeerClient client;
   Caller caller;
-  const CallId call = client.Call(server.endpoint(), "/echo", std::string(100000, 'x'),
-                                  caller.Handlers());
+  const CallId call = client.Call(server.endpoint(), "/echo",
+                                  std::string(100000, 'x'), caller.Handlers());
   const auto request = server.seen.Pop(kPatience);
   REQUIRE(request.has_value());
   CHECK(request->path == "/echo");
@@ -90,21 +95,28 @@
 
 // Symptom: calls on one connection hang for good while new connections work.
 // Sequence: a listener accepts and then never reads or answers; a call is made.
-// Cause: something between the two ends lost track of the connection; no reset ever comes.
-TEST_CASE("a connection that falls silent is dropped and its calls end as lost") {
+// Cause: something between the two ends lost track of the connection; no reset
+// ever comes.
+TEST_CASE(
+    "a connection that falls silent is dropped and its calls end as lost") {
   asio::io_context context;
-  asio::ip::tcp::acceptor mute(context, {asio::ip::make_address("127.0.0.1"), 0});
-  PeerClient client({std::chrono::milliseconds(1000), std::chrono::milliseconds(40),
+  asio::ip::tcp::acceptor mute(context,
+                               {asio::ip::make_address("127.0.0.1"), 0});
+  PeerClient client({std::chrono::milliseconds(1000),
+                     std::chrono::milliseconds(40),
                      std::chrono::milliseconds(120)});
   Caller caller;
-  client.Call({"127.0.0.1", mute.local_endpoint().port()}, "/x", "", caller.Handlers());
+  client.Call({"127.0.0.1", mute.local_endpoint().port()}, "/x", "",
+              caller.Handlers());
   CHECK(caller.end.get_future().get() == CallEnd::kLost);
 }
 
 // Symptom: a caller waits for an answer that cannot come.
 // Sequence: a request is in progress; the server process goes away.
 // Cause: the connection closes before the stream ended.
-TEST_CASE("a server that goes away in mid-answer: the call ends as lost, never as whole") {
+TEST_CASE(
+    "a server that goes away in mid-answer: the call ends as lost, never as "
+    "whole") {
   PeerClient client;
   Caller caller;
   {
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -1,4 +1,5 @@
-// A stand-in for a model engine: speaks the engines' published HTTP API, never installed.
+// A stand-in for a model engine: speaks the engines' published HTTP API, never
+// installed.
 #include <httplib.h>
 #include <popt.h>
 #include <unistd.h>
@@ -25,11 +26,14 @@
   return body.contains("prompt") ? body["prompt"].dump() : body.dump();
 }
 
-void Refuse(httplib::Response& response, int status, const std::string& message) {
+void Refuse(httplib::Response& response, int status,
+            const std::string& message) {
   response.status = status;
-  response.set_content(
-      nlohmann::json({{"error", {{"message", message}, {"type", "invalid_request_error"}}}}).dump(),
-      "application/json");
+  response.set_content(nlohmann::json({{"error",
+                                        {{"message", message},
+                                         {"type", "invalid_request_error"}}}})
+                           .dump(),
+                       "application/json");
 }
 
 std::string Event(const std::string& id, bool chat, const std::string& text,
@@ -43,9 +47,10 @@
   if (finish_reason != nullptr) {
     choice["finish_reason"] = finish_reason;
   }
-  const nlohmann::json event = {{"id", id},
-                                {"object", chat ? "chat.completion.chunk" : "text_completion"},
-                                {"choices", nlohmann::json::array({choice})}};
+  const nlohmann::json event = {
+      {"id", id},
+      {"object", chat ? "chat.completion.chunk" : "text_completion"},
+      {"choices", nlohmann::json::array({choice})}};
   return "data: " + event.dump() + "\n\n";
 }
 
@@ -53,9 +58,10 @@
 class EngineApi {
  public:
   EngineApi(httplib::Server& server, EngineModel& model) : model(model) {
-    server.Post("/v1/chat/completions", [this](const auto& request, auto& response) {
-      this->Complete(request, response, true);
-    });
+    server.Post("/v1/chat/completions",
+                [this](const auto& request, auto& response) {
+                  this->Complete(request, response, true);
+                });
     server.Post("/v1/completions", [this](const auto& request, auto& response) {
       this->Complete(request, response, false);
     });
@@ -64,8 +70,10 @@
   }
 
  private:
-  void Complete(const httplib::Request& request, httplib::Response& response, bool chat) {
-    const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+  void Complete(const httplib::Request& request, httplib::Response& response,
+                bool chat) {
+    const nlohmann::json body =
+        nlohmann::json::parse(request.body, nullptr, false);
     if (!body.is_object()) {
       Refuse(response, 400, "the body is not a JSON object");
       return;
@@ -80,8 +88,8 @@
       resume_at = body["resume"].value("tokens", 0U);
     }
     const std::uint32_t wanted = body.value(
-        "max_tokens",
-        kFewestTokens + static_cast<std::uint32_t>(Hash64(prompt) % kTokenSpread));
+        "max_tokens", kFewestTokens + static_cast<std::uint32_t>(
+                                          Hash64(prompt) % kTokenSpread));
     const std::string id = request.get_header_value("X-Request-Id");
     const auto inside = this->model.Submit(id, prompt, wanted, resume_at);
     if (body.value("stream", false)) {
@@ -91,7 +99,8 @@
     }
   }
 
-  void Stream(httplib::Response& response, std::shared_ptr<EngineRequest> inside, bool chat) {
+  void Stream(httplib::Response& response,
+              const std::shared_ptr<EngineRequest>& inside, bool chat) {
     response.set_chunked_content_provider(
         "text/event-stream",
         [this, inside, chat](std::size_t, httplib::DataSink& sink) {
@@ -103,7 +112,8 @@
           if (inside->cancelled) {
             return false;
           }
-          const std::string last = Event(inside->id, chat, "", "stop") + "data: [DONE]\n\n";
+          const std::string last =
+              Event(inside->id, chat, "", "stop") + "data: [DONE]\n\n";
           sink.write(last.data(), last.size());
           sink.done();
           return true;
@@ -111,8 +121,8 @@
         [this, inside](bool) { this->model.Cancel(*inside); });
   }
 
-  void Whole(httplib::Response& response, const std::shared_ptr<EngineRequest>& inside,
-             bool chat) {
+  void Whole(httplib::Response& response,
+             const std::shared_ptr<EngineRequest>& inside, bool chat) {
     std::string text;
     std::string token;
     while (this->model.NextToken(*inside, token)) {
@@ -125,7 +135,9 @@
       choice["text"] = text;
     }
     response.set_content(
-        nlohmann::json({{"id", inside->id}, {"choices", nlohmann::json::array({choice})}}).dump(),
+        nlohmann::json(
+            {{"id", inside->id}, {"choices", nlohmann::json::array({choice})}})
+            .dump(),
         "application/json");
   }
 
@@ -141,8 +153,9 @@
     });
     server.Get("/cache_events", [this](const auto& request, auto& response) {
       const std::string since = request.get_param_value("since");
-      response.set_content(this->model.CacheEvents(since.empty() ? 0 : std::stoull(since)),
-                           "application/json");
+      response.set_content(
+          this->model.CacheEvents(since.empty() ? 0 : std::stoull(since)),
+          "application/json");
     });
   }
 
@@ -151,23 +164,26 @@
       response.set_content(this->model.Orders(), "application/json");
     });
     server.Post("/orders", [this](const auto& request, auto& response) {
-      const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+      const nlohmann::json body =
+          nlohmann::json::parse(request.body, nullptr, false);
       if (!body.is_object() || !body.contains("order")) {
         Refuse(response, 400, "expected an order");
-      } else if (!this->model.Order(body["order"].dump(), body.value("fence", 0ULL))) {
+      } else if (!this->model.Order(body["order"].dump(),
+                                    body.value("fence", 0ULL))) {
         Refuse(response, 409, "the order carries an old fencing number");
       }
     });
     server.Get("/kv", [this](const auto& request, auto& response) {
-      response.set_content(
-          this->model.ExportCache(std::stoull(request.get_param_value("prefix"))),
-          "application/octet-stream");
+      response.set_content(this->model.ExportCache(
+                               std::stoull(request.get_param_value("prefix"))),
+                           "application/octet-stream");
     });
     server.Post("/kv", [this](const auto& request, auto&) {
       this->model.ImportCache(request.body);
     });
     server.Post("/faults", [this](const auto& request, auto&) {
-      const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+      const nlohmann::json body =
+          nlohmann::json::parse(request.body, nullptr, false);
       if (body.value("die", false)) {
         _exit(9);
       }
@@ -188,14 +204,18 @@
   int seed = 1;
   int ignore_fencing = 0;
   poptOption table[] = {
-      {"listen", 'l', POPT_ARG_STRING, &listen_text, 0, "address to listen on", "HOST:PORT"},
+      {"listen", 'l', POPT_ARG_STRING, &listen_text, 0, "address to listen on",
+       "HOST:PORT"},
       {"slots", 0, POPT_ARG_INT, &slots, 0, "requests that run at once", "N"},
-      {"base-ms", 0, POPT_ARG_DOUBLE, &options.base_ms, 0, "time of one step", "MS"},
-      {"knee", 0, POPT_ARG_DOUBLE, &options.knee, 0, "streams until steps grow longer", "N"},
+      {"base-ms", 0, POPT_ARG_DOUBLE, &options.base_ms, 0, "time of one step",
+       "MS"},
+      {"knee", 0, POPT_ARG_DOUBLE, &options.knee, 0,
+       "streams until steps grow longer", "N"},
       {"prefill-us", 0, POPT_ARG_DOUBLE, &options.prefill_us_per_token, 0,
        "time of one prompt token", "US"},
       {"seed", 0, POPT_ARG_INT, &seed, 0, "seed of what is random", "N"},
-      {"ignore-fencing", 0, POPT_ARG_NONE, &ignore_fencing, 0, "take orders of any number", nullptr},
+      {"ignore-fencing", 0, POPT_ARG_NONE, &ignore_fencing, 0,
+       "take orders of any number", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("standin_engine", argc, argv, table, 0);
   const int parsed = poptGetNextOpt(context);
@@ -211,13 +231,15 @@
   EngineModel model(options);
   httplib::Server server;
   server.new_task_queue = [slots] {
-    return new httplib::ThreadPool(static_cast<std::size_t>(slots) * 2 + kExtraThreads);
+    return new httplib::ThreadPool(static_cast<std::size_t>(slots) * 2 +
+                                   kExtraThreads);
   };
   server.set_tcp_nodelay(true);
   server.set_keep_alive_max_count(1);
   const EngineApi api(server, model);
   if (!server.listen(listen.host.c_str(), listen.port)) {
-    std::cerr << "standin_engine: cannot listen on " << listen.ToString() << "\n";
+    std::cerr << "standin_engine: cannot listen on " << listen.ToString()
+              << "\n";
     return 1;
   }
   return 0;
@@ -226,4 +248,6 @@
 }  // namespace
 }  // namespace papayarack::standins
 
-int main(int argc, const char** argv) { return papayarack::standins::Main(argc, argv); }
+int main(int argc, const char** argv) {
+  return papayarack::standins::Main(argc, argv);
+}
--- a/standins/enginemodel.cpp
+++ b/standins/enginemodel.cpp
@@ -16,7 +16,8 @@
 
 }  // namespace
 
-EngineModel::EngineModel(const EngineOptions& options) : options(options), random(options.seed) {
+EngineModel::EngineModel(const EngineOptions& options)
+    : options(options), random(options.seed) {
   this->thread = std::thread([this] { this->Run(); });
 }
 
@@ -29,11 +30,14 @@
   this->thread.join();
 }
 
-std::shared_ptr<EngineRequest> EngineModel::Submit(std::string id, std::string_view prompt,
-                                                   std::uint32_t wanted, std::uint32_t resume_at) {
+std::shared_ptr<EngineRequest> EngineModel::Submit(std::string id,
+                                                   std::string_view prompt,
+                                                   std::uint32_t wanted,
+                                                   std::uint32_t resume_at) {
   auto request = std::make_shared<EngineRequest>();
   request->id = std::move(id);
-  request->prompt_tokens = static_cast<std::uint32_t>(prompt.size() / kBytesPerToken + 1);
+  request->prompt_tokens =
+      static_cast<std::uint32_t>(prompt.size() / kBytesPerToken + 1);
   request->prompt_hash = Hash64(prompt.substr(0, kCachedPrefixBytes));
   request->produced = resume_at;
   request->delivered = resume_at;
@@ -48,16 +52,18 @@
 double EngineModel::PrefillTokens(const EngineRequest& request) {
   const auto cached = this->cache.find(request.prompt_hash);
   if (cached != this->cache.end()) {
-    this->cache_order.splice(this->cache_order.begin(), this->cache_order, cached->second);
+    this->cache_order.splice(this->cache_order.begin(), this->cache_order,
+                             cached->second);
     return request.prompt_tokens * kCachedCost;
   }
   this->cache_order.push_front(request.prompt_hash);
   this->cache[request.prompt_hash] = this->cache_order.begin();
-  this->cache_events.emplace_back(++this->event_number,
-                                  "stored " + std::to_string(request.prompt_hash));
+  this->cache_events.emplace_back(
+      ++this->event_number, "stored " + std::to_string(request.prompt_hash));
   if (this->cache.size() > this->options.cache_blocks) {
-    this->cache_events.emplace_back(++this->event_number,
-                                    "evicted " + std::to_string(this->cache_order.back()));
+    this->cache_events.emplace_back(
+        ++this->event_number,
+        "evicted " + std::to_string(this->cache_order.back()));
     this->cache.erase(this->cache_order.back());
     this->cache_order.pop_back();
   }
@@ -79,18 +85,21 @@
 void EngineModel::Run() {
   std::unique_lock lock(this->mutex);
   while (!this->stopping) {
-    std::erase_if(this->running, [](const auto& request) { return request->cancelled; });
+    std::erase_if(this->running,
+                  [](const auto& request) { return request->cancelled; });
     const double prefill = this->AdmitAndPrefill();
     if (this->running.empty()) {
       this->changed.wait_for(lock, std::chrono::milliseconds(50));
       continue;
     }
     const auto streams = static_cast<double>(this->running.size());
-    const double step_ms = (this->options.base_ms * std::max(1.0, streams / this->options.knee) +
-                            prefill * this->options.prefill_us_per_token / 1000) *
-                           this->slow;
-    const auto until = std::chrono::steady_clock::now() +
-                       std::chrono::microseconds(static_cast<std::int64_t>(step_ms * 1000));
+    const double step_ms =
+        (this->options.base_ms * std::max(1.0, streams / this->options.knee) +
+         prefill * this->options.prefill_us_per_token / 1000) *
+        this->slow;
+    const auto until =
+        std::chrono::steady_clock::now() +
+        std::chrono::microseconds(static_cast<std::int64_t>(step_ms * 1000));
     lock.unlock();
     std::this_thread::sleep_until(until);
     lock.lock();
@@ -101,7 +110,8 @@
     std::erase_if(this->running, [](const auto& request) {
       return request->cancelled || request->produced >= request->wanted;
     });
-    nlohmann::json report = {{"running", this->running.size()}, {"waiting", this->waiting.size()}};
+    nlohmann::json report = {{"running", this->running.size()},
+                             {"waiting", this->waiting.size()}};
     this->load_reports.emplace_back(until, report.dump());
     while (this->load_reports.size() > 2 &&
            this->load_reports[1].first < until - kReportLag) {
@@ -115,13 +125,15 @@
   std::unique_lock lock(this->mutex);
   this->changed.wait(lock, [&] {
     return this->stopping || request.cancelled ||
-           (!request.muted &&
-            (request.delivered < request.produced || request.delivered >= request.wanted));
+           (!request.muted && (request.delivered < request.produced ||
+                               request.delivered >= request.wanted));
   });
-  if (request.cancelled || this->stopping || request.delivered >= request.wanted) {
+  if (request.cancelled || this->stopping ||
+      request.delivered >= request.wanted) {
     return false;
   }
-  const std::uint64_t word = Hash64(std::to_string(request.delivered), request.prompt_hash);
+  const std::uint64_t word =
+      Hash64(std::to_string(request.delivered), request.prompt_hash);
   token = "w" + std::to_string(word % 1000) + " ";
   request.delivered += 1;
   return true;
@@ -153,7 +165,8 @@
 
 std::string EngineModel::Counts() {
   const std::lock_guard lock(this->mutex);
-  return nlohmann::json({{"runs", this->runs}, {"tokens", this->tokens}}).dump();
+  return nlohmann::json({{"runs", this->runs}, {"tokens", this->tokens}})
+      .dump();
 }
 
 bool EngineModel::Order(const std::string& what, std::uint64_t number) {
@@ -173,7 +186,9 @@
 
 std::string EngineModel::ExportCache(std::uint64_t prompt_hash) {
   const std::lock_guard lock(this->mutex);
-  return this->cache.count(prompt_hash) > 0 ? "kv:" + std::to_string(prompt_hash) : std::string();
+  return this->cache.count(prompt_hash) > 0
+             ? "kv:" + std::to_string(prompt_hash)
+             : std::string();
 }
 
 void EngineModel::ImportCache(const std::string& bytes) {
--- a/standins/enginemodel.h
+++ b/standins/enginemodel.h
@@ -18,8 +18,9 @@
 
 namespace papayarack::standins {
 
-/// How the stand-in behaves. The time of one step is base * max(1, running / knee) plus the
-/// prompt tokens of newly admitted requests: flat while memory-bound, then growing.
+/// How the stand-in behaves. The time of one step is base * max(1, running /
+/// knee) plus the prompt tokens of newly admitted requests: flat while
+/// memory-bound, then growing.
 struct EngineOptions {
   std::size_t slots = 64;
   double base_ms = 20;
@@ -35,15 +36,15 @@
   std::string id;
   std::uint32_t prompt_tokens = 0;
   std::uint64_t prompt_hash = 0;
-  std::uint32_t produced = 0;   ///< Counts from where a resumed stream goes on.
+  std::uint32_t produced = 0;  ///< Counts from where a resumed stream goes on.
   std::uint32_t wanted = 0;
   std::uint32_t delivered = 0;
   bool cancelled = false;
-  bool muted = false;           ///< Its connection has fallen silent for good.
+  bool muted = false;  ///< Its connection has fallen silent for good.
 };
 
-/// Continuous batching in real time, with a limited prefix cache and no priorities.
-/// Thread safety: every method, any thread.
+/// Continuous batching in real time, with a limited prefix cache and no
+/// priorities. Thread safety: every method, any thread.
 class EngineModel {
  public:
   explicit EngineModel(const EngineOptions& options);
@@ -52,20 +53,24 @@
   EngineModel& operator=(const EngineModel&) = delete;
 
   std::shared_ptr<EngineRequest> Submit(std::string id, std::string_view prompt,
-                                        std::uint32_t wanted, std::uint32_t resume_at);
-  /// Waits for the next token. False at the end, or when cancelled. A muted request never ends.
+                                        std::uint32_t wanted,
+                                        std::uint32_t resume_at);
+  /// Waits for the next token. False at the end, or when cancelled. A muted
+  /// request never ends.
   bool NextToken(EngineRequest& request, std::string& token);
   void Cancel(EngineRequest& request);
-  std::string LoadReport();                     ///< JSON; half a second old.
-  std::string CacheEvents(std::uint64_t since); ///< JSON; some events are missing.
-  std::string Counts();                         ///< JSON; runs and tokens so far.
-  /// Takes an order. False when it carries an older fencing number and the engine checks.
+  std::string LoadReport();  ///< JSON; half a second old.
+  std::string CacheEvents(
+      std::uint64_t since);  ///< JSON; some events are missing.
+  std::string Counts();      ///< JSON; runs and tokens so far.
+  /// Takes an order. False when it carries an older fencing number and the
+  /// engine checks.
   bool Order(const std::string& what, std::uint64_t fence);
-  std::string Orders();                         ///< JSON: the orders in force.
+  std::string Orders();  ///< JSON: the orders in force.
   std::string ExportCache(std::uint64_t prompt_hash);
   void ImportCache(const std::string& bytes);
   void SetSlow(double factor);
-  void MuteAll();                               ///< Requests of this moment fall silent.
+  void MuteAll();  ///< Requests of this moment fall silent.
 
  private:
   void Run();
@@ -80,7 +85,8 @@
   std::list<std::uint64_t> cache_order;
   std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> cache;
   std::vector<std::pair<std::uint64_t, std::string>> cache_events;
-  std::deque<std::pair<std::chrono::steady_clock::time_point, std::string>> load_reports;
+  std::deque<std::pair<std::chrono::steady_clock::time_point, std::string>>
+      load_reports;
   std::map<std::string, std::uint32_t> runs;
   std::map<std::string, std::uint64_t> orders;
   std::uint64_t fence = 0;
--- a/standins/plain.cpp
+++ b/standins/plain.cpp
@@ -1,4 +1,5 @@
-// A stand-in for a plain service: counts its calls by request id, never installed.
+// A stand-in for a plain service: counts its calls by request id, never
+// installed.
 #include <httplib.h>
 #include <popt.h>
 
@@ -24,7 +25,8 @@
   char* listen_text = nullptr;
   int latency_ms = 5;
   poptOption table[] = {
-      {"listen", 'l', POPT_ARG_STRING, &listen_text, 0, "address to listen on", "HOST:PORT"},
+      {"listen", 'l', POPT_ARG_STRING, &listen_text, 0, "address to listen on",
+       "HOST:PORT"},
       {"latency-ms", 0, POPT_ARG_INT, &latency_ms, 0, "time of one call", "MS"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("standin_plain", argc, argv, table, 0);
@@ -43,12 +45,14 @@
   server.Get("/counts", [&counts](const auto&, auto& response) {
     const std::lock_guard lock(counts.mutex);
     response.set_content(
-        nlohmann::json({{"by_id", counts.by_id}, {"by_key", counts.by_key}}).dump(),
+        nlohmann::json({{"by_id", counts.by_id}, {"by_key", counts.by_key}})
+            .dump(),
         "application/json");
   });
   const auto serve = [&counts, latency_ms](const httplib::Request& request,
                                            httplib::Response& response) {
-    const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    const nlohmann::json body =
+        nlohmann::json::parse(request.body, nullptr, false);
     {
       const std::lock_guard lock(counts.mutex);
       counts.by_id[request.get_header_value("X-Request-Id")] += 1;
@@ -70,7 +74,8 @@
   server.Patch("/.*", serve);
   server.Delete("/.*", serve);
   if (!server.listen(listen.host.c_str(), listen.port)) {
-    std::cerr << "standin_plain: cannot listen on " << listen.ToString() << "\n";
+    std::cerr << "standin_plain: cannot listen on " << listen.ToString()
+              << "\n";
     return 1;
   }
   return 0;
@@ -79,4 +84,6 @@
 }  // namespace
 }  // namespace papayarack::standins
 
-int main(int argc, const char** argv) { return papayarack::standins::Main(argc, argv); }
+int main(int argc, const char** argv) {
+  return papayarack::standins::Main(argc, argv);
+}
