--- a/src/gate/internal/batchdesk.cpp
+++ b/src/gate/internal/batchdesk.cpp
@@ -136,7 +136,7 @@
     item.answer = std::move(again);
     this->kept_tokens += item.answer.Tokens();
     return true;
-  } else if (end == UpstreamEnd::kNotSent) {
+  } else if (end == UpstreamEnd::kNotSent || end == UpstreamEnd::kUnstarted) {
     this->Report(item, jobs::AttemptEnd::kReturned, {}, std::string(reason));
   } else {
     this->Report(item, jobs::AttemptEnd::kFailed, {},
--- a/src/gate/internal/gateserver.cpp
+++ b/src/gate/internal/gateserver.cpp
@@ -216,7 +216,7 @@
     }
     if (call.id == 0 || !this->upstream->Start(std::move(call))) {
       this->events.TryPush(
-          UpstreamEnded{id, UpstreamEnd::kNotSent, "no worker is free"});
+          UpstreamEnded{id, UpstreamEnd::kUnstarted, "no worker is free"});
     }
   }
 
@@ -478,6 +478,12 @@
   }
 
   void On(const UpstreamEnded& ended) {
+    // Symptom guarded against: items are pulled, returned and pulled again
+    // hundreds of times a second. Their upstream is gone and the next probe
+    // has yet to say so; a refused connection says it at once.
+    if (ended.end == UpstreamEnd::kNotSent) {
+      this->On(ProbeResult{false});
+    }
     const auto found = this->online.find(ended.id);
     if (found != this->online.end()) {
       this->FinishOnline(found, ended);
@@ -494,7 +500,9 @@
   void FinishOnline(std::map<WorkId, OnlineState>::iterator found,
                     const UpstreamEnded& ended) {
     OnlineState& state = found->second;
-    if (ended.end == UpstreamEnd::kNotSent && state.status == 0) {
+    const bool not_run = ended.end == UpstreamEnd::kNotSent ||
+                         ended.end == UpstreamEnd::kUnstarted;
+    if (not_run && state.status == 0) {
       this->RefuseOnlineWork(
           found->first, {ResultCode::kNoUpstream, ended.reason, kProbeEvery});
       return;
--- a/src/gate/internal/upstreamclient.cpp
+++ b/src/gate/internal/upstreamclient.cpp
@@ -75,7 +75,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(call.silence));
     client.set_tcp_nodelay(true);
     if (!this->Enter(call.id, &client)) {
-      this->handlers.on_end(call.id, UpstreamEnd::kNotSent,
+      this->handlers.on_end(call.id, UpstreamEnd::kUnstarted,
                             "cancelled before it was sent");
       return;
     }
--- a/src/gate/upstreamclient.h
+++ b/src/gate/upstreamclient.h
@@ -27,6 +27,7 @@
 enum class UpstreamEnd : std::uint8_t {
   kComplete,  ///< The HTTP answer ended as the protocol says.
   kNotSent,   ///< No connection: certainly not run.
+  kUnstarted, ///< Given up before a connection was tried: certainly not run.
   kBroken,    ///< Cut, silent or cancelled: it may have run.
 };
 
--- a/src/jobs/internal/jobbook.cpp
+++ b/src/jobs/internal/jobbook.cpp
@@ -100,7 +100,7 @@
     case AttemptEnd::kReturned:
       if (holds) {
         this->EndLease(outcome.key);
-        job.items.attempts[outcome.key.item] -= 1;
+        this->TakeBackAttempt(job, outcome.key.item);
         this->RunAgain(job, outcome.key.item);
       }
       return ResultCode::kOk;
--- a/src/jobs/internal/jobleasing.cpp
+++ b/src/jobs/internal/jobleasing.cpp
@@ -127,7 +127,7 @@
       // counted.
       Job& job = this->jobs.at(key.job);
       this->EndLease(key);
-      job.items.attempts[key.item] -= 1;
+      this->TakeBackAttempt(job, key.item);
       this->RunAgain(job, key.item);
     } else {
       this->AttemptLost(key, "the process that ran it restarted",
@@ -146,6 +146,11 @@
   this->jobs.at(key.job).summary.leased -= 1;
 }
 
+void JobBook::TakeBackAttempt(Job& job, std::uint32_t item) {
+  job.items.attempts[item] -= 1;
+  job.summary.attempts -= 1;
+}
+
 void JobBook::RunAgain(Job& job, std::uint32_t item) {
   job.items.state[item] = static_cast<std::uint8_t>(ItemState::kPending);
   job.again.push_back(item);
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -201,6 +201,7 @@
   void EndLease(const ItemKey& key);
   void AttemptLost(const ItemKey& key, std::string_view reason,
                    std::int64_t now_ms);
+  void TakeBackAttempt(Job& job, std::uint32_t item);
   void RunAgain(Job& job, std::uint32_t item);
   void FinishItem(Job& job, std::uint32_t item, ItemState state,
                   std::string_view line, std::int64_t now_ms);
--- a/src/jobs/tests/jobs_tests.cpp
+++ b/src/jobs/tests/jobs_tests.cpp
@@ -125,6 +125,7 @@
       const auto items = desk.Lease("a", 1);
       REQUIRE(items.size() == 1);
       CHECK(items[0].attempt == 1);
+      CHECK(desk.book.Find("j")->attempts == 1);
       desk.End(items[0], AttemptEnd::kReturned);
     }
   }
