--- a/src/global/tests/global_tests.cpp
+++ b/src/global/tests/global_tests.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "global/boundedring.h"
@@ -121,6 +122,26 @@
   }
 }
 
+TEST_CASE("the page of result codes says what the code says") {
+  const std::string page =
+      ReadWholeFile(std::string(PAPAYARACK_SOURCE_DIR) + "/docs/RESULT_CODES.md");
+  std::size_t rows = 0;
+  for (const ResultCodeInfo& info : AllResultCodes()) {
+    const std::string row =
+        "| " + std::to_string(static_cast<int>(info.code)) + " | " +
+        std::string(info.name) + " | " + std::to_string(info.http_status) +
+        " | " + (info.not_run ? "yes" : "no") + " | " +
+        std::string(info.meaning) + " | " + std::string(info.advice) + " |\n";
+    CHECK(page.find(row) != std::string::npos);
+    ++rows;
+  }
+  constexpr std::size_t kHeadRows = 2;
+  CHECK(static_cast<std::size_t>(std::ranges::count(page, '\n')) >=
+        rows + kHeadRows);
+  CHECK(static_cast<std::size_t>(std::ranges::count(page, '|')) ==
+        (rows + kHeadRows) * 7);
+}
+
 TEST_CASE("metrics show counters, gauges and quantiles") {
   Metrics metrics;
   metrics.Add("requests_total", 2);
