--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -106,6 +106,52 @@
   report.Add(std::move(outcome));
 }
 
+/// Keeps `workers` requests going until the end, as a batch that knows no gate
+/// would.
+void RunClosed(const Target& target, const TraceOptions& trace, int workers,
+               LoadReport& report) {
+  const Clock::time_point end =
+      Clock::now() +
+      std::chrono::microseconds(static_cast<std::int64_t>(trace.seconds * 1e6));
+  std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(workers));
+  for (int worker = 0; worker < workers; ++worker) {
+    threads.emplace_back([&target, &trace, &report, worker, end] {
+      TraceRequest request;
+      request.tokens = static_cast<std::uint32_t>(trace.mean_tokens);
+      request.prompt_words = 40;
+      for (std::size_t i = 0; Clock::now() < end; ++i) {
+        const std::size_t number = static_cast<std::size_t>(worker) + i * 1000;
+        request.prefix = static_cast<int>(number);
+        SendOne(target, request, number, Clock::now(), report);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+}
+
+void RunOpen(const Target& target, const TraceOptions& trace,
+             LoadReport& report) {
+  std::vector<std::thread> threads;
+  const Clock::time_point start = Clock::now();
+  std::size_t number = 0;
+  for (const TraceRequest& request : MakeTrace(trace)) {
+    const Clock::time_point due =
+        start + std::chrono::microseconds(
+                    static_cast<std::int64_t>(request.at * 1e6));
+    std::this_thread::sleep_until(due);
+    threads.emplace_back([&target, &report, request, number, due] {
+      SendOne(target, request, number, due, report);
+    });
+    ++number;
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+}
+
 std::vector<Endpoint> ParseTargets(const std::string& text) {
   std::vector<Endpoint> endpoints;
   std::size_t start = 0;
@@ -123,6 +169,7 @@
   char* targets = nullptr;
   char* model = nullptr;
   int seed = 1;
+  int closed = 0;
   poptOption table[] = {
       {"target", 't', POPT_ARG_STRING, &targets, 0, "where to send, in turn",
        "HOST:PORT,..."},
@@ -132,6 +179,8 @@
       {"seconds", 0, POPT_ARG_DOUBLE, &trace.seconds, 0, "length", "S"},
       {"burst", 0, POPT_ARG_DOUBLE, &trace.burst, 0, "rate of bursts", "N"},
       {"tokens", 0, POPT_ARG_DOUBLE, &trace.mean_tokens, 0, "mean answer", "N"},
+      {"closed", 0, POPT_ARG_INT, &closed, 0,
+       "keep so many requests going instead of an open loop", "N"},
       {"seed", 0, POPT_ARG_INT, &seed, 0, "seed of the trace", "N"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("papayarack_load", argc, argv, table, 0);
@@ -144,21 +193,10 @@
   trace.seed = static_cast<std::uint64_t>(seed);
   const Target target{ParseTargets(targets), model};
   LoadReport report;
-  std::vector<std::thread> threads;
-  const Clock::time_point start = Clock::now();
-  std::size_t number = 0;
-  for (const TraceRequest& request : MakeTrace(trace)) {
-    const Clock::time_point due =
-        start + std::chrono::microseconds(
-                    static_cast<std::int64_t>(request.at * 1e6));
-    std::this_thread::sleep_until(due);
-    threads.emplace_back([&target, &report, request, number, due] {
-      SendOne(target, request, number, due, report);
-    });
-    ++number;
-  }
-  for (std::thread& thread : threads) {
-    thread.join();
+  if (closed > 0) {
+    RunClosed(target, trace, closed, report);
+  } else {
+    RunOpen(target, trace, report);
   }
   std::cout << report.Summary().dump(2) << "\n";
   return 0;
--- a/src/documents/internal/servicedocument.cpp
+++ b/src/documents/internal/servicedocument.cpp
@@ -35,6 +35,7 @@
                      "repeatable": {"type": "boolean"}}}},
     "max_queue": {"type": "integer", "minimum": 0, "maximum": 100000},
     "max_concurrent": {"type": "integer", "minimum": 1, "maximum": 4096},
+    "learn_limit": {"type": "boolean"},
     "keep_results_days": {"type": "integer", "minimum": 1, "maximum": 3650}
   }
 })json";
@@ -112,6 +113,7 @@
   parsed.max_queue = document.value("max_queue", parsed.max_queue);
   parsed.max_concurrent =
       document.value("max_concurrent", parsed.max_concurrent);
+  parsed.learn_limit = document.value("learn_limit", parsed.learn_limit);
   parsed.keep_results_days =
       document.value("keep_results_days", parsed.keep_results_days);
   RequireDistinctWork(parsed);
--- a/src/gate/internal/gateserver.cpp
+++ b/src/gate/internal/gateserver.cpp
@@ -164,6 +164,7 @@
     options.learns = this->upstream_settings.kind == "engine";
     if (document != nullptr) {
       options.max_queue = document->max_queue;
+      options.learns = options.learns && document->learn_limit;
       options.limit.max_concurrent =
           std::min<std::uint32_t>(document->max_concurrent, kWorkers - 16);
       const documents::WorkKind* work =
