Finish open answers before an entry stops; replace processes under load in the demo

Cause: the new check stopped an entry while it streamed: 17 of 29 answers were whole. The HTTP library ends every stream in progress as soon as its server is told to stop. Ruled out: the balancer's drain time (the streams were open before) and the gates (their streams went on). Change: an entry that leaves first refuses what is new as not run, waits until no answer is open, and only then stops the server; answers in progress are counted for as long as they live.

--- a/bench/corebench.cpp
+++ b/bench/corebench.cpp
@@ -24,12 +24,14 @@
 
 using Clock = std::chrono::steady_clock;
 
-double NanosEach(std::size_t count, const std::function<void(std::size_t)>& work) {
+double NanosEach(std::size_t count,
+                 const std::function<void(std::size_t)>& work) {
   const Clock::time_point start = Clock::now();
   for (std::size_t i = 0; i < count; ++i) {
     work(i);
   }
-  const auto took = std::chrono::duration<double, std::nano>(Clock::now() - start);
+  const auto took =
+      std::chrono::duration<double, std::nano>(Clock::now() - start);
   return took.count() / static_cast<double>(count);
 }
 
@@ -39,7 +41,8 @@
   std::vector<fleet::FleetMember> members(count);
   for (std::size_t i = 0; i < count; ++i) {
     fleet::ProcessReport& report = members[i].report;
-    report.name = "region-1-zone-" + std::to_string(i % 17) + "-side-" + std::to_string(i);
+    report.name = "region-1-zone-" + std::to_string(i % 17) + "-side-" +
+                  std::to_string(i);
     report.role = "side";
     report.kind = "engine";
     report.service = "counter";
@@ -61,10 +64,12 @@
     const double heap = HeapBytes() - before;
     const std::size_t rounds = 400000 / count + 20;
     const double nanos = NanosEach(rounds, [&](std::size_t i) {
-      const auto gate = router.Choose({"counter", i % 20, {}}, Time(Duration(i)));
+      const auto gate =
+          router.Choose({"counter", i % 20, {}}, Time(Duration(i)));
       router.Finish(*gate);
     });
-    rows.push_back({{"candidates", count}, {"ns", nanos}, {"heap_bytes", heap}});
+    rows.push_back(
+        {{"candidates", count}, {"ns", nanos}, {"heap_bytes", heap}});
   }
   return rows;
 }
@@ -88,7 +93,8 @@
     const double token = NanosEach(200000, [&](std::size_t i) {
       core.Token(1 + i % running, Time(Duration(i)));
     });
-    rows.push_back({{"running", running}, {"request_ns", request}, {"token_ns", token}});
+    rows.push_back(
+        {{"running", running}, {"request_ns", request}, {"token_ns", token}});
   }
   return rows;
 }
@@ -140,9 +146,11 @@
       statemachine::PullItems pull;
       pull.outcomes = std::exchange(outcomes, {});
       pull.lease = {"gate", 1, "counter", 16, 0, 1000000, {}};
-      const auto reply = DecodeMessage<statemachine::LeaseReply>(desk.Run(pull).body);
+      const auto reply =
+          DecodeMessage<statemachine::LeaseReply>(desk.Run(pull).body);
       for (const jobs::LeasedItem& item : reply.items) {
-        outcomes.push_back({item.key, item.attempt, 0, std::string(kResultBytes, 'r'), {}});
+        outcomes.push_back(
+            {item.key, item.attempt, 0, std::string(kResultBytes, 'r'), {}});
       }
       done += reply.items.size();
       if (reply.items.empty()) {
@@ -151,13 +159,15 @@
     }
     const double nanos =
         std::chrono::duration<double, std::nano>(Clock::now() - start).count();
-    rows.push_back({{"items", items},
-                    {"state_bytes_per_item", static_cast<double>(state) / static_cast<double>(items)},
-                    {"input_log_bytes_per_item",
-                     static_cast<double>(input_log) / static_cast<double>(items)},
-                    {"log_bytes_per_item",
-                     static_cast<double>(desk.log_bytes) / static_cast<double>(items)},
-                    {"apply_ns_per_item", nanos / static_cast<double>(items)}});
+    rows.push_back(
+        {{"items", items},
+         {"state_bytes_per_item",
+          static_cast<double>(state) / static_cast<double>(items)},
+         {"input_log_bytes_per_item",
+          static_cast<double>(input_log) / static_cast<double>(items)},
+         {"log_bytes_per_item",
+          static_cast<double>(desk.log_bytes) / static_cast<double>(items)},
+         {"apply_ns_per_item", nanos / static_cast<double>(items)}});
   }
   return rows;
 }
@@ -168,13 +178,16 @@
     Desk desk;
     const std::string text(1500, 'd');
     const double nanos = NanosEach(services, [&](std::size_t i) {
-      desk.Run(statemachine::SubmitDocument{"service-" + std::to_string(i), 1, text});
+      desk.Run(statemachine::SubmitDocument{"service-" + std::to_string(i), 1,
+                                            text});
     });
-    const double state = static_cast<double>(desk.machine.documents().Save().size());
+    const double state =
+        static_cast<double>(desk.machine.documents().Save().size());
     rows.push_back({{"services", services},
                     {"apply_ns", nanos},
                     {"state_bytes_each", state / static_cast<double>(services)},
-                    {"log_bytes_each", static_cast<double>(desk.log_bytes) / static_cast<double>(services)}});
+                    {"log_bytes_each", static_cast<double>(desk.log_bytes) /
+                                           static_cast<double>(services)}});
   }
   return rows;
 }
@@ -199,13 +212,15 @@
     });
     control::HeartbeatReply list;
     list.members = table.Members(Time{});
-    rows.push_back({{"members", members},
-                    {"ns", nanos},
-                    {"request_bytes", bytes.size()},
-                    {"reply_bytes", EncodeMessage(control::HeartbeatReply{}).size()},
-                    {"list_bytes_per_member", static_cast<double>(EncodeMessage(list).size()) /
-                                                  static_cast<double>(members)},
-                    {"heap_per_member", heap}});
+    rows.push_back(
+        {{"members", members},
+         {"ns", nanos},
+         {"request_bytes", bytes.size()},
+         {"reply_bytes", EncodeMessage(control::HeartbeatReply{}).size()},
+         {"list_bytes_per_member",
+          static_cast<double>(EncodeMessage(list).size()) /
+              static_cast<double>(members)},
+         {"heap_per_member", heap}});
   }
   return rows;
 }
@@ -213,8 +228,9 @@
 /// Appends and syncs of batches of 1 KB entries on the real disk.
 nlohmann::json SyncCosts() {
   nlohmann::json rows = nlohmann::json::array();
-  const std::string folder =
-      (std::filesystem::temp_directory_path() / ("papayarack-core-" + std::to_string(getpid()))).string();
+  const std::string folder = (std::filesystem::temp_directory_path() /
+                              ("papayarack-core-" + std::to_string(getpid())))
+                                 .string();
   const auto files = storage::OpenPosixFileSystem(folder);
   consensus::DurableLog log(*files, 0);
   log.Recover();
@@ -248,13 +264,14 @@
 
 int main() {
   using namespace papayarack::bench;  // NOLINT(google-build-using-namespace)
-  const nlohmann::json result = {{"router", RouterCosts()},
-                                 {"gate", GateCosts()},
-                                 {"items", ItemCosts()},
-                                 {"documents", DocumentCosts()},
-                                 {"heartbeats", HeartbeatCosts()},
-                                 {"sync", SyncCosts()},
-                                 {"online_message_bytes", OnlineMessageBytes()}};
+  const nlohmann::json result = {
+      {"router", RouterCosts()},
+      {"gate", GateCosts()},
+      {"items", ItemCosts()},
+      {"documents", DocumentCosts()},
+      {"heartbeats", HeartbeatCosts()},
+      {"sync", SyncCosts()},
+      {"online_message_bytes", OnlineMessageBytes()}};
   std::cout << result.dump(2) << "\n";
   return 0;
 }
--- a/src/entry/entryserver.h
+++ b/src/entry/entryserver.h
@@ -22,9 +22,11 @@
   /// Unhealthy from now on, so that the balancer moves on; requests are still
   /// served.
   void BeginLeave();
-  /// Stops accepting connections; those that are open are served to their end.
-  void StopAccepting();
-  std::size_t BusyConnections() const;
+  /// Refuses new requests as not run, so that open answers can come to an end.
+  void RefuseNew();
+  /// Answers in progress. The process may go once there are none: the HTTP
+  /// library cuts streams that are open when it is stopped.
+  std::size_t OpenAnswers() const;
   nlohmann::json Dump() const;
   bool Healthy() const;
 
--- a/src/entry/internal/batchapi.cpp
+++ b/src/entry/internal/batchapi.cpp
@@ -78,12 +78,14 @@
 }
 
 /// Streams parts until one is empty. `next` gives the next part.
-void StreamParts(httplib::Response& response,
+void StreamParts(EntryContext& context, httplib::Response& response,
                  std::function<std::optional<std::string>()> next) {
   auto shared = std::make_shared<std::function<std::optional<std::string>()>>(
       std::move(next));
   response.set_chunked_content_provider(
-      "application/jsonl", [shared](std::size_t, httplib::DataSink& sink) {
+      "application/jsonl",
+      [shared, open = std::make_shared<OpenAnswer>(context)](
+          std::size_t, httplib::DataSink& sink) {
         try {
           const std::optional<std::string> part = (*shared)();
           if (!part.has_value()) {
@@ -110,18 +112,19 @@
   };
   auto part = std::make_shared<control::ResultsReply>(read(0));
   auto over = std::make_shared<bool>(false);
-  StreamParts(response, [read, part, over]() -> std::optional<std::string> {
-    if (*over) {
-      return std::nullopt;
-    }
-    std::string lines = std::move(part->lines);
-    if (part->next_item >= part->items) {
-      *over = true;
-    } else {
-      *part = read(part->next_item);
-    }
-    return lines;
-  });
+  StreamParts(context, response,
+              [read, part, over]() -> std::optional<std::string> {
+                if (*over) {
+                  return std::nullopt;
+                }
+                std::string lines = std::move(part->lines);
+                if (part->next_item >= part->items) {
+                  *over = true;
+                } else {
+                  *part = read(part->next_item);
+                }
+                return lines;
+              });
 }
 
 void StreamFile(EntryContext& context, const std::string& team,
@@ -134,17 +137,18 @@
   };
   auto part = std::make_shared<control::FileReply>(read(0));
   auto sent = std::make_shared<std::uint64_t>(0);
-  StreamParts(response, [read, part, sent]() -> std::optional<std::string> {
-    if (*sent >= part->size || part->bytes.empty()) {
-      return std::nullopt;
-    }
-    std::string bytes = std::move(part->bytes);
-    *sent += bytes.size();
-    if (*sent < part->size) {
-      *part = read(*sent);
-    }
-    return bytes;
-  });
+  StreamParts(context, response,
+              [read, part, sent]() -> std::optional<std::string> {
+                if (*sent >= part->size || part->bytes.empty()) {
+                  return std::nullopt;
+                }
+                std::string bytes = std::move(part->bytes);
+                *sent += bytes.size();
+                if (*sent < part->size) {
+                  *part = read(*sent);
+                }
+                return bytes;
+              });
 }
 
 void ReadContent(EntryContext& context, const httplib::Request& request,
@@ -274,14 +278,7 @@
 }  // namespace
 
 void AddBatchApi(httplib::Server& server, EntryContext& context) {
-  using Handler =
-      void (*)(EntryContext&, const httplib::Request&, httplib::Response&);
-  const auto guarded = [&context](Handler handler) {
-    return [&context, handler](const httplib::Request& request,
-                               httplib::Response& response) {
-      Guarded(response, [&] { handler(context, request, response); });
-    };
-  };
+  const GuardedRoutes guarded(context);
   server.Post("/v1/files", guarded(Upload));
   server.Get(R"(/v1/files/([^/]+)/content)", guarded(ReadContent));
   server.Post("/v1/batches", guarded(CreateBatch));
--- a/src/entry/internal/entrycontext.h
+++ b/src/entry/internal/entrycontext.h
@@ -1,10 +1,13 @@
 #ifndef PAPAYARACK_ENTRY_INTERNAL_ENTRYCONTEXT_H_
 #define PAPAYARACK_ENTRY_INTERNAL_ENTRYCONTEXT_H_
 
+#include <httplib.h>
+
 #include <atomic>
 
 #include "control/controlclient.h"
 #include "entry/fleetview.h"
+#include "entry/internal/httperror.h"
 #include "global/metrics.h"
 #include "global/settings.h"
 #include "transport/peerclient.h"
@@ -21,10 +24,45 @@
   control::ControlClient& control;
   std::atomic<bool>& leaving;
   std::atomic<std::size_t>& busy_connections;
+  std::atomic<std::size_t>& open_answers;
 };
 
 inline constexpr std::chrono::milliseconds kControlPatience{8000};
 
+/// Counts one answer in progress for as long as it lives; answers hold it by a
+/// shared pointer, since the HTTP library copies their providers.
+class OpenAnswer {
+ public:
+  explicit OpenAnswer(EntryContext& context) : context(context) {
+    ++this->context.open_answers;
+  }
+  ~OpenAnswer() { --this->context.open_answers; }
+  OpenAnswer(const OpenAnswer&) = delete;
+  OpenAnswer& operator=(const OpenAnswer&) = delete;
+
+ private:
+  EntryContext& context;
+};
+
+/// Makes HTTP handlers whose errors become error responses.
+class GuardedRoutes {
+ public:
+  using Handler = void (*)(EntryContext&, const httplib::Request&,
+                           httplib::Response&);
+  explicit GuardedRoutes(EntryContext& context) : context(context) {}
+
+  httplib::Server::Handler operator()(Handler handler) const {
+    return [&shared = this->context, handler](const httplib::Request& request,
+                                              httplib::Response& response) {
+      const OpenAnswer open(shared);
+      Guarded(response, [&] { handler(shared, request, response); });
+    };
+  }
+
+ private:
+  EntryContext& context;
+};
+
 }  // namespace papayarack::entry
 
 #endif  // PAPAYARACK_ENTRY_INTERNAL_ENTRYCONTEXT_H_
--- a/src/entry/internal/entryserver.cpp
+++ b/src/entry/internal/entryserver.cpp
@@ -34,7 +34,7 @@
                0.34, 3.0, 0.75}),
         control(client, settings.control),
         context{this->settings, metrics, fleet, client,
-                control,        leaving, busy} {
+                control,        leaving, busy,  open_answers} {
     this->Configure();
     const Endpoint listen = ParseEndpoint(settings.http_listen, "/http_listen");
     if (!this->server.bind_to_port(listen.host.c_str(), listen.port)) {
@@ -96,6 +96,13 @@
     if (crowded || this->leaving) {
       response.set_header("Connection", "close");
     }
+    if (this->closing) {
+      SetError(response,
+               {ResultCode::kLeaving, "this entry is shutting down",
+                std::chrono::milliseconds(100)},
+               true);
+      return httplib::Server::HandlerResponse::Handled;
+    }
     if (!this->ready) {
       SetError(response,
                {ResultCode::kNotReady,
@@ -163,6 +170,8 @@
   std::atomic<bool> stopping = false;
   std::atomic<bool> ready = false;
   std::atomic<std::size_t> busy = 0;
+  std::atomic<std::size_t> open_answers = 0;
+  std::atomic<bool> closing = false;
   std::atomic<Time> last_control = Time{};
   EntryContext context;
   httplib::Server server;
@@ -177,9 +186,11 @@
 
 void EntryServer::BeginLeave() { this->impl->leaving = true; }
 
-void EntryServer::StopAccepting() { this->impl->server.stop(); }
+void EntryServer::RefuseNew() { this->impl->closing = true; }
 
-std::size_t EntryServer::BusyConnections() const { return this->impl->busy; }
+std::size_t EntryServer::OpenAnswers() const {
+  return this->impl->open_answers;
+}
 
 bool EntryServer::Healthy() const {
   return this->impl->ready && !this->impl->leaving;
--- a/src/entry/internal/onlineapi.cpp
+++ b/src/entry/internal/onlineapi.cpp
@@ -224,6 +224,8 @@
 
 /// A streamed answer between two calls of the HTTP library.
 struct StreamState {
+  explicit StreamState(EntryContext& context) : open(context) {}
+  OpenAnswer open;
   std::unique_ptr<OnlineCall> call;
   std::optional<OpenClaim> claim;
   std::string kept;
@@ -269,7 +271,7 @@
 void AnswerStream(EntryContext& context, Prepared prepared,
                   httplib::Response& response) {
   std::optional<claims::ClaimOutcome> answered;
-  auto state = std::make_shared<StreamState>();
+  auto state = std::make_shared<StreamState>(context);
   state->claim = Claim(context, prepared, answered);
   if (answered.has_value()) {
     response.status = answered->status;
@@ -305,6 +307,7 @@
 
 void Answer(EntryContext& context, Prepared prepared,
             httplib::Response& response) {
+  const OpenAnswer open(context);
   response.set_header(header::kRequestId, prepared.caller.request_id);
   const Time came = MonotonicNow();
   if (prepared.request.stream) {
--- a/src/entry/internal/operatorapi.cpp
+++ b/src/entry/internal/operatorapi.cpp
@@ -135,14 +135,7 @@
 }  // namespace
 
 void AddOperatorApi(httplib::Server& server, EntryContext& context) {
-  using Handler =
-      void (*)(EntryContext&, const httplib::Request&, httplib::Response&);
-  const auto guarded = [&context](Handler handler) {
-    return [&context, handler](const httplib::Request& request,
-                               httplib::Response& response) {
-      Guarded(response, [&] { handler(context, request, response); });
-    };
-  };
+  const GuardedRoutes guarded(context);
   server.Put(R"(/v1/services/([^/]+))", guarded(PutService));
   server.Get(R"(/v1/services/([^/]+))", guarded(GetService));
   server.Get("/v1/status", guarded(GetStatus));
--- a/src/roles/internal/rolesmodule.cpp
+++ b/src/roles/internal/rolesmodule.cpp
@@ -113,9 +113,8 @@
   if (process.entry != nullptr) {
     process.entry->BeginLeave();
     std::this_thread::sleep_for(process.settings.drain);
-    process.entry->StopAccepting();
-    WaitUntil([&process] { return process.entry->BusyConnections() == 0; },
-              grace);
+    process.entry->RefuseNew();
+    WaitUntil([&process] { return process.entry->OpenAnswers() == 0; }, grace);
     process.entry.reset();
   }
   for (const auto& gate : process.gates) {
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -83,19 +83,20 @@
              f"{beat_kb + change_kb + entry_list_kb:.2f} KB/s | {NET_KB} KB/s | "
              f"{verdict(beat_kb + change_kb + entry_list_kb <= NET_KB)} |",
              f"| control's decisions on a side | {side_core * 100:.3f}% of a core | "
-             f"{CORE_SHARE * 100}% | {verdict(side_core <= CORE_SHARE)} |",
+             f"{CORE_SHARE * 100:.1f}% | {verdict(side_core <= CORE_SHARE)} |",
              f"| choosing on an entry, all {REPLICAS} gates as candidates | "
-             f"{entry_core * 100:.2f}% of a core | {CORE_SHARE * 100}% | "
+             f"{entry_core * 100:.2f}% of a core | {CORE_SHARE * 100:.1f}% | "
              f"{verdict(entry_core <= CORE_SHARE)} |",
              f"| choosing on an entry, a subset of 128 (not built) | "
-             f"{per_entry * route_128 / 1e9 * 100:.3f}% of a core | {CORE_SHARE * 100}% | "
+             f"{per_entry * route_128 / 1e9 * 100:.3f}% of a core | {CORE_SHARE * 100:.1f}% | "
              f"{verdict(per_entry * route_128 / 1e9 <= CORE_SHARE)} |",
              f"| memory of a control member: open jobs | {job_state_mb:.0f} MB in one group | "
              f"{MEMORY_MB} MB | {verdict(job_state_mb <= MEMORY_MB)} |",
-             f"| control VMs | 5 with one group | {CONTROL_VMS} | met |",
              f"| leader's processor (applying, heartbeats) | {leader_core * 100:.1f}% of a core | "
              f"100% | {verdict(leader_core <= 1)} |",
-             f"| log written by each member | {log_mb_s:.1f} MB/s | a disk | met |", "",
+             f"| log written by each member | {log_mb_s:.1f} MB/s | none stated | |",
+             f"| control VMs | not worked out: the state above needs more than one group | "
+             f"{CONTROL_VMS} | **not met** |", "",
              "Control VMs are set aside, so the 1.4% binds the other nodes; the 64 MB is read as",
              "binding both.", "",
              "## What carries each line, and what does not hold today", "",
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -56,6 +56,7 @@
         print(f"  online {name:18} without batch p50 {without[name]['p50']:6.1f} "
               f"p99 {without[name]['p99']:6.1f} | beside batch p50 {beside[name]['p50']:6.1f} "
               f"p99 {beside[name]['p99']:6.1f}")
+    print(f"  statuses {without['statuses']}, {beside['statuses']}")
     check("every online request was answered whole, with and without batch",
           without["whole"] == without["requests"] and beside["whole"] == beside["requests"])
 
@@ -146,12 +147,43 @@
         lost = answers["requests"] - answers["whole"]
         check("online requests were lost only with the engine that died (at most 12)", lost <= 12)
         check_job(other, "kivu", job)
-        check("a side stops gracefully", fleet.stop("side-1") == 0)
-        check("an entry stops gracefully", fleet.stop("entry-3") == 0)
+        replace_under_load(fleet, settings, folder, entry)
+        stop_entry_under_load(fleet)
     finally:
         fleet.stop_all()
 
 
+def replace_under_load(fleet, settings, folder, entry):
+    """Three sides and two control members are replaced one by one while callers ask."""
+    online = fl.load(entry, "counter-lm", 30, 9, tokens=20)
+    time.sleep(0.5)
+    ended = []
+    for i in (1, 2, 3):
+        ended.append(fleet.stop(f"side-{i}"))
+        fleet.role("side", f"side-{i}", settings / f"side-{i:02}.json")
+        time.sleep(0.5)
+    for i in (1, 2):
+        ended.append(fleet.stop(f"control-{i}"))
+        fleet.role("control", f"control-{i}", folder / f"control-{i}.json")
+        time.sleep(1.5)
+    answers = fl.load_result(online)
+    print(f"  3 sides and 2 control members replaced under load: {answers['whole']} of "
+          f"{answers['requests']} answers whole, {answers['statuses']}")
+    check("a graceful replacement cuts no request",
+          answers["whole"] == answers["requests"] and not any(ended))
+
+
+def stop_entry_under_load(fleet):
+    """An entry is asked to stop while it streams long answers; it finishes them."""
+    online = fl.load("127.0.0.1:7212", "counter-lm", 30, 1, tokens=100, burst=1)
+    time.sleep(1.3)
+    code = fleet.stop("entry-3")
+    answers = fl.load_result(online)
+    print(f"  an entry stopped while streaming: {answers['whole']} of {answers['requests']} whole")
+    check("an entry that stops finishes what it streams",
+          code == 0 and answers["whole"] == answers["requests"] > 0)
+
+
 def main():
     with tempfile.TemporaryDirectory(prefix="papayarack-demo-") as folder:
         for name, part in (("solo", solo), ("separate", separate)):
