--- a/src/consensus/tests/raftcore_tests.cpp
+++ b/src/consensus/tests/raftcore_tests.cpp
@@ -149,6 +149,56 @@
   CHECK(ready.after_sync.front().term == 6);
 }
 
+// Symptom: two leaders in one term. Sequence: a member votes, loses power,
+// comes back and votes for another candidate of the same term. Cause: it forgot
+// its vote, which left before it was on disk. The random histories alone did
+// not find this bug when it was planted.
+TEST_CASE("a vote survives the loss of power") {
+  RaftOptions options;
+  options.self = 2;
+  SnapshotMeta first;
+  first.members.members = {{1, "m1", true}, {2, "m2", true}, {3, "m3", true}};
+  RaftCore before(options, {}, first, {}, Time{});
+  before.Step({0, 1, 2, 5, VoteRequest{false, false, 0, 0}}, Time{});
+  const RaftReady ready = before.TakeReady();
+  REQUIRE(ready.after_sync.size() == 1);
+  REQUIRE(std::get<VoteResponse>(ready.after_sync.front().body).granted);
+  REQUIRE(ready.hard_state.has_value());
+  RaftCore after(options, *ready.hard_state, first, {}, Time{});
+  after.Step({0, 3, 2, 5, VoteRequest{false, false, 0, 0}}, Time{});
+  const RaftReady again = after.TakeReady();
+  REQUIRE(again.after_sync.size() == 1);
+  CHECK_FALSE(std::get<VoteResponse>(again.after_sync.front().body).granted);
+}
+
+// Symptom: a committed entry is replaced. Sequence: a new leader finds an entry
+// of an older term on a majority, calls it committed and dies; another member
+// with a later entry of another term is elected and overwrites it. Cause: a
+// majority that holds an older term's entry is no promise (Raft, figure 8).
+TEST_CASE("an entry of an older term is not committed by counting copies") {
+  RaftOptions options;
+  options.self = 1;
+  SnapshotMeta first;
+  first.members.members = {{1, "m1", true}, {2, "m2", true}, {3, "m3", true}};
+  Entry old;
+  old.term = 1;
+  old.index = 1;
+  old.kind = static_cast<std::uint8_t>(EntryKind::kCommand);
+  RaftCore core(options, {2, 0}, first, {old}, Time{});
+  const Time late = Time{} + 2 * options.election + kMillisecond;
+  core.Tick(late);
+  core.Step({0, 2, 1, 3, VoteResponse{true, true}}, late);
+  core.Step({0, 2, 1, 3, VoteResponse{false, true}}, late);
+  REQUIRE(core.role() == RaftRole::kLeader);
+  REQUIRE(core.term() == 3);
+  core.Step({0, 2, 1, 3, AppendResponse{true, 1, 0}}, late);
+  CHECK(core.commit() == 0);
+  const RaftReady ready = core.TakeReady();
+  core.Persisted(ready.batch);
+  core.Step({0, 2, 1, 3, AppendResponse{true, 2, 0}}, late);
+  CHECK(core.commit() == 2);
+}
+
 TEST_CASE("members change one at a time") {
   RaftCluster cluster(3);
   cluster.RunCalm(100);
--- a/src/introspection/internal/httplisten.cpp
+++ b/src/introspection/internal/httplisten.cpp
@@ -25,9 +25,9 @@
   });
   if (!server.bind_to_port(listen.host.c_str(), listen.port) ||
       ::listen(bound, kBacklog) != 0) {
-    throw ResultError(ResultCode::kBadInput, "[" + std::string(field) +
-                                                 "] cannot listen on " +
-                                                 listen.ToString());
+    throw ResultError(
+        ResultCode::kBadInput,
+        "[" + std::string(field) + "] cannot listen on " + listen.ToString());
   }
 }
 
