--- a/src/control/internal/groupmember.cpp
+++ b/src/control/internal/groupmember.cpp
@@ -226,7 +226,7 @@
   }
   consensus::RaftReady ready = this->core->TakeReady();
   if (!ready.before_sync.empty()) {
-    this->handlers.send(std::move(ready.before_sync));
+    this->handlers.send(ready.before_sync);
   }
   this->writer->Offer(ready);
   try {
--- a/src/transport/internal/http2session.cpp
+++ b/src/transport/internal/http2session.cpp
@@ -191,8 +191,10 @@
 
 std::string_view Http2Session::PathOf(std::int32_t stream) const {
   const auto found = this->outgoing.find(stream);
-  return found != this->outgoing.end() ? std::string_view(found->second.path)
-                                       : std::string_view();
+  if (found == this->outgoing.end()) {
+    return {};
+  }
+  return found->second.path;
 }
 
 void Http2Session::Flush() {
