--- a/tools/bench.py
+++ b/tools/bench.py
@@ -177,22 +177,16 @@
                 print(f"| {quantile} | added {added:.2f} ms | ratio {part:.3f} |")
 
 
-def control(arguments):
-    """Completions a second through one group, by members, and the time of a change."""
-    binary = fl.BUILD / "bench/papayarack_controlbench"
-    subprocess.run([str(binary), "--seed", str(arguments.seed)], check=True)
-
-
 def main():
     parser = argparse.ArgumentParser(prog="tools/bench")
-    parser.add_argument("name", choices=["policy", "path", "control"])
+    parser.add_argument("name", choices=["policy", "path"])
     parser.add_argument("--profile", choices=PROFILES, default="kivu")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--warm", type=float, default=6)
     arguments = parser.parse_args()
-    {"policy": policy, "path": path, "control": control}[arguments.name](arguments)
+    {"policy": policy, "path": path}[arguments.name](arguments)
     return 0
 
 
