--- a/src/gate/gatecore.h
+++ b/src/gate/gatecore.h
@@ -143,7 +143,6 @@
   std::map<std::uint32_t, UrgencyQueue> waiting;
   std::size_t waiting_count = 0;
   std::multimap<Time, WorkId> waiting_batch;  ///< By due time.
-  std::map<WorkId, Time> batch_due;  ///< Due time of running batch work.
   Time last_batch_start{};
   Duration mean_service{std::chrono::milliseconds(500)};
   bool upstream_up = true;
--- a/src/gate/internal/gatecore.cpp
+++ b/src/gate/internal/gatecore.cpp
@@ -194,7 +194,6 @@
       return;  // It was preempted and the upstream has not yet let go of it.
     }
     this->last_batch_start = now;
-    this->batch_due[first->second] = first->first;
     const WorkId id = first->second;
     this->waiting_batch.erase(first);
     this->StartNow(id, false, now, actions);
@@ -238,7 +237,6 @@
     }
     this->dropped_count -= run->second.dropped ? 1 : 0;
     this->running.erase(run);
-    this->batch_due.erase(id);
   }
   this->Fill(now, actions);
   return actions;
