--- /dev/null
+++ b/bench/loadreport.h
@@ -0,0 +1,33 @@
+#ifndef PAPAYARACK_BENCH_LOADREPORT_H_
+#define PAPAYARACK_BENCH_LOADREPORT_H_
+
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace papayarack::bench {
+
+/// What became of one request; times in milliseconds.
+struct RequestOutcome {
+  int status = 0;
+  bool whole = false;
+  double first_token = 0;  ///< From the time it was due, not from when it was sent.
+  double total = 0;
+  std::vector<double> gaps;  ///< Between tokens.
+};
+
+/// Collects outcomes and sums them up. Thread safety: any thread.
+class LoadReport {
+ public:
+  void Add(RequestOutcome outcome);
+  nlohmann::json Summary() const;
+
+ private:
+  mutable std::mutex mutex;
+  std::vector<RequestOutcome> outcomes;
+};
+
+}  // namespace papayarack::bench
+
+#endif  // PAPAYARACK_BENCH_LOADREPORT_H_
--- a/src/claims/claimbook.h
+++ b/src/claims/claimbook.h
@@ -19,20 +19,25 @@
   kUnknown = 2,   ///< It may have run; it never runs again under this key.
 };
 
-/// A request that may not be repeated, before its first byte goes to an upstream.
+/// A request that may not be repeated, before its first byte goes to an
+/// upstream.
 struct ClaimRequest {
   std::string owner;
   std::string key;
   std::string content_hash;
-  std::string claim_id;  ///< Made once for each attempt to claim, so that a resend is known.
+  std::string claim_id;  ///< Made once for each attempt to claim, so that a
+                         ///< resend is known.
   std::int64_t now_ms = 0;
   std::int64_t keep_ms = 0;
-  std::int64_t deadline_ms = 0;  ///< Wall time at which a running claim becomes unknown.
-  MSGPACK_DEFINE(owner, key, content_hash, claim_id, now_ms, keep_ms, deadline_ms)
+  std::int64_t deadline_ms =
+      0;  ///< Wall time at which a running claim becomes unknown.
+  MSGPACK_DEFINE(owner, key, content_hash, claim_id, now_ms, keep_ms,
+                 deadline_ms)
 };
 
 struct ClaimOutcome {
-  int code = 0;  ///< kOk: go ahead. kAlreadyDone: `answer`. kStillRunning, kUnknownOutcome, kConflict.
+  int code = 0;  ///< kOk: go ahead. kAlreadyDone: `answer`. kStillRunning,
+                 ///< kUnknownOutcome, kConflict.
   int status = 0;
   std::string content_type;
   std::string answer;
@@ -45,15 +50,18 @@
   std::string key;
   std::string claim_id;
   std::uint8_t state = 0;
-  bool not_run = false;  ///< Certainly not run: the claim is freed and may be made again.
+  bool not_run =
+      false;  ///< Certainly not run: the claim is freed and may be made again.
   int status = 0;
   std::string content_type;
   std::string answer;
-  MSGPACK_DEFINE(owner, key, claim_id, state, not_run, status, content_type, answer)
+  MSGPACK_DEFINE(owner, key, claim_id, state, not_run, status, content_type,
+                 answer)
 };
 
-/// Idempotency keys of requests that may not be repeated: at most one request for each key is
-/// ever let through, whichever entry it comes by. Deterministic. Thread safety: none.
+/// Idempotency keys of requests that may not be repeated: at most one request
+/// for each key is ever let through, whichever entry it comes by.
+/// Deterministic. Thread safety: none.
 class ClaimBook {
  public:
   ClaimOutcome Claim(const ClaimRequest& request);
@@ -75,8 +83,8 @@
     int status = 0;
     std::string content_type;
     std::string answer;
-    MSGPACK_DEFINE(content_hash, claim_id, state, expires_ms, deadline_ms, status, content_type,
-                   answer)
+    MSGPACK_DEFINE(content_hash, claim_id, state, expires_ms, deadline_ms,
+                   status, content_type, answer)
   };
   using Key = std::pair<std::string, std::string>;
   std::map<Key, Entry> claims;
--- a/src/claims/internal/claimbook.cpp
+++ b/src/claims/internal/claimbook.cpp
@@ -4,7 +4,8 @@
 
 ClaimOutcome ClaimBook::Claim(const ClaimRequest& request) {
   ClaimOutcome outcome;
-  const auto [place, fresh] = this->claims.try_emplace({request.owner, request.key});
+  const auto [place, fresh] =
+      this->claims.try_emplace({request.owner, request.key});
   Entry& entry = place->second;
   if (fresh) {
     entry.content_hash = request.content_hash;
@@ -19,7 +20,8 @@
   }
   if (entry.claim_id == request.claim_id &&
       entry.state == static_cast<std::uint8_t>(ClaimState::kRunning)) {
-    return outcome;  // The entry lost our answer and asks again; it has not gone ahead yet.
+    return outcome;  // The entry lost our answer and asks again; it has not
+                     // gone ahead yet.
   }
   switch (static_cast<ClaimState>(entry.state)) {
     case ClaimState::kAnswered:
@@ -34,11 +36,12 @@
     case ClaimState::kRunning:
       break;
   }
-  // Past its deadline nobody can be at work on it any more, but whether it ran is not known:
-  // the entry that claimed it may have died before or after the first byte.
+  // Past its deadline nobody can be at work on it any more, but whether it ran
+  // is not known: the entry that claimed it may have died before or after the
+  // first byte.
   const bool overdue = request.now_ms > entry.deadline_ms;
-  outcome.code =
-      static_cast<int>(overdue ? ResultCode::kUnknownOutcome : ResultCode::kStillRunning);
+  outcome.code = static_cast<int>(overdue ? ResultCode::kUnknownOutcome
+                                          : ResultCode::kStillRunning);
   return outcome;
 }
 
@@ -59,8 +62,9 @@
 }
 
 void ClaimBook::Expire(std::int64_t now_ms) {
-  std::erase_if(this->claims,
-                [now_ms](const auto& entry) { return entry.second.expires_ms <= now_ms; });
+  std::erase_if(this->claims, [now_ms](const auto& entry) {
+    return entry.second.expires_ms <= now_ms;
+  });
 }
 
 std::string ClaimBook::Save() const { return EncodeMessage(this->claims); }
--- a/src/cli/commandtable.h
+++ b/src/cli/commandtable.h
@@ -13,14 +13,16 @@
 /// What the program's exit codes mean; docs/API.md lists them.
 enum class ExitCode : int {
   kOk = 0,
-  kRefused = 1,      ///< The work was refused or failed; the message carries the result code.
-  kUsage = 2,        ///< The command line is wrong.
-  kBadInput = 3,     ///< A file breaks its rules.
-  kNotInForce = 4,   ///< The revision is not in force everywhere in time.
-  kConflict = 5,     ///< Another content holds this version.
+  kRefused = 1,     ///< The work was refused or failed; the message carries the
+                    ///< result code.
+  kUsage = 2,       ///< The command line is wrong.
+  kBadInput = 3,    ///< A file breaks its rules.
+  kNotInForce = 4,  ///< The revision is not in force everywhere in time.
+  kConflict = 5,    ///< Another content holds this version.
 };
 
-/// One option of a command: --name VALUE, or --name alone when `value_name` is empty.
+/// One option of a command: --name VALUE, or --name alone when `value_name` is
+/// empty.
 struct OptionSpec {
   std::string name;
   std::string value_name;
@@ -32,7 +34,9 @@
   std::map<std::string, std::string, std::less<>> options;
   std::vector<std::string> operands;
 
-  bool Has(std::string_view name) const { return this->options.find(name) != this->options.end(); }
+  bool Has(std::string_view name) const {
+    return this->options.find(name) != this->options.end();
+  }
   std::string Get(std::string_view name, std::string_view otherwise = {}) const;
 };
 
@@ -55,7 +59,8 @@
 
  private:
   void PrintOverview() const;
-  int RunCommand(const Command& command, std::span<const char* const> arguments) const;
+  int RunCommand(const Command& command,
+                 std::span<const char* const> arguments) const;
 
   std::map<std::string, Command> commands;
 };
--- a/src/cli/internal/commandtable.cpp
+++ b/src/cli/internal/commandtable.cpp
@@ -37,19 +37,23 @@
       row.argInfo = option.value_name.empty() ? POPT_ARG_NONE : POPT_ARG_STRING;
       row.val = this->next_value++;
       row.descrip = option.help.c_str();
-      row.argDescrip = option.value_name.empty() ? nullptr : option.value_name.c_str();
+      row.argDescrip =
+          option.value_name.empty() ? nullptr : option.value_name.c_str();
       this->rows.push_back(row);
     }
-    this->rows.push_back(poptOption{"help", 'h', POPT_ARG_NONE, nullptr, -100, "show this", nullptr});
+    this->rows.push_back(poptOption{"help", 'h', POPT_ARG_NONE, nullptr, -100,
+                                    "show this", nullptr});
     this->rows.push_back(poptOption{});
   }
 };
 
 constexpr int kHelpValue = -100;
 
-using ContextPtr = std::unique_ptr<std::remove_pointer_t<poptContext>, decltype(&poptFreeContext)>;
+using ContextPtr = std::unique_ptr<std::remove_pointer_t<poptContext>,
+                                   decltype(&poptFreeContext)>;
 
-void ReadOptions(const Command& command, poptContext context, Arguments& arguments, bool& help) {
+void ReadOptions(const Command& command, poptContext context,
+                 Arguments& arguments, bool& help) {
   int value = 0;
   while ((value = poptGetNextOpt(context)) != -1) {
     if (value == kHelpValue) {
@@ -57,10 +61,12 @@
       continue;
     }
     if (value < 0) {
-      throw ResultError(ResultCode::kBadInput, std::string(poptBadOption(context, 0)) + ": " +
-                                                   poptStrerror(value));
+      throw ResultError(
+          ResultCode::kBadInput,
+          std::string(poptBadOption(context, 0)) + ": " + poptStrerror(value));
     }
-    const OptionSpec& option = command.options.at(static_cast<std::size_t>(value) - 1);
+    const OptionSpec& option =
+        command.options.at(static_cast<std::size_t>(value) - 1);
     std::unique_ptr<char, decltype(&free)> text(poptGetOptArg(context), &free);
     arguments.options[option.name] = text != nullptr ? text.get() : "";
   }
@@ -71,7 +77,8 @@
 
 }  // namespace
 
-std::string Arguments::Get(std::string_view name, std::string_view otherwise) const {
+std::string Arguments::Get(std::string_view name,
+                           std::string_view otherwise) const {
   const auto found = this->options.find(name);
   return found != this->options.end() ? found->second : std::string(otherwise);
 }
@@ -88,7 +95,8 @@
                "       papayarack --version\n\nCommands:\n";
   constexpr std::size_t kColumn = 12;
   for (const auto& [name, command] : this->commands) {
-    std::cout << "  " << name << std::string(kColumn - std::min(kColumn - 1, name.size()), ' ')
+    std::cout << "  " << name
+              << std::string(kColumn - std::min(kColumn - 1, name.size()), ' ')
               << command.summary << "\n";
   }
 }
@@ -109,7 +117,8 @@
   }
   const auto found = this->commands.find(std::string(name));
   if (found == this->commands.end()) {
-    std::cerr << "papayarack: no such command: " << name << "; see papayarack --help\n";
+    std::cerr << "papayarack: no such command: " << name
+              << "; see papayarack --help\n";
     return static_cast<int>(ExitCode::kUsage);
   }
   return this->RunCommand(found->second, arguments.subspan(1));
@@ -120,18 +129,20 @@
   std::vector<const char*> pointers(arguments.begin(), arguments.end());
   pointers.push_back(nullptr);
   const OptionTable table(command);
-  const ContextPtr context(poptGetContext(command.name.c_str(), static_cast<int>(arguments.size()),
-                                          pointers.data(), table.rows.data(), 0),
-                           &poptFreeContext);
-  const std::string usage = "papayarack " + command.name + " [OPTION ...] " + command.operands;
+  const ContextPtr context(
+      poptGetContext(command.name.c_str(), static_cast<int>(arguments.size()),
+                     pointers.data(), table.rows.data(), 0),
+      &poptFreeContext);
+  const std::string usage =
+      "papayarack " + command.name + " [OPTION ...] " + command.operands;
   poptSetOtherOptionHelp(context.get(), command.operands.c_str());
   Arguments parsed;
   bool help = false;
   try {
     ReadOptions(command, context.get(), parsed, help);
   } catch (const ResultError& error) {
-    std::cerr << "papayarack " << command.name << ": " << error.what() << "\nUsage: " << usage
-              << "\n";
+    std::cerr << "papayarack " << command.name << ": " << error.what()
+              << "\nUsage: " << usage << "\n";
     return static_cast<int>(ExitCode::kUsage);
   }
   if (help) {
@@ -143,8 +154,9 @@
     return static_cast<int>(command.run(parsed));
   } catch (const ResultError& error) {
     const ResultCodeInfo& info = Describe(error.result().code);
-    std::cerr << "papayarack " << command.name << ": " << error.what() << "\n  code "
-              << static_cast<int>(info.code) << " " << info.name << ": " << info.advice << "\n";
+    std::cerr << "papayarack " << command.name << ": " << error.what()
+              << "\n  code " << static_cast<int>(info.code) << " " << info.name
+              << ": " << info.advice << "\n";
     return static_cast<int>(ExitFor(error.result().code));
   } catch (const std::exception& error) {
     std::cerr << "papayarack " << command.name << ": " << error.what() << "\n";
--- a/src/consensus/durablelog.h
+++ b/src/consensus/durablelog.h
@@ -20,9 +20,10 @@
   MSGPACK_DEFINE(member, cluster)
 };
 
-/// Writes the identity and, for the first members of a cluster, the members of `groups` groups.
-/// A joining member passes an empty list. Throws ResultError(kConflict) when the folder already
-/// has an identity: a wiped or foreign disk never votes under an old name.
+/// Writes the identity and, for the first members of a cluster, the members of
+/// `groups` groups. A joining member passes an empty list. Throws
+/// ResultError(kConflict) when the folder already has an identity: a wiped or
+/// foreign disk never votes under an old name.
 void FormatFolder(storage::FileSystem& files, const FolderIdentity& identity,
                   const MemberList& first_members, GroupId groups);
 
@@ -33,7 +34,7 @@
 struct RecoveredState {
   HardState hard_state;
   SnapshotMeta snapshot;
-  std::string state;            ///< The state machine's bytes as of the snapshot.
+  std::string state;  ///< The state machine's bytes as of the snapshot.
   std::vector<Entry> entries;   ///< After the snapshot.
   std::uint64_t cut_bytes = 0;  ///< Torn tail that was cut.
 };
@@ -43,7 +44,8 @@
 class DurableLog {
  public:
   DurableLog(storage::FileSystem& files, GroupId group,
-             std::uint64_t segment_bytes = storage::SegmentedLog::kDefaultSegmentBytes);
+             std::uint64_t segment_bytes =
+                 storage::SegmentedLog::kDefaultSegmentBytes);
 
   /// Reads all; call once, first. Throws ResultError(kStorageDamaged).
   RecoveredState Recover();
--- a/src/consensus/internal/durablelog.cpp
+++ b/src/consensus/internal/durablelog.cpp
@@ -12,9 +12,15 @@
 
 constexpr const char* kIdentityFile = "identity";
 
-std::string HardStateFile(GroupId group) { return fmt::format("hardstate-{:04}", group); }
-std::string SnapshotFile(GroupId group) { return fmt::format("snapshot-{:04}", group); }
-std::string LogPrefix(GroupId group) { return fmt::format("raft-{:04}", group); }
+std::string HardStateFile(GroupId group) {
+  return fmt::format("hardstate-{:04}", group);
+}
+std::string SnapshotFile(GroupId group) {
+  return fmt::format("snapshot-{:04}", group);
+}
+std::string LogPrefix(GroupId group) {
+  return fmt::format("raft-{:04}", group);
+}
 
 /// Content of a snapshot file.
 struct SnapshotContent {
@@ -31,25 +37,29 @@
     throw ResultError(ResultCode::kConflict, "the folder is already formatted");
   }
   if (!files.List().empty()) {
-    throw ResultError(ResultCode::kConflict, "the folder is not empty and has no identity");
+    throw ResultError(ResultCode::kConflict,
+                      "the folder is not empty and has no identity");
   }
   for (GroupId group = 0; group < groups; ++group) {
     SnapshotContent content;
     content.meta.members = first_members;
-    storage::WriteCheckedFile(files, SnapshotFile(group), EncodeMessage(content));
+    storage::WriteCheckedFile(files, SnapshotFile(group),
+                              EncodeMessage(content));
   }
   storage::WriteCheckedFile(files, kIdentityFile, EncodeMessage(identity));
 }
 
 std::optional<FolderIdentity> ReadIdentity(const storage::FileSystem& files) {
-  const std::optional<std::string> bytes = storage::ReadCheckedFile(files, kIdentityFile);
+  const std::optional<std::string> bytes =
+      storage::ReadCheckedFile(files, kIdentityFile);
   if (!bytes.has_value()) {
     return std::nullopt;
   }
   return DecodeMessage<FolderIdentity>(*bytes);
 }
 
-DurableLog::DurableLog(storage::FileSystem& files, GroupId group, std::uint64_t segment_bytes)
+DurableLog::DurableLog(storage::FileSystem& files, GroupId group,
+                       std::uint64_t segment_bytes)
     : files(files), group(group), log(files, LogPrefix(group), segment_bytes) {}
 
 std::optional<std::pair<SnapshotMeta, std::string>> DurableLog::ReadSnapshot(
@@ -64,7 +74,8 @@
 
 RecoveredState DurableLog::Recover() {
   RecoveredState recovered;
-  if (const auto bytes = storage::ReadCheckedFile(this->files, HardStateFile(this->group))) {
+  if (const auto bytes =
+          storage::ReadCheckedFile(this->files, HardStateFile(this->group))) {
     recovered.hard_state = DecodeMessage<HardState>(*bytes);
   }
   if (auto snapshot = ReadSnapshot(this->files, this->group)) {
@@ -84,11 +95,14 @@
         }
       });
   recovered.cut_bytes = report.cut_bytes;
-  // A crash between installing a snapshot and clearing the log leaves entries that end before
-  // the snapshot or belong to another history; they are not to be joined to it.
-  const bool gap = !recovered.entries.empty() && recovered.entries.front().index != base + 1;
+  // A crash between installing a snapshot and clearing the log leaves entries
+  // that end before the snapshot or belong to another history; they are not to
+  // be joined to it.
+  const bool gap =
+      !recovered.entries.empty() && recovered.entries.front().index != base + 1;
   if (gap && report.first > base + 1) {
-    throw ResultError(ResultCode::kStorageDamaged, "the log begins after the snapshot's end");
+    throw ResultError(ResultCode::kStorageDamaged,
+                      "the log begins after the snapshot's end");
   }
   if (!agrees || (report.last != 0 && report.last < base)) {
     recovered.entries.clear();
@@ -97,7 +111,8 @@
   return recovered;
 }
 
-void DurableLog::Write(std::optional<Index> truncate_from, std::span<const Entry> entries,
+void DurableLog::Write(std::optional<Index> truncate_from,
+                       std::span<const Entry> entries,
                        const std::optional<HardState>& hard_state) {
   if (hard_state.has_value()) {
     storage::WriteCheckedFile(this->files, HardStateFile(this->group),
@@ -112,20 +127,24 @@
   this->log.Sync();
 }
 
-void DurableLog::WriteSnapshotFile(const SnapshotMeta& meta, std::string_view state) {
+void DurableLog::WriteSnapshotFile(const SnapshotMeta& meta,
+                                   std::string_view state) {
   SnapshotContent content;
   content.meta = meta;
   content.meta.state_bytes = state.size();
   content.state = state;
-  storage::WriteCheckedFile(this->files, SnapshotFile(this->group), EncodeMessage(content));
+  storage::WriteCheckedFile(this->files, SnapshotFile(this->group),
+                            EncodeMessage(content));
 }
 
-void DurableLog::SaveSnapshot(const SnapshotMeta& meta, std::string_view state) {
+void DurableLog::SaveSnapshot(const SnapshotMeta& meta,
+                              std::string_view state) {
   this->WriteSnapshotFile(meta, state);
   this->log.DropBefore(meta.index + 1);
 }
 
-void DurableLog::InstallSnapshot(const SnapshotMeta& meta, std::string_view state) {
+void DurableLog::InstallSnapshot(const SnapshotMeta& meta,
+                                 std::string_view state) {
   this->WriteSnapshotFile(meta, state);
   this->log.Clear();
 }
--- a/src/consensus/internal/members.cpp
+++ b/src/consensus/internal/members.cpp
@@ -52,9 +52,11 @@
 RaftMessage DecodeRaftMessage(std::string_view bytes) {
   const auto wire = DecodeMessage<WireMessage>(bytes);
   if (wire.version != kMessageVersion) {
-    throw ResultError(ResultCode::kProtocol, "peer speaks another message version");
+    throw ResultError(ResultCode::kProtocol,
+                      "peer speaks another message version");
   }
-  return {wire.group, wire.from, wire.to, wire.term, DecodeVariant<MessageBody>(wire.body)};
+  return {wire.group, wire.from, wire.to, wire.term,
+          DecodeVariant<MessageBody>(wire.body)};
 }
 
 }  // namespace papayarack::consensus
--- a/src/consensus/internal/raftcore.cpp
+++ b/src/consensus/internal/raftcore.cpp
@@ -24,7 +24,8 @@
 }  // namespace
 
 RaftCore::RaftCore(const RaftOptions& options, const HardState& hard_state,
-                   const SnapshotMeta& snapshot, std::vector<Entry> entries, Time now)
+                   const SnapshotMeta& snapshot, std::vector<Entry> entries,
+                   Time now)
     : options(options),
       hard(hard_state),
       raft_log(snapshot),
@@ -41,15 +42,20 @@
   this->ResetElectionTimer();
 }
 
-void RaftCore::RefreshMembers() { this->member_list = this->raft_log.LatestMembers(); }
+void RaftCore::RefreshMembers() {
+  this->member_list = this->raft_log.LatestMembers();
+}
 
 void RaftCore::ResetElectionTimer() {
-  std::uniform_int_distribution<std::int64_t> extra(0, this->options.election.count());
-  this->election_deadline = this->now + this->options.election + Duration(extra(this->random));
+  std::uniform_int_distribution<std::int64_t> extra(
+      0, this->options.election.count());
+  this->election_deadline =
+      this->now + this->options.election + Duration(extra(this->random));
 }
 
 bool RaftCore::LeaderReady() const {
-  return this->current_role == RaftRole::kLeader && this->commit_index >= this->term_start;
+  return this->current_role == RaftRole::kLeader &&
+         this->commit_index >= this->term_start;
 }
 
 Index RaftCore::MatchOf(MemberId member) const {
@@ -61,12 +67,14 @@
   const std::vector<MemberId> voters = this->member_list.Voters();
   const auto agreed = std::ranges::count_if(
       voters, [&agreeing](MemberId id) { return agreeing.count(id) > 0; });
-  return !voters.empty() && static_cast<std::size_t>(agreed) > voters.size() / 2;
+  return !voters.empty() &&
+         static_cast<std::size_t>(agreed) > voters.size() / 2;
 }
 
-void RaftCore::Send(MemberId to, MessageBody body, bool after_sync, std::optional<Term> term) {
-  RaftMessage message{this->options.group, this->options.self, to, term.value_or(this->hard.term),
-                      std::move(body)};
+void RaftCore::Send(MemberId to, MessageBody body, bool after_sync,
+                    std::optional<Term> term) {
+  RaftMessage message{this->options.group, this->options.self, to,
+                      term.value_or(this->hard.term), std::move(body)};
   auto& queue = after_sync ? this->ready.after_sync : this->ready.before_sync;
   queue.push_back(std::move(message));
 }
@@ -101,13 +109,15 @@
     }
     return;
   }
-  if (this->now >= this->election_deadline && this->member_list.IsVoter(this->options.self)) {
+  if (this->now >= this->election_deadline &&
+      this->member_list.IsVoter(this->options.self)) {
     this->StartElection(true, false);
   }
 }
 
-/// Symptom guarded against: a leader cut off from the others goes on answering as if in charge.
-/// It notices that no majority answered within an election timeout, and steps down.
+/// Symptom guarded against: a leader cut off from the others goes on answering
+/// as if in charge. It notices that no majority answered within an election
+/// timeout, and steps down.
 void RaftCore::CheckQuorum() {
   std::set<MemberId> heard = {this->options.self};
   for (const auto& [id, known] : this->progress) {
@@ -126,7 +136,8 @@
   this->leader_id = 0;
   this->votes.clear();
   this->votes[this->options.self] = true;
-  this->current_role = pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
+  this->current_role =
+      pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
   if (!pre_vote) {
     this->hard = {this->hard.term + 1, this->options.self};
     this->ready.hard_state = this->hard;
@@ -163,24 +174,26 @@
 
 bool RaftCore::LeaderHeardLately() const {
   const bool leads = this->current_role == RaftRole::kLeader;
-  return leads ||
-         (this->leader_id != 0 && this->now - this->leader_heard < this->options.election);
+  return leads || (this->leader_id != 0 &&
+                   this->now - this->leader_heard < this->options.election);
 }
 
-void RaftCore::OnVoteRequest(const RaftMessage& message, const VoteRequest& request) {
+void RaftCore::OnVoteRequest(const RaftMessage& message,
+                             const VoteRequest& request) {
   const bool log_current =
       std::pair(request.last_term, request.last_index) >=
       std::pair(this->raft_log.LastTerm(), this->raft_log.LastIndex());
   if (request.pre_vote) {
-    const bool granted =
-        message.term > this->hard.term && log_current && !this->LeaderHeardLately();
+    const bool granted = message.term > this->hard.term && log_current &&
+                         !this->LeaderHeardLately();
     this->Send(message.from, VoteResponse{true, granted}, false,
                granted ? message.term : this->hard.term);
     return;
   }
-  const bool free_vote = this->hard.vote == 0 || this->hard.vote == message.from;
-  const bool granted = message.term == this->hard.term && free_vote && log_current &&
-                       this->current_role == RaftRole::kFollower;
+  const bool free_vote =
+      this->hard.vote == 0 || this->hard.vote == message.from;
+  const bool granted = message.term == this->hard.term && free_vote &&
+                       log_current && this->current_role == RaftRole::kFollower;
   if (granted) {
     if (this->hard.vote != message.from) {
       this->hard.vote = message.from;
@@ -188,16 +201,20 @@
     }
     this->ResetElectionTimer();
   }
-  // The vote leaves only after it is synced: a voter that forgets it could vote twice.
+  // The vote leaves only after it is synced: a voter that forgets it could vote
+  // twice.
   this->Send(message.from, VoteResponse{false, granted}, true);
 }
 
-void RaftCore::OnVoteResponse(const RaftMessage& message, const VoteResponse& response) {
-  const RaftRole wanted = response.pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
+void RaftCore::OnVoteResponse(const RaftMessage& message,
+                              const VoteResponse& response) {
+  const RaftRole wanted =
+      response.pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
   if (this->current_role != wanted) {
     return;
   }
-  if (response.pre_vote && response.granted && message.term != this->hard.term + 1) {
+  if (response.pre_vote && response.granted &&
+      message.term != this->hard.term + 1) {
     return;
   }
   this->votes[message.from] = response.granted;
@@ -228,11 +245,13 @@
   const auto* vote = std::get_if<VoteRequest>(&message.body);
   const auto* answer = std::get_if<VoteResponse>(&message.body);
   if (message.term < this->hard.term) {
-    // A deposed leader or a member that missed terms learns of the term from the refusal. Without
-    // an answer to every kind, a member in a later term would stay behind for good.
+    // A deposed leader or a member that missed terms learns of the term from
+    // the refusal. Without an answer to every kind, a member in a later term
+    // would stay behind for good.
     if (std::holds_alternative<AppendRequest>(message.body) ||
         std::holds_alternative<SnapshotOffer>(message.body)) {
-      this->Send(message.from, AppendResponse{false, this->raft_log.LastIndex(), 0}, true);
+      this->Send(message.from,
+                 AppendResponse{false, this->raft_log.LastIndex(), 0}, true);
     } else if (vote != nullptr) {
       this->Send(message.from, VoteResponse{vote->pre_vote, false}, true);
     }
@@ -245,7 +264,8 @@
     if (vote->pre_vote) {
       return true;
     }
-    // A member that was cut off must not depose a leader that the others can hear.
+    // A member that was cut off must not depose a leader that the others can
+    // hear.
     if (!vote->transfer && this->LeaderHeardLately()) {
       return false;
     }
@@ -253,25 +273,34 @@
   if (answer != nullptr && answer->pre_vote && answer->granted) {
     return true;
   }
-  const bool from_leader = std::holds_alternative<AppendRequest>(message.body) ||
-                           std::holds_alternative<SnapshotOffer>(message.body);
+  const bool from_leader =
+      std::holds_alternative<AppendRequest>(message.body) ||
+      std::holds_alternative<SnapshotOffer>(message.body);
   this->BecomeFollower(message.term, from_leader ? message.from : 0);
   return true;
 }
 
 void RaftCore::Step(const RaftMessage& message, Time time) {
   this->now = std::max(this->now, time);
-  if (message.to != this->options.self || message.group != this->options.group ||
-      !this->AdmitTerm(message)) {
+  if (message.to != this->options.self ||
+      message.group != this->options.group || !this->AdmitTerm(message)) {
     return;
   }
   std::visit(
       Overloaded{
           [&](const VoteRequest& body) { this->OnVoteRequest(message, body); },
-          [&](const VoteResponse& body) { this->OnVoteResponse(message, body); },
-          [&](const AppendRequest& body) { this->OnAppendRequest(message, body); },
-          [&](const AppendResponse& body) { this->OnAppendResponse(message, body); },
-          [&](const SnapshotOffer& body) { this->OnSnapshotOffer(message, body); },
+          [&](const VoteResponse& body) {
+            this->OnVoteResponse(message, body);
+          },
+          [&](const AppendRequest& body) {
+            this->OnAppendRequest(message, body);
+          },
+          [&](const AppendResponse& body) {
+            this->OnAppendResponse(message, body);
+          },
+          [&](const SnapshotOffer& body) {
+            this->OnSnapshotOffer(message, body);
+          },
           [&](const TimeoutNow&) {
             if (this->member_list.IsVoter(this->options.self)) {
               this->StartElection(false, true);
@@ -285,13 +314,16 @@
 
 void RaftCore::Truncate(Index from) {
   if (from <= this->commit_index) {
-    throw ResultError(ResultCode::kInternal, "a leader asked to take back committed entries");
+    throw ResultError(ResultCode::kInternal,
+                      "a leader asked to take back committed entries");
   }
   this->raft_log.TruncateFrom(from);
   this->persisted_index = std::min(this->persisted_index, from - 1);
   auto& waiting = this->ready.entries;
-  std::erase_if(waiting, [from](const Entry& entry) { return entry.index >= from; });
-  this->ready.truncate_from = std::min(this->ready.truncate_from.value_or(from), from);
+  std::erase_if(waiting,
+                [from](const Entry& entry) { return entry.index >= from; });
+  this->ready.truncate_from =
+      std::min(this->ready.truncate_from.value_or(from), from);
   this->truncated_in_batch = this->batch_number;
   this->RefreshMembers();
 }
@@ -300,8 +332,10 @@
   if (request.prev_index > this->raft_log.LastIndex()) {
     return false;
   }
-  const bool before_snapshot = request.prev_index < this->raft_log.snapshot().index;
-  if (!before_snapshot && this->raft_log.TermAt(request.prev_index) != request.prev_term) {
+  const bool before_snapshot =
+      request.prev_index < this->raft_log.snapshot().index;
+  if (!before_snapshot &&
+      this->raft_log.TermAt(request.prev_index) != request.prev_term) {
     return false;
   }
   for (const Entry& entry : request.entries) {
@@ -324,27 +358,36 @@
   return true;
 }
 
-void RaftCore::OnAppendRequest(const RaftMessage& message, const AppendRequest& request) {
-  if (this->current_role != RaftRole::kFollower || this->leader_id != message.from) {
+void RaftCore::OnAppendRequest(const RaftMessage& message,
+                               const AppendRequest& request) {
+  if (this->current_role != RaftRole::kFollower ||
+      this->leader_id != message.from) {
     this->BecomeFollower(message.term, message.from);
   }
   this->leader_heard = this->now;
   this->ResetElectionTimer();
   if (!this->AcceptEntries(request)) {
-    // What is committed here is equal everywhere; beyond it the logs may differ entry by entry.
+    // What is committed here is equal everywhere; beyond it the logs may differ
+    // entry by entry.
     const bool gap = request.prev_index > this->raft_log.LastIndex();
-    const Index try_from = gap ? this->raft_log.LastIndex() : this->commit_index;
-    this->Send(message.from, AppendResponse{false, try_from, request.read_round}, true);
+    const Index try_from =
+        gap ? this->raft_log.LastIndex() : this->commit_index;
+    this->Send(message.from,
+               AppendResponse{false, try_from, request.read_round}, true);
     return;
   }
-  const Index matched =
-      std::max(request.prev_index + request.entries.size(), this->raft_log.snapshot().index);
-  this->commit_index = std::max(this->commit_index, std::min(request.commit, matched));
-  this->Send(message.from, AppendResponse{true, matched, request.read_round}, true);
+  const Index matched = std::max(request.prev_index + request.entries.size(),
+                                 this->raft_log.snapshot().index);
+  this->commit_index =
+      std::max(this->commit_index, std::min(request.commit, matched));
+  this->Send(message.from, AppendResponse{true, matched, request.read_round},
+             true);
 }
 
-void RaftCore::OnSnapshotOffer(const RaftMessage& message, const SnapshotOffer& offer) {
-  if (this->current_role != RaftRole::kFollower || this->leader_id != message.from) {
+void RaftCore::OnSnapshotOffer(const RaftMessage& message,
+                               const SnapshotOffer& offer) {
+  if (this->current_role != RaftRole::kFollower ||
+      this->leader_id != message.from) {
     this->BecomeFollower(message.term, message.from);
   }
   this->leader_heard = this->now;
@@ -358,11 +401,13 @@
   this->ready.fetch_from = message.from;
 }
 
-/// Symptom guarded against: committed entries vanish. A member that has just restarted knows no
-/// commit index; were it to take a snapshot that its log already covers, it would throw away the
-/// entries after it, some of them committed with its help. So a covered snapshot is declined.
+/// Symptom guarded against: committed entries vanish. A member that has just
+/// restarted knows no commit index; were it to take a snapshot that its log
+/// already covers, it would throw away the entries after it, some of them
+/// committed with its help. So a covered snapshot is declined.
 bool RaftCore::WantsSnapshot(const SnapshotMeta& meta) const {
-  return meta.index > this->commit_index && this->raft_log.TermAt(meta.index) != meta.term;
+  return meta.index > this->commit_index &&
+         this->raft_log.TermAt(meta.index) != meta.term;
 }
 
 void RaftCore::SnapshotInstalled(const SnapshotMeta& meta) {
@@ -382,18 +427,20 @@
 // --- leader
 
 void RaftCore::AppendOwn(EntryKind kind, std::string payload) {
-  Entry entry{this->hard.term, this->raft_log.LastIndex() + 1, static_cast<std::uint8_t>(kind),
-              std::move(payload)};
+  Entry entry{this->hard.term, this->raft_log.LastIndex() + 1,
+              static_cast<std::uint8_t>(kind), std::move(payload)};
   this->raft_log.Append(entry);
   this->ready.entries.push_back(std::move(entry));
 }
 
 ProposalPlace RaftCore::Propose(std::string payload) {
   if (this->current_role != RaftRole::kLeader || this->transfer_to != 0) {
-    throw ResultError(ResultCode::kNotLeader, "this member does not lead the group");
+    throw ResultError(ResultCode::kNotLeader,
+                      "this member does not lead the group");
   }
   if (this->raft_log.Bytes() > this->options.max_uncommitted_bytes) {
-    throw ResultError(ResultCode::kOverloaded, "too many bytes wait to be committed");
+    throw ResultError(ResultCode::kOverloaded,
+                      "too many bytes wait to be committed");
   }
   this->AppendOwn(EntryKind::kCommand, std::move(payload));
   this->BroadcastAppend(false);
@@ -402,17 +449,20 @@
 
 ProposalPlace RaftCore::ProposeMembers(const MemberList& members) {
   if (!this->LeaderReady() || this->transfer_to != 0) {
-    throw ResultError(ResultCode::kNotLeader, "this member does not lead the group");
+    throw ResultError(ResultCode::kNotLeader,
+                      "this member does not lead the group");
   }
   if (this->raft_log.LatestMembersIndex() > this->commit_index) {
-    throw ResultError(ResultCode::kConflict, "another membership change is under way");
+    throw ResultError(ResultCode::kConflict,
+                      "another membership change is under way");
   }
   if (CountDifferences(this->member_list, members) != 1) {
     throw ResultError(ResultCode::kConflict, "change one member at a time");
   }
   for (const Member& member : members.members) {
-    // A learner counts only when it holds, synced, all that is committed: counting an empty
-    // member would let a majority exist that lacks acknowledged entries.
+    // A learner counts only when it holds, synced, all that is committed:
+    // counting an empty member would let a majority exist that lacks
+    // acknowledged entries.
     const bool promoted = member.voter && !this->member_list.IsVoter(member.id);
     if (promoted && (this->member_list.Find(member.id) == nullptr ||
                      this->MatchOf(member.id) < this->commit_index)) {
@@ -420,12 +470,14 @@
     }
   }
   if (members.Voters().empty()) {
-    throw ResultError(ResultCode::kConflict, "the last voter cannot be removed");
+    throw ResultError(ResultCode::kConflict,
+                      "the last voter cannot be removed");
   }
   this->AppendOwn(EntryKind::kMembers, EncodeMessage(members));
   this->RefreshMembers();
   for (const Member& member : members.members) {
-    if (member.id != this->options.self && this->progress.count(member.id) == 0) {
+    if (member.id != this->options.self &&
+        this->progress.count(member.id) == 0) {
       Progress fresh;
       fresh.next = this->raft_log.LastIndex();
       fresh.last_heard = this->now;
@@ -460,19 +512,22 @@
   const bool outstanding = known.match + 1 < known.next;
   if (heartbeat && outstanding &&
       this->now - known.last_progress >= 2 * this->options.heartbeat) {
-    // Nothing was acknowledged for two heartbeats: what was sent may be lost. Begin again.
-    // Answers to heartbeats do not count: they come also when every append was lost.
+    // Nothing was acknowledged for two heartbeats: what was sent may be lost.
+    // Begin again. Answers to heartbeats do not count: they come also when
+    // every append was lost.
     known.next = known.match + 1;
     known.inflight = 0;
     known.probing = true;
   }
   if (known.next < this->raft_log.FirstIndex()) {
-    if (heartbeat || known.snapshot_offered != this->raft_log.snapshot().index) {
+    if (heartbeat ||
+        known.snapshot_offered != this->raft_log.snapshot().index) {
       this->SendOffer(to, known);
     }
     return;
   }
-  const std::size_t window = known.probing ? 1 : this->options.max_inflight_appends;
+  const std::size_t window =
+      known.probing ? 1 : this->options.max_inflight_appends;
   bool sent_any = false;
   while (known.inflight < window && known.next <= this->raft_log.LastIndex()) {
     AppendRequest request;
@@ -480,9 +535,10 @@
     request.prev_term = *this->raft_log.TermAt(request.prev_index);
     request.commit = this->commit_index;
     request.read_round = this->read_round;
-    request.entries = this->raft_log.Slice(known.next, this->raft_log.LastIndex(),
-                                           this->options.max_append_bytes);
-    known.last_progress = known.match + 1 == known.next ? this->now : known.last_progress;
+    request.entries = this->raft_log.Slice(
+        known.next, this->raft_log.LastIndex(), this->options.max_append_bytes);
+    known.last_progress =
+        known.match + 1 == known.next ? this->now : known.last_progress;
     known.next += request.entries.size();
     ++known.inflight;
     sent_any = true;
@@ -501,9 +557,11 @@
   }
 }
 
-void RaftCore::OnAppendResponse(const RaftMessage& message, const AppendResponse& response) {
+void RaftCore::OnAppendResponse(const RaftMessage& message,
+                                const AppendResponse& response) {
   const auto found = this->progress.find(message.from);
-  if (this->current_role != RaftRole::kLeader || found == this->progress.end()) {
+  if (this->current_role != RaftRole::kLeader ||
+      found == this->progress.end()) {
     return;
   }
   Progress& known = found->second;
@@ -514,19 +572,22 @@
     known.inflight -= progressed && known.inflight > 0 ? 1 : 0;
     known.probing = known.probing && !progressed;
     known.last_progress = progressed ? this->now : known.last_progress;
-    known.match = std::max(known.match, std::min(response.match, this->raft_log.LastIndex()));
+    known.match = std::max(
+        known.match, std::min(response.match, this->raft_log.LastIndex()));
     known.next = std::max(known.next, known.match + 1);
     this->AdvanceCommit();
   } else {
     known.probing = true;
     known.inflight = 0;
-    known.next = std::max(known.match + 1, std::min(response.match + 1, known.next));
+    known.next =
+        std::max(known.match + 1, std::min(response.match + 1, known.next));
   }
   this->AnswerReads();
   if (this->current_role != RaftRole::kLeader) {
     return;
   }
-  if (this->transfer_to == message.from && known.match == this->raft_log.LastIndex()) {
+  if (this->transfer_to == message.from &&
+      known.match == this->raft_log.LastIndex()) {
     this->Send(message.from, TimeoutNow{}, false);
   }
   if (known.next <= this->raft_log.LastIndex()) {
@@ -537,16 +598,18 @@
 void RaftCore::AdvanceCommit() {
   std::vector<Index> matches;
   for (const MemberId voter : this->member_list.Voters()) {
-    matches.push_back(voter == this->options.self ? this->persisted_index : this->MatchOf(voter));
+    matches.push_back(voter == this->options.self ? this->persisted_index
+                                                  : this->MatchOf(voter));
   }
   if (matches.empty()) {
     return;
   }
   std::ranges::sort(matches, std::greater<>());
   const Index agreed = matches.at(matches.size() / 2);
-  // Only entries of the own term are counted (Raft, section 5.4.2): an older one may still be
-  // replaced by another leader even when a majority holds it.
-  if (agreed <= this->commit_index || this->raft_log.TermAt(agreed) != this->hard.term) {
+  // Only entries of the own term are counted (Raft, section 5.4.2): an older
+  // one may still be replaced by another leader even when a majority holds it.
+  if (agreed <= this->commit_index ||
+      this->raft_log.TermAt(agreed) != this->hard.term) {
     return;
   }
   this->commit_index = agreed;
@@ -565,7 +628,8 @@
 }
 
 void RaftCore::Persisted(const RaftBatch& batch) {
-  // A batch written before a truncation says nothing about entries that came back after it.
+  // A batch written before a truncation says nothing about entries that came
+  // back after it.
   const bool current = batch.number >= this->truncated_in_batch;
   if (current && this->raft_log.TermAt(batch.last_index) == batch.last_term) {
     this->persisted_index = std::max(this->persisted_index, batch.last_index);
@@ -576,7 +640,8 @@
 }
 
 void RaftCore::Compact(const SnapshotMeta& meta) {
-  if (meta.index > this->raft_log.snapshot().index && meta.index <= this->applied_index) {
+  if (meta.index > this->raft_log.snapshot().index &&
+      meta.index <= this->applied_index) {
     this->raft_log.Compact(meta);
   }
 }
@@ -589,7 +654,8 @@
   MemberId best = 0;
   for (const auto& [id, known] : this->progress) {
     const bool alive = this->now - known.last_heard < this->options.election;
-    if (alive && this->member_list.IsVoter(id) && (best == 0 || known.match > this->MatchOf(best))) {
+    if (alive && this->member_list.IsVoter(id) &&
+        (best == 0 || known.match > this->MatchOf(best))) {
       best = id;
     }
   }
@@ -651,8 +717,9 @@
         this->raft_log.Slice(this->applied_index + 1, can_apply, SIZE_MAX);
     this->applied_index = can_apply;
   }
-  // A majority may hold entries that this leader has not synced yet: a confirmed read waits for
-  // those, or it would miss what another caller was already told.
+  // A majority may hold entries that this leader has not synced yet: a
+  // confirmed read waits for those, or it would miss what another caller was
+  // already told.
   std::erase_if(this->confirmed_reads, [this](const PendingRead& read) {
     const bool served = read.index <= this->applied_index;
     if (served) {
@@ -660,7 +727,8 @@
     }
     return served;
   });
-  this->ready.batch = {this->batch_number, this->raft_log.LastIndex(), this->raft_log.LastTerm()};
+  this->ready.batch = {this->batch_number, this->raft_log.LastIndex(),
+                       this->raft_log.LastTerm()};
   ++this->batch_number;
   return std::exchange(this->ready, {});
 }
--- a/src/consensus/internal/raftlog.cpp
+++ b/src/consensus/internal/raftlog.cpp
@@ -26,10 +26,12 @@
   }
 }
 
-std::vector<Entry> RaftLog::Slice(Index first, Index last, std::size_t max_bytes) const {
+std::vector<Entry> RaftLog::Slice(Index first, Index last,
+                                  std::size_t max_bytes) const {
   std::vector<Entry> slice;
   std::size_t bytes = 0;
-  for (Index index = first; index <= last && index <= this->LastIndex(); ++index) {
+  for (Index index = first; index <= last && index <= this->LastIndex();
+       ++index) {
     const Entry& entry = this->entries[index - this->FirstIndex()];
     bytes += entry.payload.size();
     if (!slice.empty() && bytes > max_bytes) {
@@ -41,7 +43,8 @@
 }
 
 void RaftLog::Compact(SnapshotMeta snapshot) {
-  while (!this->entries.empty() && this->entries.front().index <= snapshot.index) {
+  while (!this->entries.empty() &&
+         this->entries.front().index <= snapshot.index) {
     this->payload_bytes -= this->entries.front().payload.size();
     this->entries.pop_front();
   }
@@ -54,10 +57,13 @@
   this->snapshot_meta = std::move(snapshot);
 }
 
-MemberList RaftLog::LatestMembers() const { return this->MembersAt(this->LastIndex()); }
+MemberList RaftLog::LatestMembers() const {
+  return this->MembersAt(this->LastIndex());
+}
 
 MemberList RaftLog::MembersAt(Index index) const {
-  for (auto entry = this->entries.rbegin(); entry != this->entries.rend(); ++entry) {
+  for (auto entry = this->entries.rbegin(); entry != this->entries.rend();
+       ++entry) {
     if (entry->index <= index && entry->Kind() == EntryKind::kMembers) {
       return DecodeMessage<MemberList>(entry->payload);
     }
@@ -66,7 +72,8 @@
 }
 
 Index RaftLog::LatestMembersIndex() const {
-  for (auto entry = this->entries.rbegin(); entry != this->entries.rend(); ++entry) {
+  for (auto entry = this->entries.rbegin(); entry != this->entries.rend();
+       ++entry) {
     if (entry->Kind() == EntryKind::kMembers) {
       return entry->index;
     }
--- a/src/consensus/raftcore.h
+++ b/src/consensus/raftcore.h
@@ -22,14 +22,20 @@
   GroupId group = 0;
   MemberId self = 0;
   Duration heartbeat{std::chrono::milliseconds(100)};
-  Duration election{std::chrono::milliseconds(600)};  ///< Randomised up to twice this.
+  Duration election{
+      std::chrono::milliseconds(600)};  ///< Randomised up to twice this.
   std::size_t max_append_bytes = 1U << 20U;
   std::size_t max_inflight_appends = 16;
   std::size_t max_uncommitted_bytes = 64U << 20U;
   std::uint64_t seed = 1;
 };
 
-enum class RaftRole : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
+enum class RaftRole : std::uint8_t {
+  kFollower,
+  kPreCandidate,
+  kCandidate,
+  kLeader
+};
 
 /// Names one Ready and the end of the log as of it.
 struct RaftBatch {
@@ -38,8 +44,9 @@
   Term last_term = 0;
 };
 
-/// What the owner must do, in this order: send `before_sync`; write truncate_from, entries and
-/// hard_state and sync them; call Persisted; send `after_sync`; apply `committed`; answer reads.
+/// What the owner must do, in this order: send `before_sync`; write
+/// truncate_from, entries and hard_state and sync them; call Persisted; send
+/// `after_sync`; apply `committed`; answer reads.
 struct RaftReady {
   RaftBatch batch;
   std::vector<RaftMessage> before_sync;
@@ -48,8 +55,10 @@
   std::optional<HardState> hard_state;
   std::vector<RaftMessage> after_sync;
   std::vector<Entry> committed;
-  std::vector<std::uint64_t> reads_ready;   ///< Tokens: serve once all of `committed` is applied.
-  std::vector<std::uint64_t> reads_failed;  ///< Tokens: this member cannot confirm a read.
+  std::vector<std::uint64_t>
+      reads_ready;  ///< Tokens: serve once all of `committed` is applied.
+  std::vector<std::uint64_t>
+      reads_failed;  ///< Tokens: this member cannot confirm a read.
   std::optional<SnapshotOffer> fetch_snapshot;
   MemberId fetch_from = 0;
 
@@ -59,42 +68,51 @@
   }
 };
 
-/// Where a proposal stands in the log; it is lost when another term takes that index.
+/// Where a proposal stands in the log; it is lost when another term takes that
+/// index.
 struct ProposalPlace {
   Index index = 0;
   Term term = 0;
 };
 
-/// One member of one replicated log: Raft (Ongaro and Ousterhout, 2014) with pre-vote, check
-/// quorum, confirmed reads, learners, one membership change at a time and leadership transfer.
-/// No sockets, clock, threads or randomness of its own. Thread safety: none, one owner.
+/// One member of one replicated log: Raft (Ongaro and Ousterhout, 2014) with
+/// pre-vote, check quorum, confirmed reads, learners, one membership change at
+/// a time and leadership transfer. No sockets, clock, threads or randomness of
+/// its own. Thread safety: none, one owner.
 class RaftCore {
  public:
   /// `entries` are the durable entries after `snapshot`, all synced.
-  RaftCore(const RaftOptions& options, const HardState& hard_state, const SnapshotMeta& snapshot,
-           std::vector<Entry> entries, Time now);
+  RaftCore(const RaftOptions& options, const HardState& hard_state,
+           const SnapshotMeta& snapshot, std::vector<Entry> entries, Time now);
 
-  /// Lets time pass: elections, heartbeats, stepping down. Call every few milliseconds.
+  /// Lets time pass: elections, heartbeats, stepping down. Call every few
+  /// milliseconds.
   void Tick(Time now);
   /// Takes one message from a peer; messages for others are ignored.
   void Step(const RaftMessage& message, Time now);
-  /// Adds a command. Throws ResultError(kNotLeader, kOverloaded); nothing was added then.
+  /// Adds a command. Throws ResultError(kNotLeader, kOverloaded); nothing was
+  /// added then.
   ProposalPlace Propose(std::string payload);
-  /// Changes the members by one. Throws ResultError(kNotLeader) or ResultError(kConflict) when a
-  /// change is under way, more than one member differs, or a learner is not caught up.
+  /// Changes the members by one. Throws ResultError(kNotLeader) or
+  /// ResultError(kConflict) when a change is under way, more than one member
+  /// differs, or a learner is not caught up.
   ProposalPlace ProposeMembers(const MemberList& members);
-  /// Asks that a read be confirmed by a quorum; the answer comes in a later Ready.
+  /// Asks that a read be confirmed by a quorum; the answer comes in a later
+  /// Ready.
   void RequestRead(std::uint64_t token, Time now);
-  /// Everything that this batch and the ones before it asked to write is synced.
+  /// Everything that this batch and the ones before it asked to write is
+  /// synced.
   void Persisted(const RaftBatch& batch);
   /// The owner's snapshot up to meta.index is durable: older entries may go.
   void Compact(const SnapshotMeta& meta);
-  /// Whether a fetched snapshot is still needed; ask right before making it durable.
+  /// Whether a fetched snapshot is still needed; ask right before making it
+  /// durable.
   bool WantsSnapshot(const SnapshotMeta& meta) const;
   /// The owner synced the fetched snapshot and cleared its log. Precondition:
   /// WantsSnapshot(meta), and no batch was waiting for its sync.
   void SnapshotInstalled(const SnapshotMeta& meta);
-  /// Hands leadership to the best voter; no effect on others. For a graceful stop.
+  /// Hands leadership to the best voter; no effect on others. For a graceful
+  /// stop.
   void TransferLeadership(Time now);
   /// What is to be done since the last call.
   RaftReady TakeReady();
@@ -135,7 +153,8 @@
   void ResetElectionTimer();
   bool HasQuorum(const std::set<MemberId>& agreeing) const;
   void CountVotes();
-  void Send(MemberId to, MessageBody body, bool after_sync, std::optional<Term> term = {});
+  void Send(MemberId to, MessageBody body, bool after_sync,
+            std::optional<Term> term = {});
   void SendAppend(MemberId to, bool heartbeat);
   void SendOffer(MemberId to, Progress& progress);
   void BroadcastAppend(bool heartbeat);
@@ -149,8 +168,10 @@
 
   void OnVoteRequest(const RaftMessage& message, const VoteRequest& request);
   void OnVoteResponse(const RaftMessage& message, const VoteResponse& response);
-  void OnAppendRequest(const RaftMessage& message, const AppendRequest& request);
-  void OnAppendResponse(const RaftMessage& message, const AppendResponse& response);
+  void OnAppendRequest(const RaftMessage& message,
+                       const AppendRequest& request);
+  void OnAppendResponse(const RaftMessage& message,
+                        const AppendResponse& response);
   void OnSnapshotOffer(const RaftMessage& message, const SnapshotOffer& offer);
   bool AcceptEntries(const AppendRequest& request);
   bool AdmitTerm(const RaftMessage& message);
@@ -173,10 +194,12 @@
   MemberId transfer_to = 0;
   std::map<MemberId, bool> votes;
   std::map<MemberId, Progress> progress;
-  std::vector<PendingRead> reads;            ///< Waiting for a quorum.
-  std::vector<PendingRead> confirmed_reads;  ///< Waiting for their index to be applied.
+  std::vector<PendingRead> reads;  ///< Waiting for a quorum.
+  std::vector<PendingRead>
+      confirmed_reads;  ///< Waiting for their index to be applied.
   std::uint64_t read_round = 0;
-  Index term_start = 0;  ///< Index of the no-op with which this leader's term began.
+  Index term_start =
+      0;  ///< Index of the no-op with which this leader's term began.
   std::mt19937_64 random;
   std::uint64_t batch_number = 1;
   std::uint64_t truncated_in_batch = 0;
--- a/src/consensus/raftlog.h
+++ b/src/consensus/raftlog.h
@@ -9,14 +9,18 @@
 
 namespace papayarack::consensus {
 
-/// The entries since the last snapshot, in memory; the durable copy is the owner's.
-/// Its size is bounded by the snapshots, not by the history. Thread safety: none.
+/// The entries since the last snapshot, in memory; the durable copy is the
+/// owner's. Its size is bounded by the snapshots, not by the history. Thread
+/// safety: none.
 class RaftLog {
  public:
-  explicit RaftLog(SnapshotMeta snapshot) : snapshot_meta(std::move(snapshot)) {}
+  explicit RaftLog(SnapshotMeta snapshot)
+      : snapshot_meta(std::move(snapshot)) {}
 
   Index FirstIndex() const { return this->snapshot_meta.index + 1; }
-  Index LastIndex() const { return this->snapshot_meta.index + this->entries.size(); }
+  Index LastIndex() const {
+    return this->snapshot_meta.index + this->entries.size();
+  }
   Term LastTerm() const { return *this->TermAt(this->LastIndex()); }
   /// Empty when the index lies before the snapshot or beyond the end.
   std::optional<Term> TermAt(Index index) const;
@@ -24,9 +28,12 @@
   void Append(Entry entry);
   /// Removes everything from `from` on. Precondition: from >= FirstIndex().
   void TruncateFrom(Index from);
-  /// Entries from `first` on, until `max_bytes` of payload; at least one when there is one.
-  std::vector<Entry> Slice(Index first, Index last, std::size_t max_bytes) const;
-  /// Forgets entries up to the snapshot's index. Precondition: that index is in the log.
+  /// Entries from `first` on, until `max_bytes` of payload; at least one when
+  /// there is one.
+  std::vector<Entry> Slice(Index first, Index last,
+                           std::size_t max_bytes) const;
+  /// Forgets entries up to the snapshot's index. Precondition: that index is in
+  /// the log.
   void Compact(SnapshotMeta snapshot);
   /// Replaces everything by a snapshot.
   void Reset(SnapshotMeta snapshot);
--- a/src/consensus/raftmessages.h
+++ b/src/consensus/raftmessages.h
@@ -13,7 +13,7 @@
 using GroupId = std::uint32_t;
 using MemberId = std::uint64_t;  ///< Zero names nobody.
 using Term = std::uint64_t;
-using Index = std::uint64_t;     ///< The first entry of a group has index 1.
+using Index = std::uint64_t;  ///< The first entry of a group has index 1.
 
 enum class EntryKind : std::uint8_t { kNoop = 0, kCommand = 1, kMembers = 2 };
 
@@ -61,7 +61,8 @@
   Index index = 0;
   Term term = 0;
   MemberList members;
-  std::uint64_t blob_length = 0;  ///< Bytes of the blob store that belong to it.
+  std::uint64_t blob_length =
+      0;  ///< Bytes of the blob store that belong to it.
   std::uint64_t state_bytes = 0;
   MSGPACK_DEFINE(index, term, members, blob_length, state_bytes)
 };
@@ -90,11 +91,13 @@
 };
 struct AppendResponse {
   bool success = false;
-  Index match = 0;  ///< On success: highest index known equal and synced. Else: try from here.
+  Index match = 0;  ///< On success: highest index known equal and synced. Else:
+                    ///< try from here.
   std::uint64_t read_round = 0;
   MSGPACK_DEFINE(success, match, read_round)
 };
-/// The follower lacks entries that are gone: it must fetch the snapshot from the sender.
+/// The follower lacks entries that are gone: it must fetch the snapshot from
+/// the sender.
 struct SnapshotOffer {
   SnapshotMeta meta;
   MSGPACK_DEFINE(meta)
@@ -105,8 +108,8 @@
   MSGPACK_DEFINE(unused)
 };
 
-using MessageBody = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse,
-                                 SnapshotOffer, TimeoutNow>;
+using MessageBody = std::variant<VoteRequest, VoteResponse, AppendRequest,
+                                 AppendResponse, SnapshotOffer, TimeoutNow>;
 
 /// One message between two members of a group.
 struct RaftMessage {
--- a/src/control/controlclient.h
+++ b/src/control/controlclient.h
@@ -12,21 +12,24 @@
 
 namespace papayarack::control {
 
-/// Talks to the control group from the other roles and the command line: finds the leader,
-/// follows it when it changes, and repeats until `timeout`. Every command is idempotent by its
-/// ids, so repeating one whose answer was lost is safe.
-/// Thread safety: every method, any thread; they wait for the network.
+/// Talks to the control group from the other roles and the command line: finds
+/// the leader, follows it when it changes, and repeats until `timeout`. Every
+/// command is idempotent by its ids, so repeating one whose answer was lost is
+/// safe. Thread safety: every method, any thread; they wait for the network.
 class ControlClient {
  public:
   /// Precondition: members is not empty.
-  ControlClient(transport::PeerClient& client, const std::vector<ControlMemberSettings>& members);
+  ControlClient(transport::PeerClient& client,
+                const std::vector<ControlMemberSettings>& members);
 
-  /// The reply of the leader. A reply with a refusal is returned, not thrown. Throws
-  /// ResultError(kNoQuorum) when no leader answered in time.
+  /// The reply of the leader. A reply with a refusal is returned, not thrown.
+  /// Throws ResultError(kNoQuorum) when no leader answered in time.
   statemachine::CommandReply Run(const statemachine::Command& command,
                                  std::chrono::milliseconds timeout);
-  statemachine::CommandReply Ask(const Query& query, std::chrono::milliseconds timeout);
-  statemachine::CommandReply Beat(const Heartbeat& heartbeat, std::chrono::milliseconds timeout);
+  statemachine::CommandReply Ask(const Query& query,
+                                 std::chrono::milliseconds timeout);
+  statemachine::CommandReply Beat(const Heartbeat& heartbeat,
+                                  std::chrono::milliseconds timeout);
   statemachine::CommandReply Change(const MembersChange& change,
                                     std::chrono::milliseconds timeout);
 
--- a/src/control/controlprotocol.h
+++ b/src/control/controlprotocol.h
@@ -14,14 +14,20 @@
 
 namespace papayarack::control {
 
-/// Paths of the requests that a control member takes; bodies are encoded messages.
+/// Paths of the requests that a control member takes; bodies are encoded
+/// messages.
 namespace path {
-inline constexpr const char* kRaft = "/raft";            ///< RaftMessage; no answer.
-inline constexpr const char* kCommand = "/command";      ///< Command; answer CommandReply.
-inline constexpr const char* kQuery = "/query";          ///< Query; answer CommandReply.
-inline constexpr const char* kHeartbeat = "/heartbeat";  ///< Heartbeat; answer CommandReply.
-inline constexpr const char* kSnapshot = "/snapshot";    ///< SnapshotRequest; SnapshotChunk.
-inline constexpr const char* kMembers = "/members";      ///< MembersChange; CommandReply.
+inline constexpr const char* kRaft = "/raft";  ///< RaftMessage; no answer.
+inline constexpr const char* kCommand =
+    "/command";  ///< Command; answer CommandReply.
+inline constexpr const char* kQuery =
+    "/query";  ///< Query; answer CommandReply.
+inline constexpr const char* kHeartbeat =
+    "/heartbeat";  ///< Heartbeat; answer CommandReply.
+inline constexpr const char* kSnapshot =
+    "/snapshot";  ///< SnapshotRequest; SnapshotChunk.
+inline constexpr const char* kMembers =
+    "/members";  ///< MembersChange; CommandReply.
 }  // namespace path
 
 /// The document in force. Body: documents::AcceptedDocument.
@@ -87,9 +93,10 @@
   MSGPACK_DEFINE(revision, documents, members, leader, term)
 };
 
-/// Questions; each answer was confirmed by a quorum. Alternatives are only added at the end.
-using Query = std::variant<QueryDocument, QueryChanges, QueryJob, QueryJobs, QueryResults,
-                           QueryFile, QueryStatus>;
+/// Questions; each answer was confirmed by a quorum. Alternatives are only
+/// added at the end.
+using Query = std::variant<QueryDocument, QueryChanges, QueryJob, QueryJobs,
+                           QueryResults, QueryFile, QueryStatus>;
 
 struct ChangesReply {
   std::uint64_t revision = 0;
@@ -100,16 +107,21 @@
 /// A process says that it is there and what it has.
 struct Heartbeat {
   fleet::ProcessReport report;
-  std::uint64_t fleet_version = 0;  ///< Of the fleet list that it has; 0 for none.
+  std::uint64_t fleet_version =
+      0;  ///< Of the fleet list that it has; 0 for none.
   MSGPACK_DEFINE(report, fleet_version)
 };
 /// Body of the answer to a heartbeat.
 struct HeartbeatReply {
   ChangesReply documents;
   std::uint64_t fleet_version = 0;
-  bool fleet_settled = false;  ///< False while a new leader is still being heard by all.
-  std::vector<fleet::FleetMember> members;  ///< Only when the version differs.
-  MSGPACK_DEFINE(documents, fleet_version, fleet_settled, members)
+  bool fleet_settled =
+      false;  ///< False while a new leader is still being heard by all.
+  /// For entries, and only when the version differs.
+  std::vector<fleet::FleetMember> members;
+  bool has_batch_work = false;  ///< A job of the sender's service is open.
+  MSGPACK_DEFINE(documents, fleet_version, fleet_settled, members,
+                 has_batch_work)
 };
 
 /// Asks for a part of the newest snapshot: of its state, or of the blob bytes.
@@ -127,7 +139,8 @@
   MSGPACK_DEFINE(code, meta, first_blob, bytes)
 };
 
-/// Adds a member as a learner, which votes once it has caught up, or removes one.
+/// Adds a member as a learner, which votes once it has caught up, or removes
+/// one.
 struct MembersChange {
   bool add = false;
   std::uint64_t id = 0;
--- a/src/control/internal/controlclient.cpp
+++ b/src/control/internal/controlclient.cpp
@@ -15,7 +15,8 @@
 bool WorthAnotherMember(ResultCode code) {
   return code == ResultCode::kNotLeader || code == ResultCode::kNoQuorum ||
          code == ResultCode::kOverloaded || code == ResultCode::kLeaving ||
-         code == ResultCode::kStorageFull || code == ResultCode::kUnknownOutcome;
+         code == ResultCode::kStorageFull ||
+         code == ResultCode::kUnknownOutcome;
 }
 
 }  // namespace
@@ -34,7 +35,8 @@
   return this->target;
 }
 
-void ControlClient::TryNext(const std::string& failed, const std::string& hint) {
+void ControlClient::TryNext(const std::string& failed,
+                            const std::string& hint) {
   const std::lock_guard lock(this->mutex);
   if (this->target != failed) {
     return;  // Another thread moved on already.
@@ -47,20 +49,22 @@
   this->target = this->addresses[this->position];
 }
 
-statemachine::CommandReply ControlClient::Send(const char* path, const std::string& body,
-                                               std::chrono::milliseconds timeout) {
+statemachine::CommandReply ControlClient::Send(
+    const char* path, const std::string& body,
+    std::chrono::milliseconds timeout) {
   const Time deadline = MonotonicNow() + timeout;
   std::string last_error = "no control member answered";
   while (true) {
-    const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - MonotonicNow());
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        deadline - MonotonicNow());
     if (left.count() <= 0) {
       throw ResultError(ResultCode::kNoQuorum, "control: " + last_error);
     }
     const std::string address = this->CurrentTarget();
     try {
-      const std::string answer = this->client.CallAndWait(ParseEndpoint(address, "control"), path,
-                                                          body, std::min(left, kOneTry));
+      const std::string answer =
+          this->client.CallAndWait(ParseEndpoint(address, "control"), path,
+                                   body, std::min(left, kOneTry));
       auto reply = DecodeMessage<statemachine::CommandReply>(answer);
       if (!WorthAnotherMember(reply.Code())) {
         return reply;
@@ -75,23 +79,23 @@
   }
 }
 
-statemachine::CommandReply ControlClient::Run(const statemachine::Command& command,
-                                              std::chrono::milliseconds timeout) {
+statemachine::CommandReply ControlClient::Run(
+    const statemachine::Command& command, std::chrono::milliseconds timeout) {
   return this->Send(path::kCommand, EncodeVariant(command), timeout);
 }
 
-statemachine::CommandReply ControlClient::Ask(const Query& query,
-                                              std::chrono::milliseconds timeout) {
+statemachine::CommandReply ControlClient::Ask(
+    const Query& query, std::chrono::milliseconds timeout) {
   return this->Send(path::kQuery, EncodeVariant(query), timeout);
 }
 
-statemachine::CommandReply ControlClient::Beat(const Heartbeat& heartbeat,
-                                               std::chrono::milliseconds timeout) {
+statemachine::CommandReply ControlClient::Beat(
+    const Heartbeat& heartbeat, std::chrono::milliseconds timeout) {
   return this->Send(path::kHeartbeat, EncodeMessage(heartbeat), timeout);
 }
 
-statemachine::CommandReply ControlClient::Change(const MembersChange& change,
-                                                 std::chrono::milliseconds timeout) {
+statemachine::CommandReply ControlClient::Change(
+    const MembersChange& change, std::chrono::milliseconds timeout) {
   return this->Send(path::kMembers, EncodeMessage(change), timeout);
 }
 
--- a/src/control/internal/controlserver.cpp
+++ b/src/control/internal/controlserver.cpp
@@ -45,11 +45,13 @@
 };
 struct LeaveWanted {};
 
-using Event = std::variant<PeerRequest, PeerGone, WriterHasNews, SnapshotArrived, PlatformList,
-                           DumpWanted, LeaveWanted>;
+using Event =
+    std::variant<PeerRequest, PeerGone, WriterHasNews, SnapshotArrived,
+                 PlatformList, DumpWanted, LeaveWanted>;
 
-/// What the writer has done since the deciding thread last looked. It stands beside the ring,
-/// because a writer that waited for room in it could wait for a decider that waits for the writer.
+/// What the writer has done since the deciding thread last looked. It stands
+/// beside the ring, because a writer that waited for room in it could wait for
+/// a decider that waits for the writer.
 struct WriterNews {
   std::optional<consensus::RaftBatch> synced;
   std::optional<consensus::SnapshotMeta> snapshot;
@@ -81,7 +83,8 @@
     if (!identity.has_value()) {
       throw ResultError(ResultCode::kConflict,
                         settings.data_folder +
-                            ": not formatted; see `papayarack format --help`. A wiped disk must "
+                            ": not formatted; see `papayarack format --help`. "
+                            "A wiped disk must "
                             "join under a new member id");
     }
     consensus::RaftOptions options;
@@ -90,12 +93,13 @@
     options.heartbeat = settings.heartbeat / 5;
     options.election = settings.election;
     options.seed = Hash64(settings.name, identity->member);
-    this->group = std::make_unique<GroupMember>(*this->files, options, this->Handlers(),
-                                                MonotonicNow());
+    this->group = std::make_unique<GroupMember>(
+        *this->files, options, this->Handlers(), MonotonicNow());
     transport::PeerServerHandlers handlers;
-    handlers.on_request = [this](transport::StreamId stream, std::string_view path,
-                                 std::string body) {
-      if (!this->events.TryPush(PeerRequest{stream, std::string(path), std::move(body)})) {
+    handlers.on_request = [this](transport::StreamId stream,
+                                 std::string_view path, std::string body) {
+      if (!this->events.TryPush(
+              PeerRequest{stream, std::string(path), std::move(body)})) {
         this->RefuseFull(stream);
       }
     };
@@ -103,7 +107,8 @@
       this->events.TryPush(PeerGone{stream});
     };
     this->server = std::make_unique<transport::PeerServer>(
-        ParseEndpoint(settings.peer_listen, "/peer_listen"), std::move(handlers));
+        ParseEndpoint(settings.peer_listen, "/peer_listen"),
+        std::move(handlers));
     this->decider = std::thread([this] { this->Decide(); });
     this->fetcher = std::thread([this] { this->FetchLoop(); });
     if (!settings.platform_list.empty()) {
@@ -126,7 +131,7 @@
 
   GroupHandlers Handlers() {
     GroupHandlers handlers;
-    handlers.send = [this](std::vector<consensus::RaftMessage> messages) {
+    handlers.send = [this](const std::vector<consensus::RaftMessage>& messages) {
       this->SendMessages(messages);
     };
     handlers.synced = [this](const consensus::RaftBatch& batch) {
@@ -138,13 +143,17 @@
     handlers.storage_failed = [this](const std::string& reason) {
       this->Tell([&](WriterNews& news) { news.failure = reason; });
     };
-    handlers.answer = [this](RequestToken token, const statemachine::CommandReply& reply) {
+    handlers.answer = [this](RequestToken token,
+                             const statemachine::CommandReply& reply) {
       this->Answer(token, reply);
     };
-    handlers.read_confirmed = [this](RequestToken token) { this->AnswerRead(token); };
+    handlers.read_confirmed = [this](RequestToken token) {
+      this->AnswerRead(token);
+    };
     handlers.fetch_snapshot = [this](consensus::MemberId from) {
       if (!std::exchange(this->fetching, true)) {
-        this->fetches.TryPush({this->group->AddressOf(from), this->group->blobs().length()});
+        this->fetches.TryPush(
+            {this->group->AddressOf(from), this->group->blobs().length()});
       }
     };
     return handlers;
@@ -177,7 +186,8 @@
     }
   }
 
-  /// Runs on the deciding and the writing thread; the addresses are refreshed by the former.
+  /// Runs on the deciding and the writing thread; the addresses are refreshed
+  /// by the former.
   void SendMessages(const std::vector<consensus::RaftMessage>& messages) {
     for (const consensus::RaftMessage& message : messages) {
       std::string address;
@@ -199,7 +209,8 @@
     for (const ControlMemberSettings& member : this->settings.control) {
       this->addresses[member.id] = member.address;
     }
-    for (const consensus::Member& member : this->group->raft().members().members) {
+    for (const consensus::Member& member :
+         this->group->raft().members().members) {
       this->addresses[member.id] = member.address;
     }
   }
@@ -220,15 +231,18 @@
       this->TakeWriterNews();
       this->group->Pump();
       const Time now = MonotonicNow();
-      const bool led = this->group->raft().role() == consensus::RaftRole::kLeader;
+      const bool led =
+          this->group->raft().role() == consensus::RaftRole::kLeader;
       if (led != this->was_leader) {
         this->leader_since = now;
         this->was_leader = led;
-        Log(LogLevel::kInfo, led ? "leads" : "follows", {{"term", this->group->raft().term()}});
+        Log(LogLevel::kInfo, led ? "leads" : "follows",
+            {{"term", this->group->raft().term()}});
       }
       this->RefreshAddresses();
       this->group->Tick(now, WallNow());
-      this->healthy = !this->group->Failed() && this->group->raft().leader() != 0;
+      this->healthy =
+          !this->group->Failed() && this->group->raft().leader() != 0;
     }
   }
 
@@ -246,7 +260,8 @@
   void Route(PeerRequest& request) {
     if (request.path == path::kRaft) {
       this->server->Finish(request.stream);
-      this->group->Step(consensus::DecodeRaftMessage(request.body), MonotonicNow());
+      this->group->Step(consensus::DecodeRaftMessage(request.body),
+                        MonotonicNow());
       return;
     }
     if (request.path == path::kSnapshot) {
@@ -254,26 +269,31 @@
       return;
     }
     if (this->leaving) {
-      throw ResultError(ResultCode::kLeaving, "this control member is shutting down");
+      throw ResultError(ResultCode::kLeaving,
+                        "this control member is shutting down");
     }
     if (request.path == path::kHeartbeat) {
       this->OnHeartbeat(request);
     } else if (request.path == path::kCommand) {
       this->group->Propose(request.stream,
-                           DecodeVariant<statemachine::Command>(request.body), WallNow());
+                           DecodeVariant<statemachine::Command>(request.body),
+                           WallNow());
     } else if (request.path == path::kQuery) {
       this->reads[request.stream] = DecodeVariant<Query>(request.body);
       this->group->Read(request.stream, MonotonicNow());
     } else if (request.path == path::kMembers) {
-      this->group->ProposeMembers(request.stream, DecodeMessage<MembersChange>(request.body));
+      this->group->ProposeMembers(request.stream,
+                                  DecodeMessage<MembersChange>(request.body));
     } else {
-      throw ResultError(ResultCode::kProtocol, "unknown request " + request.path);
+      throw ResultError(ResultCode::kProtocol,
+                        "unknown request " + request.path);
     }
   }
 
   void OnHeartbeat(const PeerRequest& request) {
     const auto heartbeat = DecodeMessage<Heartbeat>(request.body);
-    // An isolated leader stops answering here too: check quorum makes it step down.
+    // An isolated leader stops answering here too: check quorum makes it step
+    // down.
     if (!this->group->raft().LeaderReady()) {
       statemachine::CommandReply reply;
       reply.code = static_cast<int>(ResultCode::kNotLeader);
@@ -287,10 +307,17 @@
     this->fleet.Refresh(now);
     HeartbeatReply body;
     const documents::DocumentBook& book = this->group->state().documents();
-    body.documents = {book.revision(), book.ChangesSince(heartbeat.report.revision)};
+    body.documents = {book.revision(),
+                      book.ChangesSince(heartbeat.report.revision)};
     body.fleet_version = this->FleetVersion();
-    body.fleet_settled = now - this->leader_since > this->settings.heartbeat * kHeartbeatsUntilDead;
-    if (heartbeat.fleet_version != body.fleet_version) {
+    body.has_batch_work =
+        this->group->state().jobs().HasWork(heartbeat.report.service);
+    body.fleet_settled = now - this->leader_since >
+                         this->settings.heartbeat * kHeartbeatsUntilDead;
+    // Sides need no list: sent to each, it would grow with the square of
+    // the fleet.
+    if (heartbeat.report.role == "entry" &&
+        heartbeat.fleet_version != body.fleet_version) {
       body.members = this->fleet.Members(now);
     }
     statemachine::CommandReply reply;
@@ -311,9 +338,11 @@
     chunk.first_blob = this->group->blobs().FirstKept();
     try {
       if (wanted.blobs) {
-        const std::uint64_t left = chunk.meta.blob_length - std::min(chunk.meta.blob_length, wanted.offset);
-        chunk.bytes = this->group->blobs().ReadAt(wanted.offset,
-                                                  std::min<std::uint64_t>(left, kSnapshotChunk));
+        const std::uint64_t left =
+            chunk.meta.blob_length -
+            std::min(chunk.meta.blob_length, wanted.offset);
+        chunk.bytes = this->group->blobs().ReadAt(
+            wanted.offset, std::min<std::uint64_t>(left, kSnapshotChunk));
       } else {
         this->FillStateChunk(wanted, chunk);
       }
@@ -326,14 +355,17 @@
   void FillStateChunk(const SnapshotRequest& wanted, SnapshotChunk& chunk) {
     const bool fresh = !this->sent_snapshot.has_value() || wanted.offset == 0;
     if (fresh) {
-      this->sent_snapshot = consensus::DurableLog::ReadSnapshot(*this->files, wanted.group);
+      this->sent_snapshot =
+          consensus::DurableLog::ReadSnapshot(*this->files, wanted.group);
     }
     if (!this->sent_snapshot.has_value()) {
       throw ResultError(ResultCode::kNotFound, "no snapshot yet");
     }
     chunk.meta = this->sent_snapshot->first;
     chunk.bytes = this->sent_snapshot->second.substr(
-        std::min<std::size_t>(wanted.offset, this->sent_snapshot->second.size()), kSnapshotChunk);
+        std::min<std::size_t>(wanted.offset,
+                              this->sent_snapshot->second.size()),
+        kSnapshotChunk);
   }
 
   void Answer(RequestToken token, const statemachine::CommandReply& reply) {
@@ -357,18 +389,25 @@
       status.leader = this->group->LeaderAddress();
       status.term = this->group->raft().term();
     }
-    this->Answer(token, AnswerQuery(this->group->state(), found->second, status));
+    this->Answer(token,
+                 AnswerQuery(this->group->state(), found->second, status));
   }
 
   void On(const PeerGone& gone) { this->reads.erase(gone.stream); }
-  void On(const WriterHasNews&) {}  // It wakes the thread; TakeWriterNews follows.
-  void On(const PlatformList& list) { this->fleet.PlatformSaysLeaving(list.leaving); }
-  void On(const DumpWanted& wanted) { wanted.answer->set_value(this->BuildDump()); }
+  void On(const WriterHasNews&) {
+  }  // It wakes the thread; TakeWriterNews follows.
+  void On(const PlatformList& list) {
+    this->fleet.PlatformSaysLeaving(list.leaving);
+  }
+  void On(const DumpWanted& wanted) {
+    wanted.answer->set_value(this->BuildDump());
+  }
   void On(const SnapshotArrived& arrived) {
     this->fetching = false;
     if (arrived.snapshot.has_value()) {
       this->group->Install(arrived.snapshot->meta, arrived.snapshot->state,
-                           arrived.snapshot->blob_file, arrived.snapshot->blob_start);
+                           arrived.snapshot->blob_file,
+                           arrived.snapshot->blob_start);
     }
   }
   void On(const LeaveWanted&) {
@@ -378,7 +417,8 @@
 
   nlohmann::json BuildDump() {
     nlohmann::json members = nlohmann::json::array();
-    for (const fleet::FleetMember& member : this->fleet.Members(MonotonicNow())) {
+    for (const fleet::FleetMember& member :
+         this->fleet.Members(MonotonicNow())) {
       members.push_back({{"name", member.report.name},
                          {"role", member.report.role},
                          {"zone", member.report.zone},
@@ -414,10 +454,11 @@
       }
       SnapshotArrived arrived;
       try {
-        arrived.snapshot =
-            FetchSnapshot(this->client, wanted->first, *this->files, kGroup, wanted->second);
+        arrived.snapshot = FetchSnapshot(this->client, wanted->first,
+                                         *this->files, kGroup, wanted->second);
       } catch (const ResultError& error) {
-        Log(LogLevel::kWarn, "snapshot_fetch_failed", {{"reason", error.what()}});
+        Log(LogLevel::kWarn, "snapshot_fetch_failed",
+            {{"reason", error.what()}});
       }
       this->events.Push(std::move(arrived));
     }
@@ -427,10 +468,12 @@
     constexpr std::chrono::milliseconds kEvery{250};
     while (!this->stopping) {
       try {
-        this->events.TryPush(PlatformList{ReadPlatformList(this->settings.platform_list)});
+        this->events.TryPush(
+            PlatformList{ReadPlatformList(this->settings.platform_list)});
       } catch (const std::exception& error) {
         // A list that cannot be read changes nothing: the last one stands.
-        Log(LogLevel::kDebug, "platform_list_unreadable", {{"reason", error.what()}});
+        Log(LogLevel::kDebug, "platform_list_unreadable",
+            {{"reason", error.what()}});
       }
       std::this_thread::sleep_for(kEvery);
     }
@@ -475,16 +518,20 @@
   std::future<nlohmann::json> future = answer->get_future();
   if (!this->impl->events.TryPush(DumpWanted{answer}) ||
       future.wait_for(kPatience) != std::future_status::ready) {
-    return {{"role", "control"}, {"error", "the deciding thread did not answer"}};
+    return {{"role", "control"},
+            {"error", "the deciding thread did not answer"}};
   }
   return future.get();
 }
 
-bool ControlServer::Healthy() const { return this->impl->healthy && !this->impl->leaving; }
+bool ControlServer::Healthy() const {
+  return this->impl->healthy && !this->impl->leaving;
+}
 
 std::uint16_t ControlServer::port() const { return this->impl->server->port(); }
 
-void FormatDataFolder(const Settings& settings, std::uint64_t member, bool join) {
+void FormatDataFolder(const Settings& settings, std::uint64_t member,
+                      bool join) {
   const auto files = storage::OpenPosixFileSystem(settings.data_folder);
   consensus::MemberList first;
   if (!join) {
@@ -492,8 +539,9 @@
       first.members.push_back({control.id, control.address, true});
     }
     if (first.Find(member) == nullptr) {
-      throw ResultError(ResultCode::kBadInput,
-                        "[/control] does not name member " + std::to_string(member));
+      throw ResultError(
+          ResultCode::kBadInput,
+          "[/control] does not name member " + std::to_string(member));
     }
   }
   consensus::FormatFolder(*files, {member, "papayarack"}, first, 1);
--- a/src/control/internal/groupmember.cpp
+++ b/src/control/internal/groupmember.cpp
@@ -16,9 +16,11 @@
 constexpr std::size_t kCopyChunk = 1U << 20U;
 constexpr RequestToken kNobody = 0;
 
-/// Only the leader's clock counts, so that members with unlike clocks decide alike.
+/// Only the leader's clock counts, so that members with unlike clocks decide
+/// alike.
 void StampTime(statemachine::Command& command, WallMillis wall) {
-  using namespace statemachine;  // NOLINT(google-build-using-namespace): visitors below
+  using namespace statemachine;  // NOLINT(google-build-using-namespace):
+                                 // visitors below
   std::visit(Overloaded{[](SubmitDocument&) {},
                         [wall](AppendFile& body) { body.now_ms = wall; },
                         [wall](CreateJob& body) {
@@ -29,7 +31,8 @@
                         [wall](PullItems& body) { body.lease.now_ms = wall; },
                         [wall](PassTime& body) { body.now_ms = wall; },
                         [wall](MakeClaim& body) {
-                          body.request.deadline_ms += wall - body.request.now_ms;
+                          body.request.deadline_ms +=
+                              wall - body.request.now_ms;
                           body.request.now_ms = wall;
                         },
                         [](EndClaim&) {}},
@@ -52,7 +55,8 @@
 
 }  // namespace
 
-GroupMember::GroupMember(storage::FileSystem& files, const consensus::RaftOptions& options,
+GroupMember::GroupMember(storage::FileSystem& files,
+                         const consensus::RaftOptions& options,
                          GroupHandlers handlers, Time now)
     : files(files),
       options(options),
@@ -73,10 +77,12 @@
        {"entries", recovered.entries.size()},
        {"cut_bytes", recovered.cut_bytes}});
   this->core = std::make_unique<consensus::RaftCore>(
-      options, recovered.hard_state, recovered.snapshot, std::move(recovered.entries), now);
+      options, recovered.hard_state, recovered.snapshot,
+      std::move(recovered.entries), now);
   this->writer = std::make_unique<LogWriter>(
       files, this->log,
-      LogWriterHandlers{this->handlers.send, this->handlers.synced, this->handlers.snapshot_saved,
+      LogWriterHandlers{this->handlers.send, this->handlers.synced,
+                        this->handlers.snapshot_saved,
                         this->handlers.storage_failed});
 }
 
@@ -85,7 +91,8 @@
     return;
   }
   this->core->Tick(now);
-  const bool due = this->machine.NeedsPassTime(wall) || wall - this->last_pass_time > kPassTimeEveryMs;
+  const bool due = this->machine.NeedsPassTime(wall) ||
+                   wall - this->last_pass_time > kPassTimeEveryMs;
   if (this->core->LeaderReady() && due && !this->pass_time_under_way) {
     this->pass_time_under_way = true;
     this->last_pass_time = wall;
@@ -102,7 +109,8 @@
   }
 }
 
-void GroupMember::Refuse(RequestToken token, ResultCode code, const std::string& text) {
+void GroupMember::Refuse(RequestToken token, ResultCode code,
+                         const std::string& text) {
   if (token == kNobody) {
     return;
   }
@@ -113,15 +121,20 @@
   this->handlers.answer(token, reply);
 }
 
-void GroupMember::Propose(RequestToken token, statemachine::Command command, WallMillis wall) {
+void GroupMember::Propose(RequestToken token, statemachine::Command command,
+                          WallMillis wall) {
   if (this->Failed()) {
     this->Refuse(token, ResultCode::kStorageFull, this->failure);
     return;
   }
   this->last_wall = std::max(this->last_wall, wall);
   StampTime(command, this->last_wall);
+  if (this->AnswerEmptyPull(token, command)) {
+    return;
+  }
   try {
-    const consensus::ProposalPlace place = this->core->Propose(EncodeVariant(command));
+    const consensus::ProposalPlace place =
+        this->core->Propose(EncodeVariant(command));
     this->waiting.insert({place.index, {token, place.term}});
   } catch (const ResultError& error) {
     this->pass_time_under_way = this->pass_time_under_way && token != kNobody;
@@ -129,19 +142,41 @@
   }
 }
 
-void GroupMember::ProposeMembers(RequestToken token, const MembersChange& change) {
+/// A gate that holds nothing, reports nothing and finds no work changes no
+/// state. Thousands of idle gates asking would otherwise fill the log.
+bool GroupMember::AnswerEmptyPull(RequestToken token,
+                                  const statemachine::Command& command) {
+  const auto* pull = std::get_if<statemachine::PullItems>(&command);
+  if (pull == nullptr || !this->core->LeaderReady()) {
+    return false;
+  }
+  const bool idle = pull->outcomes.empty() && pull->lease.holding.empty() &&
+                    !this->machine.jobs().HasWork(pull->lease.service);
+  if (!idle || this->machine.jobs().LeaseCount() > 0) {
+    return false;
+  }
+  statemachine::CommandReply reply;
+  reply.body = EncodeMessage(statemachine::LeaseReply{});
+  this->handlers.answer(token, reply);
+  return true;
+}
+
+void GroupMember::ProposeMembers(RequestToken token,
+                                 const MembersChange& change) {
   try {
     consensus::MemberList list = this->core->members();
     const bool present = list.Find(change.id) != nullptr;
     if (present == change.add) {
-      throw ResultError(ResultCode::kConflict,
-                        present ? "this member is in the group" : "no such member");
+      throw ResultError(
+          ResultCode::kConflict,
+          present ? "this member is in the group" : "no such member");
     }
     if (change.add) {
       list.members.push_back({change.id, change.address, false});
     } else {
-      std::erase_if(list.members,
-                    [&](const consensus::Member& member) { return member.id == change.id; });
+      std::erase_if(list.members, [&](const consensus::Member& member) {
+        return member.id == change.id;
+      });
     }
     const consensus::ProposalPlace place = this->core->ProposeMembers(list);
     this->waiting.insert({place.index, {token, place.term}});
@@ -157,7 +192,8 @@
   }
   consensus::MemberList list = this->core->members();
   for (consensus::Member& member : list.members) {
-    const bool caught_up = this->core->MatchOf(member.id) >= this->core->commit();
+    const bool caught_up =
+        this->core->MatchOf(member.id) >= this->core->commit();
     if (!member.voter && caught_up) {
       member.voter = true;
       try {
@@ -205,9 +241,11 @@
     this->handlers.read_confirmed(token);
   }
   for (const std::uint64_t token : ready.reads_failed) {
-    this->Refuse(token, ResultCode::kNotLeader, "leadership could not be confirmed");
+    this->Refuse(token, ResultCode::kNotLeader,
+                 "leadership could not be confirmed");
   }
-  if (this->core->role() != consensus::RaftRole::kLeader && !this->waiting.empty()) {
+  if (this->core->role() != consensus::RaftRole::kLeader &&
+      !this->waiting.empty()) {
     this->FailWaiting();
   }
   if (ready.fetch_snapshot.has_value()) {
@@ -231,7 +269,8 @@
     } else if (waiter->second.term == entry.term) {
       this->handlers.answer(waiter->second.token, reply);
     } else {
-      this->Refuse(waiter->second.token, ResultCode::kNotLeader, "another leader took over");
+      this->Refuse(waiter->second.token, ResultCode::kNotLeader,
+                   "another leader took over");
     }
   }
   this->waiting.erase(first, last);
@@ -246,7 +285,8 @@
 }
 
 void GroupMember::MaybeSnapshot() {
-  if (this->snapshot_under_way || this->bytes_since_snapshot < kSnapshotAfterBytes) {
+  if (this->snapshot_under_way ||
+      this->bytes_since_snapshot < kSnapshotAfterBytes) {
     return;
   }
   consensus::SnapshotMeta meta;
@@ -265,8 +305,9 @@
   this->core->Compact(meta);
 }
 
-void GroupMember::Install(const consensus::SnapshotMeta& meta, std::string_view state,
-                          const std::string& blob_file, std::uint64_t blob_start) {
+void GroupMember::Install(const consensus::SnapshotMeta& meta,
+                          std::string_view state, const std::string& blob_file,
+                          std::uint64_t blob_start) {
   this->writer->Drain();
   if (!this->core->WantsSnapshot(meta)) {
     return;
@@ -275,7 +316,8 @@
     if (blob_start != this->blob_store.length()) {
       this->blob_store.Reset(blob_start);
     }
-    const std::uint64_t size = this->files.Exists(blob_file) ? this->files.Size(blob_file) : 0;
+    const std::uint64_t size =
+        this->files.Exists(blob_file) ? this->files.Size(blob_file) : 0;
     for (std::uint64_t offset = 0; offset < size; offset += kCopyChunk) {
       this->blob_store.Append(this->files.Read(blob_file, offset, kCopyChunk));
     }
@@ -296,7 +338,8 @@
 
 void GroupMember::StorageFailed(const std::string& reason) {
   this->failure = reason;
-  Log(LogLevel::kError, "storage_failed", {{"group", this->options.group}, {"reason", reason}});
+  Log(LogLevel::kError, "storage_failed",
+      {{"group", this->options.group}, {"reason", reason}});
   for (const auto& [index, waiter] : std::exchange(this->waiting, {})) {
     this->Refuse(waiter.token, ResultCode::kUnknownOutcome, reason);
   }
@@ -307,7 +350,9 @@
   return found != nullptr ? found->address : std::string();
 }
 
-std::string GroupMember::LeaderAddress() const { return this->AddressOf(this->core->leader()); }
+std::string GroupMember::LeaderAddress() const {
+  return this->AddressOf(this->core->leader());
+}
 
 nlohmann::json GroupMember::Dump() const {
   nlohmann::json members = nlohmann::json::array();
@@ -317,24 +362,25 @@
                        {"voter", member.voter},
                        {"synced_index", this->core->MatchOf(member.id)}});
   }
-  return {{"group", this->options.group},
-          {"state", this->Failed() ? "storage failed" : NameOf(this->core->role())},
-          {"failure", this->failure},
-          {"term", this->core->term()},
-          {"leader", this->core->leader()},
-          {"confirmed_by_quorum", this->core->LeaderReady()},
-          {"commit_index", this->core->commit()},
-          {"applied_index", this->applied},
-          {"synced_index", this->core->persisted()},
-          {"log_first_index", this->core->log().FirstIndex()},
-          {"log_bytes_in_memory", this->core->log().Bytes()},
-          {"snapshot_index", this->core->log().snapshot().index},
-          {"blob_bytes", this->blob_store.length() - this->blob_store.FirstKept()},
-          {"waiting_requests", this->waiting.size()},
-          {"members", members},
-          {"documents_revision", this->machine.documents().revision()},
-          {"leases", this->machine.jobs().LeaseCount()},
-          {"claims", this->machine.claims().Count()}};
+  return {
+      {"group", this->options.group},
+      {"state", this->Failed() ? "storage failed" : NameOf(this->core->role())},
+      {"failure", this->failure},
+      {"term", this->core->term()},
+      {"leader", this->core->leader()},
+      {"confirmed_by_quorum", this->core->LeaderReady()},
+      {"commit_index", this->core->commit()},
+      {"applied_index", this->applied},
+      {"synced_index", this->core->persisted()},
+      {"log_first_index", this->core->log().FirstIndex()},
+      {"log_bytes_in_memory", this->core->log().Bytes()},
+      {"snapshot_index", this->core->log().snapshot().index},
+      {"blob_bytes", this->blob_store.length() - this->blob_store.FirstKept()},
+      {"waiting_requests", this->waiting.size()},
+      {"members", members},
+      {"documents_revision", this->machine.documents().revision()},
+      {"leases", this->machine.jobs().LeaseCount()},
+      {"claims", this->machine.claims().Count()}};
 }
 
 }  // namespace papayarack::control
--- a/src/control/internal/groupmember.h
+++ b/src/control/internal/groupmember.h
@@ -22,9 +22,10 @@
 /// Names a request that waits for the log.
 using RequestToken = std::uint64_t;
 
-/// Where a group member's decisions go. `send` and `synced` may run on the writer's thread.
+/// Where a group member's decisions go. `send` and `synced` may run on the
+/// writer's thread.
 struct GroupHandlers {
-  std::function<void(std::vector<consensus::RaftMessage>)> send;
+  std::function<void(const std::vector<consensus::RaftMessage>&)> send;
   std::function<void(const consensus::RaftBatch&)> synced;
   std::function<void(const consensus::SnapshotMeta&)> snapshot_saved;
   std::function<void(const std::string&)> storage_failed;
@@ -33,8 +34,8 @@
   std::function<void(consensus::MemberId from)> fetch_snapshot;
 };
 
-/// One group on one member: core, durable log, state machine and the requests that wait.
-/// Thread safety: none, the deciding thread.
+/// One group on one member: core, durable log, state machine and the requests
+/// that wait. Thread safety: none, the deciding thread.
 class GroupMember {
  public:
   /// Recovers from the data folder. Throws ResultError(kStorageDamaged).
@@ -43,18 +44,25 @@
 
   void Tick(Time now, WallMillis wall);
   void Step(const consensus::RaftMessage& message, Time now);
-  /// Proposes; the answer comes by handlers.answer. Refusals are answered at once.
-  void Propose(RequestToken token, statemachine::Command command, WallMillis wall);
+  /// Proposes; the answer comes by handlers.answer. Refusals are answered at
+  /// once.
+  void Propose(RequestToken token, statemachine::Command command,
+               WallMillis wall);
   void ProposeMembers(RequestToken token, const MembersChange& change);
-  /// Asks for a confirmed read; read_confirmed or an answer with a refusal follows.
+  /// Asks for a confirmed read; read_confirmed or an answer with a refusal
+  /// follows.
   void Read(RequestToken token, Time now);
   void Synced(const consensus::RaftBatch& batch);
   void SnapshotSaved(const consensus::SnapshotMeta& meta);
-  /// Takes a fetched snapshot whose blob bytes after our own lie in `blob_file`.
+  /// Takes a fetched snapshot whose blob bytes after our own lie in
+  /// `blob_file`.
   void Install(const consensus::SnapshotMeta& meta, std::string_view state,
                const std::string& blob_file, std::uint64_t blob_start);
   void StorageFailed(const std::string& reason);
-  void HandOver(Time now) { this->core->TransferLeadership(now); this->Pump(); }
+  void HandOver(Time now) {
+    this->core->TransferLeadership(now);
+    this->Pump();
+  }
   /// Does what the core asks for; call after each of the above.
   void Pump();
 
@@ -74,6 +82,8 @@
   };
   void Apply(const consensus::Entry& entry);
   void Refuse(RequestToken token, ResultCode code, const std::string& text);
+  bool AnswerEmptyPull(RequestToken token,
+                       const statemachine::Command& command);
   void FailWaiting();
   void MaybeSnapshot();
   void MaybePromoteLearner();
--- a/src/control/internal/logwriter.cpp
+++ b/src/control/internal/logwriter.cpp
@@ -26,17 +26,19 @@
   if (!ready.NeedsSync() && ready.after_sync.empty()) {
     return true;
   }
-  Batch batch{ready.batch, ready.truncate_from, std::move(ready.entries), ready.hard_state,
-              std::move(ready.after_sync)};
+  Batch batch{ready.batch, ready.truncate_from, std::move(ready.entries),
+              ready.hard_state, std::move(ready.after_sync)};
   ++this->offered;
-  // The deciding thread stops taking events while 1,024 batches wait, so this rarely waits.
+  // The deciding thread stops taking events while 1,024 batches wait, so this
+  // rarely waits.
   return this->ring.Push(std::move(batch));
 }
 
 bool LogWriter::OfferSnapshot(consensus::SnapshotMeta meta, std::string state,
                               std::vector<std::string> blob_files) {
   ++this->offered;
-  return this->ring.Push(SnapshotWork{std::move(meta), std::move(state), std::move(blob_files)});
+  return this->ring.Push(
+      SnapshotWork{std::move(meta), std::move(state), std::move(blob_files)});
 }
 
 void LogWriter::Drain() {
@@ -85,14 +87,17 @@
   };
   for (Work& work : works) {
     std::visit(Overloaded{[&](Batch& batch) {
-                            if (batch.truncate_from.has_value() || batch.hard_state.has_value()) {
+                            if (batch.truncate_from.has_value() ||
+                                batch.hard_state.has_value()) {
                               flush();
-                              this->log.Write(batch.truncate_from, batch.entries,
-                                              batch.hard_state);
+                              this->log.Write(batch.truncate_from,
+                                              batch.entries, batch.hard_state);
                             } else {
-                              std::ranges::move(batch.entries, std::back_inserter(entries));
+                              std::ranges::move(batch.entries,
+                                                std::back_inserter(entries));
                             }
-                            std::ranges::move(batch.after_sync, std::back_inserter(leaving));
+                            std::ranges::move(batch.after_sync,
+                                              std::back_inserter(leaving));
                             last = batch.batch;
                           },
                           [&](SnapshotWork& snapshot) {
--- a/src/control/internal/logwriter.h
+++ b/src/control/internal/logwriter.h
@@ -15,29 +15,32 @@
 
 /// What the writer tells the deciding thread; called on the writer's thread.
 struct LogWriterHandlers {
-  std::function<void(std::vector<consensus::RaftMessage>)> send;
+  std::function<void(const std::vector<consensus::RaftMessage>&)> send;
   std::function<void(const consensus::RaftBatch&)> synced;
   std::function<void(const consensus::SnapshotMeta&)> snapshot_saved;
   std::function<void(const std::string& reason)> failed;
 };
 
-/// The write-and-sync thread: batches go to the log in order, are synced, and only then do the
-/// messages that depend on them leave. After a failed write or sync it writes nothing more and
-/// nothing more leaves: what was not synced is never acknowledged.
-/// Thread safety: the methods are for the deciding thread.
+/// The write-and-sync thread: batches go to the log in order, are synced, and
+/// only then do the messages that depend on them leave. After a failed write or
+/// sync it writes nothing more and nothing more leaves: what was not synced is
+/// never acknowledged. Thread safety: the methods are for the deciding thread.
 class LogWriter {
  public:
-  LogWriter(storage::FileSystem& files, consensus::DurableLog& log, LogWriterHandlers handlers);
+  LogWriter(storage::FileSystem& files, consensus::DurableLog& log,
+            LogWriterHandlers handlers);
   ~LogWriter();
   LogWriter(const LogWriter&) = delete;
   LogWriter& operator=(const LogWriter&) = delete;
 
-  /// False when the ring is full: the caller keeps the batch and offers it again.
+  /// False when the ring is full: the caller keeps the batch and offers it
+  /// again.
   bool Offer(consensus::RaftReady& ready);
   /// Saves a snapshot in the background after syncing the blob files named.
   bool OfferSnapshot(consensus::SnapshotMeta meta, std::string state,
                      std::vector<std::string> blob_files);
-  /// Waits until everything offered is written. Only for installing a fetched snapshot.
+  /// Waits until everything offered is written. Only for installing a fetched
+  /// snapshot.
   void Drain();
 
  private:
--- a/src/control/internal/queries.cpp
+++ b/src/control/internal/queries.cpp
@@ -14,10 +14,12 @@
   return reply;
 }
 
-const jobs::JobSummary& RequireJob(const statemachine::StateMachine& state, const std::string& id,
+const jobs::JobSummary& RequireJob(const statemachine::StateMachine& state,
+                                   const std::string& id,
                                    const std::string& owner) {
   const jobs::JobSummary* job = state.jobs().Find(id);
-  // A foreign job is reported like an absent one, so that ids of others tell nothing.
+  // A foreign job is reported like an absent one, so that ids of others tell
+  // nothing.
   if (job == nullptr || (!owner.empty() && job->request.owner != owner)) {
     throw ResultError(ResultCode::kNotFound, "no such job: " + id);
   }
@@ -29,44 +31,50 @@
   const jobs::JobSummary& job = RequireJob(state, query.job, query.owner);
   ResultsReply reply;
   reply.items = job.items;
-  reply.lines = state.jobs().ReadResults(query.job, query.errors, query.from_item, kReadBytes,
-                                         reply.next_item);
+  reply.lines = state.jobs().ReadResults(
+      query.job, query.errors, query.from_item, kReadBytes, reply.next_item);
   return ReplyWith(reply);
 }
 
-statemachine::CommandReply File(const statemachine::StateMachine& state, const QueryFile& query) {
+statemachine::CommandReply File(const statemachine::StateMachine& state,
+                                const QueryFile& query) {
   const jobs::StoredFile* file = state.files().Find(query.file);
   if (file == nullptr || (!query.owner.empty() && file->owner != query.owner)) {
     throw ResultError(ResultCode::kNotFound, "no such file: " + query.file);
   }
-  return ReplyWith(FileReply{state.files().Read(*file, query.at, kReadBytes), file->bytes,
-                             file->complete, file->created_ms});
+  return ReplyWith(FileReply{state.files().Read(*file, query.at, kReadBytes),
+                             file->bytes, file->complete, file->created_ms});
 }
 
 }  // namespace
 
 statemachine::CommandReply AnswerQuery(const statemachine::StateMachine& state,
-                                       const Query& query, const StatusReply& status) {
+                                       const Query& query,
+                                       const StatusReply& status) {
   try {
     return std::visit(
         Overloaded{
             [&](const QueryDocument& body) {
-              const documents::AcceptedDocument* found = state.documents().Find(body.service);
+              const documents::AcceptedDocument* found =
+                  state.documents().Find(body.service);
               if (found == nullptr) {
-                throw ResultError(ResultCode::kNotFound, "no such service: " + body.service);
+                throw ResultError(ResultCode::kNotFound,
+                                  "no such service: " + body.service);
               }
               return ReplyWith(*found);
             },
             [&](const QueryChanges& body) {
-              return ReplyWith(ChangesReply{state.documents().revision(),
-                                            state.documents().ChangesSince(body.since)});
+              return ReplyWith(
+                  ChangesReply{state.documents().revision(),
+                               state.documents().ChangesSince(body.since)});
             },
             [&](const QueryJob& body) {
               return ReplyWith(RequireJob(state, body.job, body.owner));
             },
             [&](const QueryJobs& body) {
               std::vector<jobs::JobSummary> list;
-              for (const jobs::JobSummary* job : state.jobs().List(body.owner)) {
+              for (const jobs::JobSummary* job :
+                   state.jobs().List(body.owner)) {
                 list.push_back(*job);
               }
               return ReplyWith(list);
--- a/src/control/internal/queries.h
+++ b/src/control/internal/queries.h
@@ -6,11 +6,12 @@
 
 namespace papayarack::control {
 
-/// Answers a question from the state machine. Precondition: the read was confirmed by a quorum.
-/// Errors come as a reply with a code. QueryStatus is filled by the caller with the fleet.
-/// Thread safety: the deciding thread.
+/// Answers a question from the state machine. Precondition: the read was
+/// confirmed by a quorum. Errors come as a reply with a code. QueryStatus is
+/// filled by the caller with the fleet. Thread safety: the deciding thread.
 statemachine::CommandReply AnswerQuery(const statemachine::StateMachine& state,
-                                       const Query& query, const StatusReply& status);
+                                       const Query& query,
+                                       const StatusReply& status);
 
 }  // namespace papayarack::control
 
--- a/src/documents/documentbook.h
+++ b/src/documents/documentbook.h
@@ -13,7 +13,8 @@
 
 namespace papayarack::documents {
 
-/// Numbers accepted documents in the order of acceptance, over all services. Never falls.
+/// Numbers accepted documents in the order of acceptance, over all services.
+/// Never falls.
 using Revision = std::uint64_t;
 
 /// A document in force.
@@ -28,21 +29,25 @@
 /// The answer to a submission.
 struct SubmitOutcome {
   int code = 0;
-  Revision revision = 0;        ///< Of the accepted or already accepted document.
-  AcceptedDocument in_force;    ///< On a conflict: what stands.
+  Revision revision = 0;      ///< Of the accepted or already accepted document.
+  AcceptedDocument in_force;  ///< On a conflict: what stands.
   MSGPACK_DEFINE(code, revision, in_force)
 };
 
-/// All service documents, as the log decides them. The rules: version n + 1 follows n; the same
-/// version with the same content gets the first answer again; anything else is a conflict.
-/// Deterministic: the same calls in the same order give the same state. Thread safety: none.
+/// All service documents, as the log decides them. The rules: version n + 1
+/// follows n; the same version with the same content gets the first answer
+/// again; anything else is a conflict. Deterministic: the same calls in the
+/// same order give the same state. Thread safety: none.
 class DocumentBook {
  public:
-  /// Precondition: `text` is canonical and its service and version are those given.
-  SubmitOutcome Submit(std::string_view service, std::uint64_t version, std::string_view text);
+  /// Precondition: `text` is canonical and its service and version are those
+  /// given.
+  SubmitOutcome Submit(std::string_view service, std::uint64_t version,
+                       std::string_view text);
   /// The document in force, or nothing.
   const AcceptedDocument* Find(std::string_view service) const;
-  /// Documents in force that were accepted after `since`, each service once at most.
+  /// Documents in force that were accepted after `since`, each service once at
+  /// most.
   std::vector<AcceptedDocument> ChangesSince(Revision since) const;
   Revision revision() const { return this->last_revision; }
   std::vector<std::string> Services() const;
--- a/src/documents/internal/documentbook.cpp
+++ b/src/documents/internal/documentbook.cpp
@@ -6,21 +6,24 @@
 
 namespace papayarack::documents {
 
-SubmitOutcome DocumentBook::Submit(std::string_view service, std::uint64_t version,
+SubmitOutcome DocumentBook::Submit(std::string_view service,
+                                   std::uint64_t version,
                                    std::string_view text) {
   SubmitOutcome outcome;
   const std::string hash = Sha256Hex(text);
   auto found = this->services.find(service);
-  const std::uint64_t expected = found == this->services.end() ? 1 : found->second.current.version + 1;
+  const std::uint64_t expected =
+      found == this->services.end() ? 1 : found->second.current.version + 1;
   if (version != expected) {
     outcome.code = static_cast<int>(ResultCode::kConflict);
     if (found == this->services.end()) {
       return outcome;
     }
     outcome.in_force = found->second.current;
-    const auto past = std::ranges::find(found->second.past, version, &PastVersion::version);
-    // An operator who lost the answer sends again: the first answer stands, also when a later
-    // version has come into force meanwhile.
+    const auto past =
+        std::ranges::find(found->second.past, version, &PastVersion::version);
+    // An operator who lost the answer sends again: the first answer stands,
+    // also when a later version has come into force meanwhile.
     if (past != found->second.past.end() && past->content_hash == hash) {
       outcome.code = static_cast<int>(ResultCode::kOk);
       outcome.revision = past->revision;
@@ -31,7 +34,8 @@
     found = this->services.emplace(service, Service{}).first;
   }
   Service& entry = found->second;
-  entry.current = {std::string(service), version, ++this->last_revision, std::string(text)};
+  entry.current = {std::string(service), version, ++this->last_revision,
+                   std::string(text)};
   entry.past.push_back({version, this->last_revision, hash});
   if (entry.past.size() > kRememberedVersions) {
     entry.past.erase(entry.past.begin());
--- a/src/documents/internal/servicedocument.cpp
+++ b/src/documents/internal/servicedocument.cpp
@@ -50,7 +50,8 @@
 WorkKind ParseWork(const nlohmann::json& from) {
   WorkKind work;
   work.name = from["name"].get<std::string>();
-  work.work_class = from["class"] == "batch" ? WorkClass::kBatch : WorkClass::kOnline;
+  work.work_class =
+      from["class"] == "batch" ? WorkClass::kBatch : WorkClass::kOnline;
   ReadDuration(from, "first_token_ms", work.first_token);
   ReadDuration(from, "between_tokens_ms", work.between_tokens);
   ReadDuration(from, "deadline_ms", work.deadline);
@@ -65,9 +66,9 @@
   for (std::size_t i = 0; i < document.work.size(); ++i) {
     for (std::size_t j = 0; j < i; ++j) {
       if (document.work[i].name == document.work[j].name) {
-        throw ResultError(ResultCode::kBadInput, "document: [/work/" + std::to_string(i) +
-                                                     "/name] is used twice: " +
-                                                     document.work[i].name);
+        throw ResultError(ResultCode::kBadInput,
+                          "document: [/work/" + std::to_string(i) +
+                              "/name] is used twice: " + document.work[i].name);
       }
     }
   }
@@ -75,10 +76,13 @@
 
 }  // namespace
 
-const WorkKind* ServiceDocument::FindWork(std::string_view name, WorkClass work_class) const {
-  const auto found = std::ranges::find_if(this->work, [&](const WorkKind& kind) {
-    return kind.work_class == work_class && (name.empty() || kind.name == name);
-  });
+const WorkKind* ServiceDocument::FindWork(std::string_view name,
+                                          WorkClass work_class) const {
+  const auto found =
+      std::ranges::find_if(this->work, [&](const WorkKind& kind) {
+        return kind.work_class == work_class &&
+               (name.empty() || kind.name == name);
+      });
   return found != this->work.end() ? &*found : nullptr;
 }
 
@@ -96,22 +100,27 @@
   parsed.kind = document.value("kind", parsed.kind);
   if (document.contains("models")) {
     for (const nlohmann::json& model : document["models"]) {
-      parsed.models.push_back({model["name"].get<std::string>(),
-                               model["version"].get<std::string>(),
-                               model.value("adapters", std::vector<std::string>{})});
+      parsed.models.push_back(
+          {model["name"].get<std::string>(),
+           model["version"].get<std::string>(),
+           model.value("adapters", std::vector<std::string>{})});
     }
   }
   for (const nlohmann::json& work : document["work"]) {
     parsed.work.push_back(ParseWork(work));
   }
   parsed.max_queue = document.value("max_queue", parsed.max_queue);
-  parsed.max_concurrent = document.value("max_concurrent", parsed.max_concurrent);
-  parsed.keep_results_days = document.value("keep_results_days", parsed.keep_results_days);
+  parsed.max_concurrent =
+      document.value("max_concurrent", parsed.max_concurrent);
+  parsed.keep_results_days =
+      document.value("keep_results_days", parsed.keep_results_days);
   RequireDistinctWork(parsed);
   return parsed;
 }
 
-std::string CanonicalText(const nlohmann::json& document) { return document.dump(); }
+std::string CanonicalText(const nlohmann::json& document) {
+  return document.dump();
+}
 
 std::vector<std::string> DescribeDifference(const nlohmann::json& in_force,
                                             const nlohmann::json& submitted) {
--- a/src/documents/servicedocument.h
+++ b/src/documents/servicedocument.h
@@ -16,13 +16,14 @@
 struct WorkKind {
   std::string name;
   WorkClass work_class = WorkClass::kOnline;
-  std::chrono::milliseconds first_token{630};   ///< Target for 95 in 100.
-  std::chrono::milliseconds between_tokens{44}; ///< Target for 95 in 100.
-  std::chrono::milliseconds deadline{30000};    ///< Default deadline of a request.
-  std::chrono::seconds due_in{28800};           ///< Batch: due so long after acceptance.
-  std::uint32_t max_attempts = 3;               ///< Batch: attempts of one item.
-  std::uint32_t max_items = 63000;              ///< Batch: items of one job.
-  bool repeatable = true;                       ///< Whether a request may run twice.
+  std::chrono::milliseconds first_token{630};    ///< Target for 95 in 100.
+  std::chrono::milliseconds between_tokens{44};  ///< Target for 95 in 100.
+  std::chrono::milliseconds deadline{
+      30000};                          ///< Default deadline of a request.
+  std::chrono::seconds due_in{28800};  ///< Batch: due so long after acceptance.
+  std::uint32_t max_attempts = 3;      ///< Batch: attempts of one item.
+  std::uint32_t max_items = 63000;     ///< Batch: items of one job.
+  bool repeatable = true;              ///< Whether a request may run twice.
 };
 
 /// A model with its version and adapters.
@@ -40,19 +41,22 @@
   std::string kind = "engine";
   std::vector<ModelSpec> models;
   std::vector<WorkKind> work;
-  std::uint32_t max_queue = 256;         ///< Online requests that may wait at one gate.
-  std::uint32_t max_concurrent = 64;     ///< Upper bound of the learned limit of one upstream.
+  std::uint32_t max_queue =
+      256;  ///< Online requests that may wait at one gate.
+  std::uint32_t max_concurrent =
+      64;  ///< Upper bound of the learned limit of one upstream.
   std::uint32_t keep_results_days = 30;
 
-  /// The kind called `name`, or the first of `work_class` when `name` is empty; null if none.
+  /// The kind called `name`, or the first of `work_class` when `name` is empty;
+  /// null if none.
   const WorkKind* FindWork(std::string_view name, WorkClass work_class) const;
 };
 
 /// The JSON schema of a service document.
 const nlohmann::json& DocumentSchema();
 
-/// Reads a checked document. Throws ResultError(kBadInput) with every error and its pointer.
-/// Thread safety: any thread.
+/// Reads a checked document. Throws ResultError(kBadInput) with every error and
+/// its pointer. Thread safety: any thread.
 ServiceDocument ParseDocument(const nlohmann::json& document);
 
 /// Keys in one order, no white space: equal documents give equal text.
--- a/src/entry/entryserver.h
+++ b/src/entry/entryserver.h
@@ -9,8 +9,8 @@
 
 namespace papayarack::entry {
 
-/// The role entry: callers' and operators' HTTP. Threads: one for each connection being served,
-/// peer I/O, heartbeats. Thread safety: any thread.
+/// The role entry: callers' and operators' HTTP. Threads: one for each
+/// connection being served, peer I/O, heartbeats. Thread safety: any thread.
 class EntryServer {
  public:
   /// Throws ResultError(kBadInput) when the address cannot be bound.
@@ -19,7 +19,8 @@
   EntryServer(const EntryServer&) = delete;
   EntryServer& operator=(const EntryServer&) = delete;
 
-  /// Unhealthy from now on, so that the balancer moves on; requests are still served.
+  /// Unhealthy from now on, so that the balancer moves on; requests are still
+  /// served.
   void BeginLeave();
   /// Stops accepting connections; those that are open are served to their end.
   void StopAccepting();
--- a/src/entry/fleetview.h
+++ b/src/entry/fleetview.h
@@ -22,8 +22,9 @@
   std::uint64_t revision = 0;
 };
 
-/// What one entry knows of documents and gates, shared by its HTTP threads. A lock around the
-/// pure cores costs less than a hop through a ring for each choice. Thread safety: any thread.
+/// What one entry knows of documents and gates, shared by its HTTP threads. A
+/// lock around the pure cores costs less than a hop through a ring for each
+/// choice. Thread safety: any thread.
 class FleetView {
  public:
   explicit FleetView(const RouterOptions& options) : router(options) {}
--- a/src/entry/internal/batchapi.cpp
+++ b/src/entry/internal/batchapi.cpp
@@ -37,24 +37,32 @@
     return request.get_file_value("file").content;
   }
   if (request.is_multipart_form_data()) {
-    throw ResultError(ResultCode::kBadInput, "[file] the form has no part of this name");
+    throw ResultError(ResultCode::kBadInput,
+                      "[file] the form has no part of this name");
   }
   return request.body;
 }
 
-void Upload(EntryContext& context, const httplib::Request& request, httplib::Response& response) {
+void Upload(EntryContext& context, const httplib::Request& request,
+            httplib::Response& response) {
   const CallerContext caller = ReadCaller(request);
   const std::string content = UploadedContent(request);
   const std::size_t items = jobs::CheckInputFile(
-      content, {context.settings.max_job_items, context.settings.max_line_bytes});
-  // The id is made of the content, so a resend of the whole file is the same file.
+      content,
+      {context.settings.max_job_items, context.settings.max_line_bytes});
+  // The id is made of the content, so a resend of the whole file is the same
+  // file.
   const std::string id =
       "file-" + Sha256Hex(caller.team + "\n" + content).substr(0, kIdDigits);
   std::size_t start = 0;
   while (start < content.size()) {
     const std::size_t end = ChunkEnd(content, start);
-    statemachine::AppendFile chunk{id,  caller.team, start, content.substr(start, end - start),
-                                   end == content.size(), 0};
+    statemachine::AppendFile chunk{id,
+                                   caller.team,
+                                   start,
+                                   content.substr(start, end - start),
+                                   end == content.size(),
+                                   0};
     control::RequireOk(context.control.Run(chunk, kControlPatience));
     start = end;
   }
@@ -72,7 +80,8 @@
 /// Streams parts until one is empty. `next` gives the next part.
 void StreamParts(httplib::Response& response,
                  std::function<std::optional<std::string>()> next) {
-  auto shared = std::make_shared<std::function<std::optional<std::string>()>>(std::move(next));
+  auto shared = std::make_shared<std::function<std::optional<std::string>()>>(
+      std::move(next));
   response.set_chunked_content_provider(
       "application/jsonl", [shared](std::size_t, httplib::DataSink& sink) {
         try {
@@ -83,17 +92,19 @@
           }
           return part->empty() || sink.write(part->data(), part->size());
         } catch (const ResultError&) {
-          return false;  // The connection closes without its last chunk: visibly cut.
+          return false;  // The connection closes without its last chunk:
+                         // visibly cut.
         }
       });
 }
 
-void StreamResults(EntryContext& context, const std::string& team, const std::string& job,
-                   bool errors, httplib::Response& response) {
+void StreamResults(EntryContext& context, const std::string& team,
+                   const std::string& job, bool errors,
+                   httplib::Response& response) {
   // The first part is read at once, so that an unknown job is a clean error.
   const auto read = [&context, team, job, errors](std::uint32_t from) {
-    const auto reply =
-        context.control.Ask(control::QueryResults{job, team, errors, from}, kControlPatience);
+    const auto reply = context.control.Ask(
+        control::QueryResults{job, team, errors, from}, kControlPatience);
     control::RequireOk(reply);
     return DecodeMessage<control::ResultsReply>(reply.body);
   };
@@ -113,10 +124,11 @@
   });
 }
 
-void StreamFile(EntryContext& context, const std::string& team, const std::string& file,
-                httplib::Response& response) {
+void StreamFile(EntryContext& context, const std::string& team,
+                const std::string& file, httplib::Response& response) {
   const auto read = [&context, team, file](std::uint64_t at) {
-    const auto reply = context.control.Ask(control::QueryFile{file, team, at}, kControlPatience);
+    const auto reply = context.control.Ask(control::QueryFile{file, team, at},
+                                           kControlPatience);
     control::RequireOk(reply);
     return DecodeMessage<control::FileReply>(reply.body);
   };
@@ -140,9 +152,11 @@
   const CallerContext caller = ReadCaller(request);
   const std::string id = request.matches[1].str();
   if (id.starts_with(kOutputPrefix)) {
-    StreamResults(context, caller.team, id.substr(kOutputPrefix.size()), false, response);
+    StreamResults(context, caller.team, id.substr(kOutputPrefix.size()), false,
+                  response);
   } else if (id.starts_with(kErrorPrefix)) {
-    StreamResults(context, caller.team, id.substr(kErrorPrefix.size()), true, response);
+    StreamResults(context, caller.team, id.substr(kErrorPrefix.size()), true,
+                  response);
   } else {
     StreamFile(context, caller.team, id, response);
   }
@@ -198,25 +212,30 @@
                  httplib::Response& response) {
   const CallerContext caller = ReadCaller(request);
   if (caller.idempotency_key.empty()) {
-    throw ResultError(ResultCode::kBadInput, "header Idempotency-Key: a job needs one, so that "
-                                             "sending it again cannot double it");
+    throw ResultError(ResultCode::kBadInput,
+                      "header Idempotency-Key: a job needs one, so that "
+                      "sending it again cannot double it");
   }
   const nlohmann::json body = ParseJson(request.body, "body");
-  if (!body.is_object() || !body.contains("input_file_id") || !body["input_file_id"].is_string()) {
-    throw ResultError(ResultCode::kBadInput, "[/input_file_id] expected the id of a file");
+  if (!body.is_object() || !body.contains("input_file_id") ||
+      !body["input_file_id"].is_string()) {
+    throw ResultError(ResultCode::kBadInput,
+                      "[/input_file_id] expected the id of a file");
   }
   const std::string name = ServiceFrom(body);
   const std::optional<KnownService> service = context.fleet.FindService(name);
   if (!service.has_value()) {
-    throw ResultError(ResultCode::kNotFound, "[/service] no such service: \"" + name + "\"");
+    throw ResultError(ResultCode::kNotFound,
+                      "[/service] no such service: \"" + name + "\"");
   }
   const std::string work_name = body.value("work", caller.work);
   const documents::WorkKind* work =
       service->document.FindWork(work_name, documents::WorkClass::kBatch);
   if (work == nullptr) {
-    throw ResultError(ResultCode::kBadInput, "[/work] service " + service->document.service +
-                                                 " accepts no batch work called \"" + work_name +
-                                                 "\"");
+    throw ResultError(ResultCode::kBadInput,
+                      "[/work] service " + service->document.service +
+                          " accepts no batch work called \"" + work_name +
+                          "\"");
   }
   statemachine::CreateJob command;
   command.request.id = NewId("batch-");
@@ -226,12 +245,14 @@
   command.request.work = work->name;
   command.request.file = body["input_file_id"].get<std::string>();
   command.request.created_ms = WallNow();
-  command.request.due_ms = command.request.created_ms + work->due_in.count() * 1000;
+  command.request.due_ms =
+      command.request.created_ms + work->due_in.count() * 1000;
   command.request.max_attempts = work->max_attempts;
   command.request.max_items = work->max_items;
   command.request.keep_days = service->document.keep_results_days;
   command.request.repeatable = work->repeatable;
-  const statemachine::CommandReply reply = context.control.Run(command, kControlPatience);
+  const statemachine::CommandReply reply =
+      context.control.Run(command, kControlPatience);
   control::RequireOk(reply);
   context.metrics.Add("http_batches_total");
   SetJson(response, ShowJob(DecodeMessage<jobs::JobSummary>(reply.body)));
@@ -239,11 +260,12 @@
 
 void ListBatches(EntryContext& context, const httplib::Request& request,
                  httplib::Response& response) {
-  const auto reply =
-      context.control.Ask(control::QueryJobs{ReadCaller(request).team}, kControlPatience);
+  const auto reply = context.control.Ask(
+      control::QueryJobs{ReadCaller(request).team}, kControlPatience);
   control::RequireOk(reply);
   nlohmann::json list = nlohmann::json::array();
-  for (const auto& job : DecodeMessage<std::vector<jobs::JobSummary>>(reply.body)) {
+  for (const auto& job :
+       DecodeMessage<std::vector<jobs::JobSummary>>(reply.body)) {
     list.push_back(ShowJob(job));
   }
   SetJson(response, {{"object", "list"}, {"data", list}, {"has_more", false}});
@@ -252,9 +274,11 @@
 }  // namespace
 
 void AddBatchApi(httplib::Server& server, EntryContext& context) {
-  using Handler = void (*)(EntryContext&, const httplib::Request&, httplib::Response&);
+  using Handler =
+      void (*)(EntryContext&, const httplib::Request&, httplib::Response&);
   const auto guarded = [&context](Handler handler) {
-    return [&context, handler](const httplib::Request& request, httplib::Response& response) {
+    return [&context, handler](const httplib::Request& request,
+                               httplib::Response& response) {
       Guarded(response, [&] { handler(context, request, response); });
     };
   };
@@ -262,23 +286,27 @@
   server.Get(R"(/v1/files/([^/]+)/content)", guarded(ReadContent));
   server.Post("/v1/batches", guarded(CreateBatch));
   server.Get("/v1/batches", guarded(ListBatches));
-  server.Get(R"(/v1/batches/([^/]+))",
-             guarded([](EntryContext& shared, const httplib::Request& request,
-                        httplib::Response& response) {
-               const auto reply = shared.control.Ask(
-                   control::QueryJob{request.matches[1].str(), ReadCaller(request).team},
-                   kControlPatience);
-               control::RequireOk(reply);
-               SetJson(response, ShowJob(DecodeMessage<jobs::JobSummary>(reply.body)));
-             }));
+  server.Get(
+      R"(/v1/batches/([^/]+))",
+      guarded([](EntryContext& shared, const httplib::Request& request,
+                 httplib::Response& response) {
+        const auto reply =
+            shared.control.Ask(control::QueryJob{request.matches[1].str(),
+                                                 ReadCaller(request).team},
+                               kControlPatience);
+        control::RequireOk(reply);
+        SetJson(response, ShowJob(DecodeMessage<jobs::JobSummary>(reply.body)));
+      }));
   server.Post(R"(/v1/batches/([^/]+)/cancel)",
               guarded([](EntryContext& shared, const httplib::Request& request,
                          httplib::Response& response) {
                 const auto reply = shared.control.Run(
-                    statemachine::CancelJob{request.matches[1].str(), ReadCaller(request).team, 0},
+                    statemachine::CancelJob{request.matches[1].str(),
+                                            ReadCaller(request).team, 0},
                     kControlPatience);
                 control::RequireOk(reply);
-                SetJson(response, ShowJob(DecodeMessage<jobs::JobSummary>(reply.body)));
+                SetJson(response,
+                        ShowJob(DecodeMessage<jobs::JobSummary>(reply.body)));
               }));
 }
 
--- a/src/entry/internal/callercontext.cpp
+++ b/src/entry/internal/callercontext.cpp
@@ -14,18 +14,21 @@
 std::string ReadHeader(const httplib::Request& request, const char* name) {
   std::string value = request.get_header_value(name);
   if (value.size() > kLongestHeader) {
-    throw ResultError(ResultCode::kBadInput, std::string("header ") + name + ": too long");
+    throw ResultError(ResultCode::kBadInput,
+                      std::string("header ") + name + ": too long");
   }
   return value;
 }
 
 std::int64_t ParseDeadline(const std::string& text) {
   std::int64_t value = 0;
-  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || value <= 0 ||
-      value > kLongestDeadlineMs) {
-    throw ResultError(ResultCode::kBadInput, std::string("header ") + header::kDeadline +
-                                                 ": expected milliseconds above zero");
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() ||
+      value <= 0 || value > kLongestDeadlineMs) {
+    throw ResultError(ResultCode::kBadInput,
+                      std::string("header ") + header::kDeadline +
+                          ": expected milliseconds above zero");
   }
   return value;
 }
@@ -35,8 +38,10 @@
 CallerContext ReadCaller(const httplib::Request& request) {
   CallerContext caller;
   caller.request_id = ReadHeader(request, header::kRequestId);
-  // Ids are made here even when the caller sends one: two callers may send the same.
-  caller.request_id = NewId(caller.request_id.empty() ? "req-" : caller.request_id + "-");
+  // Ids are made here even when the caller sends one: two callers may send the
+  // same.
+  caller.request_id =
+      NewId(caller.request_id.empty() ? "req-" : caller.request_id + "-");
   caller.team = ReadHeader(request, header::kTeam);
   caller.team = caller.team.empty() ? "default" : caller.team;
   caller.work = ReadHeader(request, header::kWork);
@@ -47,8 +52,9 @@
   }
   const std::string repeatable = ReadHeader(request, header::kRepeatable);
   if (!repeatable.empty() && repeatable != "true" && repeatable != "false") {
-    throw ResultError(ResultCode::kBadInput,
-                      std::string("header ") + header::kRepeatable + ": expected true or false");
+    throw ResultError(ResultCode::kBadInput, std::string("header ") +
+                                                 header::kRepeatable +
+                                                 ": expected true or false");
   }
   if (!repeatable.empty()) {
     caller.repeatable = repeatable == "true";
--- a/src/entry/internal/elasticpool.cpp
+++ b/src/entry/internal/elasticpool.cpp
@@ -10,7 +10,8 @@
 void ElasticPool::enqueue(std::function<void()> task) {
   std::unique_lock lock(this->mutex);
   this->changed.wait(lock, [this] {
-    return this->stopping || this->idle > this->tasks.size() || this->threads < this->most;
+    return this->stopping || this->idle > this->tasks.size() ||
+           this->threads < this->most;
   });
   this->tasks.push_back(std::move(task));
   if (this->idle < this->tasks.size() && this->threads < this->most) {
@@ -24,8 +25,9 @@
   std::unique_lock lock(this->mutex);
   while (true) {
     ++this->idle;
-    const bool woken = this->changed.wait_for(
-        lock, kIdleFor, [this] { return this->stopping || !this->tasks.empty(); });
+    const bool woken = this->changed.wait_for(lock, kIdleFor, [this] {
+      return this->stopping || !this->tasks.empty();
+    });
     --this->idle;
     if (this->tasks.empty()) {
       if (this->stopping || !woken) {
@@ -50,7 +52,8 @@
   std::unique_lock lock(this->mutex);
   this->stopping = true;
   this->changed.notify_all();
-  // What was accepted is served to its end; the library deletes this object afterwards.
+  // What was accepted is served to its end; the library deletes this object
+  // afterwards.
   this->changed.wait(lock, [this] { return this->threads == 0; });
 }
 
--- a/src/entry/internal/entrycontext.h
+++ b/src/entry/internal/entrycontext.h
@@ -11,7 +11,8 @@
 
 namespace papayarack::entry {
 
-/// What the HTTP handlers of one entry share. Each member is safe from any thread.
+/// What the HTTP handlers of one entry share. Each member is safe from any
+/// thread.
 struct EntryContext {
   const Settings& settings;
   Metrics& metrics;
--- a/src/entry/internal/entryserver.cpp
+++ b/src/entry/internal/entryserver.cpp
@@ -29,10 +29,12 @@
   Impl(const Settings& settings, Metrics& metrics)
       : settings(settings),
         metrics(metrics),
-        fleet({settings.zone, Hash64(settings.name, static_cast<std::uint64_t>(WallNow())), 0.34,
-               3.0}),
+        fleet({settings.zone,
+               Hash64(settings.name, static_cast<std::uint64_t>(WallNow())),
+               0.34, 3.0}),
         control(client, settings.control),
-        context{this->settings, metrics, fleet, client, control, leaving, busy} {
+        context{this->settings, metrics, fleet, client,
+                control,        leaving, busy} {
     this->Configure();
     const Endpoint listen = ParseEndpoint(settings.http_listen, "/http_listen");
     if (!this->server.bind_to_port(listen.host.c_str(), listen.port)) {
@@ -64,21 +66,23 @@
         [this](const httplib::Request& request, httplib::Response& response) {
           return this->BeforeRouting(request, response);
         });
-    this->server.set_error_handler([](const httplib::Request& request,
-                                      httplib::Response& response) {
-      if (!response.body.empty()) {
-        return;
-      }
-      const bool large = response.status == 413;
-      const bool absent = response.status == 404;
-      SetError(response,
-               {large ? ResultCode::kTooLarge
-                      : (absent ? ResultCode::kNotFound : ResultCode::kBadInput),
-                large ? "the body is over the limit"
-                      : (absent ? "no such path: " + request.path : "the request is malformed"),
-                {}},
-               true);
-    });
+    this->server.set_error_handler(
+        [](const httplib::Request& request, httplib::Response& response) {
+          if (!response.body.empty()) {
+            return;
+          }
+          const bool large = response.status == 413;
+          const bool absent = response.status == 404;
+          SetError(
+              response,
+              {large ? ResultCode::kTooLarge
+                     : (absent ? ResultCode::kNotFound : ResultCode::kBadInput),
+               large ? "the body is over the limit"
+                     : (absent ? "no such path: " + request.path
+                               : "the request is malformed"),
+               {}},
+              true);
+        });
     AddOnlineApi(this->server, this->context);
     AddBatchApi(this->server, this->context);
     AddOperatorApi(this->server, this->context);
@@ -86,15 +90,16 @@
 
   httplib::Server::HandlerResponse BeforeRouting(const httplib::Request&,
                                                  httplib::Response& response) {
-    // Near the bound, or leaving, a connection serves one request and closes, so that idle
-    // connections do not hold the threads that new callers need.
+    // Near the bound, or leaving, a connection serves one request and closes,
+    // so that idle connections do not hold the threads that new callers need.
     const bool crowded = this->busy * 4 > this->settings.http_threads * 3;
     if (crowded || this->leaving) {
       response.set_header("Connection", "close");
     }
     if (!this->ready) {
       SetError(response,
-               {ResultCode::kNotReady, "this entry has not confirmed its documents yet",
+               {ResultCode::kNotReady,
+                "this entry has not confirmed its documents yet",
                 std::chrono::milliseconds(500)},
                true);
       return httplib::Server::HandlerResponse::Handled;
@@ -107,9 +112,11 @@
     while (!this->stopping) {
       try {
         if (!this->ready) {
-          const auto reply = this->control.Ask(control::QueryChanges{0}, kControlTimeout);
+          const auto reply =
+              this->control.Ask(control::QueryChanges{0}, kControlTimeout);
           control::RequireOk(reply);
-          this->fleet.TakeDocuments(DecodeMessage<control::ChangesReply>(reply.body));
+          this->fleet.TakeDocuments(
+              DecodeMessage<control::ChangesReply>(reply.body));
         }
         control::Heartbeat heartbeat;
         heartbeat.report.name = this->settings.name;
@@ -125,7 +132,8 @@
         this->fleet.TakeDocuments(body.documents);
         if (body.fleet_version != fleet_version || !body.fleet_settled) {
           this->fleet.TakeFleet(body.members, body.fleet_settled);
-          // An unsettled list is asked for again, until the new leader has heard everybody.
+          // An unsettled list is asked for again, until the new leader has
+          // heard everybody.
           fleet_version = body.fleet_settled ? body.fleet_version : 0;
         }
         this->last_control = MonotonicNow();
@@ -139,7 +147,8 @@
 
   void SleepUntilBeat() {
     constexpr std::chrono::milliseconds kStep{20};
-    for (Duration slept{0}; slept < this->settings.heartbeat && !this->stopping; slept += kStep) {
+    for (Duration slept{0}; slept < this->settings.heartbeat && !this->stopping;
+         slept += kStep) {
       std::this_thread::sleep_for(kStep);
     }
   }
@@ -172,7 +181,9 @@
 
 std::size_t EntryServer::BusyConnections() const { return this->impl->busy; }
 
-bool EntryServer::Healthy() const { return this->impl->ready && !this->impl->leaving; }
+bool EntryServer::Healthy() const {
+  return this->impl->ready && !this->impl->leaving;
+}
 
 nlohmann::json EntryServer::Dump() const {
   nlohmann::json gates = nlohmann::json::array();
--- a/src/entry/internal/fleetview.cpp
+++ b/src/entry/internal/fleetview.cpp
@@ -15,7 +15,8 @@
       continue;
     }
     try {
-      known.document = documents::ParseDocument(ParseJson(accepted.text, "document"));
+      known.document =
+          documents::ParseDocument(ParseJson(accepted.text, "document"));
       known.revision = accepted.revision;
     } catch (const ResultError& error) {
       Log(LogLevel::kError, "document_unreadable", {{"reason", error.what()}});
@@ -25,12 +26,14 @@
   this->revision_changed.notify_all();
 }
 
-void FleetView::TakeFleet(const std::vector<fleet::FleetMember>& members, bool settled) {
+void FleetView::TakeFleet(const std::vector<fleet::FleetMember>& members,
+                          bool settled) {
   const std::lock_guard lock(this->mutex);
   this->router.SetFleet(members, settled);
 }
 
-std::optional<KnownService> FleetView::FindService(std::string_view name) const {
+std::optional<KnownService> FleetView::FindService(
+    std::string_view name) const {
   const std::lock_guard lock(this->mutex);
   const auto direct = this->services.find(name);
   if (direct != this->services.end()) {
@@ -38,7 +41,8 @@
   }
   for (const auto& [service, known] : this->services) {
     const auto& models = known.document.models;
-    if (std::ranges::find(models, name, &documents::ModelSpec::name) != models.end()) {
+    if (std::ranges::find(models, name, &documents::ModelSpec::name) !=
+        models.end()) {
       return known;
     }
   }
@@ -61,8 +65,8 @@
 
 bool FleetView::WaitForRevision(std::uint64_t wanted, Duration wait) {
   std::unique_lock lock(this->mutex);
-  return this->revision_changed.wait_for(lock, wait,
-                                         [this, wanted] { return this->revision >= wanted; });
+  return this->revision_changed.wait_for(
+      lock, wait, [this, wanted] { return this->revision >= wanted; });
 }
 
 std::optional<std::string> FleetView::Choose(const RouteQuery& query) {
@@ -80,7 +84,8 @@
   this->router.Finish(gate);
 }
 
-void FleetView::Report(std::string_view gate, RouteOutcome outcome, Duration took) {
+void FleetView::Report(std::string_view gate, RouteOutcome outcome,
+                       Duration took) {
   const std::lock_guard lock(this->mutex);
   this->router.Report(gate, outcome, took, MonotonicNow());
 }
--- a/src/entry/internal/httperror.cpp
+++ b/src/entry/internal/httperror.cpp
@@ -35,13 +35,16 @@
 void SetError(httplib::Response& response, const Result& result, bool not_run) {
   response.status = Describe(result.code).http_status;
   response.set_content(
-      ErrorBody(result, not_run).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+      ErrorBody(result, not_run)
+              .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
           "\n",
       "application/json");
   if (result.retry_after.count() > 0) {
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(result.retry_after);
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(result.retry_after);
     response.set_header("Retry-After", fmt::format("{}", seconds.count()));
-    response.set_header("Retry-After-Ms", fmt::format("{}", result.retry_after.count()));
+    response.set_header("Retry-After-Ms",
+                        fmt::format("{}", result.retry_after.count()));
   }
 }
 
@@ -49,7 +52,8 @@
   response.set_content(body.dump(2) + "\n", "application/json");
 }
 
-void Guarded(httplib::Response& response, const std::function<void()>& handler) {
+void Guarded(httplib::Response& response,
+             const std::function<void()>& handler) {
   try {
     handler();
   } catch (const ResultError& error) {
--- a/src/entry/internal/httperror.h
+++ b/src/entry/internal/httperror.h
@@ -10,8 +10,8 @@
 
 namespace papayarack::entry {
 
-/// The error object that callers' client libraries parse, with the numbered code and whether
-/// the request was certainly not run.
+/// The error object that callers' client libraries parse, with the numbered
+/// code and whether the request was certainly not run.
 nlohmann::json ErrorBody(const Result& result, bool not_run);
 
 /// Fills a response with an error; Retry-After when there is advice on when.
--- a/src/entry/internal/onlineapi.cpp
+++ b/src/entry/internal/onlineapi.cpp
@@ -29,7 +29,8 @@
   std::uint64_t prefix_hash = 0;
 };
 
-/// The claim of a request that may not be repeated, until its end is known to control.
+/// The claim of a request that may not be repeated, until its end is known to
+/// control.
 struct OpenClaim {
   std::string owner;
   std::string key;
@@ -37,46 +38,57 @@
 };
 
 void ApplyDocument(Prepared& prepared, const KnownService& service) {
-  const documents::WorkKind* work =
-      service.document.FindWork(prepared.caller.work, documents::WorkClass::kOnline);
+  const documents::WorkKind* work = service.document.FindWork(
+      prepared.caller.work, documents::WorkClass::kOnline);
   if (work == nullptr) {
-    throw ResultError(ResultCode::kBadInput, "service " + service.document.service +
-                                                 " accepts no online work called \"" +
-                                                 prepared.caller.work + "\"");
+    throw ResultError(ResultCode::kBadInput,
+                      "service " + service.document.service +
+                          " accepts no online work called \"" +
+                          prepared.caller.work + "\"");
   }
   prepared.request.id = prepared.caller.request_id;
   prepared.request.caller = prepared.caller.team;
   prepared.request.service = service.document.service;
   prepared.request.work = work->name;
-  prepared.request.deadline_ms = prepared.caller.deadline_ms.value_or(work->deadline.count());
+  prepared.request.deadline_ms =
+      prepared.caller.deadline_ms.value_or(work->deadline.count());
   prepared.repeatable = prepared.caller.repeatable.value_or(work->repeatable);
 }
 
-/// The part of the prompt that callers share: the beginning of the first message or prompt.
+/// The part of the prompt that callers share: the beginning of the first
+/// message or prompt.
 std::uint64_t PrefixHashOf(const nlohmann::json& body) {
   std::string prefix;
-  if (body.contains("messages") && body["messages"].is_array() && !body["messages"].empty()) {
+  if (body.contains("messages") && body["messages"].is_array() &&
+      !body["messages"].empty()) {
     prefix = body["messages"][0].dump();
   } else if (body.contains("prompt")) {
     prefix = body["prompt"].dump();
   }
-  return prefix.empty() ? 0 : Hash64(std::string_view(prefix).substr(0, kPrefixBytes));
+  return prefix.empty()
+             ? 0
+             : Hash64(prefix.substr(0, kPrefixBytes));
 }
 
-Prepared PrepareCompletion(EntryContext& context, const httplib::Request& http) {
+Prepared PrepareCompletion(EntryContext& context,
+                           const httplib::Request& http) {
   Prepared prepared;
   prepared.caller = ReadCaller(http);
   const nlohmann::json body = ParseJson(http.body, "body");
-  if (!body.is_object() || !body.contains("model") || !body["model"].is_string()) {
-    throw ResultError(ResultCode::kBadInput, "[/model] expected the name of a model or service");
+  if (!body.is_object() || !body.contains("model") ||
+      !body["model"].is_string()) {
+    throw ResultError(ResultCode::kBadInput,
+                      "[/model] expected the name of a model or service");
   }
   if (body.contains("stream") && !body["stream"].is_boolean()) {
-    throw ResultError(ResultCode::kBadInput, "[/stream] expected true or false");
+    throw ResultError(ResultCode::kBadInput,
+                      "[/stream] expected true or false");
   }
   const std::string model = body["model"].get<std::string>();
   const std::optional<KnownService> service = context.fleet.FindService(model);
   if (!service.has_value() || service->document.kind != "engine") {
-    throw ResultError(ResultCode::kNotFound, "[/model] no service runs the model " + model);
+    throw ResultError(ResultCode::kNotFound,
+                      "[/model] no service runs the model " + model);
   }
   ApplyDocument(prepared, *service);
   prepared.prefix_hash = PrefixHashOf(body);
@@ -84,7 +96,8 @@
   prepared.request.target = http.path;
   prepared.request.content_type = "application/json";
   prepared.request.stream = body.value("stream", false);
-  prepared.request.prompt_tokens = static_cast<std::uint32_t>(http.body.size() / kBytesPerToken);
+  prepared.request.prompt_tokens =
+      static_cast<std::uint32_t>(http.body.size() / kBytesPerToken);
   prepared.request.body = http.body;
   return prepared;
 }
@@ -109,9 +122,9 @@
   return prepared;
 }
 
-/// Claims the key of a request that may not be repeated, before its first byte goes anywhere.
-/// Empty when no claim is needed. Throws when the request must not go ahead; `answered` is
-/// filled when an earlier answer stands.
+/// Claims the key of a request that may not be repeated, before its first byte
+/// goes anywhere. Empty when no claim is needed. Throws when the request must
+/// not go ahead; `answered` is filled when an earlier answer stands.
 std::optional<OpenClaim> Claim(EntryContext& context, const Prepared& prepared,
                                std::optional<claims::ClaimOutcome>& answered) {
   if (prepared.repeatable || prepared.caller.idempotency_key.empty()) {
@@ -123,11 +136,13 @@
   command.request.owner = claim.owner;
   command.request.key = claim.key;
   command.request.claim_id = claim.claim_id;
-  command.request.content_hash = Sha256Hex(prepared.request.method + prepared.request.service +
-                                           prepared.request.target + prepared.request.body);
+  command.request.content_hash =
+      Sha256Hex(prepared.request.method + prepared.request.service +
+                prepared.request.target + prepared.request.body);
   command.request.keep_ms = kClaimKeptMs;
   command.request.deadline_ms = prepared.request.deadline_ms;
-  const statemachine::CommandReply reply = context.control.Run(command, kControlPatience);
+  const statemachine::CommandReply reply =
+      context.control.Run(command, kControlPatience);
   control::RequireOk(reply);
   auto outcome = DecodeMessage<claims::ClaimOutcome>(reply.body);
   const auto code = static_cast<ResultCode>(outcome.code);
@@ -143,28 +158,40 @@
 }
 
 void EndClaim(EntryContext& context, const std::optional<OpenClaim>& claim,
-              claims::ClaimState state, bool not_run, int status, const std::string& content_type,
-              const std::string& answer) {
+              claims::ClaimState state, bool not_run, int status,
+              const std::string& content_type, const std::string& answer) {
   if (!claim.has_value()) {
     return;
   }
-  claims::ClaimEnd end{claim->owner, claim->key,  claim->claim_id, static_cast<std::uint8_t>(state),
-                       not_run,      status,      content_type,
-                       answer.size() <= kLargestKeptAnswer ? answer : std::string()};
+  claims::ClaimEnd end{
+      claim->owner,
+      claim->key,
+      claim->claim_id,
+      static_cast<std::uint8_t>(state),
+      not_run,
+      status,
+      content_type,
+      answer.size() <= kLargestKeptAnswer ? answer : std::string()};
   try {
-    context.control.Run(statemachine::EndClaim{std::move(end)}, kControlPatience);
+    context.control.Run(statemachine::EndClaim{std::move(end)},
+                        kControlPatience);
   } catch (const ResultError& error) {
-    // The claim stays running and becomes unknown at its deadline: safe, if less helpful.
-    Log(LogLevel::kWarn, "claim_end_lost", {{"key", claim->key}, {"reason", error.what()}});
+    // The claim stays running and becomes unknown at its deadline: safe, if
+    // less helpful.
+    Log(LogLevel::kWarn, "claim_end_lost",
+        {{"key", claim->key}, {"reason", error.what()}});
   }
 }
 
-void EndFailedClaim(EntryContext& context, const std::optional<OpenClaim>& claim,
+void EndFailedClaim(EntryContext& context,
+                    const std::optional<OpenClaim>& claim,
                     const CallFailed& failed) {
-  EndClaim(context, claim, claims::ClaimState::kUnknown, failed.not_run, 0, {}, {});
+  EndClaim(context, claim, claims::ClaimState::kUnknown, failed.not_run, 0, {},
+           {});
 }
 
-void AnswerWhole(EntryContext& context, Prepared prepared, httplib::Response& response) {
+void AnswerWhole(EntryContext& context, Prepared prepared,
+                 httplib::Response& response) {
   std::optional<claims::ClaimOutcome> answered;
   const std::optional<OpenClaim> claim = Claim(context, prepared, answered);
   if (answered.has_value()) {
@@ -172,8 +199,9 @@
     response.set_content(answered->answer, answered->content_type);
     return;
   }
-  OnlineCall call(context.fleet, context.client, context.metrics, std::move(prepared.request),
-                  prepared.repeatable, prepared.prefix_hash);
+  OnlineCall call(context.fleet, context.client, context.metrics,
+                  std::move(prepared.request), prepared.repeatable,
+                  prepared.prefix_hash);
   CallHead head;
   std::string body;
   while (true) {
@@ -190,10 +218,10 @@
       break;
     }
   }
-  EndClaim(context, claim, claims::ClaimState::kAnswered, false, head.status, head.content_type,
-           body);
+  EndClaim(context, claim, claims::ClaimState::kAnswered, false, head.status,
+           head.content_type, body);
   response.status = head.status;
-  response.set_content(std::move(body), head.content_type);
+  response.set_content(body, head.content_type);
 }
 
 /// A streamed answer between two calls of the HTTP library.
@@ -205,13 +233,15 @@
   bool ended = false;
 };
 
-bool WritePiece(EntryContext& context, StreamState& state, httplib::DataSink& sink) {
+bool WritePiece(EntryContext& context, StreamState& state,
+                httplib::DataSink& sink) {
   CallPiece piece = state.call->Next();
   return std::visit(
       Overloaded{
           [](CallHead&) { return true; },
           [&](CallBytes& bytes) {
-            if (state.claim.has_value() && state.kept.size() <= kLargestKeptAnswer) {
+            if (state.claim.has_value() &&
+                state.kept.size() <= kLargestKeptAnswer) {
               state.kept += bytes.bytes;
             }
             return sink.write(bytes.bytes.data(), bytes.bytes.size());
@@ -224,11 +254,13 @@
             return true;
           },
           [&](CallFailed& failed) {
-            // The caller sees an error event and no closing event: never a cut answer as if whole.
+            // The caller sees an error event and no closing event: never a cut
+            // answer as if whole.
             state.ended = true;
             EndFailedClaim(context, state.claim, failed);
             const std::string event =
-                "data: " + ErrorBody(failed.result, failed.not_run).dump() + "\n\n";
+                "data: " + ErrorBody(failed.result, failed.not_run).dump() +
+                "\n\n";
             sink.write(event.data(), event.size());
             return false;
           },
@@ -236,7 +268,8 @@
       piece);
 }
 
-void AnswerStream(EntryContext& context, Prepared prepared, httplib::Response& response) {
+void AnswerStream(EntryContext& context, Prepared prepared,
+                  httplib::Response& response) {
   std::optional<claims::ClaimOutcome> answered;
   auto state = std::make_shared<StreamState>();
   state->claim = Claim(context, prepared, answered);
@@ -245,9 +278,9 @@
     response.set_content(answered->answer, answered->content_type);
     return;
   }
-  state->call = std::make_unique<OnlineCall>(context.fleet, context.client, context.metrics,
-                                             std::move(prepared.request), prepared.repeatable,
-                                             prepared.prefix_hash);
+  state->call = std::make_unique<OnlineCall>(
+      context.fleet, context.client, context.metrics,
+      std::move(prepared.request), prepared.repeatable, prepared.prefix_hash);
   CallPiece first = state->call->Next();
   if (const auto* failed = std::get_if<CallFailed>(&first)) {
     EndFailedClaim(context, state->claim, *failed);
@@ -265,14 +298,15 @@
       },
       [&context, state](bool) {
         if (!state->ended) {
-          EndClaim(context, state->claim, claims::ClaimState::kUnknown, false, 0, {}, {});
+          EndClaim(context, state->claim, claims::ClaimState::kUnknown, false,
+                   0, {}, {});
         }
         state->call.reset();
       });
 }
 
-
-void Answer(EntryContext& context, Prepared prepared, httplib::Response& response) {
+void Answer(EntryContext& context, Prepared prepared,
+            httplib::Response& response) {
   response.set_header(header::kRequestId, prepared.caller.request_id);
   const Time came = MonotonicNow();
   if (prepared.request.stream) {
@@ -281,19 +315,25 @@
     AnswerWhole(context, std::move(prepared), response);
   }
   context.metrics.Add("http_online_requests_total");
-  context.metrics.Observe("http_online_first_answer_seconds", ToSeconds(MonotonicNow() - came));
+  context.metrics.Observe("http_online_first_answer_seconds",
+                          ToSeconds(MonotonicNow() - came));
 }
 
 }  // namespace
 
 void AddOnlineApi(httplib::Server& server, EntryContext& context) {
-  const auto complete = [&context](const httplib::Request& request, httplib::Response& response) {
-    Guarded(response, [&] { Answer(context, PrepareCompletion(context, request), response); });
+  const auto complete = [&context](const httplib::Request& request,
+                                   httplib::Response& response) {
+    Guarded(response, [&] {
+      Answer(context, PrepareCompletion(context, request), response);
+    });
   };
   server.Post("/v1/chat/completions", complete);
   server.Post("/v1/completions", complete);
-  const auto plain = [&context](const httplib::Request& request, httplib::Response& response) {
-    Guarded(response, [&] { Answer(context, PreparePlain(context, request), response); });
+  const auto plain = [&context](const httplib::Request& request,
+                                httplib::Response& response) {
+    Guarded(response,
+            [&] { Answer(context, PreparePlain(context, request), response); });
   };
   constexpr const char* kPlain = R"(/services/([^/]+)/(.*))";
   server.Get(kPlain, plain);
@@ -301,7 +341,8 @@
   server.Put(kPlain, plain);
   server.Patch(kPlain, plain);
   server.Delete(kPlain, plain);
-  server.Get("/v1/models", [&context](const httplib::Request&, httplib::Response& response) {
+  server.Get("/v1/models", [&context](const httplib::Request&,
+                                      httplib::Response& response) {
     nlohmann::json models = nlohmann::json::array();
     for (const KnownService& service : context.fleet.Services()) {
       for (const documents::ModelSpec& model : service.document.models) {
--- a/src/entry/internal/onlinecall.cpp
+++ b/src/entry/internal/onlinecall.cpp
@@ -15,31 +15,35 @@
 constexpr std::uint32_t kMostStaleTries = 3;
 constexpr std::chrono::milliseconds kReconnectPause{50};
 constexpr std::chrono::milliseconds kStaleWait{1500};
-/// Beyond the deadline the gate itself ends the request; this waits for its word.
+/// Beyond the deadline the gate itself ends the request; this waits for its
+/// word.
 constexpr Duration kGrace = std::chrono::milliseconds(500);
 
 }  // namespace
 
-OnlineCall::OnlineCall(FleetView& fleet, transport::PeerClient& client, Metrics& metrics,
-                       gate::OnlineRequest request, bool repeatable, std::uint64_t prefix_hash)
+OnlineCall::OnlineCall(FleetView& fleet, transport::PeerClient& client,
+                       Metrics& metrics, gate::OnlineRequest request,
+                       bool repeatable, std::uint64_t prefix_hash)
     : fleet(fleet),
       client(client),
       metrics(metrics),
       request(std::move(request)),
       repeatable(repeatable),
       prefix_hash(prefix_hash),
-      deadline(MonotonicNow() + std::chrono::milliseconds(this->request.deadline_ms)) {
+      deadline(MonotonicNow() +
+               std::chrono::milliseconds(this->request.deadline_ms)) {
   this->fleet.CountRequest(this->request.service);
 }
 
 OnlineCall::~OnlineCall() {
   if (!this->over && !this->gate.empty()) {
-    // The caller is gone. Resetting the stream alone would look like a lost connection, after
-    // which the gate keeps the answer for us; so say it.
+    // The caller is gone. Resetting the stream alone would look like a lost
+    // connection, after which the gate keeps the answer for us; so say it.
     const std::string address = this->fleet.AddressOf(this->gate);
     if (!address.empty()) {
       this->client.Call(ParseEndpoint(address, "gate"), gate::path::kCancel,
-                        EncodeMessage(gate::CancelRequest{this->request.id, this->request.attempt}),
+                        EncodeMessage(gate::CancelRequest{
+                            this->request.id, this->request.attempt}),
                         {});
     }
     this->metrics.Add("online_callers_gone_total");
@@ -47,7 +51,9 @@
   this->LeaveGate();
 }
 
-Duration OnlineCall::TimeLeft() const { return this->deadline - MonotonicNow(); }
+Duration OnlineCall::TimeLeft() const {
+  return this->deadline - MonotonicNow();
+}
 
 CallPiece OnlineCall::Fail(Result result, bool not_run) {
   this->over = true;
@@ -92,10 +98,12 @@
   this->request.have_messages = this->received;
   this->request.take_up = this->reconnects > 0;
   this->request.deadline_ms = std::max<std::int64_t>(
-      1, std::chrono::duration_cast<std::chrono::milliseconds>(this->TimeLeft()).count());
+      1, std::chrono::duration_cast<std::chrono::milliseconds>(this->TimeLeft())
+             .count());
   transport::CallHandlers handlers;
   handlers.on_message = [ring = this->ring](std::string message) {
-    // A caller who reads so slowly that the ring fills loses the answer, not the I/O thread.
+    // A caller who reads so slowly that the ring fills loses the answer, not
+    // the I/O thread.
     if (!ring->TryPush(std::move(message))) {
       ring->Close();
     }
@@ -105,26 +113,29 @@
       ring->Close();
     }
   };
-  this->call = this->client.Call(ParseEndpoint(this->fleet.AddressOf(this->gate), "gate"),
-                                 gate::path::kOnline, EncodeMessage(this->request),
-                                 std::move(handlers));
+  this->call = this->client.Call(
+      ParseEndpoint(this->fleet.AddressOf(this->gate), "gate"),
+      gate::path::kOnline, EncodeMessage(this->request), std::move(handlers));
 }
 
 CallPiece OnlineCall::Next() {
   while (true) {
     if (this->gate.empty() && !this->Begin()) {
-      return this->Fail({ResultCode::kNoUpstream, "no upstream of " + this->request.service +
-                                                      " can take the request",
-                         std::chrono::milliseconds(500)},
-                        true);
+      return this->Fail(
+          {ResultCode::kNoUpstream,
+           "no upstream of " + this->request.service + " can take the request",
+           std::chrono::milliseconds(500)},
+          true);
     }
     const Duration wait = std::max(this->TimeLeft() + kGrace, Duration(1));
     const std::optional<WireEvent> event = this->ring->Pop(wait);
     if (!event.has_value()) {
       const bool slow = this->ring->Closed();
-      return this->Fail({slow ? ResultCode::kOverloaded : ResultCode::kDeadlineWhileRunning,
-                         slow ? "the caller reads too slowly" : "the deadline passed", {}},
-                        false);
+      return this->Fail(
+          {slow ? ResultCode::kOverloaded : ResultCode::kDeadlineWhileRunning,
+           slow ? "the caller reads too slowly" : "the deadline passed",
+           {}},
+          false);
     }
     if (std::optional<CallPiece> piece = this->OnWire(*event)) {
       return std::move(*piece);
@@ -134,7 +145,9 @@
 
 std::optional<CallPiece> OnlineCall::OnWire(const WireEvent& event) {
   return std::visit(
-      Overloaded{[this](const std::string& message) { return this->OnMessage(message); },
+      Overloaded{[this](const std::string& message) {
+                   return this->OnMessage(message);
+                 },
                  [this](transport::CallEnd how) { return this->OnLost(how); }},
       event);
 }
@@ -151,7 +164,8 @@
       Overloaded{
           [this](gate::Refused& refused) { return this->OnRefused(refused); },
           [this](gate::AnswerHead& head) -> std::optional<CallPiece> {
-            this->fleet.Report(this->gate, RouteOutcome::kAnswered, MonotonicNow() - this->sent);
+            this->fleet.Report(this->gate, RouteOutcome::kAnswered,
+                               MonotonicNow() - this->sent);
             this->delivered = true;
             return CallHead{head.status, std::move(head.content_type)};
           },
@@ -165,11 +179,15 @@
 
 std::optional<CallPiece> OnlineCall::OnRefused(const gate::Refused& refused) {
   const auto code = static_cast<ResultCode>(refused.code);
-  const Result result{code, refused.text, std::chrono::milliseconds(refused.retry_after_ms)};
+  const Result result{code, refused.text,
+                      std::chrono::milliseconds(refused.retry_after_ms)};
   this->metrics.Add("online_gate_refusals_total");
-  if (code == ResultCode::kStaleRevision && this->stale_tries++ < kMostStaleTries) {
-    // The gate knows a newer document. Once we know it too the request is decided anew.
-    this->fleet.WaitForRevision(refused.revision, std::min<Duration>(kStaleWait, this->TimeLeft()));
+  if (code == ResultCode::kStaleRevision &&
+      this->stale_tries++ < kMostStaleTries) {
+    // The gate knows a newer document. Once we know it too the request is
+    // decided anew.
+    this->fleet.WaitForRevision(
+        refused.revision, std::min<Duration>(kStaleWait, this->TimeLeft()));
     this->LeaveGate();
     return std::nullopt;
   }
@@ -177,7 +195,8 @@
     this->fleet.MarkLeaving(this->gate);
   }
   const bool fault = code == ResultCode::kNoUpstream;
-  this->fleet.Report(this->gate, fault ? RouteOutcome::kFailed : RouteOutcome::kRefused, {});
+  this->fleet.Report(
+      this->gate, fault ? RouteOutcome::kFailed : RouteOutcome::kRefused, {});
   return this->Again(result, Describe(code).not_run);
 }
 
@@ -196,20 +215,24 @@
 
 std::optional<CallPiece> OnlineCall::OnLost(transport::CallEnd how) {
   this->call = 0;
-  if (how == transport::CallEnd::kNotSent && this->received == 0 && this->reconnects == 0) {
+  if (how == transport::CallEnd::kNotSent && this->received == 0 &&
+      this->reconnects == 0) {
     this->fleet.Report(this->gate, RouteOutcome::kFailed, {});
-    return this->Again({ResultCode::kNoUpstream, "the gate cannot be reached", {}}, true);
+    return this->Again(
+        {ResultCode::kNoUpstream, "the gate cannot be reached", {}}, true);
   }
-  // The request may be running. The gate keeps its answer a while: take it up on a new connection.
-  if (this->reconnects++ < kMostReconnects && this->TimeLeft() > Duration(0)) {
+  // The request may be running. The gate keeps its answer a while: take it up
+  // on a new connection.
+  if (this->reconnects++<kMostReconnects&& this->TimeLeft()> Duration(0)) {
     this->metrics.Add("online_reconnects_total");
     std::this_thread::sleep_for(kReconnectPause);
     this->Connect();
     return std::nullopt;
   }
   this->fleet.Report(this->gate, RouteOutcome::kFailed, {});
-  return this->Again({ResultCode::kUnknownOutcome, "the gate went away with the request", {}},
-                     false);
+  return this->Again(
+      {ResultCode::kUnknownOutcome, "the gate went away with the request", {}},
+      false);
 }
 
 std::optional<CallPiece> OnlineCall::Again(const Result& why, bool not_run) {
@@ -217,11 +240,14 @@
   const bool harmless = not_run || (this->repeatable && !this->delivered);
   const bool in_time = this->TimeLeft() > Duration(0);
   const bool left = this->request.attempt < kMostAttempts;
-  if (harmless && in_time && left && this->fleet.TryRepeat(this->request.service)) {
+  if (harmless && in_time && left &&
+      this->fleet.TryRepeat(this->request.service)) {
     this->metrics.Add("online_repeats_total");
     Log(LogLevel::kInfo, "repeat",
-        {{"request", this->request.id}, {"attempt", this->request.attempt},
-         {"gate", this->gate}, {"why", why.text}});
+        {{"request", this->request.id},
+         {"attempt", this->request.attempt},
+         {"gate", this->gate},
+         {"why", why.text}});
     this->tried.push_back(this->gate);
     this->LeaveGate();
     return std::nullopt;
--- a/src/entry/internal/operatorapi.cpp
+++ b/src/entry/internal/operatorapi.cpp
@@ -11,30 +11,26 @@
 namespace {
 
 control::StatusReply AskStatus(EntryContext& context) {
-  const auto reply = context.control.Ask(control::QueryStatus{}, kControlPatience);
+  const auto reply =
+      context.control.Ask(control::QueryStatus{}, kControlPatience);
   control::RequireOk(reply);
   return DecodeMessage<control::StatusReply>(reply.body);
 }
 
-/// A process must have every revision of the services it deals with: an entry all of them, a
-/// side those of its own service.
+/// A process must have every revision of the services it deals with: an entry
+/// all of them, a side those of its own service.
 bool Concerns(const fleet::FleetMember& member, std::string_view service) {
   return member.report.role == "entry" || member.report.service == service;
 }
 
 nlohmann::json ShowMember(const fleet::FleetMember& member) {
-  return {{"name", member.report.name},
-          {"role", member.report.role},
-          {"zone", member.report.zone},
-          {"service", member.report.service},
-          {"address", member.report.address},
-          {"revision", member.report.revision},
-          {"running", member.report.running},
-          {"waiting", member.report.waiting},
-          {"limit", member.report.limit},
-          {"alive", member.alive},
-          {"leaving", member.leaving},
-          {"quiet_ms", member.quiet_ms}};
+  return {
+      {"name", member.report.name},       {"role", member.report.role},
+      {"zone", member.report.zone},       {"service", member.report.service},
+      {"address", member.report.address}, {"revision", member.report.revision},
+      {"running", member.report.running}, {"waiting", member.report.waiting},
+      {"limit", member.report.limit},     {"alive", member.alive},
+      {"leaving", member.leaving},        {"quiet_ms", member.quiet_ms}};
 }
 
 nlohmann::json ShowService(const documents::AcceptedDocument& accepted,
@@ -48,11 +44,13 @@
     if (member.report.revision >= accepted.revision) {
       in_force.push_back(member.report.name);
     } else {
-      differs.push_back({{"name", member.report.name},
-                         {"revision", member.report.revision},
-                         {"why", member.alive ? "has not taken the revision yet"
-                                              : "not heard of for " +
-                                                    std::to_string(member.quiet_ms) + " ms"}});
+      differs.push_back(
+          {{"name", member.report.name},
+           {"revision", member.report.revision},
+           {"why", member.alive
+                       ? "has not taken the revision yet"
+                       : "not heard of for " + std::to_string(member.quiet_ms) +
+                             " ms"}});
     }
   }
   return {{"service", accepted.service},
@@ -70,17 +68,21 @@
   const documents::ServiceDocument document = documents::ParseDocument(body);
   const std::string name = request.matches[1].str();
   if (document.service != name) {
-    throw ResultError(ResultCode::kBadInput,
-                      "document: [/service] is " + document.service + ", the path says " + name);
+    throw ResultError(ResultCode::kBadInput, "document: [/service] is " +
+                                                 document.service +
+                                                 ", the path says " + name);
   }
   const statemachine::CommandReply reply = context.control.Run(
-      statemachine::SubmitDocument{name, document.version, documents::CanonicalText(body)},
+      statemachine::SubmitDocument{name, document.version,
+                                   documents::CanonicalText(body)},
       kControlPatience);
   if (reply.Code() == ResultCode::kConflict) {
     const auto outcome = DecodeMessage<documents::SubmitOutcome>(reply.body);
-    nlohmann::json conflict = ErrorBody({ResultCode::kConflict, reply.text, {}}, true);
+    nlohmann::json conflict =
+        ErrorBody({ResultCode::kConflict, reply.text, {}}, true);
     if (!outcome.in_force.text.empty()) {
-      const nlohmann::json in_force = nlohmann::json::parse(outcome.in_force.text);
+      const nlohmann::json in_force =
+          nlohmann::json::parse(outcome.in_force.text);
       conflict["in_force"] = in_force;
       conflict["difference"] = documents::DescribeDifference(in_force, body);
     }
@@ -91,7 +93,9 @@
   control::RequireOk(reply);
   const auto outcome = DecodeMessage<documents::SubmitOutcome>(reply.body);
   Log(LogLevel::kInfo, "document_accepted",
-      {{"service", name}, {"version", document.version}, {"revision", outcome.revision}});
+      {{"service", name},
+       {"version", document.version},
+       {"revision", outcome.revision}});
   SetJson(response, {{"service", name},
                      {"version", document.version},
                      {"revision", outcome.revision}});
@@ -110,7 +114,8 @@
   throw ResultError(ResultCode::kNotFound, "no such service: " + name);
 }
 
-void GetStatus(EntryContext& context, const httplib::Request&, httplib::Response& response) {
+void GetStatus(EntryContext& context, const httplib::Request&,
+               httplib::Response& response) {
   const control::StatusReply status = AskStatus(context);
   nlohmann::json services = nlohmann::json::array();
   for (const documents::AcceptedDocument& accepted : status.documents) {
@@ -130,9 +135,11 @@
 }  // namespace
 
 void AddOperatorApi(httplib::Server& server, EntryContext& context) {
-  using Handler = void (*)(EntryContext&, const httplib::Request&, httplib::Response&);
+  using Handler =
+      void (*)(EntryContext&, const httplib::Request&, httplib::Response&);
   const auto guarded = [&context](Handler handler) {
-    return [&context, handler](const httplib::Request& request, httplib::Response& response) {
+    return [&context, handler](const httplib::Request& request,
+                               httplib::Response& response) {
       Guarded(response, [&] { handler(context, request, response); });
     };
   };
