Queue at the gate that named the shortest wait; the search for a slot is a pure core

Change: SlotSearch (src/placement) decides where to ask, where to queue and when to refuse, apart from I/O; OnlineRelay carries its steps out. A gate whose queue a request waited in and that breaks off no longer gives an own refusal: the search ends with the same answer. Test: 'a request queues at the gate that named the shortest wait' replays the three waits; the old choice fails it.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -13,9 +13,6 @@
 
 /// Timeouts and silences are looked at this often.
 constexpr std::chrono::milliseconds kSweep{25};
-/// Gates that are asked for a slot at once before the request queues at the
-/// least busy one; an ask takes a round trip of 0.2 to 2 ms.
-constexpr std::size_t kQuickAsks = 3;
 /// A gate answers an ask within a round trip; one that is silent for longer is
 /// frozen or cut off, and another is asked.
 constexpr std::chrono::milliseconds kAskSilence{120};
@@ -25,11 +22,10 @@
 /// The same between two events, which come every 20 ms, from a slow engine
 /// every 100 ms; callers leave after 2 s.
 constexpr std::chrono::milliseconds kGapSilence{900};
-/// Requests of this entry at an engine whose gate is not there. A few keep the
-/// engine in use without overfilling it, as all entries do the same.
-constexpr std::uint32_t kWithoutGate = 1;
 /// Engines that may say "did not run" before the caller is told so.
 constexpr std::size_t kMostSends = 6;
+/// In the log where no gate named a wait.
+constexpr std::chrono::milliseconds kNoWaitNamed{-1};
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
@@ -104,7 +100,8 @@
   call.table = std::move(table);
   call.route = &route;
   std::uniform_real_distribution<double> draw(0, 1);
-  call.service = routes::PickService(route, draw(this->random));
+  call.search.emplace(routes::PickService(route, draw(this->random)),
+                      this->own_zone);
   call.arrived = MonotonicNow();
   const auto bound =
       std::min(route.timeout, call.fields.deadline.value_or(route.timeout));
@@ -119,56 +116,42 @@
   this->Place(id);
 }
 
-std::uint32_t OnlineRelay::WaitBudget(const Call& call) const {
-  const placement::SlotWish wish{call.arrived, call.deadline,
-                                 call.route->target_latency};
-  return static_cast<std::uint32_t>(
-      placement::WaitBudget(wish, MonotonicNow()).count());
+std::chrono::milliseconds OnlineRelay::WaitBudget(const Call& call) const {
+  return placement::WaitBudget(
+      {call.arrived, call.deadline, call.route->target_latency},
+      MonotonicNow());
 }
 
 /// Chooses where to ask next, or refuses.
 void OnlineRelay::Place(CallId id) {
   Call& call = this->calls.at(id);
-  const Time now = MonotonicNow();
   if (call.sends >= kMostSends) {
     this->Refuse(id, "every engine tried said that it did not run");
     return;
   }
-  if (call.asks >= kQuickAsks) {
-    this->AfterBusy(id);
-    return;
-  }
-  const auto option =
-      this->chooser.Choose(call.service, this->own_zone, call.tried, now);
-  if (!option.has_value()) {
-    if (call.asks == 0) {
-      this->Refuse(id, "no replica of the service is known");
-    } else {
-      this->AfterBusy(id);
-    }
-    return;
-  }
-  call.engine = *option;
-  call.tried.insert(option->address);
-  if (option->gate.empty()) {
-    ++call.asks;
-    const bool plain = option->slots == 0;
-    if (plain || this->chooser.OwnUse(option->address) < kWithoutGate) {
-      this->Send(id);
-    } else {
-      this->Place(id);
-    }
-    return;
-  }
-  this->Ask(id, 0);
+  const placement::SearchStep step =
+      call.search->Next(this->chooser, this->WaitBudget(call), MonotonicNow());
+  std::visit([this, id](const auto& next) { this->Do(id, next); }, step);
+}
+
+void OnlineRelay::Do(CallId id, const placement::AskGate& step) {
+  this->calls.at(id).engine = step.engine;
+  this->Ask(id, static_cast<std::uint32_t>(step.longest_wait.count()));
+}
+
+void OnlineRelay::Do(CallId id, const placement::SendUngated& step) {
+  this->calls.at(id).engine = step.engine;
+  this->Send(id);
+}
+
+void OnlineRelay::Do(CallId id, const placement::NoSlot& step) {
+  this->Refuse(id, step.reason);
 }
 
 void OnlineRelay::Ask(CallId id, std::uint32_t wait_ms) {
   Call& call = this->calls.at(id);
-  ++call.asks;
   const std::uint64_t attempt = ++call.attempt;
   call.phase = Phase::kAsking;
-  call.queueing = wait_ms > 0;
   call.sent = MonotonicNow();
   AskSlot ask;
   ask.request = call.fields.id;
@@ -216,16 +199,10 @@
   }
   ++call.attempt;
   call.slot = 0;
-  const bool busy = reply.Verdict() == SlotVerdict::kBusy;
-  if (busy && reply.expected_wait_ms < call.least_wait_ms) {
-    call.least_wait_ms = reply.expected_wait_ms;
-    call.least_busy = call.engine.address;
-  }
-  if (call.queueing) {
-    this->Refuse(id, "no slot came free in time");
-  } else {
-    this->Place(id);
+  if (reply.Verdict() == SlotVerdict::kBusy) {
+    call.search->Busy(std::chrono::milliseconds(reply.expected_wait_ms));
   }
+  this->Place(id);
 }
 
 /// The gate is gone, or its connection. Before the grant nothing was sent, so
@@ -247,34 +224,8 @@
       {{"request", call.fields.id},
        {"gate", call.engine.gate},
        {"engine", call.engine.id}});
-  call.asks -= call.asks > 0 && !call.queueing ? 1 : 0;
-  if (call.queueing) {
-    this->Refuse(id, "the gate whose queue it waited in is gone");
-  } else {
-    this->Place(id);
-  }
-}
-
-/// Every gate asked was full: queue at the one with the shortest wait if that
-/// is in time, else tell the caller now.
-void OnlineRelay::AfterBusy(CallId id) {
-  Call& call = this->calls.at(id);
-  const std::uint32_t budget = this->WaitBudget(call);
-  if (call.least_busy.empty() || call.least_wait_ms > budget) {
-    this->Refuse(id, "the shortest queue is longer than the caller can wait");
-    return;
-  }
-  std::set<std::string> others = call.tried;
-  others.erase(call.least_busy);
-  const auto option = this->chooser.Choose(call.service, this->own_zone, others,
-                                           MonotonicNow());
-  if (!option.has_value() || option->gate.empty()) {
-    this->Refuse(id, "the replica with the shortest queue is gone");
-    return;
-  }
-  call.engine = *option;
-  call.least_busy.clear();
-  this->Ask(id, std::max<std::uint32_t>(1, budget));
+  call.search->Unanswered();
+  this->Place(id);
 }
 
 void OnlineRelay::Send(CallId id) {
@@ -469,21 +420,11 @@
   Call& call = this->calls.at(id);
   this->ReleaseEngine(call);
   call.failed_status = false;
-  call.asks = 0;
-  call.least_busy.clear();
-  call.least_wait_ms = UINT32_MAX;
   if (MonotonicNow() + placement::kLeastRun > call.deadline) {
     this->Fail(id, kGatewayTimeout, "too little time left for another engine");
     return;
   }
-  // Every engine was tried: begin again, with the one that failed just now
-  // last.
-  if (call.tried.size() >= this->chooser.OptionCount(call.service)) {
-    call.tried.clear();
-    if (this->chooser.OptionCount(call.service) > 1) {
-      call.tried.insert(call.engine.address);
-    }
-  }
+  call.search->Restart(this->chooser, call.engine.address);
   this->Place(id);
 }
 
@@ -502,13 +443,10 @@
 }
 
 double OnlineRelay::RetryAfterSeconds(const Call& call) {
-  std::optional<std::chrono::milliseconds> expected;
-  if (call.least_wait_ms != UINT32_MAX) {
-    expected = std::chrono::milliseconds(call.least_wait_ms);
-  }
   std::uniform_real_distribution<double> draw(0, 1);
   return std::chrono::duration<double>(
-             placement::RetryAfter(expected, draw(this->random)))
+             placement::RetryAfter(call.search->LeastWait(),
+                                   draw(this->random)))
       .count();
 }
 
@@ -527,9 +465,10 @@
   Log(LogLevel::kInfo, "request_refused",
       {{"request", call.fields.id},
        {"reason", reason},
-       {"asked", call.asks},
-       {"expected_wait_ms", call.least_wait_ms},
-       {"budget_ms", this->WaitBudget(call)}});
+       {"asked", call.search->Asks()},
+       {"expected_wait_ms",
+        call.search->LeastWait().value_or(kNoWaitNamed).count()},
+       {"budget_ms", this->WaitBudget(call).count()}});
   this->Finish(id, "refused", response.status);
 }
 
@@ -623,7 +562,8 @@
     return;
   }
   if (call.phase == Phase::kAsking) {
-    if (!call.queueing && call.slot != 0 && now - call.sent > kAskSilence) {
+    if (!call.search->Queueing() && call.slot != 0 &&
+        now - call.sent > kAskSilence) {
       this->peers.Cancel(call.slot);
       this->OnAskFailed(id, call.attempt);
     }
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -19,6 +20,7 @@
 #include "nodes/dialect.h"
 #include "nodes/slotmessages.h"
 #include "placement/enginechooser.h"
+#include "placement/slotsearch.h"
 #include "routes/routetable.h"
 #include "transport/peerclient.h"
 
@@ -56,17 +58,12 @@
     CallFields fields;
     routes::RouteTablePtr table;
     const routes::Route* route = nullptr;
-    std::string service;
     Time arrived{};
     Time deadline{};
     Phase phase = Phase::kAsking;
     placement::EngineOption engine;
-    std::set<std::string> tried;   ///< Addresses asked or sent to, this round.
+    std::optional<placement::SlotSearch> search;  ///< Set by Take.
     std::set<std::string> ran_at;  ///< Addresses where it may have run.
-    std::string least_busy;        ///< Where the expected wait was shortest.
-    std::uint32_t least_wait_ms = UINT32_MAX;
-    std::size_t asks = 0;
-    bool queueing = false;  ///< Waits in a gate's queue.
     transport::CallId slot = 0;
     http::HttpCallId engine_call = 0;
     std::uint64_t attempt = 0;  ///< Tells late callbacks apart.
@@ -85,10 +82,12 @@
   using CallId = std::uint64_t;
 
   void Place(CallId id);
+  void Do(CallId id, const placement::AskGate& step);
+  void Do(CallId id, const placement::SendUngated& step);
+  void Do(CallId id, const placement::NoSlot& step);
   void Ask(CallId id, std::uint32_t wait_ms);
   void OnSlotReply(CallId id, std::uint64_t attempt, const std::string& bytes);
   void OnAskFailed(CallId id, std::uint64_t attempt);
-  void AfterBusy(CallId id);
   void Send(CallId id);
   void OnHead(CallId id, std::uint64_t attempt, const http::HttpHead& head);
   void PassHead(Call& call, const http::HttpHead& head);
@@ -104,7 +103,7 @@
   void Finish(CallId id, const char* outcome, int status);
   void Sweep();
   void Check(CallId id, Time now);
-  std::uint32_t WaitBudget(const Call& call) const;
+  std::chrono::milliseconds WaitBudget(const Call& call) const;
   double RetryAfterSeconds(const Call& call);
 
   http::HttpServer*& front;
--- /dev/null
+++ b/src/placement/internal/slotsearch.cpp
@@ -0,0 +1,76 @@
+#include "placement/slotsearch.h"
+
+#include <algorithm>
+
+namespace papayarack::placement {
+
+SearchStep SlotSearch::Next(EngineChooser& chooser,
+                            std::chrono::milliseconds budget, Time now) {
+  if (this->queueing) {
+    return NoSlot{"no slot came free in time"};
+  }
+  while (this->asks < kQuickAsks) {
+    const auto option =
+        chooser.Choose(this->service, this->own_zone, this->tried, now);
+    if (!option.has_value()) {
+      break;
+    }
+    this->tried.insert(option->address);
+    ++this->asks;
+    if (!option->gate.empty()) {
+      this->asked = option;
+      return AskGate{*option};
+    }
+    const bool unlimited = option->slots == 0;
+    if (unlimited || chooser.OwnUse(option->address) < kUngatedUse) {
+      return SendUngated{*option};
+    }
+  }
+  if (this->asks == 0) {
+    return NoSlot{"no replica of the service is known"};
+  }
+  return this->QueueAtLeastBusy(budget);
+}
+
+SearchStep SlotSearch::QueueAtLeastBusy(std::chrono::milliseconds budget) {
+  if (!this->least_busy.has_value() || *this->least_wait > budget) {
+    return NoSlot{"the shortest queue is longer than the caller can wait"};
+  }
+  this->queueing = true;
+  this->asked = this->least_busy;
+  ++this->asks;
+  return AskGate{*this->least_busy,
+                 std::max(std::chrono::milliseconds(1), budget)};
+}
+
+void SlotSearch::Busy(std::chrono::milliseconds expected_wait) {
+  if (!this->least_wait.has_value() || expected_wait < *this->least_wait) {
+    this->least_wait = expected_wait;
+    this->least_busy = this->asked;
+  }
+}
+
+void SlotSearch::Unanswered() {
+  if (!this->queueing) {
+    this->asks -= this->asks > 0 ? 1 : 0;
+  }
+}
+
+void SlotSearch::Restart(const EngineChooser& chooser,
+                         const std::string& failed) {
+  this->asks = 0;
+  this->queueing = false;
+  this->asked.reset();
+  this->least_busy.reset();
+  this->least_wait.reset();
+  const std::size_t options = chooser.OptionCount(this->service);
+  if (this->tried.size() < options) {
+    return;
+  }
+  this->tried.clear();
+  if (options > 1) {
+    this->tried.insert(failed);
+  }
+}
+
+}  // namespace papayarack::placement
--- /dev/null
+++ b/src/placement/tests/slotsearch_tests.cpp
@@ -0,0 +1,118 @@
+#include <catch2/catch.hpp>
+
+#include "placement/slotsearch.h"
+
+namespace papayarack::placement {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kBudget{250};
+
+Time At(int ms) { return Time(std::chrono::seconds(100) + milliseconds(ms)); }
+
+std::vector<EngineOption> Fleet(int count, bool gates = true) {
+  std::vector<EngineOption> options;
+  for (int i = 0; i < count; ++i) {
+    const std::string number = std::to_string(i);
+    options.push_back({"e" + number, "id" + number,
+                       gates ? "g" + number : std::string(), "z", 8});
+  }
+  return options;
+}
+
+/// Asks quickly until the search queues or ends; every gate is busy and names
+/// the next of `waits`.
+SearchStep AllBusy(SlotSearch& search, EngineChooser& chooser,
+                   const std::vector<int>& waits,
+                   std::vector<std::string>& asked) {
+  for (const int wait : waits) {
+    const SearchStep step = search.Next(chooser, kBudget, At(0));
+    const auto& ask = std::get<AskGate>(step);
+    CHECK(ask.longest_wait == milliseconds(0));
+    asked.push_back(ask.engine.address);
+    search.Busy(milliseconds(wait));
+  }
+  return search.Next(chooser, kBudget, At(0));
+}
+
+}  // namespace
+
+// Symptom: a caller is refused although a gate that was asked named a wait of
+// 86 ms and the caller could wait 249 ms. Events: three gates are busy (86, 94
+// and 287 ms); the request then queues at a fourth gate, not asked before,
+// which expects 276 ms and refuses. Cause: the place in a queue was chosen
+// among the least busy gate and all that had not been asked.
+TEST_CASE("a request queues at the gate that named the shortest wait") {
+  EngineChooser chooser(1);
+  chooser.SetOptions("llm", Fleet(12));
+  SlotSearch search("llm", "z");
+  std::vector<std::string> asked;
+  const SearchStep step = AllBusy(search, chooser, {94, 86, 287}, asked);
+  const auto& queue = std::get<AskGate>(step);
+  CHECK(queue.engine.address == asked[1]);
+  CHECK(queue.longest_wait == kBudget);
+  CHECK(search.Queueing());
+  SECTION("and is refused when no slot came free there") {
+    search.Busy(milliseconds(300));
+    CHECK(std::holds_alternative<NoSlot>(search.Next(chooser, kBudget, At(9))));
+    CHECK(search.LeastWait() == milliseconds(86));
+  }
+}
+
+TEST_CASE("a request that cannot be in time is refused without queueing") {
+  EngineChooser chooser(1);
+  chooser.SetOptions("llm", Fleet(12));
+  SlotSearch search("llm", "z");
+  std::vector<std::string> asked;
+  const SearchStep step = AllBusy(search, chooser, {310, 290, 287}, asked);
+  CHECK(std::holds_alternative<NoSlot>(step));
+  CHECK(search.LeastWait() == milliseconds(287));
+}
+
+TEST_CASE("a gate that does not answer does not count as asked") {
+  EngineChooser chooser(1);
+  chooser.SetOptions("llm", Fleet(12));
+  SlotSearch search("llm", "z");
+  std::set<std::string> asked;
+  for (int i = 0; i < 5; ++i) {
+    const SearchStep step = search.Next(chooser, kBudget, At(0));
+    asked.insert(std::get<AskGate>(step).engine.address);
+    search.Unanswered();
+  }
+  CHECK(asked.size() == 5);
+}
+
+TEST_CASE("engines without a gate get a bounded number of requests") {
+  EngineChooser chooser(1);
+  chooser.SetOptions("llm", Fleet(2, false));
+  SlotSearch first("llm", "z");
+  const SearchStep step = first.Next(chooser, kBudget, At(0));
+  const std::string used = std::get<SendUngated>(step).engine.address;
+  chooser.Started(used);
+  SECTION("one of each entry at each engine") {
+    SlotSearch second("llm", "z");
+    const SearchStep other = second.Next(chooser, kBudget, At(0));
+    chooser.Started(std::get<SendUngated>(other).engine.address);
+    SlotSearch third("llm", "z");
+    CHECK(std::holds_alternative<NoSlot>(third.Next(chooser, kBudget, At(0))));
+  }
+  SECTION("a failed run goes elsewhere, and back once all were tried") {
+    first.Restart(chooser, used);
+    const SearchStep second = first.Next(chooser, kBudget, At(0));
+    const std::string other = std::get<SendUngated>(second).engine.address;
+    CHECK(other != used);
+    chooser.Ended(used);
+    first.Restart(chooser, other);
+    const SearchStep third = first.Next(chooser, kBudget, At(0));
+    CHECK(std::get<SendUngated>(third).engine.address == used);
+  }
+}
+
+TEST_CASE("without a known engine there is no slot") {
+  EngineChooser chooser(1);
+  SlotSearch search("llm", "z");
+  CHECK(std::holds_alternative<NoSlot>(search.Next(chooser, kBudget, At(0))));
+}
+
+}  // namespace papayarack::placement
