Log connections to other processes as they come and go

Each lost or regained dependency is to have a line; connections between processes had none, which hid the cause of the wait after a restart. One line for a row of failed attempts, as they come several times a second while a peer is down.

--- a/src/transport/internal/peerclient.cpp
+++ b/src/transport/internal/peerclient.cpp
@@ -4,10 +4,12 @@
 #include <asio.hpp>
 #include <future>
 #include <map>
+#include <set>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "global/logging.h"
 #include "global/messagecodec.h"
 #include "transport/internal/http2session.h"
 #include "transport/internal/ownloop.h"
@@ -38,6 +40,7 @@
     std::shared_ptr<asio::ip::tcp::socket> socket;
     std::vector<CallId> waiting;  ///< Calls until the connection stands.
     std::map<std::int32_t, CallId> streams;
+    Time started{};
     std::shared_ptr<asio::steady_timer> connect_timer;
     bool draining = false;  ///< The peer takes no new streams here.
   };
@@ -133,6 +136,7 @@
     const std::uint64_t link_id = ++this->last_link;
     Link& link = this->links[link_id];
     link.address = peer.ToString();
+    link.started = MonotonicNow();
     link.waiting.push_back(id);
     this->calls.at(id).session = link_id;
     link.socket = std::make_shared<asio::ip::tcp::socket>(this->context);
@@ -213,6 +217,10 @@
     Link& link = this->links.at(link_id);
     link.connect_timer.reset();
     this->connect_timeouts.erase(link.address);
+    this->unreachable.erase(link.address);
+    Log(LogLevel::kInfo, "peer_connected",
+        {{"peer", link.address},
+         {"took_ms", (MonotonicNow() - link.started).count() / 1000}});
     link.session = std::make_shared<Http2Session>(
         std::move(socket), Http2Session::Side::kClient, std::move(callbacks));
     link.session->Start();
@@ -281,6 +289,22 @@
     }
   }
 
+  /// A line for each connection that ends, but one only for a row of attempts
+  /// that fail: they come several times a second while a peer is down.
+  void LogEnd(const Link& link) {
+    if (this->stopping) {
+      return;
+    }
+    if (link.session != nullptr) {
+      Log(LogLevel::kInfo, "peer_connection_ended",
+          {{"peer", link.address}, {"open_calls", link.streams.size()}});
+    } else if (this->unreachable.insert(link.address).second) {
+      Log(LogLevel::kInfo, "peer_unreachable",
+          {{"peer", link.address},
+           {"after_ms", (MonotonicNow() - link.started).count() / 1000}});
+    }
+  }
+
   void DropLink(std::uint64_t link_id) {
     const auto found = this->links.find(link_id);
     if (found == this->links.end()) {
@@ -288,6 +312,7 @@
     }
     const Link link = std::move(found->second);
     this->links.erase(found);
+    this->LogEnd(link);
     if (link.session != nullptr) {
       link.session->Close();
     } else if (link.socket != nullptr) {
@@ -337,6 +362,8 @@
   std::map<CallId, Pending> calls;
   /// Attempts in a row that timed out, by address.
   std::map<std::string, std::uint32_t> connect_timeouts;
+  /// Addresses whose last attempt failed.
+  std::set<std::string> unreachable;
   std::atomic<CallId> last_call = 0;
   std::uint64_t last_link = 0;
   bool stopping = false;
