Hold watches at a leader that is elected and not ready yet

Cause: between its election and its first commit a leader answered 'not the leader' with its own address, which sent askers round the others for 0.2 s.

--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -84,8 +84,8 @@
   void OnReadStore(StreamId stream, const std::string& body);
   void AnswerWatchers(Time now);
   bool Differs(const WatchRequest& request) const;
-  /// Itself or another, as far as this process has learned.
-  bool KnowsLeader() const;
+  /// Whether whoever asks can be sent to another member.
+  bool KnowsOtherLeader() const;
   WatchReply MakeReply(const WatchRequest& request) const;
   void Reply(StreamId stream, ResultCode code, std::string body = {});
   void ProposeAndReply(StreamId stream, const CoordinationCommand& command);
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -364,9 +364,12 @@
   });
 }
 
-bool Coordinator::KnowsLeader() const {
-  return !this->group->LeaderAddress().empty() ||
-         !this->options.hint().leader.empty();
+bool Coordinator::KnowsOtherLeader() const {
+  const std::string leader = this->group->LeaderAddress();
+  // Elected, but the entries of earlier terms are not committed yet.
+  const bool soon_itself = leader == this->options.address;
+  return !soon_itself &&
+         !(leader.empty() && this->options.hint().leader.empty());
 }
 
 bool Coordinator::Differs(const WatchRequest& request) const {
@@ -445,7 +448,7 @@
         this->group->Leads()
             ? now - waiting.since < kWatchHold &&
                   !this->Differs(waiting.request)
-            : now - waiting.since < kNoLeaderHold && !this->KnowsLeader();
+            : now - waiting.since < kNoLeaderHold && !this->KnowsOtherLeader();
     if (no_news) {
       ++watcher;
       continue;
