Hold callers of a process that has just started

Change: StartupQueue holds requests for up to 200 ms in the first second of a process, bounded in number and bytes; a process cut off for longer refuses at once as before.

--- a/src/nodes/entrynode.h
+++ b/src/nodes/entrynode.h
@@ -11,6 +11,7 @@
 #include "http/httpserver.h"
 #include "nodes/noderuntime.h"
 #include "nodes/onlinerelay.h"
+#include "nodes/startupqueue.h"
 
 namespace papayarack::nodes {
 
@@ -42,7 +43,13 @@
   void StartCoordinator();
   bool Ready() const;
   void OnFleet(const coordination::FleetChange& change);
+  /// Whether a configuration and the platform's list are known.
+  bool KnowsFleet() const;
   void OnRequest(ExchangeId exchange, http::HttpRequest request);
+  void CheckEarly();
+  void Serve(ExchangeId exchange, http::HttpRequest request);
+  void Refuse(ExchangeId exchange, const http::HttpRequest& request,
+              const char* reason, const char* retry_after);
   void OnBatchSubmit(ExchangeId exchange, const http::HttpRequest& request,
                      const routes::Route& route);
   void OnBatchCall(ExchangeId exchange, const BatchCall& call);
@@ -70,6 +77,8 @@
   std::unique_ptr<OnlineRelay> relay;
   /// Calls to a group on behalf of callers, to give up when they leave.
   std::unordered_map<ExchangeId, std::uint64_t> job_calls;
+  StartupQueue early;
+  asio::steady_timer early_timer;
   Time own_poll{};
   bool polling = false;
   bool leaving = false;
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -24,6 +24,8 @@
 /// Pace of that reading; all processes together are bound by the platform.
 constexpr std::chrono::milliseconds kOwnPollEvery{1000};
 constexpr std::chrono::milliseconds kTick{200};
+/// Requests held at a start are looked at this often.
+constexpr std::chrono::milliseconds kHoldTick{20};
 /// Retry-After of a refusal that has no better figure, in seconds: an election
 /// takes 0.6 to 1.2 s.
 constexpr const char* kRetryAfter = "0.8";
@@ -74,7 +76,11 @@
 }  // namespace
 
 EntryNode::EntryNode(NodeRuntime& runtime)
-    : runtime(runtime), list_client(runtime.context), timer(runtime.context) {
+    : runtime(runtime),
+      list_client(runtime.context),
+      early(MonotonicNow()),
+      early_timer(runtime.context),
+      timer(runtime.context) {
   this->ListenFront();
   this->relay = std::make_unique<OnlineRelay>(
       runtime.context, this->front, *runtime.peers, runtime.dialect,
@@ -134,7 +140,7 @@
     this->OnRequest(exchange, std::move(request));
   };
   handlers.on_gone = [this](ExchangeId exchange) {
-    if (this->relay->CallerGone(exchange)) {
+    if (this->relay->CallerGone(exchange) || this->early.Remove(exchange)) {
       return;
     }
     const auto found = this->job_calls.find(exchange);
@@ -149,11 +155,13 @@
   this->front = this->owned_front.get();
 }
 
-bool EntryNode::Ready() const {
-  return !this->leaving && this->runtime.table != nullptr &&
+bool EntryNode::KnowsFleet() const {
+  return this->runtime.table != nullptr &&
          this->runtime.watch->knowledge().engines_seen != Time{};
 }
 
+bool EntryNode::Ready() const { return !this->leaving && this->KnowsFleet(); }
+
 void EntryNode::ListenReady() {
   if (!this->runtime.options.ready.has_value()) {
     return;
@@ -199,20 +207,60 @@
     this->front->SetLimits(limits);
   }
   this->relay->SetFleet(this->runtime.watch->knowledge(), configuration);
+  if (this->KnowsFleet()) {
+    for (EarlyRequest& held : this->early.TakeAll()) {
+      this->Serve(held.exchange, std::move(held.request));
+    }
+  }
 }
 
 void EntryNode::OnRequest(ExchangeId exchange, http::HttpRequest request) {
+  if (this->refusing) {
+    this->Refuse(exchange, request, "this process is leaving", kRetryElsewhere);
+    return;
+  }
+  if (this->KnowsFleet()) {
+    this->Serve(exchange, std::move(request));
+    return;
+  }
+  const bool first = this->early.Empty();
+  if (!this->early.Offer(exchange, request, MonotonicNow())) {
+    this->Serve(exchange, std::move(request));
+  } else if (first) {
+    this->CheckEarly();
+  }
+}
+
+void EntryNode::CheckEarly() {
+  this->early_timer.expires_after(kHoldTick);
+  this->early_timer.async_wait(
+      [this, alive = this->alive](std::error_code error) {
+        if (error || !*alive) {
+          return;
+        }
+        for (EarlyRequest& held : this->early.TakeExpired(MonotonicNow())) {
+          this->Serve(held.exchange, std::move(held.request));
+        }
+        if (!this->early.Empty()) {
+          this->CheckEarly();
+        }
+      });
+}
+
+void EntryNode::Refuse(ExchangeId exchange, const http::HttpRequest& request,
+                       const char* reason, const char* retry_after) {
+  http::HttpResponse response = Plain(kServiceUnavailable);
+  response.headers.Set("Retry-After", retry_after);
+  Log(LogLevel::kInfo, "request_refused",
+      {{"path", std::string(request.Path())}, {"reason", reason}});
+  this->front->Respond(exchange, response);
+}
+
+void EntryNode::Serve(ExchangeId exchange, http::HttpRequest request) {
   const routes::RouteTablePtr table = this->runtime.table;
-  if (table == nullptr || this->refusing) {
-    http::HttpResponse response = Plain(kServiceUnavailable);
-    if (this->refusing) {
-      response.headers.Set("Retry-After", kRetryElsewhere);
-    }
-    Log(LogLevel::kInfo, "request_refused",
-        {{"path", std::string(request.Path())},
-         {"reason", this->refusing ? "this process is leaving"
-                                   : "no configuration is known yet"}});
-    this->front->Respond(exchange, response);
+  if (table == nullptr) {
+    this->Refuse(exchange, request, "no configuration is known yet",
+                 kRetryAfter);
     return;
   }
   const BatchCall batch_call = this->runtime.dialect.read_batch_call(request);
--- /dev/null
+++ b/src/nodes/startupqueue.h
@@ -0,0 +1,60 @@
+#ifndef PAPAYARACK_NODES_STARTUPQUEUE_H_
+#define PAPAYARACK_NODES_STARTUPQUEUE_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "global/timepoint.h"
+#include "http/httpserver.h"
+
+namespace papayarack::nodes {
+
+/// A request that came before this process knew the configuration.
+struct EarlyRequest {
+  http::ExchangeId exchange = 0;
+  http::HttpRequest request;
+  Time until{};  ///< Refused when nothing is known by then.
+};
+
+/// Requests that wait for a process that has just started.
+///
+/// Load pattern: all processes are killed at once; callers whose connections
+/// broke come back within the 0.25 s that an election and the first
+/// configuration take. Refused then, they return together into a queue that is
+/// longer still: 128 refusals within 0.25 s and 60 more a second later (12
+/// engines, 85 requests a second). Held for part of their first-token target
+/// they are served in time. Only a process that has just started holds: one
+/// that cannot reach a leader for longer refuses at once. Bounded in number and
+/// bytes. Thread safety: none.
+class StartupQueue {
+ public:
+  explicit StartupQueue(Time started) : started(started) {}
+
+  /// Takes a request; false when it is to be refused now, and is untouched.
+  bool Offer(http::ExchangeId exchange, http::HttpRequest& request, Time now);
+  /// Everything that waits, oldest first.
+  std::vector<EarlyRequest> TakeAll();
+  /// What has waited long enough.
+  std::vector<EarlyRequest> TakeExpired(Time now);
+  /// Its caller is gone. True when it waited here.
+  bool Remove(http::ExchangeId exchange);
+  bool Empty() const { return this->waiting.empty(); }
+
+  /// After this long a process counts as cut off rather than as starting: an
+  /// election after a start takes 150 to 300 ms, a second one as long again.
+  static constexpr std::chrono::milliseconds kStartTime{1000};
+  /// Two thirds of the users' shortest first-token target of 300 ms.
+  static constexpr std::chrono::milliseconds kLongestHold{200};
+  /// What 0.2 s bring to one entry at six times the users' peak.
+  static constexpr std::size_t kMostRequests = 256;
+  static constexpr std::size_t kMostBytes = 4U << 20U;
+
+ private:
+  Time started;
+  std::size_t bytes = 0;
+  std::vector<EarlyRequest> waiting;
+};
+
+}  // namespace papayarack::nodes
+
+#endif  // PAPAYARACK_NODES_STARTUPQUEUE_H_
