Refuse a request that queues at a silent gate at the end of its wait

Cause: only asks that do not queue had a bound; a request queued at a gate whose VM froze or was cut off waited until its deadline (5 s) or until the connection was given up. Now: 120 ms after the end of its wait. Test: 'a request queues at the gate that named the shortest wait' checks the bound.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -13,9 +13,6 @@
 
 /// Timeouts and silences are looked at this often.
 constexpr std::chrono::milliseconds kSweep{25};
-/// A gate answers an ask within a round trip; one that is silent for longer is
-/// frozen or cut off, and another is asked.
-constexpr std::chrono::milliseconds kAskSilence{120};
 /// An engine with a free slot makes its first event within 12 ms, a slow one
 /// within 60 ms. A repeatable request silent for this long goes elsewhere.
 constexpr std::chrono::milliseconds kFirstEventSilence{700};
@@ -562,8 +559,7 @@
     return;
   }
   if (call.phase == Phase::kAsking) {
-    if (!call.search->Queueing() && call.slot != 0 &&
-        now - call.sent > kAskSilence) {
+    if (call.slot != 0 && call.search->Silent(now - call.sent)) {
       this->peers.Cancel(call.slot);
       this->OnAskFailed(id, call.attempt);
     }
--- a/src/placement/internal/slotsearch.cpp
+++ b/src/placement/internal/slotsearch.cpp
@@ -38,9 +38,9 @@
   }
   this->queueing = true;
   this->asked = this->least_busy;
+  this->longest_wait = std::max(std::chrono::milliseconds(1), budget);
   ++this->asks;
-  return AskGate{*this->least_busy,
-                 std::max(std::chrono::milliseconds(1), budget)};
+  return AskGate{*this->least_busy, this->longest_wait};
 }
 
 void SlotSearch::Busy(std::chrono::milliseconds expected_wait) {
@@ -60,6 +60,7 @@
                          const std::string& failed) {
   this->asks = 0;
   this->queueing = false;
+  this->longest_wait = std::chrono::milliseconds(0);
   this->asked.reset();
   this->least_busy.reset();
   this->least_wait.reset();
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -52,6 +52,13 @@
   void Busy(std::chrono::milliseconds expected_wait);
   /// The gate asked last did not answer, so nothing was sent to its engine.
   void Unanswered();
+  /// Whether the gate asked last is frozen or cut off: it answers an ask within
+  /// a round trip, and one that queues at the end of its wait. Symptom guarded
+  /// against: a request queued at a gate whose VM froze waited until its
+  /// deadline, 5 s, where its caller could have come back within one.
+  bool Silent(Duration asked_ago) const {
+    return asked_ago > this->longest_wait + kAskSilence;
+  }
   /// Begins anew after a run that failed at `failed`: engines not tried yet go
   /// first; once every one was tried, all may be tried again, it last.
   void Restart(const EngineChooser& chooser, const std::string& failed);
@@ -61,11 +68,12 @@
     return this->least_wait;
   }
   std::size_t Asks() const { return this->asks; }
-  bool Queueing() const { return this->queueing; }
 
   /// Gates asked for a free slot before the request queues at the least busy
   /// one. An ask takes a round trip of 0.2 to 2 ms.
   static constexpr std::size_t kQuickAsks = 3;
+  /// Sixty times a round trip within a region.
+  static constexpr std::chrono::milliseconds kAskSilence{120};
   /// Requests of one entry at an engine whose gate is not there. A few keep the
   /// engine in use without overfilling it, as all entries do the same.
   static constexpr std::uint32_t kUngatedUse = 1;
@@ -81,6 +89,7 @@
   std::optional<std::chrono::milliseconds> least_wait;
   std::size_t asks = 0;
   bool queueing = false;
+  std::chrono::milliseconds longest_wait{0};  ///< At the gate asked last.
 };
 
 }  // namespace papayarack::placement
--- a/src/placement/tests/slotsearch_tests.cpp
+++ b/src/placement/tests/slotsearch_tests.cpp
@@ -52,7 +52,9 @@
   const auto& queue = std::get<AskGate>(step);
   CHECK(queue.engine.address == asked[1]);
   CHECK(queue.longest_wait == kBudget);
-  CHECK(search.Queueing());
+  // A gate that froze meanwhile must not hold the request until its deadline.
+  CHECK_FALSE(search.Silent(milliseconds(300)));
+  CHECK(search.Silent(milliseconds(400)));
   SECTION("and is refused when no slot came free there") {
     search.Busy(milliseconds(300));
     CHECK(std::holds_alternative<NoSlot>(search.Next(chooser, kBudget, At(9))));
@@ -75,6 +77,7 @@
   chooser.SetOptions("llm", Fleet(12));
   SlotSearch search("llm", "z");
   std::set<std::string> asked;
+  CHECK(search.Silent(milliseconds(130)));
   for (int i = 0; i < 5; ++i) {
     const SearchStep step = search.Next(chooser, kBudget, At(0));
     asked.insert(std::get<AskGate>(step).engine.address);
