Do not take a list that was never read for a known one

Change: kEnginesNeverRead is named, and leaves what is known as it was. Test: 'a list that the leader has not read is not known' fails before.

--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -11,6 +11,9 @@
 /// Messages between any process and the members of the coordination group.
 namespace papayarack::coordination {
 
+/// In place of an age: this leader has not read the platform's list yet.
+inline constexpr std::uint32_t kEnginesNeverRead = UINT32_MAX;
+
 enum class NodeRole : std::uint8_t { kEntry = 0, kGate = 1, kStore = 2 };
 
 /// What a process says of itself.
@@ -71,7 +74,7 @@
   std::vector<NodeReport> nodes;
   std::uint64_t engines_revision = 0;
   bool has_engines = false;
-  std::uint32_t engines_age_ms = 0;
+  std::uint32_t engines_age_ms = 0;  ///< Or kEnginesNeverRead.
   std::vector<EngineInstance> engines;
   consensus::MemberList job_founders;
   std::vector<std::string> leaving;  ///< Names of stores to be emptied.
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -417,7 +417,7 @@
   reply.engines_revision = this->engines_revision;
   const bool known = this->engines_seen != Time{};
   reply.engines_age_ms = static_cast<std::uint32_t>(
-      known ? (now - this->engines_seen).count() / 1000 : UINT32_MAX);
+      known ? (now - this->engines_seen).count() / 1000 : kEnginesNeverRead);
   if (known &&
       (new_term || request.engines_revision != reply.engines_revision)) {
     reply.has_engines = true;
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -218,8 +218,10 @@
     this->nodes_revision = reply.nodes_revision;
     change.nodes = true;
   }
-  this->known.engines_seen =
-      MonotonicNow() - std::chrono::milliseconds(reply.engines_age_ms);
+  if (reply.engines_age_ms != kEnginesNeverRead) {
+    this->known.engines_seen =
+        MonotonicNow() - std::chrono::milliseconds(reply.engines_age_ms);
+  }
   if (reply.has_engines) {
     this->known.engines = reply.engines;
     this->engines_revision = reply.engines_revision;
--- a/src/coordination/tests/coordination_tests.cpp
+++ b/src/coordination/tests/coordination_tests.cpp
@@ -4,6 +4,7 @@
 
 #include "coordination/coordinationstate.h"
 #include "coordination/coordinator.h"
+#include "coordination/fleetwatch.h"
 #include "coordination/founders.h"
 #include "coordination/nodetable.h"
 #include "global/variantcodec.h"
@@ -117,6 +118,55 @@
   CHECK(candidates[0].address == "e3:1");
 }
 
+// Symptom: an entry says that it is ready and refuses everybody: "no replica of
+// the service is known". Sequence: all processes were killed; a new leader
+// answers with the configuration before it has read the platform's list. Cause:
+// the age it sends in place of one was taken for an age.
+TEST_CASE("a list that the leader has not read is not known") {
+  asio::io_context context;
+  transport::PeerDispatch dispatch;
+  transport::PeerServer* server = nullptr;
+  transport::PeerServer owned(context, {"127.0.0.1", 0}, dispatch.For(server));
+  server = &owned;
+  std::uint32_t age_ms = kEnginesNeverRead;
+  int answered = 0;
+  dispatch.On("/coordination/watch",
+              [&](transport::StreamId stream, const std::string&) {
+                // The next answer waits for news that do not come.
+                if (++answered > 1) {
+                  return;
+                }
+                WatchReply reply;
+                reply.term = 1;
+                reply.config_version = 7;
+                reply.config = "seven";
+                reply.engines_age_ms = age_ms;
+                server->Send(stream, EncodeMessage(reply));
+                server->Finish(stream);
+              });
+  transport::PeerClient peers(context);
+  FleetWatch watch(context, peers, {},
+                   {"127.0.0.1:" + std::to_string(owned.port())},
+                   [](const FleetChange&) {});
+  const auto learn = [&] {
+    watch.Start();
+    for (int i = 0; i < 400 && watch.knowledge().config_version == 0; ++i) {
+      context.run_for(std::chrono::milliseconds(10));
+      context.restart();
+    }
+    REQUIRE(watch.knowledge().config_version == 7);
+  };
+  SECTION("though the configuration is") {
+    learn();
+    CHECK(watch.knowledge().engines_seen == Time{});
+  }
+  SECTION("one that it has read is") {
+    age_ms = 30;
+    learn();
+    CHECK(watch.knowledge().engines_seen != Time{});
+  }
+}
+
 TEST_CASE("a table of who is there") {
   NodeTable table;
   table.Clear(At(0));
