Count the deadline of a caller held at a start from its arrival

Cause, found while reading the diff: a request that waited in the start-up queue was taken as new when it was let on, so its deadline and its first-token target were up to 0.2 s too long, and an engine was handed more time than its caller had left. Change: the arrival goes with the request. Test: 'callers of a process that has just started are not sent away' checks it; the old type had no arrival.

--- a/src/nodes/entrynode.h
+++ b/src/nodes/entrynode.h
@@ -47,7 +47,7 @@
   bool KnowsFleet() const;
   void OnRequest(ExchangeId exchange, http::HttpRequest request);
   void CheckEarly();
-  void Serve(ExchangeId exchange, http::HttpRequest request);
+  void Serve(ExchangeId exchange, http::HttpRequest request, Time arrived);
   void Refuse(ExchangeId exchange, const http::HttpRequest& request,
               const char* reason, const char* retry_after);
   void OnBatchSubmit(ExchangeId exchange, const http::HttpRequest& request,
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -209,7 +209,7 @@
   this->relay->SetFleet(this->runtime.watch->knowledge(), configuration);
   if (this->KnowsFleet()) {
     for (EarlyRequest& held : this->early.TakeAll()) {
-      this->Serve(held.exchange, std::move(held.request));
+      this->Serve(held.exchange, std::move(held.request), held.arrived);
     }
   }
 }
@@ -219,13 +219,14 @@
     this->Refuse(exchange, request, "this process is leaving", kRetryElsewhere);
     return;
   }
+  const Time now = MonotonicNow();
   if (this->KnowsFleet()) {
-    this->Serve(exchange, std::move(request));
+    this->Serve(exchange, std::move(request), now);
     return;
   }
   const bool first = this->early.Empty();
-  if (!this->early.Offer(exchange, request, MonotonicNow())) {
-    this->Serve(exchange, std::move(request));
+  if (!this->early.Offer(exchange, request, now)) {
+    this->Serve(exchange, std::move(request), now);
   } else if (first) {
     this->CheckEarly();
   }
@@ -239,7 +240,7 @@
           return;
         }
         for (EarlyRequest& held : this->early.TakeExpired(MonotonicNow())) {
-          this->Serve(held.exchange, std::move(held.request));
+          this->Serve(held.exchange, std::move(held.request), held.arrived);
         }
         if (!this->early.Empty()) {
           this->CheckEarly();
@@ -256,7 +257,8 @@
   this->front->Respond(exchange, response);
 }
 
-void EntryNode::Serve(ExchangeId exchange, http::HttpRequest request) {
+void EntryNode::Serve(ExchangeId exchange, http::HttpRequest request,
+                      Time arrived) {
   const routes::RouteTablePtr table = this->runtime.table;
   if (table == nullptr) {
     this->Refuse(exchange, request, "no configuration is known yet",
@@ -282,7 +284,7 @@
     this->OnBatchSubmit(exchange, request, *route);
     return;
   }
-  this->relay->Take(exchange, std::move(request), table, *route);
+  this->relay->Take(exchange, std::move(request), table, *route, arrived);
 }
 
 void EntryNode::CallJobs(
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -87,8 +87,8 @@
 }
 
 void OnlineRelay::Take(http::ExchangeId exchange, http::HttpRequest request,
-                       routes::RouteTablePtr table,
-                       const routes::Route& route) {
+                       routes::RouteTablePtr table, const routes::Route& route,
+                       Time arrived) {
   const CallId id = ++this->last_call;
   Call call;
   call.exchange = exchange;
@@ -99,7 +99,7 @@
   std::uniform_real_distribution<double> draw(0, 1);
   call.search.emplace(routes::PickService(route, draw(this->random)),
                       this->own_zone);
-  call.arrived = MonotonicNow();
+  call.arrived = arrived;
   const auto bound =
       std::min(route.timeout, call.fields.deadline.value_or(route.timeout));
   call.deadline = call.arrived + bound;
--- a/src/nodes/internal/startupqueue.cpp
+++ b/src/nodes/internal/startupqueue.cpp
@@ -15,7 +15,7 @@
     return false;
   }
   this->bytes += size;
-  this->waiting.push_back({exchange, std::move(request), now + kLongestHold});
+  this->waiting.push_back({exchange, std::move(request), now});
   return true;
 }
 
@@ -25,9 +25,10 @@
 }
 
 std::vector<EarlyRequest> StartupQueue::TakeExpired(Time now) {
-  const auto first_fresh = std::ranges::find_if(
-      this->waiting,
-      [now](const EarlyRequest& early) { return early.until > now; });
+  const auto first_fresh =
+      std::ranges::find_if(this->waiting, [now](const EarlyRequest& early) {
+        return early.arrived + kLongestHold > now;
+      });
   std::vector<EarlyRequest> expired(
       std::make_move_iterator(this->waiting.begin()),
       std::make_move_iterator(first_fresh));
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -40,10 +40,11 @@
   OnlineRelay(const OnlineRelay&) = delete;
   OnlineRelay& operator=(const OnlineRelay&) = delete;
 
-  /// Takes a request. Precondition: `route` belongs to `table` and is not a
-  /// batch route.
+  /// Takes a request that came at `arrived`. Precondition: `route` belongs to
+  /// `table` and is not a batch route.
   void Take(http::ExchangeId exchange, http::HttpRequest request,
-            routes::RouteTablePtr table, const routes::Route& route);
+            routes::RouteTablePtr table, const routes::Route& route,
+            Time arrived);
   /// The caller is gone. True when the exchange was this relay's.
   bool CallerGone(http::ExchangeId exchange);
   void SetFleet(const coordination::FleetKnowledge& fleet,
--- a/src/nodes/startupqueue.h
+++ b/src/nodes/startupqueue.h
@@ -13,7 +13,9 @@
 struct EarlyRequest {
   http::ExchangeId exchange = 0;
   http::HttpRequest request;
-  Time until{};  ///< Refused when nothing is known by then.
+  /// Its deadline and its first-token target count from here, not from when it
+  /// is let on.
+  Time arrived{};
 };
 
 /// Requests that wait for a process that has just started.
--- a/src/nodes/tests/startupqueue_tests.cpp
+++ b/src/nodes/tests/startupqueue_tests.cpp
@@ -31,6 +31,8 @@
   CHECK(refused == 13);
   CHECK(served.size() == 50);
   CHECK(served.front().exchange < served.back().exchange);
+  // A deadline counted from when it was let on would be 0.2 s too long.
+  CHECK(served.front().arrived == At(52));
   CHECK(queue.Empty());
 }
 
