Ask members in between all other processes while no leader is known

After 4 s without a leader a process also asks the gates beside the replicas; the rotation went through all thirty, 0.2 s each, before it came to a member again. Change: every second ask goes to a member or seed. Test: 'members are asked in between all other processes' (before the change the seeds are asked once in 33).

--- a/src/coordination/fleetwatch.h
+++ b/src/coordination/fleetwatch.h
@@ -60,13 +60,18 @@
                   transport::PeerDispatch& dispatch, bool serve_watch);
   /// A member says who leads; asked at once while none was known.
   void OnAnnounced(const AnnounceMembers& announced);
-  /// Further addresses to ask while no leader is known.
+  /// Further addresses to ask while no leader is known: every second ask goes
+  /// to one of them. Symptom guarded against: an entry obeys an old
+  /// configuration for 3 s after a cut has healed, because it goes round thirty
+  /// gates, 0.2 s each, before it asks a member again.
   void SetFallbacks(std::vector<std::string> addresses);
   /// Replaces the seeds; those learned stay known.
   void SetSeeds(std::vector<std::string> seeds);
   /// Changes what is reported, at once.
   void SetJobMembers(std::vector<std::string> members, std::uint64_t term);
   const FleetKnowledge& knowledge() const { return this->known; }
+  /// Where the next ask goes; empty when no address is known.
+  std::string NextTarget();
   /// Addresses to try, those learned first.
   std::vector<std::string> Targets() const;
   /// Takes an engine list that this process read by itself while no leader
@@ -78,7 +83,7 @@
   void Again(std::chrono::milliseconds wait);
   void OnReply(const std::string& message);
   void TakeNodes(const WatchReply& reply);
-  std::string NextTarget();
+  std::vector<std::string> MembersAndSeeds() const;
 
   transport::PeerClient& peers;
   NodeReport self;
@@ -91,6 +96,7 @@
   std::uint64_t engines_revision = 0;
   std::string target;
   std::size_t rotation = 0;
+  std::size_t fallback_rotation = 0;
   std::size_t failures = 0;
   std::uint64_t round = 0;
   transport::CallId call = 0;
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -90,17 +90,23 @@
   this->Ask();
 }
 
-std::vector<std::string> FleetWatch::Targets() const {
+std::vector<std::string> FleetWatch::MembersAndSeeds() const {
   std::vector<std::string> targets = this->known.members;
-  const auto add = [&targets](const std::vector<std::string>& more) {
-    for (const std::string& address : more) {
-      if (std::ranges::find(targets, address) == targets.end()) {
-        targets.push_back(address);
-      }
+  for (const std::string& address : this->seeds) {
+    if (std::ranges::find(targets, address) == targets.end()) {
+      targets.push_back(address);
     }
-  };
-  add(this->seeds);
-  add(this->fallbacks);
+  }
+  return targets;
+}
+
+std::vector<std::string> FleetWatch::Targets() const {
+  std::vector<std::string> targets = this->MembersAndSeeds();
+  for (const std::string& address : this->fallbacks) {
+    if (std::ranges::find(targets, address) == targets.end()) {
+      targets.push_back(address);
+    }
+  }
   return targets;
 }
 
@@ -108,11 +114,16 @@
   if (!this->known.leader.empty()) {
     return this->known.leader;
   }
-  const std::vector<std::string> targets = this->Targets();
-  if (targets.empty()) {
+  const std::vector<std::string> first = this->MembersAndSeeds();
+  const std::size_t turn = this->rotation++;
+  const bool fallback_turn = turn % 2 == 1 || first.empty();
+  if (!this->fallbacks.empty() && fallback_turn) {
+    return this->fallbacks[this->fallback_rotation++ % this->fallbacks.size()];
+  }
+  if (first.empty()) {
     return {};
   }
-  return targets[this->rotation++ % targets.size()];
+  return first[(this->fallbacks.empty() ? turn : turn / 2) % first.size()];
 }
 
 void FleetWatch::Ask() {
--- a/src/coordination/tests/coordination_tests.cpp
+++ b/src/coordination/tests/coordination_tests.cpp
@@ -1,6 +1,7 @@
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <set>
 
 #include "coordination/coordinationstate.h"
 #include "coordination/coordinator.h"
@@ -118,6 +119,37 @@
   CHECK(candidates[0].address == "e3:1");
 }
 
+// Symptom: an entry obeys an old configuration for 3 s after a cut of the core
+// has healed. Sequence: no leader for 4 s, so the gates of the platform's list
+// are asked too; the cut heals just after the members were asked. Cause: the
+// members came again only after all thirty gates.
+TEST_CASE("members are asked in between all other processes") {
+  asio::io_context context;
+  transport::PeerClient peers(context);
+  FleetWatch watch(context, peers, {}, {"s1:1", "s2:1", "s3:1"},
+                   [](const FleetChange&) {});
+  CHECK(watch.NextTarget() == "s1:1");
+  CHECK(watch.NextTarget() == "s2:1");
+  CHECK(watch.NextTarget() == "s3:1");
+  constexpr int kGates = 30;
+  std::vector<std::string> gates;
+  gates.reserve(kGates);
+  for (int i = 0; i < kGates; ++i) {
+    gates.push_back("g" + std::to_string(i) + ":1");
+  }
+  watch.SetFallbacks(gates);
+  std::set<std::string> seeds_asked;
+  std::set<std::string> gates_asked;
+  for (int i = 0; i < 60; ++i) {
+    const std::string target = watch.NextTarget();
+    (target.starts_with("s") ? seeds_asked : gates_asked).insert(target);
+    if (i == 6) {
+      CHECK(seeds_asked.size() == 3);
+    }
+  }
+  CHECK(gates_asked.size() == kGates);
+}
+
 // Symptom: an entry says that it is ready and refuses everybody: "no replica of
 // the service is known". Sequence: all processes were killed; a new leader
 // answers with the configuration before it has read the platform's list. Cause:
