Say what the connect timeout guards against, not what was first suspected

The log lines added right after showed connections made within 2 ms; the late announcement of the leader was the cause. The figure left the comment, as it belongs to the announcement. transport tests run.

--- a/src/transport/peerclient.h
+++ b/src/transport/peerclient.h
@@ -41,12 +41,10 @@
 /// made.
 struct PeerClientOptions {
   /// For the first attempt at an address; doubled by each attempt that times
-  /// out, up to the longest. Symptom guarded against: after all processes were
-  /// killed at once each is without configuration for 1.0 s, though a leader
-  /// was elected after 0.25 s. The opening packets reached VMs that were not up
-  /// yet, and the kernel sends them again only after a second; a fresh attempt
-  /// sends one at once. Ten times the round trip between regions of one
-  /// continent is 200 ms.
+  /// out, up to the longest. Symptom guarded against: a call takes a second
+  /// more than its peer needs. Its opening packet was lost, and the kernel
+  /// sends it again only after a second; a fresh attempt sends one at once. Ten
+  /// times the round trip between regions of one continent is 200 ms.
   std::chrono::milliseconds connect_timeout{200};
   std::chrono::milliseconds longest_connect_timeout{1000};
   std::chrono::milliseconds ping_after{
