Log a watch that is given up

Cause: a process that gave up a watch after 1.6 s left no line, so the logs of a fleet whose leader was out of reach for 30 s could not show whether answers were late or nobody asked. Change: one line, watch_unanswered, with the member asked and the version held.

--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -161,6 +161,10 @@
   this->timer.expires_after(kAnswerTime);
   this->timer.async_wait([this, current](std::error_code error) {
     if (!error && current()) {
+      Log(LogLevel::kInfo, "watch_unanswered",
+          {{"address", this->target},
+           {"config_version", this->known.config_version},
+           {"failures", this->failures + 1}});
       this->peers.Cancel(this->call);
       ++this->failures;
       this->known.leader.clear();
