Test that a large configuration reaches a fleet; red until mended

Cause: the coordination leader puts the whole text into each answer to a watch, so the text leaves through its one link once for each process. A watch waits 1.6 s, cancels the call and asks anew, and the next answer begins with the text's first byte: none arrives whole, and the list of replicas, which travels in the same answers, doesn't either. Change: a test with a real Coordinator and 48 FleetWatch behind a relay that stands in for the leader's link (4 MB/s for all connections together, at most 64 KB held for each), and its own ctest, large_configuration. No change to the product.

--- /dev/null
+++ b/src/coordination/tests/linkrelay.h
@@ -0,0 +1,73 @@
+#ifndef PAPAYARACK_COORDINATION_TESTS_LINKRELAY_H_
+#define PAPAYARACK_COORDINATION_TESTS_LINKRELAY_H_
+
+#include <asio.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "global/settings.h"
+#include "global/timepoint.h"
+
+namespace papayarack::coordination {
+
+/// Stand-in for the bounded network link of a VM: callers connect here and
+/// reach the target. What the target sends to all of them together is limited
+/// to so many bytes a second and shared fairly; what they send is not limited.
+/// Thread safety: none, the loop's thread. Precondition: the loop outlives the
+/// relay and does not run once the relay is gone.
+class LinkRelay {
+ public:
+  LinkRelay(asio::io_context& context, const Endpoint& target,
+            std::uint64_t bytes_per_second);
+  LinkRelay(const LinkRelay&) = delete;
+  LinkRelay& operator=(const LinkRelay&) = delete;
+
+  std::string Address() const;
+  /// From the target to all callers since the start.
+  std::uint64_t BytesCarried() const { return this->carried; }
+
+ private:
+  using ConnectionId = std::uint64_t;
+  struct Connection {
+    Connection(asio::io_context& context, asio::ip::tcp::socket caller)
+        : caller(std::move(caller)), target(context) {}
+
+    asio::ip::tcp::socket caller;
+    asio::ip::tcp::socket target;
+    std::string to_target;  ///< One read at a time, written before the next.
+    std::string incoming;   ///< Room for the read from the target under way.
+    std::string waiting;    ///< From the target, not sent yet.
+    std::string leaving;    ///< The write to the caller under way.
+    bool reading = false;
+    bool target_ended = false;
+  };
+
+  void Accept();
+  void Adopt(asio::ip::tcp::socket caller);
+  void ReadCaller(ConnectionId id);
+  void ReadTarget(ConnectionId id);
+  void Earn();
+  void Spend();
+  bool SendSome(ConnectionId id);
+  void OnSent(ConnectionId id);
+  Connection* Find(ConnectionId id);
+
+  asio::io_context& context;
+  asio::ip::tcp::endpoint target;
+  std::uint64_t bytes_per_second;
+  asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer timer;
+  std::map<ConnectionId, std::unique_ptr<Connection>> connections;
+  ConnectionId last_connection = 0;
+  ConnectionId last_served = 0;
+  Time earned_at = MonotonicNow();
+  std::uint64_t tokens = 0;
+  std::uint64_t carried = 0;
+};
+
+}  // namespace papayarack::coordination
+
+#endif  // PAPAYARACK_COORDINATION_TESTS_LINKRELAY_H_
