Show what the connections between processes move and hold back

Cause: a leader whose link is full keeps copies of a large message in its memory until its limit. Neither log nor counters said how many bytes wait unsent, on which path, or that watches are given up, so a full link looked like an election or a slow disk.

The server also counts a request that is reset after its answer was finished here but not yet sent: the owner is not told, as before. Names in the registry may carry labels; a family is typed once.

--- a/src/global/internal/metrics.cpp
+++ b/src/global/internal/metrics.cpp
@@ -18,6 +18,24 @@
 using Accumulator =
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
                                             acc::tag::extended_p_square>>;
+
+/// Names that differ only in their labels are one family, typed once. They
+/// stand side by side in the map, as '{' is behind every other character of a
+/// name.
+template <typename Values>
+void AddFamilies(const Values& values, std::string_view type,
+                 std::string& text) {
+  std::string_view last;
+  for (const auto& [name, value] : values) {
+    const std::string_view whole = name;
+    const std::string_view family = whole.substr(0, whole.find('{'));
+    if (family != last) {
+      text += fmt::format("# TYPE papayarack_{} {}\n", family, type);
+      last = family;
+    }
+    text += fmt::format("papayarack_{} {}\n", name, value);
+  }
+}
 }  // namespace
 
 struct Metrics::Distribution {
@@ -37,6 +55,11 @@
   }
 }
 
+void Metrics::SetTotal(std::string_view name, std::uint64_t total) {
+  const std::lock_guard lock(this->mutex);
+  this->counters.insert_or_assign(std::string(name), total);
+}
+
 void Metrics::Set(std::string_view name, double value) {
   const std::lock_guard lock(this->mutex);
   this->gauges.insert_or_assign(std::string(name), value);
@@ -55,14 +78,8 @@
 std::string Metrics::Exposition() const {
   const std::lock_guard lock(this->mutex);
   std::string text;
-  for (const auto& [name, value] : this->counters) {
-    text += fmt::format("# TYPE papayarack_{0} counter\npapayarack_{0} {1}\n",
-                        name, value);
-  }
-  for (const auto& [name, value] : this->gauges) {
-    text += fmt::format("# TYPE papayarack_{0} gauge\npapayarack_{0} {1}\n",
-                        name, value);
-  }
+  AddFamilies(this->counters, "counter", text);
+  AddFamilies(this->gauges, "gauge", text);
   for (const auto& [name, distribution] : this->distributions) {
     text += fmt::format("# TYPE papayarack_{} summary\n", name);
     for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
--- a/src/global/metrics.h
+++ b/src/global/metrics.h
@@ -11,7 +11,9 @@
 namespace papayarack {
 
 /// Counters and distributions of one process, shown in the common text
-/// exposition format. Thread safety: every method, any thread.
+/// exposition format. The name of a counter or gauge may carry labels at its
+/// end, as in `sent_bytes_total{path="/a"}`, with values that need no escape.
+/// Thread safety: every method, any thread.
 class Metrics {
  public:
   Metrics();
@@ -21,6 +23,9 @@
 
   /// Adds to a counter; `name` ends in _total.
   void Add(std::string_view name, std::uint64_t amount = 1);
+  /// Sets a counter that is kept elsewhere; `total` never falls. `name` ends in
+  /// _total.
+  void SetTotal(std::string_view name, std::uint64_t total);
   /// Sets a gauge; `name` ends in its unit.
   void Set(std::string_view name, double value);
   /// Adds one observation; `name` ends in _seconds or _bytes.
--- a/src/global/tests/global_tests.cpp
+++ b/src/global/tests/global_tests.cpp
@@ -155,4 +155,21 @@
   CHECK(text.find("papayarack_wait_seconds_count 1000") != std::string::npos);
 }
 
+TEST_CASE("names that differ in their labels are one family, typed once") {
+  Metrics metrics;
+  metrics.SetTotal("sent_bytes_total{path=\"/b\"}", 7);
+  metrics.SetTotal("sent_bytes_total{path=\"/a\"}", 3);
+  metrics.SetTotal("sent_bytes_total{path=\"/a\"}", 5);
+  metrics.Add("sent_bytes_total_of_others_total");
+  metrics.Set("unsent_bytes{path=\"/a\"}", 2);
+  CHECK(metrics.Exposition() ==
+        "# TYPE papayarack_sent_bytes_total_of_others_total counter\n"
+        "papayarack_sent_bytes_total_of_others_total 1\n"
+        "# TYPE papayarack_sent_bytes_total counter\n"
+        "papayarack_sent_bytes_total{path=\"/a\"} 5\n"
+        "papayarack_sent_bytes_total{path=\"/b\"} 7\n"
+        "# TYPE papayarack_unsent_bytes gauge\n"
+        "papayarack_unsent_bytes{path=\"/a\"} 2\n");
+}
+
 }  // namespace papayarack
--- a/src/nodes/internal/noderuntime.cpp
+++ b/src/nodes/internal/noderuntime.cpp
@@ -21,6 +21,9 @@
 /// that know one; an election and the announcements take up to 2 s.
 constexpr std::chrono::milliseconds kSearchAfter{4000};
 constexpr std::chrono::milliseconds kSearchEvery{4000};
+/// What waits unsent is looked at this often: a link that works is rid of a
+/// large message between two looks.
+constexpr std::chrono::milliseconds kBacklogEvery{500};
 
 std::uint64_t RandomNumber() {
   std::random_device device;
@@ -128,7 +131,7 @@
                                  const http::HttpRequest&) {
       http::HttpResponse response;
       response.headers.Add("Content-Type", "text/plain; version=0.0.4");
-      response.body = this->metrics.Exposition();
+      response.body = this->Exposition();
       this->metrics_server->Respond(exchange, response);
     };
     handlers.on_gone = [](http::ExchangeId) {};
@@ -225,6 +228,39 @@
   this->list_client = std::make_unique<http::HttpClient>(this->context);
   this->search_timer = std::make_unique<asio::steady_timer>(this->context);
   this->SearchInList();
+  this->backlog_timer = std::make_unique<asio::steady_timer>(this->context);
+  this->WatchBacklog();
+}
+
+std::string NodeRuntime::Exposition() {
+  transport::ShowTransport(this->server->Totals(), this->peers->Totals(),
+                           this->metrics);
+  if (this->watch != nullptr) {
+    const coordination::FleetKnowledge& fleet = this->watch->knowledge();
+    this->metrics.Set("configuration_version",
+                      static_cast<double>(fleet.config_version));
+    // No list yet has no age.
+    if (fleet.engines_seen != Time{}) {
+      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+          MonotonicNow() - fleet.engines_seen);
+      this->metrics.Set("replica_list_age_ms",
+                        static_cast<double>(age.count()));
+    }
+  }
+  return this->metrics.Exposition();
+}
+
+void NodeRuntime::WatchBacklog() {
+  this->backlog_timer->expires_after(kBacklogEvery);
+  this->backlog_timer->async_wait([this](std::error_code error) {
+    if (error) {
+      return;
+    }
+    this->backlog.Look(
+        transport::BacklogOf(this->server->Totals(), this->peers->Totals()),
+        MonotonicNow());
+    this->WatchBacklog();
+  });
 }
 
 /// Symptom guarded against: a process that starts while every seed in its
--- a/src/nodes/noderuntime.h
+++ b/src/nodes/noderuntime.h
@@ -16,6 +16,7 @@
 #include "nodes/nodeoptions.h"
 #include "routes/routetable.h"
 #include "storage/filesystem.h"
+#include "transport/backlogwatch.h"
 #include "transport/peerclient.h"
 #include "transport/peerdispatch.h"
 #include "transport/peerserver.h"
@@ -41,6 +42,9 @@
   /// Ends the process: durable state can no longer be written. The platform
   /// starts it again.
   void StorageFailed(const std::string& reason);
+  /// The counters in text form, with what this process knows and what its
+  /// connections moved as of now.
+  std::string Exposition();
 
   NodeOptions options;
   const Dialect& dialect;
@@ -63,12 +67,15 @@
   bool IsSeed() const;
   void TakeRoutes();
   void SearchInList();
+  void WatchBacklog();
   std::vector<std::string> StoreAddresses() const;
 
   std::unique_ptr<transport::PeerServer> owned_server;
   std::unique_ptr<http::HttpServer> metrics_server;
   std::unique_ptr<http::HttpClient> list_client;
   std::unique_ptr<asio::steady_timer> search_timer;
+  std::unique_ptr<asio::steady_timer> backlog_timer;
+  transport::BacklogWatch backlog;
 };
 
 /// Reads the platform's whole list of replicas, page by page; `done` gets
--- a/src/transport/internal/http2session.cpp
+++ b/src/transport/internal/http2session.cpp
@@ -69,8 +69,14 @@
 
   static int OnClose(nghttp2_session* /*session*/, std::int32_t stream,
                      std::uint32_t error, void* user) {
-    Self(user).callbacks.on_stream_close(stream, error);
-    Self(user).outgoing.erase(stream);
+    Http2Session& self = Self(user);
+    self.callbacks.on_stream_close(stream, error);
+    const auto found = self.outgoing.find(stream);
+    if (found != self.outgoing.end()) {
+      self.CountTaken(found->second,
+                      found->second.bytes.size() - found->second.sent);
+      self.outgoing.erase(found);
+    }
     return 0;
   }
 
@@ -83,6 +89,7 @@
     std::copy_n(out.bytes.data() + out.sent, amount,
                 reinterpret_cast<char*>(buffer));
     out.sent += amount;
+    Self(user).CountTaken(out, amount);
     if (out.sent == out.bytes.size()) {
       out.bytes.clear();
       out.sent = 0;
@@ -97,10 +104,13 @@
 };
 
 Http2Session::Http2Session(asio::ip::tcp::socket socket, Side side,
-                           Callbacks callbacks)
+                           Callbacks callbacks,
+                           std::shared_ptr<TransportTally> tally)
     : socket(std::move(socket)),
       callbacks(std::move(callbacks)),
+      tally(std::move(tally)),
       last_heard(MonotonicNow()) {
+  Raise(this->tally->connections);
   nghttp2_session_callbacks* hooks = nullptr;
   nghttp2_session_callbacks_new(&hooks);
   nghttp2_session_callbacks_set_on_header_callback(hooks, Http2Hooks::OnHeader);
@@ -129,7 +139,48 @@
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
-Http2Session::~Http2Session() { nghttp2_session_del(this->session); }
+Http2Session::~Http2Session() {
+  this->LeaveTally();
+  nghttp2_session_del(this->session);
+}
+
+void Http2Session::CountMessage(Outgoing& out, std::string_view path,
+                                std::size_t bytes) {
+  if (this->tally == nullptr) {
+    return;
+  }
+  if (out.tally == nullptr) {
+    out.tally = &this->tally->paths.Of(path);
+  }
+  Raise(out.tally->messages);
+  Raise(out.tally->bytes, bytes);
+  Raise(out.tally->unsent_bytes, bytes);
+  Raise(this->tally->unsent_bytes, bytes);
+  this->unsent_bytes += bytes;
+}
+
+void Http2Session::CountTaken(const Outgoing& out, std::size_t bytes) {
+  if (this->tally == nullptr || out.tally == nullptr) {
+    return;
+  }
+  Lower(out.tally->unsent_bytes, bytes);
+  Lower(this->tally->unsent_bytes, bytes);
+  this->unsent_bytes -= bytes;
+}
+
+void Http2Session::LeaveTally() {
+  if (this->tally == nullptr) {
+    return;
+  }
+  for (const auto& [stream, out] : this->outgoing) {
+    this->CountTaken(out, out.bytes.size() - out.sent);
+  }
+  // What is left is the write buffer.
+  Lower(this->tally->unsent_bytes, this->unsent_bytes);
+  Lower(this->tally->connections);
+  this->unsent_bytes = 0;
+  this->tally.reset();
+}
 
 void Http2Session::Start() {
   this->Read();
@@ -150,6 +201,7 @@
     Outgoing& out = this->outgoing[stream];
     out.bytes = std::move(body);
     out.last = true;
+    this->CountMessage(out, path, out.bytes.size());
   }
   return stream;
 }
@@ -168,6 +220,9 @@
   if (found == this->outgoing.end()) {
     return;
   }
+  if (!bytes.empty()) {
+    this->CountMessage(found->second, found->second.path, bytes.size());
+  }
   found->second.bytes.append(bytes);
   found->second.last = found->second.last || last;
   nghttp2_session_resume_data(this->session, stream);
@@ -227,16 +282,26 @@
     return;
   }
   this->writing = true;
-  asio::async_write(
-      this->socket, asio::buffer(this->write_buffer),
-      [self = this->shared_from_this()](std::error_code error, std::size_t) {
-        self->writing = false;
-        if (error) {
-          self->Close();
-          return;
-        }
-        self->Flush();
-      });
+  const std::size_t length = this->write_buffer.size();
+  if (this->tally != nullptr) {
+    Raise(this->tally->unsent_bytes, length);
+    this->unsent_bytes += length;
+  }
+  asio::async_write(this->socket, asio::buffer(this->write_buffer),
+                    [self = this->shared_from_this(), length](
+                        std::error_code error, std::size_t sent) {
+                      self->writing = false;
+                      if (self->tally != nullptr) {
+                        Raise(self->tally->sent_bytes, sent);
+                        Lower(self->tally->unsent_bytes, length);
+                        self->unsent_bytes -= length;
+                      }
+                      if (error) {
+                        self->Close();
+                        return;
+                      }
+                      self->Flush();
+                    });
 }
 
 void Http2Session::Read() {
@@ -249,6 +314,7 @@
           return;
         }
         self->last_heard = MonotonicNow();
+        Raise(self->tally->received_bytes, length);
         const ssize_t used = nghttp2_session_mem_recv(
             self->session,
             reinterpret_cast<const std::uint8_t*>(self->read_buffer.data()),
@@ -269,6 +335,7 @@
     return;
   }
   this->closed = true;
+  this->LeaveTally();
   std::error_code ignored;
   this->socket.close(ignored);
   if (this->callbacks.on_closed) {
--- a/src/transport/internal/http2session.h
+++ b/src/transport/internal/http2session.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "global/timepoint.h"
+#include "transport/internal/transporttally.h"
 
 namespace papayarack::transport {
 
@@ -33,7 +34,9 @@
     std::function<void(std::int32_t last_stream)> on_goaway;
   };
 
-  Http2Session(asio::ip::tcp::socket socket, Side side, Callbacks callbacks);
+  /// `tally` gets what this connection moves.
+  Http2Session(asio::ip::tcp::socket socket, Side side, Callbacks callbacks,
+               std::shared_ptr<TransportTally> tally);
   ~Http2Session();
   Http2Session(const Http2Session&) = delete;
   Http2Session& operator=(const Http2Session&) = delete;
@@ -65,12 +68,20 @@
     std::size_t sent = 0;
     bool last = false;
     std::string path;
+    PathTally* tally = nullptr;  ///< Null until there was a message.
   };
   friend struct Http2Hooks;
 
   void Read();
   void Write();
   std::string CollectOutput();
+  /// A whole message begins to wait on the stream.
+  void CountMessage(Outgoing& out, std::string_view path, std::size_t bytes);
+  /// Message bytes of the stream wait no more: they went into the write buffer
+  /// or were dropped.
+  void CountTaken(const Outgoing& out, std::size_t bytes);
+  /// Nothing waits any more: the connection is gone.
+  void LeaveTally();
 
   asio::ip::tcp::socket socket;
   Callbacks callbacks;
@@ -79,6 +90,10 @@
   /// Small, as each of some hundred connections holds one.
   std::array<char, std::size_t{16} * 1024> read_buffer{};
   std::string write_buffer;
+  /// Null once the connection is gone.
+  std::shared_ptr<TransportTally> tally;
+  /// Of this connection in the tally: message bytes and the write buffer.
+  std::uint64_t unsent_bytes = 0;
   bool writing = false;
   bool closed = false;
   Time last_heard;
--- a/src/transport/internal/peerclient.cpp
+++ b/src/transport/internal/peerclient.cpp
@@ -13,6 +13,7 @@
 #include "global/messagecodec.h"
 #include "transport/internal/http2session.h"
 #include "transport/internal/ownloop.h"
+#include "transport/internal/transporttally.h"
 
 namespace papayarack::transport {
 namespace {
@@ -222,7 +223,8 @@
         {{"peer", link.address},
          {"took_ms", (MonotonicNow() - link.started).count() / 1000}});
     link.session = std::make_shared<Http2Session>(
-        std::move(socket), Http2Session::Side::kClient, std::move(callbacks));
+        std::move(socket), Http2Session::Side::kClient, std::move(callbacks),
+        this->tally);
     link.session->Start();
     for (const CallId id : std::exchange(link.waiting, {})) {
       if (this->calls.count(id) > 0) {
@@ -344,6 +346,7 @@
     if (found == this->calls.end()) {
       return;
     }
+    this->tally->CountCancelled(found->second.path);
     const std::int32_t stream = found->second.stream;
     const auto link = this->links.find(found->second.session);
     if (stream > 0 && link != this->links.end() &&
@@ -355,6 +358,7 @@
   }
 
   PeerClientOptions options;
+  std::shared_ptr<TransportTally> tally = std::make_shared<TransportTally>();
   Loop loop;
   asio::io_context& context{loop.context()};
   asio::steady_timer timer;
@@ -441,4 +445,8 @@
   return future.get();
 }
 
+TransportTotals PeerClient::Totals() const {
+  return this->impl->tally->Totals();
+}
+
 }  // namespace papayarack::transport
--- a/src/transport/internal/peerserver.cpp
+++ b/src/transport/internal/peerserver.cpp
@@ -12,6 +12,7 @@
 #include "global/messagecodec.h"
 #include "transport/internal/http2session.h"
 #include "transport/internal/ownloop.h"
+#include "transport/internal/transporttally.h"
 
 namespace papayarack::transport {
 namespace {
@@ -125,15 +126,17 @@
     callbacks.on_stream_end = [this, id](std::int32_t stream) {
       this->Deliver(id, stream);
     };
-    callbacks.on_stream_close = [this, id](std::int32_t stream, std::uint32_t) {
-      this->Forget(id, stream);
+    callbacks.on_stream_close = [this, id](std::int32_t stream,
+                                           std::uint32_t error) {
+      this->Forget(id, stream, error);
     };
     callbacks.on_closed = [this, id] { this->Lose(id); };
     std::error_code gone;
     const auto remote = socket.remote_endpoint(gone);
     this->connections[id].peer = gone ? "" : remote.address().to_string();
     auto session = std::make_shared<Http2Session>(
-        std::move(socket), Http2Session::Side::kServer, std::move(callbacks));
+        std::move(socket), Http2Session::Side::kServer, std::move(callbacks),
+        this->tally);
     this->connections[id].session = session;
     session->Start();
   }
@@ -152,7 +155,11 @@
 
   /// A stream that closes before our side finished it was reset by the
   /// requester.
-  void Forget(std::uint64_t connection, std::int32_t stream) {
+  /// One that our side finished but that closes with an error was reset while
+  /// bytes of its answer waited here; the owner's work is done, so only the
+  /// figures hear of it.
+  void Forget(std::uint64_t connection, std::int32_t stream,
+              std::uint32_t error) {
     const auto owner = this->connections.find(connection);
     if (owner == this->connections.end()) {
       return;
@@ -163,7 +170,14 @@
     }
     const Incoming incoming = std::move(found->second);
     owner->second.streams.erase(found);
-    if (incoming.delivered && this->places.erase(incoming.id) > 0) {
+    if (!incoming.delivered) {
+      return;
+    }
+    const bool open = this->places.erase(incoming.id) > 0;
+    if (open || error != NGHTTP2_NO_ERROR) {
+      this->tally->CountCancelled(owner->second.session->PathOf(stream));
+    }
+    if (open) {
       this->open_streams = this->places.size();
       this->handlers.on_cancel(incoming.id);
     }
@@ -175,11 +189,16 @@
       return;
     }
     const auto streams = std::move(owner->second.streams);
+    const auto session = owner->second.session;
     // The session is still on the call stack; let it go afterwards.
-    asio::post(this->context, [session = owner->second.session] {});
+    asio::post(this->context, [session] {});
     this->connections.erase(owner);
     for (const auto& [stream, incoming] : streams) {
-      if (incoming.delivered && this->places.erase(incoming.id) > 0) {
+      if (!incoming.delivered) {
+        continue;
+      }
+      this->tally->CountCancelled(session->PathOf(stream));
+      if (this->places.erase(incoming.id) > 0) {
         this->handlers.on_cancel(incoming.id);
       }
     }
@@ -213,6 +232,7 @@
 
   PeerServerHandlers handlers;
   PeerServerOptions options;
+  std::shared_ptr<TransportTally> tally = std::make_shared<TransportTally>();
   Loop loop;
   asio::io_context& context{loop.context()};
   asio::ip::tcp::acceptor acceptor;
@@ -261,4 +281,8 @@
 
 std::size_t PeerServer::OpenStreams() const { return this->impl->open_streams; }
 
+TransportTotals PeerServer::Totals() const {
+  return this->impl->tally->Totals();
+}
+
 }  // namespace papayarack::transport
--- a/src/transport/peerclient.h
+++ b/src/transport/peerclient.h
@@ -10,6 +10,7 @@
 
 #include "global/resultcode.h"
 #include "global/settings.h"
+#include "transport/transporttotals.h"
 
 namespace asio {
 class io_context;
@@ -81,6 +82,10 @@
   /// kNoUpstream when it was never sent.
   std::string CallAndWait(const Endpoint& peer, std::string_view path,
                           std::string body, std::chrono::milliseconds timeout);
+  /// Bytes, connections and requests by path since the start; each figure is
+  /// exact, but they are read one after the other. A call whose connection is
+  /// still being made is not in them.
+  TransportTotals Totals() const;
 
  private:
   struct Impl;
--- a/src/transport/peerserver.h
+++ b/src/transport/peerserver.h
@@ -10,6 +10,7 @@
 
 #include "global/resultcode.h"
 #include "global/settings.h"
+#include "transport/transporttotals.h"
 
 namespace asio {
 class io_context;
@@ -69,6 +70,9 @@
   void BeginLeave();
   /// Number of open streams.
   std::size_t OpenStreams() const;
+  /// Bytes, connections and answers by path since the start; each figure is
+  /// exact, but they are read one after the other.
+  TransportTotals Totals() const;
 
  private:
   struct Impl;
