Double the wait before a member sends its unacknowledged entries again

A leader sent what a follower had not acknowledged again, whole, every two heartbeats (200 ms), whatever its size and however often it had done so. An entry of 400 KB to a follower behind a full link so kept that link full.

The wait starts at two heartbeats and doubles with each resend up to 3.2 s. Progress and a refusal set it back, and so does the first answer after a silence of an election's time: what was sent meanwhile went with the connection, and the wait that has grown belongs to that connection. While in doubt one append at a time is sent, as before. A fresh follower's progress counts from the start of the lead, and that of a refusing one from its refusal.

Figures of the new tests: with acknowledgements 3 s late an entry of 400,000 bytes was sent 15 times (6,000,000 bytes), now 4 times (1,600,000). A new leader sent an old entry to both of two followers right at its election, now to neither within two heartbeats. Without the setting back after a silence, a follower cut off for 2, 2.6 or 4 s lacked the entry 0.4 s after its return; with it, it has it (tried by taking the line out).

--- a/src/consensus/internal/raftcore.cpp
+++ b/src/consensus/internal/raftcore.cpp
@@ -242,6 +242,9 @@
       Progress fresh;
       fresh.next = this->raft_log.LastIndex() + 1;
       fresh.last_heard = this->now;
+      // Without it every follower counts as silent since the epoch and gets the
+      // log from its start, up to 1 MB each, at each election.
+      fresh.last_progress = this->now;
       this->progress[member.id] = fresh;
     }
   }
@@ -515,6 +518,7 @@
       Progress fresh;
       fresh.next = this->raft_log.LastIndex();
       fresh.last_heard = this->now;
+      fresh.last_progress = this->now;
       this->progress[member.id] = fresh;
     }
   }
@@ -541,17 +545,29 @@
   this->Send(to, SnapshotOffer{this->raft_log.snapshot()}, false);
 }
 
+/// Answers to heartbeats do not count as acknowledgements: they come also when
+/// every append was lost. Symptom guarded against: an entry of 400 KB that
+/// takes longer than the wait to arrive is sent again and again, which fills
+/// the leader's link and makes everything on it later still. With an
+/// acknowledgement 3 s late it was sent 15 times (6.0 MB) at one pace of two
+/// heartbeats; doubling the wait makes it 4 (1.6 MB).
+void RaftCore::ResendWhenSilent(Progress& known) const {
+  const bool outstanding = known.match + 1 < known.next;
+  const Duration wait =
+      std::max<Duration>(known.resend_wait, 2 * this->options.heartbeat);
+  if (!outstanding || this->now - known.last_progress < wait) {
+    return;
+  }
+  known.next = known.match + 1;
+  known.inflight = 0;
+  known.probing = true;
+  known.resend_wait = std::min(2 * wait, this->options.longest_resend_wait);
+}
+
 void RaftCore::SendAppend(MemberId to, bool heartbeat) {
   Progress& known = this->progress.at(to);
-  const bool outstanding = known.match + 1 < known.next;
-  if (heartbeat && outstanding &&
-      this->now - known.last_progress >= 2 * this->options.heartbeat) {
-    // Nothing was acknowledged for two heartbeats: what was sent may be lost.
-    // Begin again. Answers to heartbeats do not count: they come also when
-    // every append was lost.
-    known.next = known.match + 1;
-    known.inflight = 0;
-    known.probing = true;
+  if (heartbeat) {
+    this->ResendWhenSilent(known);
   }
   if (known.next < this->raft_log.FirstIndex()) {
     if (heartbeat ||
@@ -599,6 +615,12 @@
     return;
   }
   Progress& known = found->second;
+  if (this->now - known.last_heard >= this->options.election) {
+    // Back after it was out of reach: what was sent meanwhile is lost, and the
+    // wait that has grown belongs to a connection that is gone. On a slow link
+    // answers come late but without such gaps.
+    known.resend_wait = {};
+  }
   known.last_heard = this->now;
   known.read_round = std::max(known.read_round, response.read_round);
   if (response.success) {
@@ -606,6 +628,7 @@
     known.inflight -= progressed && known.inflight > 0 ? 1 : 0;
     known.probing = known.probing && !progressed;
     known.last_progress = progressed ? this->now : known.last_progress;
+    known.resend_wait = progressed ? Duration{} : known.resend_wait;
     known.match = std::max(
         known.match, std::min(response.match, this->raft_log.LastIndex()));
     known.next = std::max(known.next, known.match + 1);
@@ -613,6 +636,8 @@
   } else {
     known.probing = true;
     known.inflight = 0;
+    known.last_progress = this->now;
+    known.resend_wait = {};
     known.next =
         std::max(known.match + 1, std::min(response.match + 1, known.next));
   }
--- a/src/consensus/raftcore.h
+++ b/src/consensus/raftcore.h
@@ -30,6 +30,11 @@
   Duration first_election{std::chrono::milliseconds(150)};
   std::size_t max_append_bytes = 1U << 20U;
   std::size_t max_inflight_appends = 16;
+  /// Bound of the wait for an acknowledgement before entries are sent again;
+  /// it starts at two heartbeats and doubles with each resend. 1 MB
+  /// (max_append_bytes) in 3.2 s is 2.6 Mbit/s, a tenth of the slowest link
+  /// between processes.
+  Duration longest_resend_wait{std::chrono::milliseconds(3200)};
   std::size_t max_uncommitted_bytes = 64U << 20U;
   std::uint64_t seed = 1;
 };
@@ -151,6 +156,8 @@
     Time last_heard{};
     std::uint64_t read_round = 0;
     Time last_progress{};
+    Duration resend_wait{};  ///< For what is sent now; less than two heartbeats
+                             ///< stands for these.
     bool probing = true;
     Index snapshot_offered = 0;
   };
@@ -171,6 +178,9 @@
   void Send(MemberId to, MessageBody body, bool after_sync,
             std::optional<Term> term = {});
   void SendAppend(MemberId to, bool heartbeat);
+  /// Whether what was sent may be lost; if so, begins again behind what is
+  /// acknowledged.
+  void ResendWhenSilent(Progress& known) const;
   void SendOffer(MemberId to, Progress& progress);
   void BroadcastAppend(bool heartbeat);
   void AppendOwn(EntryKind kind, std::string payload);
--- a/src/consensus/tests/raftcore_tests.cpp
+++ b/src/consensus/tests/raftcore_tests.cpp
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <deque>
+#include <utility>
 
 #include "consensus/tests/raftcluster.h"
 
@@ -12,6 +14,71 @@
   }
 }
 
+/// A cluster in which the answers of one follower reach the leader late, in
+/// their order, and which counts what the leader sends to that follower.
+class SlowFollower {
+ public:
+  SlowFollower(RaftCluster& cluster, MemberId leader, MemberId follower,
+               Duration delay)
+      : cluster(cluster), leader(leader), follower(follower), delay(delay) {}
+
+  void Run(Duration time) {
+    const Time until = this->cluster.now + time;
+    while (this->cluster.now < until) {
+      this->cluster.TickAll(20 * kMillisecond);
+      for (int burst = 0; burst < 5; ++burst) {
+        for (const auto& [id, node] : this->cluster.nodes) {
+          this->cluster.Pump(id);
+          this->cluster.Sync(id);
+          this->cluster.Pump(id);
+        }
+        this->MoveAll();
+      }
+    }
+  }
+
+  std::size_t bytes_sent = 0;  ///< Payloads of entries, repeated ones too.
+
+ private:
+  void MoveAll() {
+    std::vector<RaftMessage> moving = std::exchange(this->cluster.network, {});
+    while (!this->late.empty() &&
+           this->late.front().first <= this->cluster.now) {
+      this->cluster.network.push_back(std::move(this->late.front().second));
+      this->late.pop_front();
+    }
+    for (RaftMessage& message : moving) {
+      this->Count(message);
+      if (message.from == this->follower && message.to == this->leader) {
+        this->late.emplace_back(this->cluster.now + this->delay,
+                                std::move(message));
+      } else {
+        this->cluster.network.push_back(std::move(message));
+      }
+    }
+    const std::size_t count = this->cluster.network.size();
+    for (std::size_t i = 0; i < count; ++i) {
+      this->cluster.Deliver(0);
+    }
+  }
+
+  void Count(const RaftMessage& message) {
+    const auto* append = std::get_if<AppendRequest>(&message.body);
+    if (append == nullptr || message.to != this->follower) {
+      return;
+    }
+    for (const Entry& entry : append->entries) {
+      this->bytes_sent += entry.payload.size();
+    }
+  }
+
+  RaftCluster& cluster;
+  MemberId leader;
+  MemberId follower;
+  Duration delay;
+  std::deque<std::pair<Time, RaftMessage>> late;
+};
+
 }  // namespace
 
 TEST_CASE("three members elect a leader and commit") {
@@ -199,6 +266,102 @@
   CHECK(core.commit() == 2);
 }
 
+// Symptom: a leader's link stays full for half a minute after one large
+// configuration, and everything else that it sends comes late. Sequence: an
+// entry of 400 KB needs longer than two heartbeats to reach a follower; it is
+// sent again, whole, every two heartbeats, which fills the link further. Cause:
+// the pace of resends did not slow down while nothing was acknowledged.
+TEST_CASE("an entry whose acknowledgement is late is sent a few times only") {
+  constexpr std::size_t kEntryBytes = 400'000;
+  constexpr std::size_t kMostSends = 5;
+  RaftCluster cluster(3);
+  cluster.RunCalm(100);
+  const MemberId leader = cluster.Leader();
+  REQUIRE(leader != 0);
+  const MemberId follower = leader == 1 ? 2 : 1;
+  const Index before = cluster.nodes.at(follower).core->log().LastIndex();
+  SlowFollower slow(cluster, leader, follower, 3000 * kMillisecond);
+  REQUIRE(cluster.Propose(leader, std::string(kEntryBytes, 'c')));
+
+  SECTION("while it waits for the acknowledgement, and none after it") {
+    slow.Run(3500 * kMillisecond);
+    INFO("bytes sent " << slow.bytes_sent);
+    CHECK(slow.bytes_sent >= kEntryBytes);
+    CHECK(slow.bytes_sent <= kMostSends * kEntryBytes);
+    CHECK(cluster.nodes.at(leader).core->MatchOf(follower) == before + 1);
+    const std::size_t sent = slow.bytes_sent;
+    slow.Run(5000 * kMillisecond);
+    CHECK(slow.bytes_sent == sent);
+    CHECK(cluster.Leader() == leader);
+  }
+  SECTION("and the first time again after two heartbeats") {
+    slow.Run(320 * kMillisecond);
+    CHECK(slow.bytes_sent == 2 * kEntryBytes);
+  }
+}
+
+// Symptom: a follower that was out of reach for a while holds up a commit, or a
+// handover, for seconds after it is back. Sequence: what the leader sent is
+// lost with the connection, several times; the pauses between resends have
+// grown; the connection returns. Cause: the pause belongs to a connection that
+// is gone.
+TEST_CASE("a follower that was out of reach gets what it lacks at once") {
+  RaftCluster cluster(3);
+  cluster.RunCalm(100);
+  const MemberId leader = cluster.Leader();
+  REQUIRE(leader != 0);
+  const MemberId follower = leader == 1 ? 2 : 1;
+  CutOff(cluster, follower);
+  REQUIRE(cluster.Propose(leader, "a"));
+  // Out of reach for 2 s and for 4 s, at different points of the pauses.
+  const int rounds = GENERATE(100, 130, 200);
+  cluster.RunCalm(rounds);
+  cluster.cuts.clear();
+  cluster.RunCalm(20);
+  CHECK(cluster.nodes.at(follower).state == std::vector<std::string>{"a"});
+  CHECK(cluster.Leader() == leader);
+}
+
+// Symptom: after an election the new leader's link is full. Sequence: it begins
+// its term by sending each follower its log from the start, up to 1 MB,
+// although they hold it. Cause: a fresh follower counted as silent since the
+// epoch, so its first entry was taken for lost before it was sent.
+TEST_CASE(
+    "a new leader sends its first entry alone and doubts it after two "
+    "heartbeats") {
+  RaftOptions options;
+  options.self = 1;
+  SnapshotMeta first;
+  first.members.members = {{1, "m1", true}, {2, "m2", true}, {3, "m3", true}};
+  Entry old;
+  old.term = 1;
+  old.index = 1;
+  old.kind = static_cast<std::uint8_t>(EntryKind::kCommand);
+  old.payload = std::string(1000, 'c');
+  RaftCore core(options, {2, 0}, first, {old}, Time{});
+  const Time late = Time{} + 2 * options.election + kMillisecond;
+  core.Tick(late);
+  core.Step({0, 2, 1, 3, VoteResponse{true, true}}, late);
+  core.Step({0, 2, 1, 3, VoteResponse{false, true}}, late);
+  REQUIRE(core.role() == RaftRole::kLeader);
+  const auto old_entries_sent = [&core] {
+    std::size_t sent = 0;
+    for (const RaftMessage& message : core.TakeReady().before_sync) {
+      const auto* append = std::get_if<AppendRequest>(&message.body);
+      sent += append == nullptr
+                  ? 0
+                  : std::ranges::count(append->entries, 1U, &Entry::index);
+    }
+    return sent;
+  };
+  CHECK(old_entries_sent() == 0);
+  core.Tick(late + options.heartbeat);
+  CHECK(old_entries_sent() == 0);
+  // To both followers: perhaps the first entry was lost.
+  core.Tick(late + 2 * options.heartbeat);
+  CHECK(old_entries_sent() == 2);
+}
+
 TEST_CASE("members change one at a time") {
   RaftCluster cluster(3);
   cluster.RunCalm(100);
