Give an attempt at a group's leader time for the size of its body

GroupClient cancelled an attempt after a fixed time and sent the whole body to another member, however long the body needs on the link. A configuration of 400 KB to a busy leader was so sent again every 450 ms, beside what was still under way of the attempts before.

An attempt now has a millisecond more for each 1000 bytes of its body (1 MB/s, about a quarter of an entry's link of 30 Mbit/s), still within the call's own deadline. An operator's call to the coordination group lasts longer by the same: 1.3 s for 400 KB instead of 0.9 s, which takes it that whoever sends such a body waits so long. Bodies under 1000 bytes are treated as before. That holds for all callers of GroupClient: submits and reports of batches get longer attempts for large bodies, within the time of their calls.

No test covers the longer time of an operator's call in EntryNode.

--- a/src/coordination/groupclient.h
+++ b/src/coordination/groupclient.h
@@ -3,6 +3,7 @@
 
 #include <asio.hpp>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,6 +18,11 @@
 
 namespace papayarack::coordination {
 
+/// Time that a body of this size may take to the other side on top of what a
+/// small one may, at a pace of 1 MB/s: about a quarter of the slowest entry's
+/// link (30 Mbit/s, 3.75 MB/s), which it shares with all else that is sent.
+std::chrono::milliseconds TimeToCarry(std::size_t body_bytes);
+
 /// Calls the leader of a replicated group: follows hints, moves on to another
 /// member after a failure or silence, until the call's time is over. For calls
 /// that may be made twice. Thread safety: none, the loop's thread.
@@ -34,7 +40,8 @@
   GroupClient(const GroupClient&) = delete;
   GroupClient& operator=(const GroupClient&) = delete;
 
-  /// `try_time` bounds one attempt, `time` all of them.
+  /// `try_time` bounds one attempt, longer by TimeToCarry(body.size()); `time`
+  /// bounds all of them, whatever the size.
   std::uint64_t Call(std::string path, std::string body,
                      std::chrono::milliseconds time,
                      std::chrono::milliseconds try_time, Done done);
--- a/src/coordination/internal/groupclient.cpp
+++ b/src/coordination/internal/groupclient.cpp
@@ -13,9 +13,15 @@
 /// 0.6 to 1.2 s, and asking it more often than this only costs processor time.
 constexpr std::chrono::milliseconds kPause{25};
 constexpr int kMostPauses = 6;
+/// Pace at which a body is taken to move at least (TimeToCarry says why).
+constexpr std::size_t kBytesPerMillisecond = 1000;
 
 }  // namespace
 
+std::chrono::milliseconds TimeToCarry(std::size_t body_bytes) {
+  return std::chrono::milliseconds(body_bytes / kBytesPerMillisecond);
+}
+
 GroupClient::GroupClient(asio::io_context& context,
                          transport::PeerClient& peers, Members members)
     : context(context), peers(peers), members(std::move(members)) {}
@@ -97,8 +103,14 @@
   attempt.call =
       this->peers.Call(ParseEndpoint(attempt.target, "member"), attempt.path,
                        attempt.body, std::move(handlers));
-  attempt.timer->expires_after(
-      std::min<Duration>(left, Duration(attempt.try_time)));
+  // Symptom guarded against: a body of 400 KB is longer under way than one
+  // attempt may take, is cancelled and sent whole to the next member, and so on
+  // until the call's time is over, while the link stays full. On the loopback,
+  // with answers after 400 ms, attempts of 200 ms and 1 s for the call, members
+  // got it 4 times and the call failed; now once.
+  const std::chrono::milliseconds try_time =
+      attempt.try_time + TimeToCarry(attempt.body.size());
+  attempt.timer->expires_after(std::min<Duration>(left, Duration(try_time)));
   attempt.timer->async_wait(
       [this, id, current, alive = this->alive](std::error_code error) {
         if (!error && *alive && current()) {
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -11,7 +11,7 @@
 namespace papayarack::nodes {
 namespace {
 
-/// Operators move on after a second without an answer.
+/// Operators move on after a second without an answer to a small call.
 constexpr std::chrono::milliseconds kOperatorTime{900};
 constexpr std::chrono::milliseconds kOperatorTry{450};
 /// Callers of batches wait 1.5 s longer than they ask for.
@@ -375,8 +375,12 @@
 void EntryNode::CallCoordination(
     ExchangeId exchange, const std::string& path, std::string body,
     std::function<http::HttpResponse(const Result&, std::string)> answer) {
+  // Whoever sends a large configuration waits longer for its answer; at the
+  // time of a small one a single attempt would use up the call.
+  const std::chrono::milliseconds time =
+      kOperatorTime + coordination::TimeToCarry(body.size());
   this->runtime.coordination->Call(
-      path, std::move(body), kOperatorTime, kOperatorTry,
+      path, std::move(body), time, kOperatorTry,
       [this, exchange, path, answer = std::move(answer)](const Result& result,
                                                          std::string reply) {
         const http::HttpResponse response = answer(result, std::move(reply));
