Leave out listed replicas that cannot be read, and keep the others

Cause: one entry of the platform's list that lacks a field, or has one of another type, or bytes that are not UTF-8, made the whole list unreadable: a draining replica went on getting requests. A gate took whatever replica was listed at its engine's address, of any service.

One that names no replica to use is counted and logged (engine_entries_skipped, at most a line in 30 s); a page whose brackets do not close is an error as before. Engines of a service that the configuration does not name are no options, and a gate takes only an engine of its own service.

--- a/src/nodes/dialect.h
+++ b/src/nodes/dialect.h
@@ -76,7 +76,11 @@
 /// One page of the platform's list of replicas.
 struct EnginePage {
   std::vector<coordination::EngineInstance> engines;
-  std::string next;  ///< Token of the following page; empty on the last.
+  std::string next;         ///< Token of the following page; empty on the last.
+  std::size_t skipped = 0;  ///< Entries that name no replica to use.
+  /// What was wrong with the first of them, or with `next`; empty when nothing
+  /// was.
+  std::string first_problem;
 };
 
 /// The names and formats that a deployment speaks; each function only
--- a/src/nodes/gatenode.h
+++ b/src/nodes/gatenode.h
@@ -8,6 +8,7 @@
 
 #include "http/httpclient.h"
 #include "nodes/batchrunner.h"
+#include "nodes/logthrottle.h"
 #include "nodes/noderuntime.h"
 #include "nodes/slotmessages.h"
 #include "slots/slotdesk.h"
@@ -54,6 +55,7 @@
   Time next_report{};
   bool report_under_way = false;
   std::uint32_t last_foreign = 0;
+  LogThrottle unreadable_reports;
   bool leaving = false;
   asio::steady_timer timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -127,7 +127,8 @@
           return;
         }
         ReadEngineList(this->list_client, this->runtime.dialect,
-                       *this->runtime.options.list, std::move(done));
+                       *this->runtime.options.list,
+                       this->runtime.skipped_entries, std::move(done));
       },
       [this](const std::string& reason) {
         this->runtime.StorageFailed(reason);
@@ -479,6 +480,7 @@
       this->polling = true;
       ReadEngineList(
           this->list_client, this->runtime.dialect, *this->runtime.options.list,
+          this->runtime.skipped_entries,
           [this](std::optional<std::vector<coordination::EngineInstance>>
                      engines) {
             this->polling = false;
--- /dev/null
+++ b/src/nodes/internal/fleetengines.cpp
@@ -0,0 +1,45 @@
+#include "nodes/fleetengines.h"
+
+#include <algorithm>
+
+namespace papayarack::nodes {
+
+std::map<std::string, std::vector<placement::EngineOption>> OptionsByService(
+    const coordination::FleetKnowledge& fleet,
+    const routes::FleetConfiguration& configuration) {
+  std::map<std::string, std::string> gates;
+  for (const coordination::NodeReport& node : fleet.nodes) {
+    if (node.Role() == coordination::NodeRole::kGate) {
+      gates[node.engine_address] = node.address;
+    }
+  }
+  std::map<std::string, std::vector<placement::EngineOption>> by_service;
+  for (const routes::ServiceSpec& service : configuration.services) {
+    by_service[service.name];
+  }
+  for (const coordination::EngineInstance& engine : fleet.engines) {
+    const auto options = by_service.find(engine.service);
+    if (engine.draining || options == by_service.end()) {
+      continue;
+    }
+    const auto gate = gates.find(engine.address);
+    options->second.push_back(
+        {engine.address, engine.id,
+         gate != gates.end() ? gate->second : std::string(), engine.zone,
+         engine.slots});
+  }
+  return by_service;
+}
+
+const coordination::EngineInstance* FindEngine(
+    std::span<const coordination::EngineInstance> engines,
+    std::string_view address, std::string_view service) {
+  const auto found = std::ranges::find_if(
+      engines, [&](const coordination::EngineInstance& engine) {
+        return engine.address == address &&
+               (service.empty() || engine.service == service);
+      });
+  return found != engines.end() ? &*found : nullptr;
+}
+
+}  // namespace papayarack::nodes
--- a/src/nodes/internal/gatenode.cpp
+++ b/src/nodes/internal/gatenode.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "global/logging.h"
+#include "nodes/fleetengines.h"
 
 namespace papayarack::nodes {
 namespace {
@@ -53,16 +54,16 @@
 /// many slots it has.
 void GateNode::OnFleet() {
   const coordination::FleetKnowledge& fleet = this->runtime.watch->knowledge();
-  const auto found =
-      std::ranges::find(fleet.engines, this->runtime.options.engine_address,
-                        &coordination::EngineInstance::address);
-  const bool present = found != fleet.engines.end() && !found->draining;
+  const coordination::EngineInstance* found =
+      FindEngine(fleet.engines, this->runtime.options.engine_address,
+                 this->runtime.options.engine_service);
+  const bool present = found != nullptr && !found->draining;
   const std::string id = present ? found->id : std::string();
   if (id != this->engine_id) {
     Log(LogLevel::kInfo, "engine_changed",
         {{"engine", id},
          {"before", this->engine_id},
-         {"draining", found != fleet.engines.end() && found->draining}});
+         {"draining", found != nullptr && found->draining}});
     this->engine_id = id;
   }
   this->desk.SetSlots(present ? found->slots : 0);
@@ -198,9 +199,13 @@
   try {
     load = this->runtime.dialect.read_report(body);
   } catch (const ResultError& error) {
-    Log(LogLevel::kWarn, "engine_report_unreadable", {{"text", error.what()}});
+    if (this->unreadable_reports.Due(error.what(), MonotonicNow())) {
+      Log(LogLevel::kWarn, "engine_report_unreadable",
+          {{"engine", this->engine_id}, {"text", error.what()}});
+    }
     return;
   }
+  this->unreadable_reports.Due({}, MonotonicNow());
   const slots::SlotLoad own = this->desk.Load();
   const std::uint32_t there = load.running + load.waiting;
   const std::uint32_t here = own.online + own.batch;
--- a/src/nodes/internal/noderuntime.cpp
+++ b/src/nodes/internal/noderuntime.cpp
@@ -1,5 +1,7 @@
 #include "nodes/noderuntime.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <random>
@@ -41,12 +43,39 @@
   std::string body;
   int status = 0;
   std::size_t pages = 0;
+  std::size_t skipped = 0;
+  std::string first_problem;
   std::function<void(std::optional<std::vector<coordination::EngineInstance>>)>
       done;
 };
 
+/// Symptom guarded against: a replica that exists gets no request, and nothing
+/// tells why. Its entry lacks a field, so it was left out of the list.
+void LogSkipped(const ListReading& reading, LogThrottle& skipped) {
+  const std::string text =
+      reading.first_problem.empty()
+          ? std::string()
+          : fmt::format("{} {}", reading.skipped, reading.first_problem);
+  if (skipped.Due(text, MonotonicNow())) {
+    Log(LogLevel::kWarn, "engine_entries_skipped",
+        {{"skipped", reading.skipped},
+         {"kept", reading.engines.size()},
+         {"first_problem", reading.first_problem}});
+  }
+}
+
+void TakePage(EnginePage& page, ListReading& reading) {
+  std::ranges::move(page.engines, std::back_inserter(reading.engines));
+  reading.skipped += page.skipped;
+  if (reading.first_problem.empty()) {
+    reading.first_problem = std::move(page.first_problem);
+  }
+  ++reading.pages;
+}
+
 void ReadPage(http::HttpClient& client, const Dialect& dialect,
               const Endpoint& list, const std::string& token,
+              LogThrottle& skipped,
               const std::shared_ptr<ListReading>& reading) {
   http::HttpCall call;
   call.peer = list;
@@ -59,7 +88,8 @@
   handlers.on_body = [reading](std::string_view bytes) {
     reading->body.append(bytes);
   };
-  handlers.on_end = [&client, &dialect, list, reading](http::HttpEnd end) {
+  handlers.on_end = [&client, &dialect, list, &skipped,
+                     reading](http::HttpEnd end) {
     constexpr int kOk = 200;
     if (end != http::HttpEnd::kComplete || reading->status != kOk) {
       Log(LogLevel::kInfo, "engine_list_unread",
@@ -75,12 +105,12 @@
       reading->done(std::nullopt);
       return;
     }
-    std::ranges::move(page.engines, std::back_inserter(reading->engines));
-    ++reading->pages;
+    TakePage(page, *reading);
     if (page.next.empty() || reading->pages >= kMostPages) {
+      LogSkipped(*reading, skipped);
       reading->done(std::move(reading->engines));
     } else {
-      ReadPage(client, dialect, list, page.next, reading);
+      ReadPage(client, dialect, list, page.next, skipped, reading);
     }
   };
   client.Call(std::move(call), std::move(handlers));
@@ -90,12 +120,13 @@
 
 void ReadEngineList(
     http::HttpClient& client, const Dialect& dialect, const Endpoint& list,
+    LogThrottle& skipped,
     std::function<
         void(std::optional<std::vector<coordination::EngineInstance>>)>
         done) {
   const auto reading = std::make_shared<ListReading>();
   reading->done = std::move(done);
-  ReadPage(client, dialect, list, {}, reading);
+  ReadPage(client, dialect, list, {}, skipped, reading);
 }
 
 NodeRuntime::NodeRuntime(NodeOptions given, const Dialect& dialect)
@@ -241,6 +272,7 @@
     if (lost && this->options.list.has_value()) {
       ReadEngineList(
           *this->list_client, this->dialect, *this->options.list,
+          this->skipped_entries,
           [this](const std::optional<std::vector<coordination::EngineInstance>>&
                      list) {
             if (!list.has_value()) {
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "global/logging.h"
+#include "nodes/fleetengines.h"
 #include "placement/admission.h"
 
 namespace papayarack::nodes {
@@ -61,27 +62,7 @@
 void OnlineRelay::SetFleet(const coordination::FleetKnowledge& fleet,
                            const routes::FleetConfiguration& configuration) {
   this->engines_seen = fleet.engines_seen;
-  std::map<std::string, std::string> gates;
-  for (const coordination::NodeReport& node : fleet.nodes) {
-    if (node.Role() == coordination::NodeRole::kGate) {
-      gates[node.engine_address] = node.address;
-    }
-  }
-  std::map<std::string, std::vector<placement::EngineOption>> by_service;
-  for (const routes::ServiceSpec& service : configuration.services) {
-    by_service[service.name];
-  }
-  for (const coordination::EngineInstance& engine : fleet.engines) {
-    if (engine.draining) {
-      continue;
-    }
-    const auto gate = gates.find(engine.address);
-    by_service[engine.service].push_back(
-        {engine.address, engine.id,
-         gate != gates.end() ? gate->second : std::string(), engine.zone,
-         engine.slots});
-  }
-  for (auto& [service, options] : by_service) {
+  for (auto& [service, options] : OptionsByService(fleet, configuration)) {
     this->chooser.SetOptions(service, std::move(options));
   }
 }
--- /dev/null
+++ b/src/nodes/logthrottle.h
@@ -0,0 +1,32 @@
+#ifndef PAPAYARACK_NODES_LOGTHROTTLE_H_
+#define PAPAYARACK_NODES_LOGTHROTTLE_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "global/timepoint.h"
+
+namespace papayarack::nodes {
+
+/// Keeps a condition that is found again at every poll from writing a log line
+/// each time. Thread safety: none.
+class LogThrottle {
+ public:
+  /// Least time between two lines. Half a minute keeps a list that changes at
+  /// each poll of 0.3 s at about a hundredth of the lines.
+  static constexpr std::chrono::seconds kLeastPause{30};
+
+  /// Whether to log that `text` holds now: it is not what was logged last, and
+  /// that was not just now. An empty `text` says that all is well, after which
+  /// the same text is worth a line again.
+  bool Due(std::string_view text, Time now);
+
+ private:
+  std::string logged;
+  Time logged_at{};
+};
+
+}  // namespace papayarack::nodes
+
+#endif  // PAPAYARACK_NODES_LOGTHROTTLE_H_
--- a/src/nodes/noderuntime.h
+++ b/src/nodes/noderuntime.h
@@ -13,6 +13,7 @@
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 #include "nodes/dialect.h"
+#include "nodes/logthrottle.h"
 #include "nodes/nodeoptions.h"
 #include "routes/routetable.h"
 #include "storage/filesystem.h"
@@ -57,6 +58,7 @@
   routes::RouteTablePtr table;  ///< Null until a configuration was learned.
   std::unique_ptr<coordination::GroupClient> coordination;
   std::unique_ptr<coordination::GroupClient> jobs;
+  LogThrottle skipped_entries;  ///< Of the platform's list, for its reader.
 
  private:
   void OpenFiles();
@@ -72,10 +74,13 @@
 };
 
 /// Reads the platform's whole list of replicas, page by page; `done` gets
-/// nothing when a page could not be read. Precondition: `client` and `dialect`
-/// outlive the reading.
+/// nothing when a page could not be read. Entries that name no replica to use
+/// are left out and logged as `skipped` allows. Precondition: `client`,
+/// `dialect` and `skipped` outlive the reading. Thread safety: none, the loop's
+/// thread.
 void ReadEngineList(
     http::HttpClient& client, const Dialect& dialect, const Endpoint& list,
+    LogThrottle& skipped,
     std::function<
         void(std::optional<std::vector<coordination::EngineInstance>>)>
         done);
