Let a client close the kept connections to one peer

Cause: a peer that lost power and started again at its address has forgotten the connections kept to it. A request sent on one is reset and may have run, so one that cannot be repeated fails although its peer is well.

Change: HttpClient::CloseIdle, for whoever learns that a peer started again.

Evidence: with CloseIdle doing nothing http_tests fails in 1 assertion of 278 (the peer sees one connection, not two); with it all 278 pass.

--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -81,6 +81,11 @@
   /// Gives up: the connection is closed, which is how the peer learns of it. No
   /// handler is called any more.
   void Cancel(HttpCallId call);
+  /// Closes the kept connections to `peer` that carry no call: for a peer that
+  /// is known to have started again. Symptom guarded against: a request may
+  /// have run and cannot be repeated. It was sent on a connection that its peer
+  /// had forgotten, and broke without an answer.
+  void CloseIdle(const Endpoint& peer);
   std::uint64_t ConnectionsMade() const;
 
  private:
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -351,6 +351,16 @@
     Close(*link);
   }
 
+  void CloseIdle(const std::string& address) {
+    const auto links = this->idle.extract(address);
+    if (links.empty()) {
+      return;
+    }
+    for (const LinkPtr& link : links.mapped()) {
+      Close(*link);
+    }
+  }
+
   void Sweep() {
     this->sweep.expires_after(kSweep);
     this->sweep.async_wait([this, alive = this->alive](std::error_code error) {
@@ -414,6 +424,10 @@
 
 void HttpClient::Cancel(HttpCallId call) { this->impl->Cancel(call); }
 
+void HttpClient::CloseIdle(const Endpoint& peer) {
+  this->impl->CloseIdle(peer.ToString());
+}
+
 std::uint64_t HttpClient::ConnectionsMade() const {
   return this->impl->connections_made;
 }
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -254,6 +254,18 @@
       CHECK(record.body == "ok");
       CHECK(server.connections == 1);
     }
+    // Symptom: a request that cannot be repeated fails although its peer is
+    // well. Sequence: the peer loses power and starts again at its address; the
+    // request goes out on a connection kept from before and is reset. Cause:
+    // the peer is known to have started again, its connections are kept.
+    SECTION("but not when the peer is known to have started again") {
+      client.CloseIdle({"127.0.0.1", 1});
+      client.CloseIdle(server.address());
+      record = {};
+      call(server.address());
+      CHECK(record.body == "ok");
+      CHECK(server.connections == 2);
+    }
   }
   SECTION("whole, when an answer without length ends with its connection") {
     RawServer server(context, {"HTTP/1.1 200 OK\r\n\r\nall of it"}, true);
