Know a replica by its id and the moment of its start

Cause: a replica may start again under its id and address, and was taken for the one before. An entry set it aside for up to 4 s for the failures at the end of its former start, believed the load reported then, and held it for tried already. Its gate waited forever for a report that the former start never answered, counted runs of the former start as others', and left batch items to their silence of 2.5 s where connections stayed open.

Change: the start that a replica tells (reports, and the list if it does) is decoded into started_ms of EngineInstance and EngineLoad; what is no whole number is not known. Gates see it in reports 0.1 s apart and tell it with each answer about a slot. The later start stands, so a list that lags brings none back; a first one, or none, is no restart. EngineChooser forgets what it knew of the former start or of another id at the address, SlotSearch keeps starts in place of addresses, the gate drops foreign runs and takes its items up again, both close kept connections. A report is given up after 1 s. Logged as engine_restarted, engine_report_overdue and item_run_lost. SlotReply and EngineInstance gain a last field; former processes read and send them without.

The tests of EngineChooser and SlotSearch name starts in place of addresses; what they check is the same.

--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -39,13 +39,16 @@
 
 /// One running replica of a service, from the platform's list.
 struct EngineInstance {
-  std::string id;  ///< New at every start of the replica.
+  std::string id;  ///< May be the same after another start of the replica.
   std::string service;
   std::string address;
   std::string zone;
   std::uint32_t slots = 0;
   bool draining = false;
-  MSGPACK_DEFINE(id, service, address, zone, slots, draining)
+  /// Unix time of its start in milliseconds, by its own clock: with `id` it
+  /// names one start of a replica. Zero: not known.
+  std::uint64_t started_ms = 0;
+  MSGPACK_DEFINE(id, service, address, zone, slots, draining, started_ms)
   bool operator==(const EngineInstance&) const = default;
 };
 
--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -43,8 +43,12 @@
   void SetRoutes(routes::RouteTablePtr table) {
     this->table = std::move(table);
   }
-  /// The present start of the engine; empty when it is not known.
+  /// The id of the engine; empty when it is not known.
   void SetEngine(std::string id) { this->engine_id = std::move(id); }
+  /// The engine is another start of it. All runs are taken up again at once
+  /// instead of when they have been silent for kSilence; one that was already
+  /// sent to the new start loses the reading of its prompt.
+  void EngineRestarted();
   /// Slots were taken or given back: preempts and starts runs accordingly.
   void Balance();
   /// No further items; runs are stopped and handed back.
--- a/src/nodes/dialect.h
+++ b/src/nodes/dialect.h
@@ -28,7 +28,7 @@
 /// What an entry or gate tells the engine with a request.
 struct ForwardFields {
   std::optional<std::chrono::milliseconds> deadline;  ///< What is left.
-  std::string engine_id;  ///< Only this start of a replica may run it.
+  std::string engine_id;  ///< Only the replica of this id may run it.
   std::optional<std::uint64_t> resume_after;
 };
 
@@ -37,6 +37,7 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  std::uint64_t started_ms = 0;  ///< As in coordination::EngineInstance.
 };
 struct EngineHead {
   bool not_run = false;  ///< The engine states that the request did not run.
--- a/src/nodes/gatenode.h
+++ b/src/nodes/gatenode.h
@@ -4,6 +4,7 @@
 #include <asio.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "http/httpclient.h"
@@ -45,17 +46,23 @@
   void Tick();
   void AskReport(Time now);
   void OnReport(const std::string& body);
+  void TakeListed(const coordination::EngineInstance& listed);
+  void LearnStart(std::uint64_t started_ms);
+  void OnOtherStart();
 
   NodeRuntime& runtime;
   slots::SlotDesk desk;
   http::HttpClient engine;
   BatchRunner runner;
   std::map<transport::StreamId, Ticket> tickets;
-  std::string engine_id;
+  std::string engine_id;                ///< Empty while it takes no new work.
+  std::string last_engine_id;           ///< The last one that was not empty.
+  std::uint64_t engine_started_ms = 0;  ///< As in EngineInstance.
   Time next_report{};
-  bool report_under_way = false;
+  std::optional<http::HttpCallId> report_call;  ///< Under way.
+  Time report_asked{};
   std::uint32_t last_foreign = 0;
-  LogThrottle unreadable_reports;
+  LogThrottle report_problems;
   bool leaving = false;
   asio::steady_timer timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -139,6 +139,17 @@
   }
 }
 
+void BatchRunner::EngineRestarted() {
+  for (auto& [id, run] : this->runs) {
+    if (run.phase == Phase::kRunning) {
+      Log(LogLevel::kInfo, "item_run_lost",
+          {{"request", run.item.spec.id}, {"last_event", run.last_event}});
+      this->Pause(run);
+    }
+  }
+  this->Balance();
+}
+
 void BatchRunner::Pull() {
   if (this->pull_call != 0) {
     this->jobs.Cancel(this->pull_call);
--- a/src/nodes/internal/fleetengines.cpp
+++ b/src/nodes/internal/fleetengines.cpp
@@ -26,7 +26,7 @@
     options->second.push_back(
         {engine.address, engine.id,
          gate != gates.end() ? gate->second : std::string(), engine.zone,
-         engine.slots});
+         engine.slots, engine.started_ms});
   }
   return by_service;
 }
--- a/src/nodes/internal/gatenode.cpp
+++ b/src/nodes/internal/gatenode.cpp
@@ -1,9 +1,11 @@
 #include "nodes/gatenode.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "global/logging.h"
 #include "nodes/fleetengines.h"
+#include "placement/enginestart.h"
 
 namespace papayarack::nodes {
 namespace {
@@ -16,6 +18,11 @@
 /// lasts for seconds.
 constexpr std::chrono::milliseconds kReportEvery{100};
 
+/// A report that takes longer, ten times the pace, is given up with its
+/// connection. Symptom guarded against: an engine falls silent and starts
+/// again, and its gate waits forever for an answer of the former start.
+constexpr std::chrono::milliseconds kReportTime{1000};
+
 const char* NameOf(SlotVerdict verdict) {
   switch (verdict) {
     case SlotVerdict::kGranted:
@@ -50,7 +57,7 @@
 
 GateNode::~GateNode() { *this->alive = false; }
 
-/// The engine behind this gate: its present start, whether it leaves, and how
+/// The engine behind this gate: its present id, whether it leaves, and how
 /// many slots it has.
 void GateNode::OnFleet() {
   const coordination::FleetKnowledge& fleet = this->runtime.watch->knowledge();
@@ -70,9 +77,50 @@
   this->desk.SetOpen(present && !this->leaving);
   this->runner.SetEngine(this->leaving ? std::string() : id);
   this->runner.SetRoutes(this->runtime.table);
+  if (present) {
+    this->TakeListed(*found);
+  }
   this->Settle(MonotonicNow());
 }
 
+/// Symptom guarded against: slots stay taken, or items wait, after another
+/// replica has begun at this address, for what the one before was running.
+void GateNode::TakeListed(const coordination::EngineInstance& listed) {
+  const bool other_replica =
+      !this->last_engine_id.empty() && this->last_engine_id != listed.id;
+  this->last_engine_id = listed.id;
+  if (other_replica) {
+    this->OnOtherStart();
+  }
+  this->LearnStart(listed.started_ms);
+}
+
+/// The list lags behind the engine's own reports, so only a later start counts.
+void GateNode::LearnStart(std::uint64_t started_ms) {
+  const std::uint64_t before = this->engine_started_ms;
+  if (!placement::LearnStart(this->engine_started_ms, started_ms)) {
+    return;
+  }
+  Log(LogLevel::kInfo, "engine_restarted",
+      {{"engine", this->engine_id},
+       {"before", this->engine_id},
+       {"address", this->runtime.options.engine_address},
+       {"started_ms", started_ms},
+       {"started_before_ms", before}});
+  this->OnOtherStart();
+}
+
+/// Drops what holds only for the former start of the engine: runs counted as
+/// others', kept connections, and batch items that it was running. Online runs
+/// are their entries' to end.
+void GateNode::OnOtherStart() {
+  this->last_foreign = 0;
+  this->desk.SetForeign(0);
+  this->engine.CloseIdle(
+      ParseEndpoint(this->runtime.options.engine_address, "engine_address"));
+  this->runner.EngineRestarted();
+}
+
 void GateNode::OnAsk(transport::StreamId stream, const std::string& body) {
   const auto ask = DecodeMessage<AskSlot>(body);
   const Time now = MonotonicNow();
@@ -111,6 +159,7 @@
   reply.slots = load.slots;
   reply.expected_wait_ms =
       static_cast<std::uint32_t>(this->desk.ExpectedWait().count() / 1000);
+  reply.engine_started_ms = this->engine_started_ms;
   Log(LogLevel::kInfo, "slot_answered",
       {{"request", ticket.request},
        {"verdict", NameOf(verdict)},
@@ -169,12 +218,19 @@
 
 /// The engine's own word on what runs in it; asked on the same VM it is fresh.
 void GateNode::AskReport(Time now) {
-  if (this->report_under_way || now < this->next_report ||
+  if (this->report_call.has_value() && now - this->report_asked > kReportTime) {
+    if (this->report_problems.Due("overdue", now)) {
+      Log(LogLevel::kWarn, "engine_report_overdue",
+          {{"engine", this->engine_id}});
+    }
+    this->engine.Cancel(*std::exchange(this->report_call, std::nullopt));
+  }
+  if (this->report_call.has_value() || now < this->next_report ||
       this->engine_id.empty()) {
     return;
   }
   this->next_report = now + kReportEvery;
-  this->report_under_way = true;
+  this->report_asked = now;
   http::HttpCall call;
   call.peer =
       ParseEndpoint(this->runtime.options.engine_address, "engine_address");
@@ -184,12 +240,12 @@
   handlers.on_head = [](const http::HttpHead&) {};
   handlers.on_body = [body](std::string_view bytes) { body->append(bytes); };
   handlers.on_end = [this, body](http::HttpEnd end) {
-    this->report_under_way = false;
+    this->report_call.reset();
     if (end == http::HttpEnd::kComplete) {
       this->OnReport(*body);
     }
   };
-  this->engine.Call(std::move(call), std::move(handlers));
+  this->report_call = this->engine.Call(std::move(call), std::move(handlers));
 }
 
 /// Counts only what two reports in a row show: a run that was just cancelled,
@@ -199,13 +255,14 @@
   try {
     load = this->runtime.dialect.read_report(body);
   } catch (const ResultError& error) {
-    if (this->unreadable_reports.Due(error.what(), MonotonicNow())) {
+    if (this->report_problems.Due(error.what(), MonotonicNow())) {
       Log(LogLevel::kWarn, "engine_report_unreadable",
           {{"engine", this->engine_id}, {"text", error.what()}});
     }
     return;
   }
-  this->unreadable_reports.Due({}, MonotonicNow());
+  this->report_problems.Due({}, MonotonicNow());
+  this->LearnStart(load.started_ms);
   const slots::SlotLoad own = this->desk.Load();
   const std::uint32_t there = load.running + load.waiting;
   const std::uint32_t here = own.online + own.batch;
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -63,10 +63,25 @@
                            const routes::FleetConfiguration& configuration) {
   this->engines_seen = fleet.engines_seen;
   for (auto& [service, options] : OptionsByService(fleet, configuration)) {
-    this->chooser.SetOptions(service, std::move(options));
+    for (const placement::EngineRestart& restart :
+         this->chooser.SetOptions(service, std::move(options))) {
+      this->OnRestart(restart);
+    }
   }
 }
 
+/// Runs of the former start end by their connections or fall silent; when one
+/// was sent cannot be compared with a start by another clock.
+void OnlineRelay::OnRestart(const placement::EngineRestart& restart) {
+  Log(LogLevel::kInfo, "engine_restarted",
+      {{"engine", restart.now.id},
+       {"before", restart.before.id},
+       {"address", restart.now.address},
+       {"started_ms", restart.now.started_ms},
+       {"started_before_ms", restart.before.started_ms}});
+  this->engines.CloseIdle(ParseEndpoint(restart.now.address, "engine"));
+}
+
 void OnlineRelay::Take(http::ExchangeId exchange, http::HttpRequest request,
                        routes::RouteTablePtr table, const routes::Route& route,
                        Time arrived) {
@@ -169,6 +184,10 @@
     this->OnAskFailed(id, attempt);
     return;
   }
+  if (const auto restart = this->chooser.SawStart(call.engine.address,
+                                                  reply.engine_started_ms)) {
+    this->OnRestart(*restart);
+  }
   this->chooser.Reported(call.engine.address, {reply.online, reply.waiting},
                          MonotonicNow());
   if (reply.Verdict() == SlotVerdict::kGranted) {
@@ -402,7 +421,7 @@
     this->Fail(id, kGatewayTimeout, "too little time left for another engine");
     return;
   }
-  call.search->Restart(this->chooser, call.engine.address);
+  call.search->Restart(this->chooser, call.engine.Start());
   this->Place(id);
 }
 
--- a/src/nodes/logthrottle.h
+++ b/src/nodes/logthrottle.h
@@ -13,8 +13,8 @@
 /// each time. Thread safety: none.
 class LogThrottle {
  public:
-  /// Least time between two lines. Half a minute keeps a list that changes at
-  /// each poll of 0.3 s at about a hundredth of the lines.
+  /// Least time between two lines: of a list that is read twice a second and
+  /// is wrong in another way each time, one line in sixty readings.
   static constexpr std::chrono::seconds kLeastPause{30};
 
   /// Whether to log that `text` holds now: it is not what was logged last, and
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -99,6 +99,7 @@
   void OnBroken(CallId id, const char* reason);
   void Retry(CallId id);
   void ReleaseEngine(Call& call);
+  void OnRestart(const placement::EngineRestart& restart);
   void Refuse(CallId id, const char* reason);
   void Fail(CallId id, int status, const char* reason);
   void Finish(CallId id, const char* outcome, int status);
--- a/src/nodes/slotmessages.h
+++ b/src/nodes/slotmessages.h
@@ -28,7 +28,10 @@
   std::uint32_t batch = 0;
   std::uint32_t slots = 0;
   std::uint32_t expected_wait_ms = 0;
-  MSGPACK_DEFINE(verdict, online, waiting, batch, slots, expected_wait_ms)
+  /// As in coordination::EngineInstance; a gate knows it before the list.
+  std::uint64_t engine_started_ms = 0;
+  MSGPACK_DEFINE(verdict, online, waiting, batch, slots, expected_wait_ms,
+                 engine_started_ms)
 
   SlotVerdict Verdict() const {
     return static_cast<SlotVerdict>(this->verdict);
--- a/src/nodes/tests/fleetengines_tests.cpp
+++ b/src/nodes/tests/fleetengines_tests.cpp
@@ -26,6 +26,7 @@
                    Engine("i-2", "other", "10.0.0.2:80"),
                    Engine("i-3", "llm", "10.0.0.3:80"),
                    Engine("i-4", "llm", "10.0.0.4:80")};
+  fleet.engines[2].started_ms = 1700000000123;
   fleet.engines[3].draining = true;
   coordination::NodeReport gate;
   gate.role = static_cast<std::uint8_t>(coordination::NodeRole::kGate);
@@ -41,6 +42,7 @@
   CHECK(options.at("llm")[0].id == "i-1");
   CHECK(options.at("llm")[0].gate.empty());
   CHECK(options.at("llm")[1].id == "i-3");
+  CHECK(options.at("llm")[1].started_ms == 1700000000123);
   CHECK(options.at("llm")[1].gate == "10.0.0.3:7720");
 }
 
--- a/src/placement/enginechooser.h
+++ b/src/placement/enginechooser.h
@@ -5,21 +5,27 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
+#include <span>
 #include <string>
 #include <vector>
 
 #include "global/timepoint.h"
+#include "placement/enginestart.h"
 
 namespace papayarack::placement {
 
 /// One replica that a request could go to.
 struct EngineOption {
   std::string address;  ///< Names it; new for another machine.
-  std::string id;       ///< Of its present start.
+  std::string id;       ///< Of the replica that runs there now.
   std::string gate;  ///< Address of the process that owns its slots, or empty.
   std::string zone;
   std::uint32_t slots = 0;
+  std::uint64_t started_ms = 0;  ///< As in EngineStart.
+
+  EngineStart Start() const {
+    return {this->address, this->id, this->started_ms};
+  }
 };
 
 /// What a gate last said of its engine.
@@ -39,14 +45,24 @@
  public:
   explicit EngineChooser(std::uint64_t seed) : random(seed) {}
 
-  /// Replaces the options; what is known of those that stay is kept.
-  void SetOptions(const std::string& service,
-                  std::vector<EngineOption> options);
-  /// The best option that is not in `tried`; nothing when none is left.
+  /// Replaces the options; what is known of those that stay is kept, but what
+  /// was known of a replica's former start is forgotten. Returns the replicas
+  /// that started again.
+  std::vector<EngineRestart> SetOptions(const std::string& service,
+                                        std::vector<EngineOption> options);
+  /// The gate of the replica at `address` says when that started; as in
+  /// SetOptions.
+  std::optional<EngineRestart> SawStart(const std::string& address,
+                                        std::uint64_t started_ms);
+  /// The best option whose present start is not in `tried`; nothing when none
+  /// is left.
   std::optional<EngineOption> Choose(const std::string& service,
                                      const std::string& own_zone,
-                                     const std::set<std::string>& tried,
+                                     std::span<const EngineStart> tried,
                                      Time now);
+  /// Whether Choose would find one.
+  bool HasUntried(const std::string& service,
+                  std::span<const EngineStart> tried) const;
   /// A request starts or ends its use of an engine from this entry.
   void Started(const std::string& address);
   void Ended(const std::string& address);
@@ -68,13 +84,17 @@
 
  private:
   struct Known {
-    std::uint32_t own = 0;  ///< Requests of this entry there now.
+    std::string id;                ///< Empty before it was an option.
+    std::uint64_t started_ms = 0;  ///< As in EngineStart.
+    std::uint32_t own = 0;         ///< Requests of this entry there now.
     std::uint32_t own_at_report = 0;
     ReportedLoad load;
     Time reported{};
     std::uint32_t failures = 0;  ///< In a row.
     Time aside_until{};
   };
+  std::optional<EngineRestart> TakeStart(const EngineStart& told);
+  EngineStart StartOf(const EngineOption& option) const;
   double CostOf(const EngineOption& option, const std::string& own_zone,
                 Time now);
 
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -1,6 +1,8 @@
 #include "placement/enginechooser.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace papayarack::placement {
 namespace {
@@ -18,10 +20,53 @@
 /// Cost of an engine that is set aside: chosen only when all others are too.
 constexpr double kAside = 1000;
 
+bool Contains(std::span<const EngineStart> tried, const EngineStart& start) {
+  return std::ranges::any_of(
+      tried, [&start](const EngineStart& other) { return other.MayBe(start); });
+}
+
 }  // namespace
 
-void EngineChooser::SetOptions(const std::string& service,
-                               std::vector<EngineOption> list) {
+/// Symptom guarded against: a replica that has just started gets no requests
+/// for seconds, or too many. What its former start reported, and the failures
+/// at its end, count against it.
+std::optional<EngineRestart> EngineChooser::TakeStart(const EngineStart& told) {
+  Known& state = this->known[told.address];
+  const EngineStart before{told.address, state.id, state.started_ms};
+  const bool other_replica = !state.id.empty() && state.id != told.id;
+  if (other_replica) {
+    state.started_ms = 0;
+  }
+  state.id = told.id;
+  const bool again = LearnStart(state.started_ms, told.started_ms);
+  if (!again && !other_replica) {
+    return std::nullopt;
+  }
+  state.own_at_report = 0;
+  state.load = {};
+  state.reported = {};
+  state.failures = 0;
+  state.aside_until = {};
+  return EngineRestart{before, {told.address, state.id, state.started_ms}};
+}
+
+std::optional<EngineRestart> EngineChooser::SawStart(const std::string& address,
+                                                     std::uint64_t started_ms) {
+  const auto found = this->known.find(address);
+  if (found == this->known.end()) {
+    return std::nullopt;  // No option any more.
+  }
+  return this->TakeStart({address, found->second.id, started_ms});
+}
+
+std::vector<EngineRestart> EngineChooser::SetOptions(
+    const std::string& service, std::vector<EngineOption> list) {
+  std::vector<EngineRestart> restarts;
+  for (const EngineOption& option : list) {
+    if (auto restart = this->TakeStart(option.Start())) {
+      restarts.push_back(std::move(*restart));
+    }
+  }
   this->options[service] = std::move(list);
   std::set<std::string> present;
   for (const auto& [name, entries] : this->options) {
@@ -32,6 +77,27 @@
   std::erase_if(this->known, [&present](const auto& entry) {
     return present.count(entry.first) == 0 && entry.second.own == 0;
   });
+  return restarts;
+}
+
+/// The later of what the list and what the gate has told.
+EngineStart EngineChooser::StartOf(const EngineOption& option) const {
+  EngineStart start = option.Start();
+  const auto found = this->known.find(option.address);
+  if (found != this->known.end() && found->second.id == option.id) {
+    start.started_ms = std::max(start.started_ms, found->second.started_ms);
+  }
+  return start;
+}
+
+bool EngineChooser::HasUntried(const std::string& service,
+                               std::span<const EngineStart> tried) const {
+  const auto found = this->options.find(service);
+  return found != this->options.end() &&
+         std::ranges::any_of(found->second,
+                             [this, tried](const EngineOption& option) {
+                               return !Contains(tried, this->StartOf(option));
+                             });
 }
 
 double EngineChooser::CostOf(const EngineOption& option,
@@ -55,7 +121,7 @@
 
 std::optional<EngineOption> EngineChooser::Choose(
     const std::string& service, const std::string& own_zone,
-    const std::set<std::string>& tried, Time now) {
+    std::span<const EngineStart> tried, Time now) {
   const auto found = this->options.find(service);
   if (found == this->options.end()) {
     return std::nullopt;
@@ -63,7 +129,7 @@
   const EngineOption* best = nullptr;
   double best_cost = 0;
   for (const EngineOption& option : found->second) {
-    if (tried.count(option.address) > 0) {
+    if (Contains(tried, this->StartOf(option))) {
       continue;
     }
     const double cost = this->CostOf(option, own_zone, now);
@@ -75,7 +141,9 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  return *best;
+  EngineOption chosen = *best;
+  chosen.started_ms = this->StartOf(*best).started_ms;
+  return chosen;
 }
 
 void EngineChooser::Started(const std::string& address) {
--- a/src/placement/internal/slotsearch.cpp
+++ b/src/placement/internal/slotsearch.cpp
@@ -15,7 +15,7 @@
     if (!option.has_value()) {
       break;
     }
-    this->tried.insert(option->address);
+    this->tried.push_back(option->Start());
     ++this->asks;
     if (!option->gate.empty()) {
       this->asked = option;
@@ -57,20 +57,19 @@
 }
 
 void SlotSearch::Restart(const EngineChooser& chooser,
-                         const std::string& failed) {
+                         const EngineStart& failed) {
   this->asks = 0;
   this->queueing = false;
   this->longest_wait = std::chrono::milliseconds(0);
   this->asked.reset();
   this->least_busy.reset();
   this->least_wait.reset();
-  const std::size_t options = chooser.OptionCount(this->service);
-  if (this->tried.size() < options) {
+  if (chooser.HasUntried(this->service, this->tried)) {
     return;
   }
   this->tried.clear();
-  if (options > 1) {
-    this->tried.insert(failed);
+  if (chooser.OptionCount(this->service) > 1) {
+    this->tried.push_back(failed);
   }
 }
 
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -5,9 +5,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "global/timepoint.h"
 #include "placement/enginechooser.h"
@@ -60,8 +60,9 @@
     return asked_ago > this->longest_wait + kAskSilence;
   }
   /// Begins anew after a run that failed at `failed`: engines not tried yet go
-  /// first; once every one was tried, all may be tried again, it last.
-  void Restart(const EngineChooser& chooser, const std::string& failed);
+  /// first; once every one was tried, all may be tried again, it last. A
+  /// replica that started again meanwhile counts as not tried.
+  void Restart(const EngineChooser& chooser, const EngineStart& failed);
 
   /// The shortest wait that a gate named; nothing before one did.
   std::optional<std::chrono::milliseconds> LeastWait() const {
@@ -87,7 +88,7 @@
 
   std::string service;
   std::string own_zone;
-  std::set<std::string> tried;  ///< Addresses asked or sent to, this round.
+  std::vector<EngineStart> tried;          ///< Asked or sent to, this round.
   std::optional<EngineOption> asked;       ///< Whose gate was asked last.
   std::optional<EngineOption> least_busy;  ///< Whose wait was the shortest.
   std::optional<std::chrono::milliseconds> least_wait;
--- a/src/placement/tests/slotsearch_tests.cpp
+++ b/src/placement/tests/slotsearch_tests.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "placement/slotsearch.h"
 
@@ -22,6 +23,11 @@
   return options;
 }
 
+/// The start of an engine of Fleet.
+EngineStart StartAt(const std::string& address) {
+  return {address, "id" + address.substr(1)};
+}
+
 /// Asks quickly until the search queues or ends; every gate is busy and names
 /// the next of `waits`, those after them the last again.
 SearchStep AllBusy(SlotSearch& search, EngineChooser& chooser,
@@ -102,17 +108,46 @@
     CHECK(std::holds_alternative<NoSlot>(third.Next(chooser, kBudget, At(0))));
   }
   SECTION("a failed run goes elsewhere, and back once all were tried") {
-    first.Restart(chooser, used);
+    first.Restart(chooser, StartAt(used));
     const SearchStep second = first.Next(chooser, kBudget, At(0));
     const std::string other = std::get<SendUngated>(second).engine.address;
     CHECK(other != used);
     chooser.Ended(used);
-    first.Restart(chooser, other);
+    first.Restart(chooser, StartAt(other));
     const SearchStep third = first.Next(chooser, kBudget, At(0));
     CHECK(std::get<SendUngated>(third).engine.address == used);
   }
 }
 
+// Symptom: a stream whose replica crashed is not taken up there again, though
+// that has started again and no other has room. Sequence: two replicas are
+// asked, the second fails, the first starts again under its id. Cause: the
+// request holds the first for tried, by its address.
+TEST_CASE("a replica that started again counts as not tried") {
+  EngineChooser chooser(1);
+  std::vector<EngineOption> options = Fleet(3);
+  for (EngineOption& option : options) {
+    option.started_ms = 100;
+  }
+  chooser.SetOptions("llm", options);
+  SlotSearch search("llm", "z");
+  const SearchStep first = search.Next(chooser, kBudget, At(0));
+  const EngineOption asked = std::get<AskGate>(first).engine;
+  search.Busy(milliseconds(900));
+  const SearchStep second = search.Next(chooser, kBudget, At(0));
+  const EngineOption failed = std::get<AskGate>(second).engine;
+  search.Restart(chooser, failed.Start());
+  REQUIRE(chooser.SawStart(asked.address, 200).has_value());
+  std::set<std::string> offered;
+  for (int i = 0; i < 2; ++i) {
+    const SearchStep step = search.Next(chooser, kBudget, At(0));
+    offered.insert(std::get<AskGate>(step).engine.address);
+    search.Busy(milliseconds(900));
+  }
+  CHECK(offered.count(asked.address) == 1);
+  CHECK(offered.count(failed.address) == 0);
+}
+
 // Load: a wave's edge, three of four gates are full, and the entry has heard
 // nothing of them lately. With three asks more than a third of the requests
 // find no free slot; with six it is less than a fifth.
--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -51,15 +51,34 @@
   this->server->Respond(exchange, response);
 }
 
+void StandInEngine::GoDark() {
+  this->dark = true;
+  this->running.clear();
+}
+
+void StandInEngine::StartAgain(std::uint64_t started_ms) {
+  this->dark = false;
+  this->running.clear();
+  this->options.started_ms = started_ms;
+}
+
+void StandInEngine::Report(http::ExchangeId exchange) {
+  nlohmann::json report = {{"Running", this->running.size()}, {"Waiting", 0}};
+  if (this->options.started_ms != 0) {
+    report["born"] = this->options.started_ms;
+  }
+  http::HttpResponse response;
+  response.body = report.dump();
+  this->server->Respond(exchange, response);
+}
+
 void StandInEngine::OnRequest(http::ExchangeId exchange,
                               const http::HttpRequest& request) {
+  if (this->dark) {
+    return;
+  }
   if (request.Path() == "/report") {
-    http::HttpResponse report;
-    report.body = nlohmann::json{
-        {"Running", this->running.size()},
-        {"Waiting",
-         0}}.dump();
-    this->server->Respond(exchange, report);
+    this->Report(exchange);
     return;
   }
   const std::string_view expected = request.headers.Get("Expect-Instance");
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -23,6 +23,7 @@
   std::uint32_t slots = 8;
   std::uint64_t events = 20;  ///< Of each answer.
   std::chrono::milliseconds event_time{5};
+  std::uint64_t started_ms = 0;  ///< Told in its reports; zero: not told.
   /// So many of the next runs are cut in the middle.
   std::uint64_t cut_next = 0;
 };
@@ -48,6 +49,12 @@
   const std::vector<SeenRun>& runs() const { return this->seen; }
   std::uint64_t most_at_once() const { return this->most_running; }
   void CutNext(std::uint64_t runs) { this->options.cut_next = runs; }
+  /// Its runs are lost and nothing is answered any more, but all connections
+  /// stay open.
+  void GoDark();
+  /// Starts again under the same id at `started_ms`. What was asked before is
+  /// never answered.
+  void StartAgain(std::uint64_t started_ms);
   /// What the whole answer to `path` is, one line an event.
   static std::string TextOf(const std::string& path, std::uint64_t events);
 
@@ -59,6 +66,7 @@
     bool cut = false;
   };
   void OnRequest(http::ExchangeId exchange, const http::HttpRequest& request);
+  void Report(http::ExchangeId exchange);
   void Refuse(http::ExchangeId exchange, int status);
   void Step();
 
@@ -67,6 +75,7 @@
   std::map<http::ExchangeId, Run> running;
   std::vector<SeenRun> seen;
   std::uint64_t most_running = 0;
+  bool dark = false;
   asio::steady_timer timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
