--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "global/logging.h"
+#include "nodes/fleetengines.h"
 #include "placement/admission.h"
 
 namespace papayarack::nodes {
@@ -61,29 +62,24 @@
 void OnlineRelay::SetFleet(const coordination::FleetKnowledge& fleet,
                            const routes::FleetConfiguration& configuration) {
   this->engines_seen = fleet.engines_seen;
-  std::map<std::string, std::string> gates;
-  for (const coordination::NodeReport& node : fleet.nodes) {
-    if (node.Role() == coordination::NodeRole::kGate) {
-      gates[node.engine_address] = node.address;
+  for (auto& [service, options] : OptionsByService(fleet, configuration)) {
+    for (const placement::EngineRestart& restart :
+         this->chooser.SetOptions(service, std::move(options))) {
+      this->OnRestart(restart);
     }
   }
-  std::map<std::string, std::vector<placement::EngineOption>> by_service;
-  for (const routes::ServiceSpec& service : configuration.services) {
-    by_service[service.name];
-  }
-  for (const coordination::EngineInstance& engine : fleet.engines) {
-    if (engine.draining) {
-      continue;
-    }
-    const auto gate = gates.find(engine.address);
-    by_service[engine.service].push_back(
-        {engine.address, engine.id,
-         gate != gates.end() ? gate->second : std::string(), engine.zone,
-         engine.slots});
-  }
-  for (auto& [service, options] : by_service) {
-    this->chooser.SetOptions(service, std::move(options));
-  }
+}
+
+/// Runs of the former start end by their connections or fall silent; when one
+/// was sent cannot be compared with a start by another clock.
+void OnlineRelay::OnRestart(const placement::EngineRestart& restart) {
+  Log(LogLevel::kInfo, "engine_restarted",
+      {{"engine", restart.now.id},
+       {"before", restart.before.id},
+       {"address", restart.now.address},
+       {"started_ms", restart.now.started_ms},
+       {"started_before_ms", restart.before.started_ms}});
+  this->engines.CloseIdle(ParseEndpoint(restart.now.address, "engine"));
 }
 
 void OnlineRelay::Take(http::ExchangeId exchange, http::HttpRequest request,
@@ -188,6 +184,10 @@
     this->OnAskFailed(id, attempt);
     return;
   }
+  if (const auto restart = this->chooser.SawStart(call.engine.address,
+                                                  reply.engine_started_ms)) {
+    this->OnRestart(*restart);
+  }
   this->chooser.Reported(call.engine.address, {reply.online, reply.waiting},
                          MonotonicNow());
   if (reply.Verdict() == SlotVerdict::kGranted) {
@@ -421,7 +421,7 @@
     this->Fail(id, kGatewayTimeout, "too little time left for another engine");
     return;
   }
-  call.search->Restart(this->chooser, call.engine.address);
+  call.search->Restart(this->chooser, call.engine.Start());
   this->Place(id);
 }
 
