Find the replica that runs where two are listed at one address

Cause: the first entry at an address was taken; lists are now kept by id, so the first may be the start that crashed or drains, and its gate would refuse everybody for the seconds that it stays listed. Change: one that does not drain goes first, then the later start.

--- a/src/nodes/fleetengines.h
+++ b/src/nodes/fleetengines.h
@@ -20,7 +20,9 @@
     const coordination::FleetKnowledge& fleet,
     const routes::FleetConfiguration& configuration);
 
-/// The engine of `service` at `address`, or null; an empty `service` is any.
+/// The engine of `service` at `address`, or null; an empty `service` is any. Of
+/// several, one that does not drain, then the one that started last: a replica
+/// that crashed stays listed for seconds beside its successor.
 /// Symptom guarded against: a batch item runs at a replica of another service
 /// that was given the address of a former one. Thread safety: any thread; the
 /// result points into `engines`.
--- a/src/nodes/internal/fleetengines.cpp
+++ b/src/nodes/internal/fleetengines.cpp
@@ -34,12 +34,20 @@
 const coordination::EngineInstance* FindEngine(
     std::span<const coordination::EngineInstance> engines,
     std::string_view address, std::string_view service) {
-  const auto found = std::ranges::find_if(
-      engines, [&](const coordination::EngineInstance& engine) {
-        return engine.address == address &&
-               (service.empty() || engine.service == service);
-      });
-  return found != engines.end() ? &*found : nullptr;
+  const coordination::EngineInstance* best = nullptr;
+  const auto better = [&best](const coordination::EngineInstance& engine) {
+    return best == nullptr || (best->draining && !engine.draining) ||
+           (best->draining == engine.draining &&
+            engine.started_ms > best->started_ms);
+  };
+  for (const coordination::EngineInstance& engine : engines) {
+    const bool candidate = engine.address == address &&
+                           (service.empty() || engine.service == service);
+    if (candidate && better(engine)) {
+      best = &engine;
+    }
+  }
+  return best;
 }
 
 }  // namespace papayarack::nodes
--- a/src/nodes/tests/fleetengines_tests.cpp
+++ b/src/nodes/tests/fleetengines_tests.cpp
@@ -61,4 +61,32 @@
   CHECK(FindEngine(engines, "10.0.0.1:80", "")->id == "i-1");
 }
 
+// Symptom: a gate refuses everybody though its engine runs. Sequence: the
+// engine crashes and another start takes its address; the list shows both for
+// some seconds, the former first. Cause: the first at the address was taken.
+TEST_CASE("of two replicas at one address the one that runs is found") {
+  const auto replica = [](const std::string& id, bool draining,
+                          std::uint64_t started_ms) {
+    coordination::EngineInstance engine;
+    engine.id = id;
+    engine.service = "llm";
+    engine.address = "10.0.0.1:80";
+    engine.draining = draining;
+    engine.started_ms = started_ms;
+    return engine;
+  };
+  SECTION("not the one that drains") {
+    const std::vector<coordination::EngineInstance> engines = {
+        replica("i-1", true, 2000), replica("i-2", false, 1000)};
+    CHECK(FindEngine(engines, "10.0.0.1:80", "llm")->id == "i-2");
+  }
+  SECTION("and the one that started last, in any order") {
+    std::vector<coordination::EngineInstance> engines = {
+        replica("i-1", false, 1000), replica("i-2", false, 2000)};
+    CHECK(FindEngine(engines, "10.0.0.1:80", "llm")->id == "i-2");
+    std::swap(engines[0], engines[1]);
+    CHECK(FindEngine(engines, "10.0.0.1:80", "llm")->id == "i-2");
+  }
+}
+
 }  // namespace papayarack::nodes
