Bound the bytes on the way to one follower

Cause: a leader sent up to 16 appends of up to 1 MB before the first was acknowledged, to each follower; only their number was bounded. With four followers that is 64 MB, all that its process may use, and 5 s of a link of 12 MB/s.

Change: the option max_inflight_bytes, 2 MB; an append larger than it goes alone. What is under way is a list of appends, so that one acknowledgement of several frees them all; before, it freed one. The test of many refusals needs 16 appends of 400 KB under way and sets the bound to just that.

--- a/src/consensus/internal/raftcore.cpp
+++ b/src/consensus/internal/raftcore.cpp
@@ -21,6 +21,14 @@
   return differences;
 }
 
+std::size_t PayloadBytes(std::span<const Entry> entries) {
+  std::size_t bytes = 0;
+  for (const Entry& entry : entries) {
+    bytes += entry.payload.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 RaftCore::RaftCore(const RaftOptions& options, const HardState& hard_state,
@@ -559,11 +567,51 @@
     return;
   }
   known.next = known.match + 1;
-  known.inflight = 0;
+  known.ForgetSent();
   known.probing = true;
   known.resend_wait = std::min(2 * wait, this->options.longest_resend_wait);
 }
 
+void RaftCore::Progress::Sent(const SentAppend& append) {
+  this->inflight.push_back(append);
+  this->inflight_bytes += append.bytes;
+}
+
+void RaftCore::Progress::Arrived() {
+  while (!this->inflight.empty() &&
+         this->inflight.front().last <= this->match) {
+    this->inflight_bytes -= this->inflight.front().bytes;
+    this->inflight.pop_front();
+  }
+}
+
+void RaftCore::Progress::ForgetSent() {
+  this->inflight.clear();
+  this->inflight_bytes = 0;
+}
+
+/// Symptom guarded against: large entries while a follower's acknowledgements
+/// are late put 16 appends of up to 1 MB each on its way; its link stays full
+/// for seconds, and with four followers the leader holds 64 MB. What is under
+/// way is bounded by its bytes too.
+std::optional<std::size_t> RaftCore::BytesToSend(const Progress& known) const {
+  if (known.inflight.empty()) {
+    return this->options.max_append_bytes;
+  }
+  if (known.probing ||
+      known.inflight.size() >= this->options.max_inflight_appends ||
+      known.inflight_bytes >= this->options.max_inflight_bytes) {
+    return std::nullopt;
+  }
+  const std::size_t left =
+      this->options.max_inflight_bytes - known.inflight_bytes;
+  // An append carries one entry at least, whatever its size.
+  if (this->raft_log.PayloadBytesAt(known.next) > left) {
+    return std::nullopt;
+  }
+  return std::min(this->options.max_append_bytes, left);
+}
+
 void RaftCore::SendAppend(MemberId to, bool heartbeat) {
   Progress& known = this->progress.at(to);
   if (heartbeat) {
@@ -576,22 +624,24 @@
     }
     return;
   }
-  const std::size_t window =
-      known.probing ? 1 : this->options.max_inflight_appends;
   bool sent_any = false;
-  while (known.inflight < window && known.next <= this->raft_log.LastIndex()) {
+  while (known.next <= this->raft_log.LastIndex()) {
+    const std::optional<std::size_t> bytes = this->BytesToSend(known);
+    if (!bytes.has_value()) {
+      break;
+    }
     AppendRequest request;
     request.prev_index = known.next - 1;
     request.prev_term = *this->raft_log.TermAt(request.prev_index);
     known.sent_after = request.prev_index;
     request.commit = this->commit_index;
     request.read_round = this->read_round;
-    request.entries = this->raft_log.Slice(
-        known.next, this->raft_log.LastIndex(), this->options.max_append_bytes);
+    request.entries =
+        this->raft_log.Slice(known.next, this->raft_log.LastIndex(), *bytes);
     known.last_progress =
         known.match + 1 == known.next ? this->now : known.last_progress;
     known.next += request.entries.size();
-    ++known.inflight;
+    known.Sent({known.next - 1, PayloadBytes(request.entries)});
     sent_any = true;
     this->Send(to, std::move(request), false);
   }
@@ -626,18 +676,18 @@
   known.read_round = std::max(known.read_round, response.read_round);
   if (response.success) {
     const bool progressed = response.match > known.match;
-    known.inflight -= progressed && known.inflight > 0 ? 1 : 0;
     known.probing = known.probing && !progressed;
     known.last_progress = progressed ? this->now : known.last_progress;
     known.resend_wait = progressed ? Duration{} : known.resend_wait;
     known.match = std::max(
         known.match, std::min(response.match, this->raft_log.LastIndex()));
     known.next = std::max(known.next, known.match + 1);
+    known.Arrived();
     this->AdvanceCommit();
-  } else if (!known.probing || known.inflight == 0 ||
+  } else if (!known.probing || known.inflight.empty() ||
              response.match < known.sent_after) {
     known.probing = true;
-    known.inflight = 0;
+    known.ForgetSent();
     known.last_progress = this->now;
     known.resend_wait = {};
     known.next =
--- a/src/consensus/raftcore.h
+++ b/src/consensus/raftcore.h
@@ -2,6 +2,7 @@
 #define PAPAYARACK_CONSENSUS_RAFTCORE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -30,6 +31,10 @@
   Duration first_election{std::chrono::milliseconds(150)};
   std::size_t max_append_bytes = 1U << 20U;
   std::size_t max_inflight_appends = 16;
+  /// Payload bytes sent to one follower and not yet acknowledged; one append
+  /// always goes. 2 MB are 0.17 s of a link of 12 MB/s, and 8 MB for four
+  /// followers of a process that may use 64 MB.
+  std::size_t max_inflight_bytes = 2U << 20U;
   /// Bound of the wait for an acknowledgement before entries are sent again;
   /// it starts at two heartbeats and doubles with each resend. 1 MB
   /// (max_append_bytes) in 3.2 s is 2.6 Mbit/s, a tenth of the slowest
@@ -148,11 +153,17 @@
   std::optional<Time> LastHeard(MemberId member) const;
 
  private:
+  /// An append that may be on its way.
+  struct SentAppend {
+    Index last = 0;         ///< Of its entries.
+    std::size_t bytes = 0;  ///< Payloads.
+  };
   /// What a leader knows of one member.
   struct Progress {
     Index match = 0;
     Index next = 1;
-    std::size_t inflight = 0;
+    std::deque<SentAppend> inflight;
+    std::size_t inflight_bytes = 0;  ///< Payloads of `inflight`.
     Time last_heard{};
     std::uint64_t read_round = 0;
     Time last_progress{};
@@ -161,6 +172,12 @@
     bool probing = true;
     Index sent_after = 0;  ///< Index before the entries of the last append.
     Index snapshot_offered = 0;
+
+    void Sent(const SentAppend& append);
+    /// Everything up to `match` arrived.
+    void Arrived();
+    /// Counts nothing as on its way any more.
+    void ForgetSent();
   };
   struct PendingRead {
     std::uint64_t token = 0;
@@ -179,6 +196,9 @@
   void Send(MemberId to, MessageBody body, bool after_sync,
             std::optional<Term> term = {});
   void SendAppend(MemberId to, bool heartbeat);
+  /// Payload bytes that may be sent to a member now; nothing while it has to
+  /// acknowledge something first.
+  std::optional<std::size_t> BytesToSend(const Progress& known) const;
   /// Whether what was sent may be lost; if so, begins again behind what is
   /// acknowledged.
   void ResendWhenSilent(Progress& known) const;
--- a/src/consensus/raftlog.h
+++ b/src/consensus/raftlog.h
@@ -24,6 +24,10 @@
   Term LastTerm() const { return *this->TermAt(this->LastIndex()); }
   /// Empty when the index lies before the snapshot or beyond the end.
   std::optional<Term> TermAt(Index index) const;
+  /// Precondition: FirstIndex() <= index <= LastIndex().
+  std::size_t PayloadBytesAt(Index index) const {
+    return this->entries[index - this->FirstIndex()].payload.size();
+  }
   /// Precondition: entry.index == LastIndex() + 1.
   void Append(Entry entry);
   /// Removes everything from `from` on. Precondition: from >= FirstIndex().
--- a/src/consensus/tests/raftcore_tests.cpp
+++ b/src/consensus/tests/raftcore_tests.cpp
@@ -371,6 +371,7 @@
   constexpr int kAppends = 16;
   RaftOptions options;
   options.self = 1;
+  options.max_inflight_bytes = kAppends * kEntryBytes;
   SnapshotMeta first;
   first.members.members = {{1, "m1", true}, {2, "m2", true}, {3, "m3", true}};
   RaftCore core(options, {2, 0}, first, {}, Time{});
@@ -414,6 +415,86 @@
   }
 }
 
+// Symptom: a follower that is slow makes the leader hold tens of megabytes and
+// keeps its link full for seconds; heartbeats to the others wait behind them.
+// Sequence: large entries are proposed while acknowledgements are late; 16
+// appends of up to 1 MB each leave for every follower. Cause: appends under way
+// were bounded by their number and not by their bytes.
+TEST_CASE("bytes on the way to one follower are bounded") {
+  constexpr std::size_t kEntryBytes = 400'000;
+  constexpr std::size_t kProposals = 20;
+  RaftOptions options;
+  options.self = 1;
+  SnapshotMeta first;
+  first.members.members = {{1, "m1", true}, {2, "m2", true}, {3, "m3", true}};
+  std::size_t entry_bytes = kEntryBytes;
+  SECTION("where entries are large") {}
+  SECTION("where one is larger than the bound: it goes alone") {
+    entry_bytes = options.max_inflight_bytes + 1;
+  }
+  SECTION("where one is as large as the bound") {
+    entry_bytes = options.max_inflight_bytes;
+  }
+  const std::size_t bound = std::max(options.max_inflight_bytes, entry_bytes);
+  RaftCore core(options, {2, 0}, first, {}, Time{});
+  const Time late = Time{} + 2 * options.election + kMillisecond;
+  core.Tick(late);
+  core.Step({0, 2, 1, 3, VoteResponse{true, true}}, late);
+  core.Step({0, 2, 1, 3, VoteResponse{false, true}}, late);
+  REQUIRE(core.role() == RaftRole::kLeader);
+  core.TakeReady();
+  core.Step({0, 2, 1, 3, AppendResponse{true, 1, 0}}, late);
+  std::deque<AppendRequest> under_way;
+  std::size_t bytes_under_way = 0;
+  const auto bytes_of = [](const AppendRequest& append) {
+    std::size_t bytes = 0;
+    for (const Entry& entry : append.entries) {
+      bytes += entry.payload.size();
+    }
+    return bytes;
+  };
+  const auto take_sent = [&] {
+    for (const RaftMessage& message : core.TakeReady().before_sync) {
+      const auto* append = std::get_if<AppendRequest>(&message.body);
+      if (append != nullptr && message.to == 2 && !append->entries.empty()) {
+        under_way.push_back(*append);
+        bytes_under_way += bytes_of(*append);
+      }
+    }
+  };
+  for (std::size_t i = 0; i < kProposals; ++i) {
+    core.Propose(std::string(entry_bytes, 'c'));
+    take_sent();
+  }
+  CHECK(bytes_under_way <= bound);
+  CHECK(bytes_under_way + entry_bytes > options.max_inflight_bytes);
+  // Heartbeats add nothing while the wait for an acknowledgement is not over.
+  core.Tick(late + options.heartbeat);
+  take_sent();
+  CHECK(bytes_under_way <= bound);
+
+  // With each acknowledgement the next ones leave, at once.
+  Index acknowledged = 1;
+  std::size_t least = SIZE_MAX;
+  while (!under_way.empty()) {
+    const AppendRequest append = std::move(under_way.front());
+    under_way.pop_front();
+    bytes_under_way -= bytes_of(append);
+    acknowledged = append.prev_index + append.entries.size();
+    core.Step({0, 2, 1, 3, AppendResponse{true, acknowledged, 0}},
+              late + options.heartbeat);
+    take_sent();
+    CHECK(bytes_under_way <= bound);
+    const bool more_to_send =
+        !under_way.empty() &&
+        under_way.back().prev_index + under_way.back().entries.size() <
+            core.log().LastIndex();
+    least = more_to_send ? std::min(least, bytes_under_way) : least;
+  }
+  CHECK(acknowledged == core.log().LastIndex());
+  CHECK(least + entry_bytes > options.max_inflight_bytes);
+}
+
 TEST_CASE("members change one at a time") {
   RaftCluster cluster(3);
   cluster.RunCalm(100);
