Show the relay's counters under one prefix

Cause: the relay gave names that begin with papayarack_; the registry puts that before every name, so the page showed papayarack_papayarack_online_..., which docs/OPERATIONS.md does not know.

Change: the relay gives the bare names; a test takes one request that is answered and one that is refused through a relay and looks for the documented lines.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -109,7 +109,7 @@
   }
   this->by_exchange[exchange] = id;
   this->calls.emplace(id, std::move(call));
-  this->metrics.Add("papayarack_online_requests_total");
+  this->metrics.Add("online_requests_total");
   this->Place(id);
 }
 
@@ -505,11 +505,10 @@
        {"total_ms", MillisSince(call.arrived, now)},
        {"config_version", call.table->configuration().version},
        {"engines_age_ms", MillisSince(this->engines_seen, now)}});
-  this->metrics.Add(fmt::format("papayarack_online_{}_total", outcome));
-  this->metrics.Observe("papayarack_online_total_seconds",
-                        ToSeconds(now - call.arrived));
+  this->metrics.Add(fmt::format("online_{}_total", outcome));
+  this->metrics.Observe("online_total_seconds", ToSeconds(now - call.arrived));
   if (call.first_event != Time{}) {
-    this->metrics.Observe("papayarack_online_first_event_seconds",
+    this->metrics.Observe("online_first_event_seconds",
                           ToSeconds(call.first_event - call.arrived));
   }
   this->by_exchange.erase(call.exchange);
--- a/src/nodes/tests/nodes_tests.cpp
+++ b/src/nodes/tests/nodes_tests.cpp
@@ -1,6 +1,12 @@
+#include <asio.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <utility>
 
+#include "http/httpserver.h"
 #include "nodes/noderuntime.h"
+#include "nodes/onlinerelay.h"
 #include "nodes/slotmessages.h"
 
 namespace papayarack::nodes {
@@ -33,4 +39,118 @@
   CHECK(shows("papayarack_replica_list_age_ms "));
 }
 
+namespace {
+
+/// In which every answer of an engine is whole.
+Dialect PlainDialect() {
+  Dialect dialect;
+  dialect.read_call = [](const http::Headers&) {
+    return CallFields{"r1", std::nullopt, std::nullopt};
+  };
+  dialect.write_forward = [](http::Headers&, const ForwardFields&) {};
+  dialect.identity = [](const std::string&) { return http::Header{}; };
+  dialect.read_engine_head = [](const http::HttpHead&) {
+    EngineHead head;
+    head.sealed = true;
+    return head;
+  };
+  return dialect;
+}
+
+/// An engine on the loopback that answers every request with one event.
+class EventEngine {
+ public:
+  explicit EventEngine(asio::io_context& context)
+      : server(context, {"127.0.0.1", 0}, {}, this->Handlers()) {}
+
+  coordination::EngineInstance Instance(std::string service) const {
+    coordination::EngineInstance instance;
+    instance.id = "e1";
+    instance.service = std::move(service);
+    instance.address = "127.0.0.1:" + std::to_string(this->server.port());
+    return instance;
+  }
+
+ private:
+  http::HttpServerHandlers Handlers() {
+    http::HttpServerHandlers handlers;
+    handlers.on_request = [this](http::ExchangeId exchange,
+                                 const http::HttpRequest&) {
+      http::HttpResponse response;
+      response.headers.Add("Content-Type", "text/event-stream");
+      response.body = "id: 1\ndata: a\n\n";
+      this->server.Respond(exchange, response);
+    };
+    handlers.on_gone = [](http::ExchangeId) {};
+    return handlers;
+  }
+
+  http::HttpServer server;
+};
+
+}  // namespace
+
+// Symptom: a dashboard made from docs/OPERATIONS.md shows nothing of the
+// requests that run at once. Sequence: the relay counts them under names that
+// begin with the program's; the registry puts that before every name. Cause:
+// the prefix stood on the page twice.
+TEST_CASE("a relay counts its requests under the documented names") {
+  constexpr http::ExchangeId kExchange = 1;
+  asio::io_context context;
+  http::HttpServer front_server(
+      context, {"127.0.0.1", 0}, {},
+      {[](http::ExchangeId, const http::HttpRequest&) {},
+       [](http::ExchangeId) {}});
+  http::HttpServer* front = &front_server;
+  transport::PeerClient peers(context);
+  const Dialect dialect = PlainDialect();
+  Metrics metrics;
+  OnlineRelay relay(context, front, peers, dialect, metrics, "z", 1);
+  EventEngine engine(context);
+  routes::FleetConfiguration configuration;
+  routes::Route route;
+  route.name = "r";
+  route.timeout = std::chrono::seconds(5);
+  route.target_latency = std::chrono::seconds(1);
+  route.targets = {{"s", 1}};
+  configuration.routes = {route};
+  configuration.services.push_back({"s", "/", 0, 0});
+  const auto table = std::make_shared<routes::RouteTable>(configuration);
+  const auto run = [&] {
+    http::HttpRequest request;
+    request.method = "POST";
+    request.target = "/";
+    relay.Take(kExchange, std::move(request), table,
+               table->configuration().routes.front(), MonotonicNow());
+    for (int i = 0; i < 500 && relay.Open() > 0; ++i) {
+      context.run_for(std::chrono::milliseconds(10));
+      context.restart();
+    }
+    REQUIRE(relay.Open() == 0);
+  };
+  const auto shows = [&metrics](const std::string& line) {
+    return ("\n" + metrics.Exposition()).find("\n" + line + "\n") !=
+           std::string::npos;
+  };
+  coordination::FleetKnowledge fleet;
+  fleet.engines_seen = MonotonicNow();
+
+  SECTION("those that are answered") {
+    fleet.engines = {engine.Instance("s")};
+    relay.SetFleet(fleet, table->configuration());
+    run();
+    CHECK(shows("papayarack_online_answered_total 1"));
+    CHECK(shows("papayarack_online_first_event_seconds_count 1"));
+  }
+  SECTION("and those that are refused") {
+    relay.SetFleet(fleet, table->configuration());
+    run();
+    CHECK(shows("papayarack_online_refused_total 1"));
+  }
+  CHECK(shows("papayarack_online_requests_total 1"));
+  CHECK(shows("papayarack_online_total_seconds_count 1"));
+  CHECK(metrics.Exposition().find("papayarack_papayarack_") ==
+        std::string::npos);
+}
+
 }  // namespace papayarack::nodes
