--- a/src/coordination/fleetwatch.h
+++ b/src/coordination/fleetwatch.h
@@ -108,6 +108,7 @@
   std::size_t rotation = 0;
   std::size_t fallback_rotation = 0;
   std::size_t failures = 0;
+  std::size_t fetch_failures = 0;
   std::uint64_t round = 0;
   transport::CallId call = 0;
   asio::steady_timer timer;
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -443,6 +443,7 @@
   report.name = request.self.name;
   report.address = request.self.address;
   report.zone = request.self.zone;
+  report.incarnation = request.self.incarnation;
   report.held = request.config_version;
   report.fetching_from = request.fetching_from;
   report.is_member = std::ranges::any_of(
@@ -470,7 +471,7 @@
   const std::optional<std::string> source =
       this->plan.Assign(request.self.name, now);
   if (!source.has_value()) {
-    this->waiting_for_source = true;
+    this->waiting_for_source = !this->plan.HasFreeSource(now);
     return false;
   }
   Log(LogLevel::kInfo, "configuration_source_given",
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -283,7 +283,13 @@
 /// The leader hears of it at once: whoever holds the text can give it to
 /// others, and one whose source failed needs another.
 void FleetWatch::OnFetched(std::optional<std::string> text) {
-  if (text.has_value() && this->fetch.version() > this->known.config_version) {
+  if (!text.has_value()) {
+    this->peers.Cancel(this->call);
+    this->Again(PauseAfter(++this->fetch_failures));
+    return;
+  }
+  this->fetch_failures = 0;
+  if (this->fetch.version() > this->known.config_version) {
     this->Obey(this->fetch.version(), std::move(*text));
     FleetChange change;
     change.config = true;
--- a/src/coordination/internal/transferplan.cpp
+++ b/src/coordination/internal/transferplan.cpp
@@ -8,6 +8,7 @@
 void TransferPlan::Clear() {
   this->processes.clear();
   this->fetchers.clear();
+  this->failed.clear();
 }
 
 void TransferPlan::SetVersion(std::uint64_t newest) { this->version = newest; }
@@ -27,6 +28,7 @@
 
 void TransferPlan::Heard(const TransferReport& report, Time now) {
   Process& process = this->processes[report.name];
+  const bool same_start = process.report.incarnation == report.incarnation;
   process.report = report;
   if (process.source.empty()) {
     return;
@@ -35,10 +37,10 @@
     process.source_since = now;
     return;
   }
-  // It has the text, or its source failed it and it asks for another.
-  if (report.held < this->version) {
-    process.avoided = process.source;
-    process.avoided_since = now;
+  // It has the text, or has started anew, or its source failed it.
+  if (report.held < this->version && same_start &&
+      process.source != this->own_address) {
+    this->failed[process.source] = now;
   }
   this->Release(process);
 }
@@ -58,6 +60,9 @@
       this->Release(process);
     }
   }
+  std::erase_if(this->failed, [now](const auto& source) {
+    return now - source.second >= kAvoidFor;
+  });
 }
 
 std::size_t TransferPlan::FetchersOf(const std::string& address) const {
@@ -65,6 +70,22 @@
   return found != this->fetchers.end() ? found->second : 0;
 }
 
+bool TransferPlan::MayServe(const std::string& address, Time now) const {
+  const auto found = this->failed.find(address);
+  const bool avoided =
+      found != this->failed.end() && now - found->second < kAvoidFor;
+  return !avoided && this->FetchersOf(address) < kMostFetchers;
+}
+
+bool TransferPlan::HasFreeSource(Time now) const {
+  return this->MayServe(this->own_address, now) ||
+         std::ranges::any_of(this->processes, [&](const auto& entry) {
+           const TransferReport& report = entry.second.report;
+           return report.held >= this->version &&
+                  this->MayServe(report.address, now);
+         });
+}
+
 std::size_t TransferPlan::Holders() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(this->processes, [this](const auto& entry) {
@@ -79,18 +100,14 @@
     return std::nullopt;
   }
   Process& asker = found->second;
-  const auto allowed = [&](const std::string& address) {
-    const bool avoided =
-        address == asker.avoided && now - asker.avoided_since < kAvoidFor;
-    return !avoided;
-  };
   // A member reads its own copy of the log: no link carries that.
-  const bool own_copy = asker.report.is_member && allowed(asker.report.address);
+  const bool own_copy =
+      asker.report.is_member && this->MayServe(asker.report.address, now);
   std::string best = own_copy ? asker.report.address : std::string();
   std::size_t best_cost = SIZE_MAX;
   const auto offer = [&](const std::string& address, std::size_t cost) {
     const std::size_t load = this->FetchersOf(address);
-    if (load < kMostFetchers && allowed(address) && cost + load < best_cost) {
+    if (this->MayServe(address, now) && cost + load < best_cost) {
       best = address;
       best_cost = cost + load;
     }
--- a/src/coordination/transferplan.h
+++ b/src/coordination/transferplan.h
@@ -16,9 +16,10 @@
   std::string name;     ///< Of the process.
   std::string address;  ///< Where others can fetch from it.
   std::string zone;
-  std::uint64_t held = 0;     ///< Version that it holds in full.
-  std::string fetching_from;  ///< Empty: no fetch is under way.
-  bool is_member = false;     ///< Applies the group's log itself.
+  std::uint64_t incarnation = 0;  ///< New at every start.
+  std::uint64_t held = 0;         ///< Version that it holds in full.
+  std::string fetching_from;      ///< Empty: no fetch is under way.
+  bool is_member = false;         ///< Applies the group's log itself.
 };
 
 /// Decides who fetches a new text from whom, so that it spreads like a tree
@@ -37,7 +38,11 @@
   /// A fetcher that has not said for this long that it goes on is forgotten:
   /// two of its reports, which come at least once a second.
   static constexpr std::chrono::milliseconds kForgetAfter{2500};
-  /// Its source has failed; it is not given the same one again for this long.
+  /// A source that failed one of its fetchers is given to nobody for this long.
+  /// Symptom guarded against: after most of a fleet was killed, the processes
+  /// that still need the text are sent from one dead holder to the next, each
+  /// try a call to the leader. The dead are dropped 4 s after their last
+  /// report.
   static constexpr std::chrono::milliseconds kAvoidFor{2000};
 
   /// `own_address`: this leader's, which always holds the newest.
@@ -56,6 +61,8 @@
   /// Where `name`, which has reported, is to fetch from now; nothing while
   /// every process that holds the text serves as many as it may.
   std::optional<std::string> Assign(const std::string& name, Time now);
+  /// Whether any process could serve one more fetch.
+  bool HasFreeSource(Time now) const;
   std::size_t Holders() const;
 
  private:
@@ -64,9 +71,8 @@
     std::string source;  ///< Given to it; empty: none.
     Time source_since{};
     bool counted = false;  ///< In `fetchers`; not when it reads its own copy.
-    std::string avoided;
-    Time avoided_since{};
   };
+  bool MayServe(const std::string& address, Time now) const;
   std::size_t FetchersOf(const std::string& address) const;
   void Release(Process& process);
 
@@ -74,6 +80,7 @@
   std::uint64_t version = 0;
   std::map<std::string, Process> processes;
   std::map<std::string, std::size_t> fetchers;  ///< By source address.
+  std::map<std::string, Time> failed;           ///< Sources that failed one.
 };
 
 }  // namespace papayarack::coordination
