A copy of a batch or outcome that is on its way waits for that one

Cause: the leader of the job group knew only what was applied. Whoever submitted or reported and heard nothing in time sent all of it again, and each copy that came while the first was on its way through the log became an entry of its own, sent whole to every member. A report was never compared with anything, also not with what is listed.

Change: a copy of a batch (same id, same content) waits for the outcome of the one under way. Of a report only the outcomes that are neither final nor under way become an entry; the report is answered when all its parts are, with a refusal if one of them was refused. Lost leadership reaches every waiter. Another batch under an id that is under way is judged by itself, as before. A report of final outcomes only is acknowledged after leadership was confirmed.

--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "batches/batchbook.h"
@@ -60,7 +61,34 @@
     PullItems pull;
     Time until{};
   };
+  /// Tells one message from another without keeping a copy of it.
+  struct Content {
+    std::size_t bytes = 0;
+    std::size_t digest = 0;
+    bool operator==(const Content&) const = default;
+  };
+  /// A batch on its way through the log.
+  struct Submission {
+    Content content;
+    std::vector<StreamId> streams;  ///< Wait for its outcome.
+  };
+  using ProposalId = std::uint64_t;
+  /// Outcomes on their way through the log in one entry.
+  struct ReportProposal {
+    std::vector<ItemRef> items;
+    std::vector<StreamId> reporters;  ///< Wait for its outcome.
+  };
+  struct OutcomeUnderWay {
+    Content content;
+    ProposalId proposal = 0;
+  };
+  /// A report whose parts are on their way.
+  struct Reporter {
+    std::size_t left = 0;  ///< Proposals that it still waits for.
+    ResultCode code = ResultCode::kOk;
+  };
 
+  static Content ContentOf(std::string_view bytes);
   void Register(transport::PeerDispatch& dispatch);
   void StartGroup();
   void Tick();
@@ -68,6 +96,9 @@
   bool Leads() const;
   void Reply(StreamId stream, ResultCode code, std::string body = {});
   void Confirmed(StreamId stream, std::function<void()> read);
+  /// `done` gets the state's reply or the group's refusal.
+  void ProposeThen(const BatchCommand& command,
+                   std::function<void(ResultCode)> done);
   void Propose(StreamId stream, const BatchCommand& command);
   void OnSubmit(StreamId stream, const std::string& body);
   void OnRead(StreamId stream, const std::string& body);
@@ -75,6 +106,9 @@
   void OnEnd(StreamId stream, const std::string& body);
   void OnPull(StreamId stream, const std::string& body);
   void OnReport(StreamId stream, const std::string& body);
+  void EndReport(ProposalId id, ResultCode code);
+  /// Listed, or its batch ended: no outcome changes that any more.
+  bool IsFinal(const ItemRef& ref) const;
   void OnApplied();
   void SyncLeases(const std::string& batch, Time now);
   void OnTerm(Time now);
@@ -102,6 +136,11 @@
   std::vector<std::string> leaving_addresses;
   std::map<StreamId, Reader> readers;
   std::map<StreamId, Puller> pullers;
+  std::map<std::string, Submission> submissions;  ///< By batch.
+  std::map<ProposalId, ReportProposal> proposals;
+  std::map<ItemRef, OutcomeUnderWay> outcomes;
+  std::map<StreamId, Reporter> reporters;
+  ProposalId last_proposal = 0;
   consensus::Term led_term = 0;
   Time next_work{};
   Time next_forget{};
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -1,6 +1,7 @@
 #include "batches/batchstore.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "global/logging.h"
@@ -233,19 +234,31 @@
   });
 }
 
+BatchStore::Content BatchStore::ContentOf(std::string_view bytes) {
+  return {bytes.size(), std::hash<std::string_view>()(bytes)};
+}
+
+void BatchStore::ProposeThen(const BatchCommand& command,
+                             std::function<void(ResultCode)> done) {
+  this->group->Propose(EncodeVariant(command), [done = std::move(done)](
+                                                   const Result& result,
+                                                   const std::string& reply) {
+    done(result.Ok()
+             ? static_cast<ResultCode>(DecodeMessage<BatchReply>(reply).code)
+             : result.code);
+  });
+}
+
 void BatchStore::Propose(StreamId stream, const BatchCommand& command) {
-  this->group->Propose(
-      EncodeVariant(command),
-      [this, stream](const Result& result, const std::string& reply) {
-        if (!result.Ok()) {
-          this->Reply(stream, result.code);
-          return;
-        }
-        this->Reply(stream, static_cast<ResultCode>(
-                                DecodeMessage<BatchReply>(reply).code));
-      });
+  this->ProposeThen(
+      command, [this, stream](ResultCode code) { this->Reply(stream, code); });
 }
 
+/// Symptom guarded against: a store that is slow for a moment stays slow, its
+/// log and the links between members full. Whoever hears nothing in time sends
+/// the batch again, and each copy that came before the first was applied became
+/// an entry of its own, sent whole to every member: four copies of 100 KB took
+/// 400 KB of the log, now 100. A copy of what is on its way waits for that.
 void BatchStore::OnSubmit(StreamId stream, const std::string& body) {
   auto command = DecodeMessage<SubmitBatch>(body);
   if (this->book.Find(command.id) != nullptr) {
@@ -253,13 +266,31 @@
                     [this, stream] { this->Reply(stream, ResultCode::kOk); });
     return;
   }
+  const std::string id = command.id;
+  const Content content = ContentOf(body);
+  const auto under_way = this->submissions.find(id);
+  if (under_way != this->submissions.end() &&
+      under_way->second.content == content) {
+    under_way->second.streams.push_back(stream);
+    return;
+  }
   command.now_ms = WallNow();
   Log(LogLevel::kInfo, "batch_submitted",
-      {{"batch", command.id},
+      {{"batch", id},
        {"items", command.items.size()},
        {"waiting_tokens", this->book.WaitingTokens(command.route_key)},
        {"most_tokens", command.max_waiting_tokens}});
-  this->Propose(stream, std::move(command));
+  if (under_way != this->submissions.end()) {
+    this->Propose(stream, std::move(command));
+    return;
+  }
+  this->submissions[id] = {content, {stream}};
+  this->ProposeThen(std::move(command), [this, id](ResultCode code) {
+    const auto ended = this->submissions.extract(id);
+    for (const StreamId waiting : ended.mapped().streams) {
+      this->Reply(waiting, code);
+    }
+  });
 }
 
 void BatchStore::OnEnd(StreamId stream, const std::string& body) {
@@ -368,8 +399,77 @@
   }
 }
 
+bool BatchStore::IsFinal(const ItemRef& ref) const {
+  const BatchBook::Item* item = this->book.FindItem(ref);
+  return item != nullptr && (item->listed || this->book.Find(ref.batch)->ended);
+}
+
+/// Symptom guarded against: as for a batch, with the texts of a report, which a
+/// gate sends again together with what ended meanwhile. What has its outcome
+/// already is left out, and of what is on its way the copy waits for that; only
+/// the rest becomes an entry. Four copies of 100 KB took 400 KB of the log, now
+/// 100. Only an outcome that is the same in all counts as a copy: a failed
+/// attempt that two gates report at the same moment is counted once, which
+/// gives the item one attempt more.
 void BatchStore::OnReport(StreamId stream, const std::string& body) {
-  this->Propose(stream, DecodeMessage<ReportOutcomes>(body));
+  auto report = DecodeMessage<ReportOutcomes>(body);
+  std::set<ProposalId> awaited;
+  ReportOutcomes fresh;
+  ReportProposal proposal;
+  const ProposalId id = ++this->last_proposal;
+  for (ItemOutcome& outcome : report.outcomes) {
+    const ItemRef ref{outcome.batch, outcome.item};
+    if (this->IsFinal(ref)) {
+      continue;
+    }
+    const Content content = ContentOf(EncodeMessage(outcome));
+    const auto [under_way, added] =
+        this->outcomes.try_emplace(ref, OutcomeUnderWay{content, id});
+    if (added) {
+      proposal.items.push_back(ref);
+    }
+    if (added || under_way->second.content != content) {
+      fresh.outcomes.push_back(std::move(outcome));
+    } else {
+      awaited.insert(under_way->second.proposal);
+    }
+  }
+  if (!fresh.outcomes.empty()) {
+    awaited.insert(id);
+    this->proposals.emplace(id, std::move(proposal));
+  }
+  if (awaited.empty()) {
+    this->Confirmed(stream,
+                    [this, stream] { this->Reply(stream, ResultCode::kOk); });
+    return;
+  }
+  this->reporters[stream] = {awaited.size(), ResultCode::kOk};
+  for (const ProposalId other : awaited) {
+    this->proposals.at(other).reporters.push_back(stream);
+  }
+  if (!fresh.outcomes.empty()) {
+    this->ProposeThen(std::move(fresh), [this, id](ResultCode code) {
+      this->EndReport(id, code);
+    });
+  }
+}
+
+void BatchStore::EndReport(ProposalId id, ResultCode code) {
+  const auto ended = this->proposals.extract(id);
+  for (const ItemRef& item : ended.mapped().items) {
+    this->outcomes.erase(item);
+  }
+  for (const StreamId stream : ended.mapped().reporters) {
+    Reporter& reporter = this->reporters.at(stream);
+    if (code != ResultCode::kOk) {
+      reporter.code = code;
+    }
+    if (--reporter.left == 0) {
+      const ResultCode sum = reporter.code;
+      this->reporters.erase(stream);
+      this->Reply(stream, sum);
+    }
+  }
 }
 
 void BatchStore::OnPull(StreamId stream, const std::string& body) {
--- /dev/null
+++ b/src/batches/tests/batchstore_tests.cpp
@@ -0,0 +1,262 @@
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "batches/batchstore.h"
+#include "coordination/coordinationmessages.h"
+#include "storage/memoryfilesystem.h"
+#include "transport/peerdispatch.h"
+#include "transport/peerserver.h"
+
+namespace papayarack::batches {
+namespace {
+
+using coordination::GroupReply;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kBodyBytes = 100'000;
+constexpr int kCopies = 4;
+/// Each loop runs this long in turn.
+constexpr milliseconds kSlice{5};
+/// An election takes 0.15 to 1.2 s; far more says that it hangs.
+constexpr milliseconds kPatience{6000};
+/// Shorter than the time after which a leader without its quorum gives up.
+constexpr milliseconds kHeldUp{250};
+
+/// One member, on a loop of its own: whoever does not run it holds it up.
+class Member {
+ public:
+  explicit Member(consensus::MemberId id)
+      : id(id),
+        owned(this->context, {"127.0.0.1", 0},
+              this->dispatch.For(this->server)),
+        peers(this->context) {
+    this->server = &this->owned;
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->owned.port());
+  }
+
+  void Start(const consensus::MemberList& founders) {
+    consensus::FoundGroup(this->files, coordination::kJobGroup, founders);
+    consensus::IdentifyFolder(this->files, {this->id, "test"});
+    BatchStoreOptions options;
+    options.member = this->id;
+    options.address = this->Address();
+    options.random_seed = this->id;
+    this->store = std::make_unique<BatchStore>(
+        this->context, this->files, options, this->peers, this->server,
+        this->dispatch,
+        [this](const std::vector<std::string>&, std::uint64_t) {
+          this->leads = true;
+        },
+        [](const std::string& reason) { FAIL(reason); });
+  }
+
+  void Run(milliseconds time) {
+    this->context.run_for(time);
+    this->context.restart();
+  }
+
+  /// The code of each answer is added to `codes`.
+  template <typename Message>
+  void Ask(const std::string& path, const Message& message,
+           std::vector<ResultCode>& codes) {
+    transport::CallHandlers handlers;
+    handlers.on_message = [&codes](const std::string& reply) {
+      codes.push_back(
+          static_cast<ResultCode>(DecodeMessage<GroupReply>(reply).code));
+    };
+    this->peers.Call({"127.0.0.1", this->owned.port()}, path,
+                     EncodeMessage(message), std::move(handlers));
+  }
+
+  /// Bytes of all that this member keeps, its log above all.
+  std::uint64_t BytesKept() const {
+    std::uint64_t sum = 0;
+    for (const std::string& name : this->files.List()) {
+      sum += this->files.Size(name);
+    }
+    return sum;
+  }
+
+  bool leads = false;  ///< Has led at some time.
+
+ private:
+  consensus::MemberId id;
+  asio::io_context context;
+  storage::MemoryFileSystem files;
+  transport::PeerDispatch dispatch;
+  transport::PeerServer* server = nullptr;
+  transport::PeerServer owned;
+  transport::PeerClient peers;
+  std::unique_ptr<BatchStore> store;
+};
+
+/// Two members, so that nothing is committed while one of them is held up.
+class Pair {
+ public:
+  Pair() {
+    this->members.emplace_back(1);
+    this->members.emplace_back(2);
+    const consensus::MemberList founders{
+        {{1, this->members.front().Address(), true},
+         {2, this->members.back().Address(), true}}};
+    for (Member& member : this->members) {
+      member.Start(founders);
+    }
+    this->RunUntil([this] {
+      return this->members.front().leads || this->members.back().leads;
+    });
+    REQUIRE((this->members.front().leads || this->members.back().leads));
+  }
+
+  Member& Leader() {
+    return this->members.front().leads ? this->members.front()
+                                       : this->members.back();
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const Time until = MonotonicNow() + kPatience;
+    while (!done() && MonotonicNow() < until) {
+      for (Member& member : this->members) {
+        member.Run(kSlice);
+      }
+    }
+  }
+
+  /// The other member is held up for `time`.
+  void RunLeaderAlone(milliseconds time) {
+    const Time until = MonotonicNow() + time;
+    while (MonotonicNow() < until) {
+      this->Leader().Run(kSlice);
+    }
+  }
+
+ private:
+  std::list<Member> members;
+};
+
+SubmitBatch MakeBatch(const std::string& id, std::size_t body_bytes) {
+  SubmitBatch batch;
+  batch.id = id;
+  batch.host = "h";
+  batch.route_key = "h/r/";
+  batch.items.push_back({"i", "/r/1", {}, std::string(body_bytes, 'b'), 100});
+  return batch;
+}
+
+ReportOutcomes Completed(const std::string& text) {
+  return {{{"b", "i", static_cast<std::uint8_t>(ItemEnd::kComplete), text, 3}}};
+}
+
+std::size_t Count(const std::vector<ResultCode>& codes, ResultCode wanted) {
+  return static_cast<std::size_t>(std::ranges::count(codes, wanted));
+}
+
+}  // namespace
+
+// Symptom: stores that are slow for a moment stay slow: their logs and the
+// links between them fill with the same batch and the same texts many times.
+// Sequence: a member answers late; whoever submitted or reported hears nothing
+// in time and sends all of it again, also through another process. Cause: only
+// what was applied was recognised; a copy of what was on its way became a
+// further entry of the log, sent whole to every member.
+TEST_CASE("a copy of what is on its way is no further entry of the log") {
+  Pair pair;
+  Member& leader = pair.Leader();
+  std::vector<ResultCode> codes;
+  const auto all_answered = [&codes] { return codes.size() == kCopies; };
+  SECTION("of a batch") {
+    const std::uint64_t before = leader.BytesKept();
+    const SubmitBatch batch = MakeBatch("b", kBodyBytes);
+    for (int i = 0; i < kCopies; ++i) {
+      leader.Ask("/jobs/submit", batch, codes);
+    }
+    pair.RunLeaderAlone(kHeldUp);
+    CHECK(codes.empty());
+    SECTION("whose senders are all answered once it is durable") {
+      pair.RunUntil(all_answered);
+      CHECK(Count(codes, ResultCode::kOk) == kCopies);
+      CHECK(leader.BytesKept() - before < 2 * kBodyBytes);
+      SECTION("and a later copy finds it") {
+        leader.Ask("/jobs/submit", batch, codes);
+        pair.RunUntil([&codes] { return codes.size() > kCopies; });
+        CHECK(Count(codes, ResultCode::kOk) == kCopies + 1);
+        CHECK(leader.BytesKept() - before < 2 * kBodyBytes);
+      }
+    }
+    SECTION("whose senders all learn that its outcome is unknown") {
+      const Time until = MonotonicNow() + kPatience;
+      while (!all_answered() && MonotonicNow() < until) {
+        pair.RunLeaderAlone(kSlice);
+      }
+      CHECK(Count(codes, ResultCode::kUnknownOutcome) == kCopies);
+    }
+  }
+  SECTION("though another batch of that id is judged by itself") {
+    const std::uint64_t before = leader.BytesKept();
+    leader.Ask("/jobs/submit", MakeBatch("b", kBodyBytes), codes);
+    leader.Ask("/jobs/submit", MakeBatch("b", kBodyBytes + 1), codes);
+    pair.RunLeaderAlone(kHeldUp);
+    pair.RunUntil([&codes] { return codes.size() == 2; });
+    CHECK(Count(codes, ResultCode::kOk) == 2);
+    CHECK(leader.BytesKept() - before > 2 * kBodyBytes);
+  }
+  SECTION("of a report") {
+    leader.Ask("/jobs/submit", MakeBatch("b", 1), codes);
+    pair.RunUntil([&codes] { return codes.size() == 1; });
+    REQUIRE(codes == std::vector<ResultCode>{ResultCode::kOk});
+    codes.clear();
+    const std::uint64_t before = leader.BytesKept();
+    const ReportOutcomes report = Completed(std::string(kBodyBytes, 't'));
+    for (int i = 0; i < kCopies; ++i) {
+      leader.Ask("/jobs/report", report, codes);
+    }
+    pair.RunLeaderAlone(kHeldUp);
+    CHECK(codes.empty());
+    SECTION("whose senders are all answered once it is durable") {
+      pair.RunUntil(all_answered);
+      CHECK(Count(codes, ResultCode::kOk) == kCopies);
+      CHECK(leader.BytesKept() - before < 2 * kBodyBytes);
+      SECTION("and a later copy adds nothing") {
+        leader.Ask("/jobs/report", report, codes);
+        pair.RunUntil([&codes] { return codes.size() > kCopies; });
+        CHECK(Count(codes, ResultCode::kOk) == kCopies + 1);
+        CHECK(leader.BytesKept() - before < 2 * kBodyBytes);
+      }
+    }
+    SECTION("whose senders all learn that its outcome is unknown") {
+      const Time until = MonotonicNow() + kPatience;
+      while (!all_answered() && MonotonicNow() < until) {
+        pair.RunLeaderAlone(kSlice);
+      }
+      CHECK(Count(codes, ResultCode::kUnknownOutcome) == kCopies);
+    }
+  }
+  SECTION("of a part of a report that comes with more") {
+    SubmitBatch batch = MakeBatch("b", 1);
+    batch.items.push_back({"j", "/r/1", {}, "body", 100});
+    leader.Ask("/jobs/submit", batch, codes);
+    pair.RunUntil([&codes] { return codes.size() == 1; });
+    codes.clear();
+    const std::uint64_t before = leader.BytesKept();
+    ReportOutcomes report = Completed(std::string(kBodyBytes, 't'));
+    leader.Ask("/jobs/report", report, codes);
+    report.outcomes.push_back(report.outcomes.front());
+    report.outcomes.back().item = "j";
+    leader.Ask("/jobs/report", report, codes);
+    pair.RunLeaderAlone(kHeldUp);
+    pair.RunUntil([&codes] { return codes.size() == 2; });
+    CHECK(Count(codes, ResultCode::kOk) == 2);
+    const std::uint64_t added = leader.BytesKept() - before;
+    CHECK(added > 2 * kBodyBytes);
+    CHECK(added < 3 * kBodyBytes);
+  }
+}
+
+}  // namespace papayarack::batches
