Bound a gate's report in bytes, and pause after one that failed

Cause: a report carried every ended text, was sent again at once after a failure, and then also carried what had ended meanwhile. So it grew with the load that its own copies made.

Change: a report holds up to 256 KB of texts, at least one outcome; the rest follows with the next. After a failure the runner waits 100 ms, doubled up to 1.6 s, and reports from its tick. Every ended item stays held until its report is acknowledged, as before.

--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -2,10 +2,12 @@
 #define PAPAYARACK_NODES_BATCHRUNNER_H_
 
 #include <asio.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,19 @@
 /// safety: none, the loop's thread.
 class BatchRunner {
  public:
+  /// Most bytes of one report, unless a single outcome has more: a quarter of a
+  /// second on a link at the pace of coordination::TimeToCarry, within one
+  /// attempt, and a quarter of the log that a store keeps between snapshots.
+  static constexpr std::size_t kMostReportBytes = 256U << 10U;
+  /// Wait after the first report that failed; doubled by each further one. A
+  /// call that failed has asked for up to 3 s already, so this only keeps
+  /// refusals that come at once from being met with copies at the pace of the
+  /// link.
+  static constexpr std::chrono::milliseconds kReportPause{100};
+  /// The pause stops growing here: longer than an election (0.6 to 1.2 s) it
+  /// would only delay results.
+  static constexpr std::chrono::milliseconds kLongestReportPause{1600};
+
   BatchRunner(RunnerTarget target, const Dialect& dialect,
               http::HttpClient& engine, coordination::GroupClient& jobs,
               slots::SlotDesk& desk);
@@ -98,6 +113,7 @@
   void OnEnd(RunId id, http::HttpEnd end);
   void Finish(RunId id, Run& run, batches::ItemEnd end);
   void Report();
+  void OnReported(const Result& result, std::span<const RunId> reported);
   void ReturnOldPauses(Time now);
   /// Forgets the runs for which `wanted` says yes; it may change them.
   template <typename Wanted>
@@ -125,6 +141,8 @@
   Time next_pull{};
   std::vector<batches::ReturnedItem> to_return;
   bool reporting = false;
+  Time next_report{};
+  std::chrono::milliseconds report_pause = kReportPause;
   bool stopping = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -116,6 +116,7 @@
 void BatchRunner::Tick() {
   const Time now = MonotonicNow();
   this->ReturnOldPauses(now);
+  this->Report();
   std::vector<RunId> silent;
   for (const auto& [id, run] : this->runs) {
     if (run.phase == Phase::kRunning && now - run.last_heard > kSilence) {
@@ -420,19 +421,30 @@
   this->Report();
 }
 
-/// One report at a time with all that has ended; an item stays held until its
-/// report is acknowledged, or the leader would hand it to another gate.
+/// One report at a time; an item stays held until its report is acknowledged,
+/// or the leader would hand it to another gate. Symptom guarded against: gates
+/// that could not report for a moment fill the links to the leader. A report
+/// that had failed was sent again at once, with all that had ended meanwhile,
+/// so it grew with the load that it made: with six texts of 100 KB the copies
+/// had 600 KB and followed each refusal after 1 to 3 ms. It is bounded now, the
+/// rest goes with the next, and a failure is followed by a pause.
 void BatchRunner::Report() {
-  if (this->reporting) {
+  if (this->reporting || MonotonicNow() < this->next_report) {
     return;
   }
   batches::ReportOutcomes report;
   std::vector<RunId> reported;
+  std::size_t bytes = 0;
   for (const auto& [id, run] : this->runs) {
-    if (run.phase == Phase::kReporting) {
-      report.outcomes.push_back(run.outcome);
-      reported.push_back(id);
+    if (run.phase != Phase::kReporting) {
+      continue;
+    }
+    bytes += run.outcome.text.size();
+    if (!reported.empty() && bytes > kMostReportBytes) {
+      break;
     }
+    report.outcomes.push_back(run.outcome);
+    reported.push_back(id);
   }
   if (reported.empty()) {
     return;
@@ -442,19 +454,27 @@
                   kReportTry,
                   [this, reported, alive = this->alive](const Result& result,
                                                         const std::string&) {
-                    if (!*alive) {
-                      return;
+                    if (*alive) {
+                      this->reporting = false;
+                      this->OnReported(result, reported);
                     }
-                    this->reporting = false;
-                    if (result.Ok()) {
-                      for (const RunId id : reported) {
-                        this->runs.erase(id);
-                      }
-                    }
-                    this->Report();
                   });
 }
 
+void BatchRunner::OnReported(const Result& result,
+                             std::span<const RunId> reported) {
+  if (!result.Ok()) {
+    this->next_report = MonotonicNow() + this->report_pause;
+    this->report_pause = std::min(2 * this->report_pause, kLongestReportPause);
+    return;  // Tick reports again.
+  }
+  this->report_pause = kReportPause;
+  for (const RunId id : reported) {
+    this->runs.erase(id);
+  }
+  this->Report();
+}
+
 void BatchRunner::HandBack(Run& run) {
   this->to_return.push_back({{run.item.batch, run.item.spec.id},
                              {std::move(run.text), run.last_event}});
--- /dev/null
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -0,0 +1,279 @@
+#include <algorithm>
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "nodes/batchrunner.h"
+#include "transport/peerdispatch.h"
+#include "transport/peerserver.h"
+
+namespace papayarack::nodes {
+namespace {
+
+using coordination::GroupReply;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{5};
+/// Far longer than anything here takes.
+constexpr milliseconds kPatience{8000};
+constexpr milliseconds kAmpleTime{60000};
+
+Dialect MakeDialect() {
+  Dialect dialect;
+  dialect.identity = [](const std::string& id) {
+    return http::Header{"Id", id};
+  };
+  dialect.write_forward = [](http::Headers&, const ForwardFields&) {};
+  dialect.read_engine_head = [](const http::HttpHead&) { return EngineHead{}; };
+  return dialect;
+}
+
+routes::RouteTablePtr MakeTable() {
+  routes::Route route;
+  route.host = "h";
+  route.path_prefix = "/r/";
+  route.kind = routes::RouteKind::kBatch;
+  route.max_attempts = 3;
+  route.targets = {{"llm", 1}};
+  return std::make_shared<routes::RouteTable>(
+      routes::FleetConfiguration{1, {route}, {}, {}});
+}
+
+/// An engine whose answer to each item is one event, whole or not ended yet.
+class Engine {
+ public:
+  explicit Engine(asio::io_context& context)
+      : server(context, {"127.0.0.1", 0}, {}, this->Handlers()) {}
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->server.port());
+  }
+
+  std::string text = "made";  ///< Of the event.
+  bool ends = true;           ///< Whether the answer ends behind it.
+  std::size_t asked = 0;
+
+ private:
+  http::HttpServerHandlers Handlers() {
+    http::HttpServerHandlers handlers;
+    handlers.on_request = [this](http::ExchangeId exchange,
+                                 const http::HttpRequest& request) {
+      ++this->asked;
+      this->server.BeginStream(
+          exchange, 200,
+          http::Headers{{"Id", std::string(request.headers.Get("Id"))}});
+      this->server.Write(exchange, "id: 1\ndata: " + this->text + "\n\n");
+      if (this->ends) {
+        this->server.EndStream(exchange);
+      }
+    };
+    handlers.on_gone = [](http::ExchangeId) {};
+    return handlers;
+  }
+
+  http::HttpServer server;
+};
+
+/// The job group's leader as a runner sees it; the test answers.
+class Leader {
+ public:
+  struct Pull {
+    transport::StreamId stream = 0;
+    batches::PullItems asked;
+    Time at{};
+    bool cancelled = false;
+    bool answered = false;
+  };
+  struct Report {
+    std::size_t bytes = 0;
+    std::vector<std::string> items;
+    Time at{};
+  };
+
+  explicit Leader(asio::io_context& context)
+      : server(context, {"127.0.0.1", 0}, this->dispatch.For(this->target)) {
+    this->target = &this->server;
+    this->dispatch.On("/jobs/pull", [this](transport::StreamId stream,
+                                           const std::string& body) {
+      this->pulls.push_back(
+          {stream, DecodeMessage<batches::PullItems>(body), MonotonicNow()});
+      this->on_pull(this->pulls.back());
+    });
+    this->dispatch.On("/jobs/report", [this](transport::StreamId stream,
+                                             const std::string& body) {
+      this->OnReport(stream, body);
+    });
+    this->dispatch.OnCancel([this](transport::StreamId stream) {
+      for (Pull& pull : this->pulls) {
+        pull.cancelled = pull.cancelled || pull.stream == stream;
+      }
+    });
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->server.port());
+  }
+
+  void Answer(Pull& pull, const batches::PulledItems& items) {
+    pull.answered = true;
+    this->Send(pull.stream, ResultCode::kOk, EncodeMessage(items));
+  }
+  void Refuse(Pull& pull) {
+    pull.answered = true;
+    this->Send(pull.stream, ResultCode::kNotReady, {});
+  }
+
+  std::vector<Pull> pulls;
+  std::vector<Report> reports;
+  std::set<std::string> listed;  ///< Items of reports that were taken.
+  std::size_t reports_to_refuse = 0;
+  std::function<void(Pull&)> on_pull = [](Pull&) {};
+
+ private:
+  void OnReport(transport::StreamId stream, const std::string& body) {
+    Report report{body.size(), {}, MonotonicNow()};
+    for (const auto& outcome :
+         DecodeMessage<batches::ReportOutcomes>(body).outcomes) {
+      report.items.push_back(outcome.item);
+    }
+    this->reports.push_back(report);
+    if (this->reports.size() <= this->reports_to_refuse) {
+      this->Send(stream, ResultCode::kUnknownOutcome, {});
+      return;
+    }
+    this->listed.insert(report.items.begin(), report.items.end());
+    this->Send(stream, ResultCode::kOk, {});
+  }
+
+  void Send(transport::StreamId stream, ResultCode code, std::string body) {
+    this->server.Send(stream, EncodeMessage(GroupReply{static_cast<int>(code),
+                                                       "", std::move(body)}));
+    this->server.Finish(stream);
+  }
+
+  transport::PeerDispatch dispatch;
+  transport::PeerServer* target = nullptr;
+  transport::PeerServer server;
+};
+
+batches::LeasedItem MakeItem(const std::string& id, milliseconds due) {
+  batches::LeasedItem item;
+  item.batch = "b";
+  item.host = "h";
+  item.route_key = "h/r/";
+  item.spec = {id, "/r/" + id, {}, "body", 100};
+  item.due_in_ms = due.count();
+  return item;
+}
+
+/// A runner between an engine and a leader.
+struct Bench {
+  explicit Bench(std::uint32_t slots) {
+    this->desk.SetSlots(slots);
+    this->runner.SetEngine("e");
+    this->runner.SetRoutes(MakeTable());
+  }
+
+  bool RunUntil(const std::function<bool()>& done,
+                milliseconds time = kPatience) {
+    const Time until = MonotonicNow() + time;
+    while (!done() && MonotonicNow() < until) {
+      this->context.run_for(kTick);
+      this->context.restart();
+      this->runner.Tick();
+    }
+    return done();
+  }
+  void RunFor(milliseconds time) {
+    this->RunUntil([] { return false; }, time);
+  }
+  /// Online requests take `count` slots.
+  void Occupy(std::uint32_t count) {
+    for (std::uint32_t i = 0; i < count; ++i) {
+      const Time now = MonotonicNow();
+      this->desk.Ask({++this->last_ticket, 0, now + kAmpleTime}, now);
+    }
+    this->runner.Balance();
+  }
+  void Leave(std::uint32_t count) {
+    for (std::uint32_t i = 0; i < count; ++i) {
+      this->desk.Leave(this->last_ticket--, MonotonicNow());
+    }
+    this->runner.Balance();
+  }
+
+  asio::io_context context;
+  Engine engine{this->context};
+  Leader leader{this->context};
+  transport::PeerClient peers{this->context};
+  coordination::GroupClient jobs{
+      this->context, this->peers,
+      [this] { return std::vector<std::string>{this->leader.Address()}; }};
+  http::HttpClient client{this->context};
+  slots::SlotDesk desk;
+  Dialect dialect = MakeDialect();
+  slots::TicketId last_ticket = 0;
+  BatchRunner runner{{"g", 1, "llm", this->engine.Address()},
+                     this->dialect,
+                     this->client,
+                     this->jobs,
+                     this->desk};
+};
+
+}  // namespace
+
+// Symptom: gates that could not report for a moment send ever larger reports
+// without a pause, until the links to the leader carry nothing else. Sequence:
+// a report fails; the next one is sent at once, with all that ended meanwhile,
+// takes longer and fails as well. Cause: neither the size of a report nor the
+// pace of the attempts was bounded.
+TEST_CASE("reports are bounded in size, and in pace while they fail") {
+  constexpr std::uint32_t kItems = 6;
+  constexpr std::size_t kRefused = 4;
+  Bench bench(kItems);
+  bench.leader.on_pull = [&](Leader::Pull& pull) {
+    if (bench.leader.pulls.size() == 1) {
+      batches::PulledItems items;
+      for (std::uint32_t i = 0; i < kItems; ++i) {
+        items.items.push_back(MakeItem(std::to_string(i), kAmpleTime));
+      }
+      bench.leader.Answer(pull, items);
+    }
+  };
+  const auto all_listed = [&] { return bench.leader.listed.size() == kItems; };
+  /// What a report has besides the texts.
+  constexpr std::size_t kMargin = 1000;
+  SECTION("several texts, one after the other") {
+    bench.engine.text = std::string(100'000, 't');
+    bench.leader.reports_to_refuse = kRefused;
+    REQUIRE(bench.RunUntil(all_listed));
+    for (const Leader::Report& report : bench.leader.reports) {
+      CHECK(report.bytes <= BatchRunner::kMostReportBytes + kMargin);
+    }
+    milliseconds least = BatchRunner::kReportPause;
+    for (std::size_t i = 1; i <= kRefused; ++i) {
+      CHECK(bench.leader.reports[i].at - bench.leader.reports[i - 1].at >=
+            least);
+      least = std::min(2 * least, BatchRunner::kLongestReportPause);
+    }
+    CHECK(bench.RunUntil([&] { return bench.runner.Held() == 0; }));
+  }
+  SECTION("a text larger than the bound goes alone") {
+    bench.engine.text = std::string(BatchRunner::kMostReportBytes + 1, 't');
+    REQUIRE(bench.RunUntil(all_listed));
+    for (const Leader::Report& report : bench.leader.reports) {
+      CHECK(report.items.size() == 1);
+    }
+  }
+  SECTION("nothing waits when they succeed") {
+    const Time start = MonotonicNow();
+    REQUIRE(bench.RunUntil(all_listed));
+    CHECK(MonotonicNow() - start < milliseconds(1000));
+  }
+}
+
+}  // namespace papayarack::nodes
