--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -2,10 +2,12 @@
 #define PAPAYARACK_NODES_BATCHRUNNER_H_
 
 #include <asio.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,30 @@
 /// safety: none, the loop's thread.
 class BatchRunner {
  public:
+  /// Most bytes of one report, unless a single outcome has more: a quarter of a
+  /// second on a link at the pace of coordination::TimeToCarry, within one
+  /// attempt, and a quarter of the log that a store keeps between snapshots.
+  static constexpr std::size_t kMostReportBytes = 256U << 10U;
+  /// An answer that the leader gave at once is here after this long: ten round
+  /// trips between regions of one continent (20 ms each), or 200 KB at the pace
+  /// of coordination::TimeToCarry. Doubled by each pull that was given up in
+  /// vain, so that an answer of any size arrives in the end.
+  static constexpr std::chrono::milliseconds kAnswerTime{200};
+  /// The time stops growing here: the leader holds a pull for 1 s at most, and
+  /// this leaves 0.6 s for its answer, as one attempt does.
+  static constexpr std::chrono::milliseconds kLongestAnswerTime{1600};
+  /// Most bytes of texts that one pull hands back, unless a single one has
+  /// more: as for a report.
+  static constexpr std::size_t kMostReturnBytes = kMostReportBytes;
+  /// Wait after the first report that failed; doubled by each further one. A
+  /// call that failed has asked for up to 3 s already, so this only keeps
+  /// refusals that come at once from being met with copies at the pace of the
+  /// link.
+  static constexpr std::chrono::milliseconds kReportPause{100};
+  /// The pause stops growing here: longer than an election (0.6 to 1.2 s) it
+  /// would only delay results.
+  static constexpr std::chrono::milliseconds kLongestReportPause{1600};
+
   BatchRunner(RunnerTarget target, const Dialect& dialect,
               http::HttpClient& engine, coordination::GroupClient& jobs,
               slots::SlotDesk& desk);
@@ -79,7 +105,16 @@
   using RunId = std::uint64_t;
 
   void Pull();
+  /// Whether the answer to the pull under way can bring no items, and it hands
+  /// nothing back.
+  bool PullIsIdle() const;
+  bool ShouldPull(Time now) const;
   void OnPulled(const Result& result, const std::string& body);
+  void Take(batches::LeasedItem item);
+  /// What the next pull hands back; it stays in `returning` until answered.
+  void ChooseReturns();
+  /// The pull under way may not have arrived: the next hands back again.
+  void KeepReturns();
   std::vector<batches::ItemRef> Holding() const;
   std::uint32_t Room() const;
   std::uint32_t Replaceable() const;
@@ -102,6 +137,7 @@
   void OnEnd(RunId id, http::HttpEnd end);
   void Finish(RunId id, Run& run, batches::ItemEnd end);
   void Report();
+  void OnReported(const Result& result, std::span<const RunId> reported);
   void ReturnOldPauses(Time now);
   /// Forgets the runs for which `wanted` says yes; it may change them.
   template <typename Wanted>
@@ -127,8 +163,13 @@
   double events_per_item;
   double ms_per_event;
   Time next_pull{};
-  std::vector<batches::ReturnedItem> to_return;
+  Time pulled_at{};
+  std::chrono::milliseconds answer_time = kAnswerTime;
+  std::vector<batches::ReturnedItem> to_return;  ///< With a later pull.
+  std::vector<batches::ReturnedItem> returning;  ///< With that under way.
   bool reporting = false;
+  Time next_report{};
+  std::chrono::milliseconds report_pause = kReportPause;
   bool stopping = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -1,6 +1,7 @@
 #include "nodes/batchrunner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "global/logging.h"
@@ -8,8 +9,8 @@
 namespace papayarack::nodes {
 namespace {
 
-/// A pull is asked anew with a changed room no more often than this: room
-/// changes at each online request, and each pull costs the leader a message.
+/// Pulls follow each other no more often than this: room changes at each online
+/// request, and each pull costs the leader a message.
 constexpr std::chrono::milliseconds kPullPace{40};
 constexpr std::chrono::milliseconds kPullTime{4000};
 constexpr std::chrono::milliseconds kPullTry{1600};
@@ -57,6 +58,9 @@
   for (const auto& [id, run] : this->runs) {
     holding.push_back({run.item.batch, run.item.spec.id});
   }
+  for (const batches::ReturnedItem& waits : this->to_return) {
+    holding.push_back(waits.item);
+  }
   return holding;
 }
 
@@ -116,6 +120,7 @@
 void BatchRunner::Tick() {
   const Time now = MonotonicNow();
   this->ReturnOldPauses(now);
+  this->Report();
   std::vector<RunId> silent;
   for (const auto& [id, run] : this->runs) {
     if (run.phase == Phase::kRunning && now - run.last_heard > kSilence) {
@@ -130,11 +135,10 @@
     run.not_before = now + kAfterFailure;
   }
   this->Balance();
-  const bool idle = this->pull_call == 0;
-  const bool more_room = this->Room() != this->pulled_room ||
-                         this->Replaceable() != this->pulled_replaceable;
-  if ((idle || more_room || !this->to_return.empty()) &&
-      now >= this->next_pull) {
+  if (now >= this->next_pull && this->ShouldPull(now)) {
+    if (this->pull_call != 0 && !this->PullIsIdle()) {
+      this->answer_time = std::min(2 * this->answer_time, kLongestAnswerTime);
+    }
     this->Pull();
   }
 }
@@ -150,11 +154,45 @@
   this->Balance();
 }
 
+bool BatchRunner::PullIsIdle() const {
+  return this->pulled_room == 0 && this->pulled_replaceable == 0 &&
+         this->returning.empty();
+}
+
+/// Symptom guarded against: while online requests come and go, the links carry
+/// the same items again and again and they start late. Any change of room gave
+/// up the pull under way, 41 ms after it was sent, and with it the bodies that
+/// the leader had sent already. What the leader has it hands out at once, so a
+/// pull is left alone while an answer may be on its way, and is given up only
+/// for what the leader's hold of 1 s would spoil: room that is less than asked
+/// for, or that there is now where none was, or items to hand back. Room that
+/// merely grew is filled by the next pull. A pull that can bring nothing is
+/// given up at once.
+bool BatchRunner::ShouldPull(Time now) const {
+  if (this->pull_call == 0) {
+    return true;
+  }
+  const std::uint32_t room = this->Room();
+  const std::uint32_t replaceable = this->Replaceable();
+  const bool shrank =
+      room < this->pulled_room || replaceable < this->pulled_replaceable;
+  const bool grew_from_zero =
+      (this->pulled_room == 0 && room > 0) ||
+      (this->pulled_replaceable == 0 && replaceable > 0);
+  if (!shrank && !grew_from_zero && this->to_return.empty()) {
+    return false;
+  }
+  return this->PullIsIdle() || now - this->pulled_at >= this->answer_time;
+}
+
 void BatchRunner::Pull() {
   if (this->pull_call != 0) {
     this->jobs.Cancel(this->pull_call);
+    this->KeepReturns();
   }
-  this->next_pull = MonotonicNow() + kPullPace;
+  this->ChooseReturns();
+  this->pulled_at = MonotonicNow();
+  this->next_pull = this->pulled_at + kPullPace;
   this->pulled_room = this->Room();
   batches::PullItems pull;
   pull.gate = this->target.gate;
@@ -164,7 +202,7 @@
   this->pulled_replaceable = this->Replaceable();
   pull.replaceable = this->pulled_replaceable;
   pull.holding = this->Holding();
-  pull.returned = std::exchange(this->to_return, {});
+  pull.returned = this->returning;
   this->pull_call =
       this->jobs.Call("/jobs/pull", EncodeMessage(pull), kPullTime, kPullTry,
                       [this, alive = this->alive](const Result& result,
@@ -176,10 +214,38 @@
                       });
 }
 
+void BatchRunner::ChooseReturns() {
+  std::size_t bytes = 0;
+  const auto first_left =
+      std::ranges::find_if(this->to_return, [&](const auto& returned) {
+        const bool first = bytes == 0;
+        bytes += returned.partial.text.size() + 1;
+        return !first && bytes > kMostReturnBytes;
+      });
+  this->returning.assign(std::make_move_iterator(this->to_return.begin()),
+                         std::make_move_iterator(first_left));
+  this->to_return.erase(this->to_return.begin(), first_left);
+}
+
+/// Symptom guarded against: an item that was handed back begins from nothing at
+/// the next gate, and is late. What a pull hands back was forgotten when it
+/// left, though it might be refused, or given up before it arrived. A second
+/// arrival is harmless: the leader keeps the text that goes further, and leaves
+/// an item alone that another gate has by then.
+void BatchRunner::KeepReturns() {
+  this->to_return.insert(this->to_return.begin(),
+                         std::make_move_iterator(this->returning.begin()),
+                         std::make_move_iterator(this->returning.end()));
+  this->returning.clear();
+}
+
 void BatchRunner::OnPulled(const Result& result, const std::string& body) {
   if (!result.Ok()) {
+    this->KeepReturns();
     return;
   }
+  this->returning.clear();
+  this->answer_time = std::max(this->answer_time / 2, kAnswerTime);
   batches::PulledItems pulled;
   try {
     pulled = DecodeMessage<batches::PulledItems>(body);
@@ -203,19 +269,36 @@
     });
   }
   for (batches::LeasedItem& item : pulled.items) {
-    Run run;
-    run.text = std::move(item.partial.text);
-    run.last_event = item.partial.last_event;
-    run.any_event = run.last_event > 0 || !run.text.empty();
-    run.since = MonotonicNow();
-    run.due = run.since + std::chrono::milliseconds(item.due_in_ms);
-    run.item = std::move(item);
-    this->runs.emplace(++this->last_run, std::move(run));
+    this->Take(std::move(item));
   }
   this->Balance();
   this->ReplaceLate();
 }
 
+/// An item may come back before it was handed back, in the answer to a pull
+/// that still named it as held or had left before. It goes on from here, and is
+/// handed back no more: a return that came later would give it to another gate
+/// while it runs.
+void BatchRunner::Take(batches::LeasedItem item) {
+  const batches::ItemRef ref{item.batch, item.spec.id};
+  const auto kept =
+      std::ranges::find(this->to_return, ref, &batches::ReturnedItem::item);
+  if (kept != this->to_return.end()) {
+    if (kept->partial.last_event > item.partial.last_event) {
+      item.partial = std::move(kept->partial);
+    }
+    this->to_return.erase(kept);
+  }
+  Run run;
+  run.text = std::move(item.partial.text);
+  run.last_event = item.partial.last_event;
+  run.any_event = run.last_event > 0 || !run.text.empty();
+  run.since = MonotonicNow();
+  run.due = run.since + std::chrono::milliseconds(item.due_in_ms);
+  run.item = std::move(item);
+  this->runs.emplace(++this->last_run, std::move(run));
+}
+
 /// Late runs give their slots to items that can still be in time.
 void BatchRunner::ReplaceLate() {
   const auto waits = [this] {
@@ -431,19 +514,30 @@
   this->Report();
 }
 
-/// One report at a time with all that has ended; an item stays held until its
-/// report is acknowledged, or the leader would hand it to another gate.
+/// One report at a time; an item stays held until its report is acknowledged,
+/// or the leader would hand it to another gate. Symptom guarded against: gates
+/// that could not report for a moment fill the links to the leader. A report
+/// that had failed was sent again at once, with all that had ended meanwhile,
+/// so it grew with the load that it made: with six texts of 100 KB the copies
+/// had 600 KB and followed each refusal after 1 to 3 ms. It is bounded now, the
+/// rest goes with the next, and a failure is followed by a pause.
 void BatchRunner::Report() {
-  if (this->reporting) {
+  if (this->reporting || MonotonicNow() < this->next_report) {
     return;
   }
   batches::ReportOutcomes report;
   std::vector<RunId> reported;
+  std::size_t bytes = 0;
   for (const auto& [id, run] : this->runs) {
-    if (run.phase == Phase::kReporting) {
-      report.outcomes.push_back(run.outcome);
-      reported.push_back(id);
+    if (run.phase != Phase::kReporting) {
+      continue;
+    }
+    bytes += run.outcome.text.size();
+    if (!reported.empty() && bytes > kMostReportBytes) {
+      break;
     }
+    report.outcomes.push_back(run.outcome);
+    reported.push_back(id);
   }
   if (reported.empty()) {
     return;
@@ -453,19 +547,27 @@
                   kReportTry,
                   [this, reported, alive = this->alive](const Result& result,
                                                         const std::string&) {
-                    if (!*alive) {
-                      return;
+                    if (*alive) {
+                      this->reporting = false;
+                      this->OnReported(result, reported);
                     }
-                    this->reporting = false;
-                    if (result.Ok()) {
-                      for (const RunId id : reported) {
-                        this->runs.erase(id);
-                      }
-                    }
-                    this->Report();
                   });
 }
 
+void BatchRunner::OnReported(const Result& result,
+                             std::span<const RunId> reported) {
+  if (!result.Ok()) {
+    this->next_report = MonotonicNow() + this->report_pause;
+    this->report_pause = std::min(2 * this->report_pause, kLongestReportPause);
+    return;  // Tick reports again.
+  }
+  this->report_pause = kReportPause;
+  for (const RunId id : reported) {
+    this->runs.erase(id);
+  }
+  this->Report();
+}
+
 void BatchRunner::HandBack(Run& run) {
   this->to_return.push_back({{run.item.batch, run.item.spec.id},
                              {std::move(run.text), run.last_event}});
