Plan transfers across a change of leader, of version, and around cuts

Cause: three faults of the transfer plan, each found by a test that failed. A new leader counted only the fetches that it gave itself, so sources served four. A process whose source had given it the version of then avoided that source for 2 s when a newer one had come meanwhile. Only the source that failed last was avoided: a process that could not reach two holders went from one to the other and back without end.

Change: a fetch that a report names counts whoever gave it; a source has failed where the process holds no more than before; failures are remembered for 30 s by source, put it behind all others, and after two the leader goes first.

--- a/src/coordination/internal/transferplan.cpp
+++ b/src/coordination/internal/transferplan.cpp
@@ -25,22 +25,45 @@
   process.source.clear();
 }
 
+void TransferPlan::Begin(Process& process, const std::string& source,
+                         Time now) {
+  process.source = source;
+  process.source_since = now;
+  process.held_before = process.report.held;
+  process.counted = source != process.report.address;
+  if (process.counted) {
+    ++this->fetchers[source];
+  }
+}
+
+void TransferPlan::ForgetOldFailures(Process& process, Time now) {
+  std::erase_if(process.failures, [now](const auto& failure) {
+    return now - failure.second.last >= kRememberFailure;
+  });
+}
+
 void TransferPlan::Heard(const TransferReport& report, Time now) {
   Process& process = this->processes[report.name];
   process.report = report;
-  if (process.source.empty()) {
-    return;
-  }
-  if (report.fetching_from == process.source) {
+  if (!process.source.empty() && report.fetching_from == process.source) {
     process.source_since = now;
     return;
   }
-  // It has the text, or its source failed it and it asks for another.
-  if (report.held < this->version) {
-    process.avoided = process.source;
-    process.avoided_since = now;
+  if (!process.source.empty()) {
+    // It has the text as of when it began, which need not be the newest now,
+    // or its source failed it and it asks for another.
+    if (report.held <= process.held_before) {
+      Failure& failure = process.failures[process.source];
+      ++failure.count;
+      failure.last = now;
+    }
+    this->Release(process);
+  }
+  // Symptom guarded against: after a change of leader a source serves twice as
+  // many as it may, as the new leader knows of none that the former one gave.
+  if (!report.fetching_from.empty()) {
+    this->Begin(process, report.fetching_from, now);
   }
-  this->Release(process);
 }
 
 void TransferPlan::Gone(const std::string& name) {
@@ -79,20 +102,28 @@
     return std::nullopt;
   }
   Process& asker = found->second;
+  ForgetOldFailures(asker, now);
   const auto allowed = [&](const std::string& address) {
-    const bool avoided =
-        address == asker.avoided && now - asker.avoided_since < kAvoidFor;
-    return !avoided;
+    const auto failed = asker.failures.find(address);
+    return failed == asker.failures.end() ||
+           now - failed->second.last >= kAvoidFor;
   };
   // A member reads its own copy of the log: no link carries that.
   const bool own_copy = asker.report.is_member && allowed(asker.report.address);
   std::string best = own_copy ? asker.report.address : std::string();
   std::size_t best_cost = SIZE_MAX;
-  const auto offer = [&](const std::string& address, std::size_t cost) {
+  const auto offer = [&](const std::string& address, std::size_t distance) {
+    // More than any distance: one that has failed goes behind all that have
+    // not.
+    constexpr std::size_t kFailed = 1000;
     const std::size_t load = this->FetchersOf(address);
-    if (load < kMostFetchers && allowed(address) && cost + load < best_cost) {
+    const auto failed = asker.failures.find(address);
+    const std::size_t failures =
+        failed != asker.failures.end() ? failed->second.count : 0;
+    const std::size_t cost = distance + load + failures * kFailed;
+    if (load < kMostFetchers && allowed(address) && cost < best_cost) {
       best = address;
-      best_cost = cost + load;
+      best_cost = cost;
     }
   };
   if (!own_copy) {
@@ -100,12 +131,16 @@
     // everything else too: it gives what nobody else can.
     constexpr std::size_t kOtherZone = 10;
     constexpr std::size_t kLeader = 100;
+    // Symptom guarded against: a process that cannot reach some holders goes
+    // from one to the next and back, and never gets the text.
+    const bool detoured = asker.failures.size() >= kMostDetours;
+    const std::size_t others = detoured ? 2 * kLeader : 0;
     for (const auto& [other, process] : this->processes) {
       const bool holds = process.report.held >= this->version;
       const bool own = process.report.address == this->own_address;
       if (holds && other != name && !own) {
-        offer(process.report.address,
-              process.report.zone == asker.report.zone ? 0 : kOtherZone);
+        const bool same_zone = process.report.zone == asker.report.zone;
+        offer(process.report.address, others + (same_zone ? 0 : kOtherZone));
       }
     }
     offer(this->own_address, kLeader);
@@ -114,12 +149,7 @@
     return std::nullopt;
   }
   this->Release(asker);
-  asker.source = best;
-  asker.source_since = now;
-  asker.counted = !own_copy;
-  if (asker.counted) {
-    ++this->fetchers[best];
-  }
+  this->Begin(asker, best, now);
   return best;
 }
 
--- a/src/coordination/tests/spread_tests.cpp
+++ b/src/coordination/tests/spread_tests.cpp
@@ -459,6 +459,16 @@
     for (auto& [name, process] : this->processes) {
       this->AskFor(process);
     }
+    if (this->leader_changes) {
+      this->leader_changes = false;
+      this->plan.Clear();
+      for (auto& [name, process] : this->processes) {
+        this->Report(process);
+      }
+      for (auto& [name, process] : this->processes) {
+        this->AskFor(process);
+      }
+    }
     this->CountLoads();
     for (auto& [name, process] : this->processes) {
       this->EndFetch(process);
@@ -494,6 +504,7 @@
   TransferPlan plan{kLeader};
   Time now{std::chrono::seconds(100)};
   int rounds = 0;
+  bool leader_changes = false;  ///< In the next round, while all fetch.
   std::size_t most_served = 0;  ///< By one process at once.
   std::size_t leader_gave = 0;  ///< Copies.
   int same_again = 0;           ///< A failed source was given again at once.
@@ -621,6 +632,16 @@
     CHECK(spread.AllHold());
     CHECK(spread.most_served <= TransferPlan::kMostFetchers);
   }
+  SECTION("though the leader changes while fetches are under way") {
+    spread.Round();
+    spread.Round();
+    spread.Round();
+    spread.leader_changes = true;
+    constexpr int kSlack = 0;
+    CHECK(spread.RoundsTillAllHold(100) <= LogarithmicRounds(count, kSlack));
+    CHECK(spread.AllHold());
+    CHECK(spread.most_served <= TransferPlan::kMostFetchers);
+  }
   SECTION("though the leader changes between two rounds") {
     spread.Round();
     spread.Round();
@@ -648,6 +669,113 @@
   }
 }
 
+namespace {
+
+/// What a process that lacks version `wanted` of the text says.
+TransferReport Needs(std::string name, std::uint64_t held,
+                     std::string fetching_from = {}) {
+  return {name, name, "z", held, std::move(fetching_from), false};
+}
+
+}  // namespace
+
+// Symptom: after a change of leader, links carry twice as many copies as they
+// may. Sequence: fetches are under way; the new leader starts with an empty
+// plan, hears who fetches from whom, and gives the same sources to two more
+// each. Cause: only fetches that this leader itself gave were counted.
+TEST_CASE("a fetch that another leader gave counts as one of its source's") {
+  TransferPlan plan("leader");
+  plan.SetVersion(2);
+  const Time now{std::chrono::seconds(100)};
+  plan.Heard(Needs("source", 2), now);
+  plan.Heard(Needs("a", 1, "source"), now);
+  plan.Heard(Needs("b", 1, "source"), now);
+  plan.Heard(Needs("c", 1), now);
+  CHECK(plan.Assign("c", now) == "leader");
+
+  SECTION("until it ends") {
+    plan.Heard(Needs("a", 2), now);
+    plan.Heard(Needs("d", 1), now);
+    CHECK(plan.Assign("d", now) != "leader");
+  }
+  SECTION("until it is forgotten, and again when it is heard of") {
+    const Time late = now + TransferPlan::kForgetAfter + Duration(1);
+    plan.ForgetSilent(late);
+    plan.Heard(Needs("a", 1, "source"), late);
+    plan.Heard(Needs("b", 1, "source"), late);
+    plan.Heard(Needs("d", 1), late);
+    CHECK(plan.Assign("d", late) == "leader");
+  }
+  SECTION("and its source is avoided where it failed") {
+    plan.Heard(Needs("a", 1), now);
+    CHECK(plan.Assign("a", now) == "leader");
+  }
+}
+
+// Symptom: a change that follows another within a second reaches some processes
+// two seconds late. Sequence: a process fetches version 2; version 3 comes; the
+// process says that it holds 2, and gets no source of 3 for 2 s though one is
+// free. Cause: its source counted as failed, because what it gave is not the
+// newest any more.
+TEST_CASE("a source that gave the text as of then has not failed") {
+  TransferPlan plan("leader");
+  plan.SetVersion(2);
+  const Time now{std::chrono::seconds(100)};
+  plan.Heard(Needs("a", 1), now);
+  REQUIRE(plan.Assign("a", now) == "leader");
+  plan.SetVersion(3);
+  SECTION("when a newer one came meanwhile") {
+    plan.Heard(Needs("a", 2), now);
+    CHECK(plan.Assign("a", now) == "leader");
+  }
+  SECTION("but it has where it did not give that") {
+    plan.Heard(Needs("a", 1), now);
+    CHECK_FALSE(plan.Assign("a", now).has_value());
+    CHECK(plan.Assign("a", now + TransferPlan::kAvoidFor) == "leader");
+  }
+}
+
+// Symptom: a process never gets a new text, though the leader holds it.
+// Sequence: the leader hears from two holders that this process cannot reach;
+// each fetch is given up after 1.5 s, and the process goes from the first to
+// the second and back. Cause: only the source that failed last was avoided, for
+// 2 s, and the cheapest of the others was the one that failed before it.
+TEST_CASE("a process that cannot reach some holders gets the text") {
+  const int unreachable = GENERATE(1, 2, 5, 20);
+  CAPTURE(unreachable);
+  constexpr std::chrono::milliseconds kGivenUpAfter{1500};
+  TransferPlan plan("leader");
+  plan.SetVersion(2);
+  Time now{std::chrono::seconds(100)};
+  for (int i = 0; i < unreachable; ++i) {
+    plan.Heard(Needs("h" + std::to_string(i), 2), now);
+  }
+  int fetches = 0;
+  std::optional<std::string> source;
+  while (source != "leader" && fetches < 100) {
+    plan.Heard(Needs("a", 1), now);
+    source = plan.Assign("a", now);
+    if (source.has_value()) {
+      plan.Heard(Needs("a", 1, *source), now);
+      ++fetches;
+    }
+    now += kGivenUpAfter;
+  }
+  // From the leader, which it can reach, after two others at most.
+  CHECK(fetches <= 3);
+  SECTION("and tries those again when that is long ago") {
+    plan.Heard(Needs("a", 2), now);
+    plan.SetVersion(3);
+    plan.Heard(Needs("h0", 3), now);
+    plan.Heard(Needs("a", 2), now);
+    CHECK(plan.Assign("a", now) == "leader");
+    plan.Heard(Needs("a", 2), now);
+    now += TransferPlan::kRememberFailure;
+    plan.Heard(Needs("a", 2), now);
+    CHECK(plan.Assign("a", now) == "h0");
+  }
+}
+
 TEST_CASE("a change leaves with the answer where it is small") {
   constexpr std::size_t kBytes = 100'000;
   const std::string first = RoutesText(kBytes, 3);
--- a/src/coordination/transferplan.h
+++ b/src/coordination/transferplan.h
@@ -39,6 +39,13 @@
   static constexpr std::chrono::milliseconds kForgetAfter{2500};
   /// Its source has failed; it is not given the same one again for this long.
   static constexpr std::chrono::milliseconds kAvoidFor{2000};
+  /// Behind that, others go first for this long: what cuts two processes off
+  /// from each other lasts longer than what ends one fetch.
+  static constexpr std::chrono::milliseconds kRememberFailure{30000};
+  /// A process that so many sources have failed of late gets the leader, which
+  /// it can reach: a fetch that is given up takes 1.5 s, so it has the text
+  /// after 3 s.
+  static constexpr std::size_t kMostDetours = 2;
 
   /// `own_address`: this leader's, which always holds the newest.
   explicit TransferPlan(std::string own_address)
@@ -59,16 +66,23 @@
   std::size_t Holders() const;
 
  private:
+  /// How a source has failed one process.
+  struct Failure {
+    std::size_t count = 0;
+    Time last{};
+  };
   struct Process {
     TransferReport report;
     std::string source;  ///< Given to it; empty: none.
     Time source_since{};
     bool counted = false;  ///< In `fetchers`; not when it reads its own copy.
-    std::string avoided;
-    Time avoided_since{};
+    std::uint64_t held_before = 0;  ///< Version, when it got its source.
+    std::map<std::string, Failure> failures;  ///< By source address.
   };
   std::size_t FetchersOf(const std::string& address) const;
   void Release(Process& process);
+  void Begin(Process& process, const std::string& source, Time now);
+  static void ForgetOldFailures(Process& process, Time now);
 
   std::string own_address;
   std::uint64_t version = 0;
