Fetch from a source that lacks the first part what else it has

Cause: the first 64 KB that are missing are asked for; an answer without any of them ended the fetch, though the source may hold all the rest.

Change: a source is asked once for each missing chunk; what it did not give is left out of further requests to it. An answer that cannot be read ends the fetch.

--- a/src/coordination/contentchunks.h
+++ b/src/coordination/contentchunks.h
@@ -71,8 +71,11 @@
   /// has no such chunk.
   bool TakeChunk(std::string bytes);
   /// The next chunks to ask for, in order, of at most `bytes` together (one at
-  /// least, if any is missing).
-  std::vector<ChunkName> Missing(std::size_t bytes) const;
+  /// least, if any is missing), without those whose hashes are in `except`.
+  std::vector<ChunkName> Missing(
+      std::size_t bytes,
+      const std::unordered_set<std::uint64_t>& except = {}) const;
+  bool Has(std::uint64_t hash) const { return this->taken.count(hash) > 0; }
   std::size_t MissingBytes() const;
   std::size_t TakenBytes() const { return this->taken_bytes; }
   /// The whole text; nothing while chunks are missing, or where they do not
--- a/src/coordination/internal/contentchunks.cpp
+++ b/src/coordination/internal/contentchunks.cpp
@@ -114,12 +114,13 @@
   return true;
 }
 
-std::vector<ChunkName> TextAssembly::Missing(std::size_t bytes) const {
+std::vector<ChunkName> TextAssembly::Missing(
+    std::size_t bytes, const std::unordered_set<std::uint64_t>& except) const {
   std::vector<ChunkName> missing;
   std::unordered_set<std::uint64_t> listed;
   std::size_t sum = 0;
   for (const ChunkName& chunk : this->wanted.chunks) {
-    if (this->taken.count(chunk.hash) > 0 ||
+    if (this->Has(chunk.hash) || except.count(chunk.hash) > 0 ||
         !listed.insert(chunk.hash).second) {
       continue;
     }
--- a/src/coordination/internal/textfetch.cpp
+++ b/src/coordination/internal/textfetch.cpp
@@ -72,6 +72,7 @@
   this->done = std::move(when_done);
   this->started = MonotonicNow();
   this->bytes_at_start = this->assembly.TakenBytes();
+  this->not_given.clear();
   this->AskPart();
 }
 
@@ -91,7 +92,8 @@
       this->End(std::nullopt);
     }
   };
-  const ChunksWanted wanted{this->assembly.Missing(kPartBytes)};
+  this->asked = this->assembly.Missing(kPartBytes, this->not_given);
+  const ChunksWanted wanted{this->asked};
   this->call = this->peers.Call(ParseEndpoint(this->address, "source"), kPath,
                                 EncodeMessage(wanted), std::move(handlers));
   this->timer.expires_after(kPartTime);
@@ -103,8 +105,9 @@
   });
 }
 
+/// A source that has another version may lack the whole first part and still
+/// hold nearly all of the rest: it is asked for each chunk once.
 void TextFetch::OnPart(const std::string& message) {
-  const std::size_t before = this->assembly.TakenBytes();
   try {
     for (std::string& chunk : DecodeMessage<ChunksFound>(message).chunks) {
       this->assembly.TakeChunk(std::move(chunk));
@@ -112,13 +115,20 @@
   } catch (const ResultError& error) {
     Log(LogLevel::kWarn, "configuration_part_unreadable",
         {{"address", this->address}, {"text", error.what()}});
+    this->End(std::nullopt);
+    return;
+  }
+  for (const ChunkName& chunk : this->asked) {
+    if (!this->assembly.Has(chunk.hash)) {
+      this->not_given.insert(chunk.hash);
+    }
   }
   if (this->assembly.MissingBytes() == 0) {
     this->End(this->assembly.Finish());
-  } else if (this->assembly.TakenBytes() > before) {
-    this->AskPart();
-  } else {
+  } else if (this->assembly.Missing(kPartBytes, this->not_given).empty()) {
     this->End(std::nullopt);
+  } else {
+    this->AskPart();
   }
 }
 
--- a/src/coordination/tests/spread_tests.cpp
+++ b/src/coordination/tests/spread_tests.cpp
@@ -987,6 +987,20 @@
     CHECK(FetchAndRun(context, fetch, second.Address()).text == text);
     CHECK(second.asked.size() <= 3);
   }
+  // Symptom: a source that holds nearly all of the text gives nothing of it.
+  // Sequence: the first 64 KB are new; they are asked for first, and the source
+  // has none of them. Cause: an answer without chunks ended the fetch, whatever
+  // else the source has.
+  SECTION("one that lacks the first part giving the rest") {
+    const std::string other = RoutesText(2 * kPart, 9) + text.substr(2 * kPart);
+    Source older(context, other);
+    CHECK_FALSE(FetchAndRun(context, fetch, older.Address()).text.has_value());
+    CHECK(older.given.size() > manifest.chunks.size() / 2);
+    // What it lacks it is asked for once.
+    CHECK(older.asked.size() == manifest.chunks.size());
+    REQUIRE_FALSE(fetch.Prepare(manifest, "", {}).has_value());
+    CHECK(FetchAndRun(context, fetch, second.Address()).text == text);
+  }
   SECTION("not at all where what is held makes it up") {
     CHECK(fetch.Prepare(manifest, text, {}) == text);
   }
--- a/src/coordination/textfetch.h
+++ b/src/coordination/textfetch.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <unordered_set>
+#include <vector>
 
 #include "coordination/contentchunks.h"
 #include "coordination/coordinationmessages.h"
@@ -65,6 +67,9 @@
   transport::PeerClient& peers;
   TextAssembly assembly;
   std::string address;
+  std::vector<ChunkName> asked;  ///< With the request under way.
+  /// Hashes of chunks that the source was asked for and did not give.
+  std::unordered_set<std::uint64_t> not_given;
   Done done;
   Time started{};
   std::size_t bytes_at_start = 0;
