--- a/src/coordination/contentchunks.h
+++ b/src/coordination/contentchunks.h
@@ -34,8 +34,8 @@
 };
 
 /// Splits where the content says so: an insertion moves no boundary but those
-/// beside it. Chunks have 4 KiB on average, 16 KiB at most; a text of 400 KB
-/// becomes a hundred, whose names take 1.4 KB.
+/// beside it. Chunks have 4.9 KB on average, 16 KiB at most; a text of 400 KB
+/// becomes eighty.
 TextManifest SplitText(std::uint64_t version, std::string_view text);
 
 /// Finds the chunks of one text. Thread safety: none.
--- a/src/coordination/internal/contentchunks.cpp
+++ b/src/coordination/internal/contentchunks.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t kSmallestChunk = 1U << 10U;
 constexpr std::size_t kLargestChunk = 16U << 10U;
 /// A boundary follows a byte where these bits of the rolling hash are zero:
-/// once in 3 KiB, behind the smallest chunk. The upper bits, as they depend on
+/// once in 4 KiB, behind the smallest chunk. The upper bits, as they depend on
 /// the last 64 bytes.
 constexpr unsigned kBoundaryBits = 12;
 constexpr std::uint64_t kBoundaryMask =
@@ -29,11 +29,11 @@
 }
 
 std::size_t NextChunk(std::string_view text) {
-  static const std::array<std::uint64_t, 256> gears = MakeGears();
+  static const std::array<std::uint64_t, 256> kGears = MakeGears();
   const std::size_t longest = std::min(text.size(), kLargestChunk);
   std::uint64_t rolling = 0;
   for (std::size_t i = 0; i < longest; ++i) {
-    rolling = (rolling << 1U) + gears[static_cast<unsigned char>(text[i])];
+    rolling = (rolling << 1U) + kGears[static_cast<unsigned char>(text[i])];
     if (i + 1 >= kSmallestChunk && (rolling & kBoundaryMask) == 0) {
       return i + 1;
     }
--- a/src/coordination/tests/spread_tests.cpp
+++ b/src/coordination/tests/spread_tests.cpp
@@ -124,7 +124,7 @@
     // One chunk mostly: the one that holds the change.
     CHECK(sum <= cases + cases / 4);
   }
-  SECTION("into about a hundred chunks for 400 KB") {
+  SECTION("into about eighty chunks for 400 KB") {
     constexpr std::size_t kBytes = 400'000;
     constexpr std::uint64_t kSeeds = 20;
     std::size_t chunks = 0;
@@ -678,8 +678,8 @@
 
 namespace {
 
-/// What a process that lacks version `wanted` of the text says.
-TransferReport Needs(std::string name, std::uint64_t held,
+/// What a process says that holds version `held` of the text.
+TransferReport Holds(const std::string& name, std::uint64_t held,
                      std::string fetching_from = {}) {
   return {name, name, "z", held, std::move(fetching_from), false};
 }
@@ -694,27 +694,27 @@
   TransferPlan plan("leader");
   plan.SetVersion(2);
   const Time now{std::chrono::seconds(100)};
-  plan.Heard(Needs("source", 2), now);
-  plan.Heard(Needs("a", 1, "source"), now);
-  plan.Heard(Needs("b", 1, "source"), now);
-  plan.Heard(Needs("c", 1), now);
+  plan.Heard(Holds("source", 2), now);
+  plan.Heard(Holds("a", 1, "source"), now);
+  plan.Heard(Holds("b", 1, "source"), now);
+  plan.Heard(Holds("c", 1), now);
   CHECK(plan.Assign("c", now) == "leader");
 
   SECTION("until it ends") {
-    plan.Heard(Needs("a", 2), now);
-    plan.Heard(Needs("d", 1), now);
+    plan.Heard(Holds("a", 2), now);
+    plan.Heard(Holds("d", 1), now);
     CHECK(plan.Assign("d", now) != "leader");
   }
   SECTION("until it is forgotten, and again when it is heard of") {
     const Time late = now + TransferPlan::kForgetAfter + Duration(1);
     plan.ForgetSilent(late);
-    plan.Heard(Needs("a", 1, "source"), late);
-    plan.Heard(Needs("b", 1, "source"), late);
-    plan.Heard(Needs("d", 1), late);
+    plan.Heard(Holds("a", 1, "source"), late);
+    plan.Heard(Holds("b", 1, "source"), late);
+    plan.Heard(Holds("d", 1), late);
     CHECK(plan.Assign("d", late) == "leader");
   }
   SECTION("and its source is avoided where it failed") {
-    plan.Heard(Needs("a", 1), now);
+    plan.Heard(Holds("a", 1), now);
     CHECK(plan.Assign("a", now) == "leader");
   }
 }
@@ -728,15 +728,15 @@
   TransferPlan plan("leader");
   plan.SetVersion(2);
   const Time now{std::chrono::seconds(100)};
-  plan.Heard(Needs("a", 1), now);
+  plan.Heard(Holds("a", 1), now);
   REQUIRE(plan.Assign("a", now) == "leader");
   plan.SetVersion(3);
   SECTION("when a newer one came meanwhile") {
-    plan.Heard(Needs("a", 2), now);
+    plan.Heard(Holds("a", 2), now);
     CHECK(plan.Assign("a", now) == "leader");
   }
   SECTION("but it has where it did not give that") {
-    plan.Heard(Needs("a", 1), now);
+    plan.Heard(Holds("a", 1), now);
     CHECK_FALSE(plan.Assign("a", now).has_value());
     CHECK(plan.Assign("a", now + TransferPlan::kAvoidFor) == "leader");
   }
@@ -755,15 +755,15 @@
   plan.SetVersion(2);
   Time now{std::chrono::seconds(100)};
   for (int i = 0; i < unreachable; ++i) {
-    plan.Heard(Needs("h" + std::to_string(i), 2), now);
+    plan.Heard(Holds("h" + std::to_string(i), 2), now);
   }
   int fetches = 0;
   std::optional<std::string> source;
   while (source != "leader" && fetches < 100) {
-    plan.Heard(Needs("a", 1), now);
+    plan.Heard(Holds("a", 1), now);
     source = plan.Assign("a", now);
     if (source.has_value()) {
-      plan.Heard(Needs("a", 1, *source), now);
+      plan.Heard(Holds("a", 1, *source), now);
       ++fetches;
     }
     now += kGivenUpAfter;
@@ -771,14 +771,14 @@
   // From the leader, which it can reach, after two others at most.
   CHECK(fetches <= 3);
   SECTION("and tries those again when that is long ago") {
-    plan.Heard(Needs("a", 2), now);
+    plan.Heard(Holds("a", 2), now);
     plan.SetVersion(3);
-    plan.Heard(Needs("h0", 3), now);
-    plan.Heard(Needs("a", 2), now);
+    plan.Heard(Holds("h0", 3), now);
+    plan.Heard(Holds("a", 2), now);
     CHECK(plan.Assign("a", now) == "leader");
-    plan.Heard(Needs("a", 2), now);
+    plan.Heard(Holds("a", 2), now);
     now += TransferPlan::kRememberFailure;
-    plan.Heard(Needs("a", 2), now);
+    plan.Heard(Holds("a", 2), now);
     CHECK(plan.Assign("a", now) == "h0");
   }
 }
