Carry the platform's rate of list calls into the options

Cause: nothing in the product knew how many calls the platform's list of replicas takes, so its readers could not keep to it. Change: the setting becomes NodeOptions::list_calls_per_second; zero where it is not told.

--- a/src/nodes/nodeoptions.h
+++ b/src/nodes/nodeoptions.h
@@ -24,14 +24,17 @@
   /// True only when the whole fleet starts for the first time, on empty disks.
   bool first_start = false;
   std::size_t losses_borne = 1;
-  std::string data_folder;                ///< Empty: no disk.
-  std::optional<Endpoint> front;          ///< Entry: callers.
-  std::optional<Endpoint> ready;          ///< Entry: the balancer's question.
-  std::optional<Endpoint> control;        ///< Entry: operators.
-  std::optional<Endpoint> metrics;        ///< Counters in text form.
-  std::string engine_address;             ///< Gate.
-  std::string engine_service;             ///< Gate.
-  std::optional<Endpoint> list;           ///< The platform's list of replicas.
+  std::string data_folder;          ///< Empty: no disk.
+  std::optional<Endpoint> front;    ///< Entry: callers.
+  std::optional<Endpoint> ready;    ///< Entry: the balancer's question.
+  std::optional<Endpoint> control;  ///< Entry: operators.
+  std::optional<Endpoint> metrics;  ///< Counters in text form.
+  std::string engine_address;       ///< Gate.
+  std::string engine_service;       ///< Gate.
+  std::optional<Endpoint> list;     ///< The platform's list of replicas.
+  /// Calls to it that it takes each second from all processes together; zero:
+  /// not known.
+  double list_calls_per_second = 0;
   std::chrono::milliseconds grace{8000};  ///< From SIGTERM to SIGKILL.
   std::chrono::milliseconds batch_keep{120000};
   std::chrono::milliseconds drain{3000};  ///< Draining replicas: no new work
