Keep the pages read when one is refused, and pace readings by their load

Cause: a refused page of the platform's list ended the reading and threw away the pages before it; a second later every entry without a leader began anew, in step, whatever they made together. Gates without a leader searched the whole list every 4 s on top, and the leader read each 0.5 s however many pages there were. A page that was never answered ended own readings for good.

Change: PageRetry asks for a refused or failed page again (at most six times, growing pauses with jitter) and bounds a reading to 3 s; an entry on two pages is given once, as the later page has it. OwnListPace spreads the first own readings and sets pauses by rate, readers and pages, longer after readings given up for refusals. The leader's pause grows with the pages, and with it the age at which others read by themselves. Searches read one page first and slow down when refused. An own list that is older than what a leader told meanwhile is dropped. engine_list_unread is throttled and names the reason; engine_list_unreadable is one of its reasons now.

The number of entries is not known to entries: one for eight replicas, at most 100, at least the group's members, stands in.

--- a/src/nodes/entrynode.h
+++ b/src/nodes/entrynode.h
@@ -65,7 +65,13 @@
   void CallCoordination(
       ExchangeId exchange, const std::string& path, std::string body,
       std::function<http::HttpResponse(const Result&, std::string)> answer);
+  void ReadForLeader(
+      std::function<
+          void(std::optional<std::vector<coordination::EngineInstance>>)>
+          done);
   void PollListWhenCutOff();
+  void ReadByItself();
+  ListLoad LoadOnList() const;
 
   NodeRuntime& runtime;
   http::HttpClient list_client;
@@ -79,8 +85,10 @@
   std::unordered_map<ExchangeId, std::uint64_t> job_calls;
   StartupQueue early;
   asio::steady_timer early_timer;
-  Time own_poll{};
+  OwnListPace own_pace;
   bool polling = false;
+  Time leader_read{};  ///< End of the last reading for the leader.
+  asio::steady_timer leader_timer;
   bool leaving = false;
   bool refusing = false;
   asio::steady_timer timer;
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -17,12 +17,6 @@
 /// Callers of batches wait 1.5 s longer than they ask for.
 constexpr std::chrono::milliseconds kBatchTime{1300};
 constexpr std::chrono::milliseconds kBatchTry{600};
-/// Without word from a leader for this long an entry reads the platform's list
-/// by itself: a draining replica must get no request 3 s after the list shows
-/// it, with or without a coordination group.
-constexpr std::chrono::milliseconds kListTooOld{1700};
-/// Pace of that reading; all processes together are bound by the platform.
-constexpr std::chrono::milliseconds kOwnPollEvery{1000};
 constexpr std::chrono::milliseconds kTick{200};
 /// Requests held at a start are looked at this often.
 constexpr std::chrono::milliseconds kHoldTick{20};
@@ -80,6 +74,8 @@
       list_client(runtime.context),
       early(MonotonicNow()),
       early_timer(runtime.context),
+      own_pace(runtime.incarnation),
+      leader_timer(runtime.context),
       timer(runtime.context) {
   this->ListenFront();
   this->relay = std::make_unique<OnlineRelay>(
@@ -121,20 +117,45 @@
       *this->runtime.peers, this->runtime.server, this->runtime.dispatch,
       [this](std::function<void(
                  std::optional<std::vector<coordination::EngineInstance>>)>
-                 done) {
-        if (!this->runtime.options.list.has_value()) {
-          done(std::nullopt);
-          return;
-        }
-        ReadEngineList(this->list_client, this->runtime.dialect,
-                       *this->runtime.options.list,
-                       this->runtime.skipped_entries, std::move(done));
-      },
+                 done) { this->ReadForLeader(std::move(done)); },
       [this](const std::string& reason) {
         this->runtime.StorageFailed(reason);
       });
 }
 
+/// Symptom guarded against: the leader alone makes more calls than the platform
+/// takes, and each of its readings is refused a page: it reads anew at a fixed
+/// pace, and the list has grown to many pages. So the pause grows with them.
+void EntryNode::ReadForLeader(
+    std::function<
+        void(std::optional<std::vector<coordination::EngineInstance>>)>
+        done) {
+  if (!this->runtime.options.list.has_value()) {
+    done(std::nullopt);
+    return;
+  }
+  const auto pause =
+      LeaderListPause(ListRate(this->runtime.options.list_calls_per_second),
+                      this->runtime.list_reader.pages);
+  this->leader_timer.expires_after(std::max<Duration>(
+      this->leader_read + pause - MonotonicNow(), Duration::zero()));
+  this->leader_timer.async_wait([this, alive = this->alive,
+                                 done =
+                                     std::move(done)](std::error_code error) {
+    if (error || !*alive) {
+      return;
+    }
+    ReadEngineList(
+        this->runtime.context, this->list_client, this->runtime.dialect,
+        *this->runtime.options.list, this->runtime.list_reader, {},
+        [this,
+         done](std::optional<std::vector<coordination::EngineInstance>> list) {
+          this->leader_read = MonotonicNow();
+          done(std::move(list));
+        });
+  });
+}
+
 void EntryNode::ListenFront() {
   http::HttpServerHandlers handlers;
   handlers.on_request = [this](ExchangeId exchange, http::HttpRequest request) {
@@ -482,27 +503,47 @@
     }
     const Time now = MonotonicNow();
     const Time seen = this->runtime.watch->knowledge().engines_seen;
-    const bool due = this->runtime.options.list.has_value() && seen != Time{} &&
-                     now - seen > kListTooOld &&
-                     now - this->own_poll > kOwnPollEvery && !this->polling;
-    if (due) {
-      this->own_poll = now;
-      this->polling = true;
-      ReadEngineList(
-          this->list_client, this->runtime.dialect, *this->runtime.options.list,
-          this->runtime.skipped_entries,
-          [this](std::optional<std::vector<coordination::EngineInstance>>
-                     engines) {
-            this->polling = false;
-            if (engines.has_value()) {
-              this->runtime.watch->TakeEngines(std::move(*engines));
-            }
-          });
+    if (this->runtime.options.list.has_value() && seen != Time{} &&
+        !this->polling) {
+      const ListLoad load = this->LoadOnList();
+      if (now - seen > ListTooOld(load) && this->own_pace.Due(load, now)) {
+        this->ReadByItself();
+      }
     }
     this->PollListWhenCutOff();
   });
 }
 
+ListLoad EntryNode::LoadOnList() const {
+  const coordination::FleetKnowledge& known = this->runtime.watch->knowledge();
+  ListLoad load;
+  load.rate = ListRate(this->runtime.options.list_calls_per_second);
+  load.readers = LikelyReaders(known.members.size(), known.engines.size());
+  // Most processes have read no list before; the one they hold tells its size.
+  load.pages = std::max(this->runtime.list_reader.pages,
+                        LikelyPages(known.engines.size()));
+  return load;
+}
+
+void EntryNode::ReadByItself() {
+  this->polling = true;
+  const Time begun = MonotonicNow();
+  ReadEngineList(
+      this->runtime.context, this->list_client, this->runtime.dialect,
+      *this->runtime.options.list, this->runtime.list_reader, {},
+      [this, begun](
+          std::optional<std::vector<coordination::EngineInstance>> engines) {
+        this->polling = false;
+        this->own_pace.Ended(this->LoadOnList(), engines.has_value(),
+                             this->runtime.list_reader.refused, MonotonicNow());
+        // A leader that was heard again has meanwhile told of a newer list.
+        if (engines.has_value() &&
+            this->runtime.watch->knowledge().engines_seen <= begun) {
+          this->runtime.watch->TakeEngines(std::move(*engines));
+        }
+      });
+}
+
 void EntryNode::BeginLeave() {
   this->leaving = true;
   this->front->BeginLeave();
--- /dev/null
+++ b/src/nodes/internal/listpace.cpp
@@ -0,0 +1,138 @@
+#include "nodes/listpace.h"
+
+#include <algorithm>
+
+namespace papayarack::nodes {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kMsPerSecond = 1000;
+/// Replicas for each entry on the smallest fleets that the platform runs.
+constexpr std::size_t kReplicasPerEntry = 8;
+/// Entries of the largest of them.
+constexpr std::size_t kMostReaders = 100;
+/// Entries on a page of the platform's list.
+constexpr std::size_t kReplicasPerPage = 50;
+
+constexpr int kTooMany = 429;
+constexpr int kServerError = 500;
+
+milliseconds Millis(double amount) {
+  return milliseconds(static_cast<std::int64_t>(amount));
+}
+
+/// The time in which `calls` use up `share` of the platform's rate.
+milliseconds TimeFor(double calls, double share, double rate) {
+  return Millis(calls / (share * rate) * kMsPerSecond);
+}
+
+milliseconds RoundOf(const ListLoad& load) {
+  return TimeFor(static_cast<double>(load.readers * load.pages), kOwnShare,
+                 load.rate);
+}
+
+double ChanceOf(std::minstd_rand& random) {
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+std::minstd_rand Seeded(std::uint64_t seed) {
+  std::seed_seq mixed{static_cast<std::uint32_t>(seed),
+                      static_cast<std::uint32_t>(seed >> 32U)};
+  return std::minstd_rand(mixed);
+}
+
+}  // namespace
+
+double ListRate(double told) { return told > 0 ? told : kDefaultListRate; }
+
+std::size_t LikelyReaders(std::size_t members, std::size_t replicas) {
+  const std::size_t least = std::max<std::size_t>(members, 1);
+  return std::max(least, std::min(replicas / kReplicasPerEntry, kMostReaders));
+}
+
+std::size_t LikelyPages(std::size_t replicas) {
+  return replicas / kReplicasPerPage + 1;
+}
+
+milliseconds LeaderListPause(double rate, std::size_t pages) {
+  return TimeFor(static_cast<double>(pages), kLeaderShare, rate);
+}
+
+milliseconds ListTooOld(const ListLoad& load) {
+  return kListTooOld +
+         std::max(LeaderListPause(load.rate, load.pages) - kLeaderPause,
+                  milliseconds(0));
+}
+
+OwnListPace::OwnListPace(std::uint64_t seed) : random(Seeded(seed)) {}
+
+double OwnListPace::Chance() { return ChanceOf(this->random); }
+
+bool OwnListPace::Due(const ListLoad& load, Time now) {
+  if (!this->next.has_value() || now - *this->next > kOver) {
+    // Small fleets need no time for a round: nobody waits there.
+    this->next = now + Millis(this->Chance() *
+                              static_cast<double>(RoundOf(load).count()));
+  }
+  return now >= *this->next;
+}
+
+void OwnListPace::Ended(const ListLoad& load, bool whole, std::size_t refused,
+                        Time now) {
+  if (whole) {
+    this->stretch = std::max(this->stretch / kFaster, 1.0);
+  } else if (refused > 0) {
+    this->stretch = std::min(this->stretch * kSlower, kMostStretch);
+  }
+  const auto least =
+      static_cast<double>(std::max(RoundOf(load), kLeastPause).count());
+  this->next =
+      now + Millis(least * this->stretch * (1 + kJitter * this->Chance()));
+}
+
+SearchPace::SearchPace(std::uint64_t seed) : random(Seeded(seed)) {}
+
+milliseconds SearchPace::Next() {
+  constexpr double kLeast = 0.75;
+  constexpr double kJitter = 0.5;
+  return Millis(static_cast<double>(this->pause.count()) *
+                (kLeast + kJitter * ChanceOf(this->random)));
+}
+
+void SearchPace::Ended(bool read) {
+  if (read) {
+    this->pages = std::min(this->pages * 2, kMostPages);
+    this->pause = std::max(this->pause / 2, kLeastPause);
+  } else {
+    this->pages = std::max<std::size_t>(this->pages / 2, 1);
+    this->pause = std::min(this->pause * 2, kMostPause);
+  }
+}
+
+void SearchPace::Found() {
+  this->pages = 1;
+  this->pause = kLeastPause;
+}
+
+std::optional<milliseconds> PageRetry::Again(Time now, double chance) {
+  if (this->repeats >= this->most_repeats) {
+    return std::nullopt;
+  }
+  const milliseconds longest =
+      std::min(kFirstPause * (1 << this->repeats), kLongestPause);
+  // At least half: a page asked for again at once would be refused again.
+  const milliseconds pause =
+      Millis(static_cast<double>(longest.count()) * (1 + chance) / 2);
+  if (now + pause >= this->begun + kLongestReading) {
+    return std::nullopt;
+  }
+  ++this->repeats;
+  return pause;
+}
+
+bool MayBeGivenLater(int status) {
+  return status == kTooMany || status >= kServerError;
+}
+
+}  // namespace papayarack::nodes
--- a/src/nodes/internal/noderuntime.cpp
+++ b/src/nodes/internal/noderuntime.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <random>
+#include <unordered_map>
 #include <utility>
 
 #include "consensus/durablelog.h"
@@ -18,11 +19,9 @@
 
 constexpr const char* kCluster = "papayarack";
 constexpr int kExitStorageFailed = 70;
-constexpr std::size_t kMostPages = 1000;
 /// Without a leader for this long the platform's list is searched for processes
 /// that know one; an election and the announcements take up to 2 s.
 constexpr std::chrono::milliseconds kSearchAfter{4000};
-constexpr std::chrono::milliseconds kSearchEvery{4000};
 /// What waits unsent is looked at this often: a link that works is rid of a
 /// large message between two looks.
 constexpr std::chrono::milliseconds kBacklogEvery{500};
@@ -40,100 +39,208 @@
   return (Hash64(address) >> 1U) | 1U;
 }
 
-/// Reading a list that comes in pages.
-struct ListReading {
-  std::vector<coordination::EngineInstance> engines;
-  std::string body;
-  int status = 0;
-  std::size_t pages = 0;
-  std::size_t skipped = 0;
-  std::string first_problem;
-  std::function<void(std::optional<std::vector<coordination::EngineInstance>>)>
-      done;
-};
+constexpr int kOk = 200;
+constexpr int kTooMany = 429;
 
-/// Symptom guarded against: a replica that exists gets no request, and nothing
-/// tells why. Its entry lacks a field, so it was left out of the list.
-void LogSkipped(const ListReading& reading, LogThrottle& skipped) {
-  const std::string text =
-      reading.first_problem.empty()
-          ? std::string()
-          : fmt::format("{} {}", reading.skipped, reading.first_problem);
-  if (skipped.Due(text, MonotonicNow())) {
-    Log(LogLevel::kWarn, "engine_entries_skipped",
-        {{"skipped", reading.skipped},
-         {"kept", reading.engines.size()},
-         {"first_problem", reading.first_problem}});
+using EngineList = std::vector<coordination::EngineInstance>;
+
+/// Reading a list that comes in pages: keeps itself alive until it ends.
+class ListReading : public std::enable_shared_from_this<ListReading> {
+ public:
+  ListReading(asio::io_context& context, http::HttpClient& client,
+              const Dialect& dialect, Endpoint list, ListReader& reader,
+              const ListExtent& extent,
+              std::function<void(std::optional<EngineList>)> done)
+      : client(client),
+        dialect(dialect),
+        list(std::move(list)),
+        reader(reader),
+        most_pages(extent.most_pages),
+        done(std::move(done)),
+        retry(MonotonicNow(), extent.most_repeats),
+        again(context),
+        limit(context) {}
+
+  void Begin() {
+    this->limit.expires_after(PageRetry::kLongestReading);
+    this->limit.async_wait(
+        [self = this->shared_from_this()](std::error_code error) {
+          if (!error && !self->over) {
+            self->client.Cancel(self->call);
+            self->GiveUp("took too long");
+          }
+        });
+    this->Ask();
   }
-}
 
-void TakePage(EnginePage& page, ListReading& reading) {
-  std::ranges::move(page.engines, std::back_inserter(reading.engines));
-  reading.skipped += page.skipped;
-  if (reading.first_problem.empty()) {
-    reading.first_problem = std::move(page.first_problem);
+ private:
+  void Ask() {
+    http::HttpCall ask;
+    ask.peer = this->list;
+    ask.target = this->dialect.list_target(this->token);
+    this->body.clear();
+    this->status = 0;
+    http::HttpCallHandlers handlers;
+    const auto self = this->shared_from_this();
+    handlers.on_head = [self](const http::HttpHead& head) {
+      self->status = head.status;
+    };
+    handlers.on_body = [self](std::string_view bytes) {
+      self->body.append(bytes);
+    };
+    handlers.on_end = [self](http::HttpEnd end) { self->OnEnd(end); };
+    this->call = this->client.Call(std::move(ask), std::move(handlers));
   }
-  ++reading.pages;
-}
 
-void ReadPage(http::HttpClient& client, const Dialect& dialect,
-              const Endpoint& list, const std::string& token,
-              LogThrottle& skipped,
-              const std::shared_ptr<ListReading>& reading) {
-  http::HttpCall call;
-  call.peer = list;
-  call.target = dialect.list_target(token);
-  reading->body.clear();
-  http::HttpCallHandlers handlers;
-  handlers.on_head = [reading](const http::HttpHead& head) {
-    reading->status = head.status;
-  };
-  handlers.on_body = [reading](std::string_view bytes) {
-    reading->body.append(bytes);
-  };
-  handlers.on_end = [&client, &dialect, list, &skipped,
-                     reading](http::HttpEnd end) {
-    constexpr int kOk = 200;
-    if (end != http::HttpEnd::kComplete || reading->status != kOk) {
-      Log(LogLevel::kInfo, "engine_list_unread",
-          {{"status", reading->status}, {"end", static_cast<int>(end)}});
-      reading->done(std::nullopt);
+  void OnEnd(http::HttpEnd end) {
+    if (end != http::HttpEnd::kComplete) {
+      this->AskAgain(fmt::format("call ended {}", static_cast<int>(end)));
+      return;
+    }
+    if (this->status != kOk) {
+      this->refused += this->status == kTooMany ? 1 : 0;
+      const std::string reason = fmt::format("status {}", this->status);
+      if (MayBeGivenLater(this->status)) {
+        this->AskAgain(reason);
+      } else {
+        this->GiveUp(reason);
+      }
       return;
     }
     EnginePage page;
     try {
-      page = dialect.read_engine_page(reading->body);
+      page = this->dialect.read_engine_page(this->body);
     } catch (const ResultError& error) {
-      Log(LogLevel::kWarn, "engine_list_unreadable", {{"text", error.what()}});
-      reading->done(std::nullopt);
+      this->GiveUp(fmt::format("unreadable: {}", error.what()));
       return;
     }
-    TakePage(page, *reading);
-    if (page.next.empty() || reading->pages >= kMostPages) {
-      LogSkipped(*reading, skipped);
-      reading->done(std::move(reading->engines));
-    } else {
-      ReadPage(client, dialect, list, page.next, skipped, reading);
+    this->Take(page);
+  }
+
+  /// Symptom guarded against: a list is never whole. One call among all
+  /// processes is over the platform's rate, the pages before it are thrown away
+  /// and asked for anew, and those calls are over the rate in their turn.
+  void AskAgain(const std::string& reason) {
+    const double chance =
+        std::uniform_real_distribution<double>(0, 1)(this->reader.random);
+    const auto pause = this->retry.Again(MonotonicNow(), chance);
+    if (!pause.has_value()) {
+      this->GiveUp(reason);
+      return;
     }
-  };
-  client.Call(std::move(call), std::move(handlers));
-}
+    this->again.expires_after(*pause);
+    this->again.async_wait(
+        [self = this->shared_from_this()](std::error_code error) {
+          if (!error && !self->over) {
+            self->Ask();
+          }
+        });
+  }
+
+  void Take(EnginePage& page) {
+    this->retry.Taken();
+    for (coordination::EngineInstance& engine : page.engines) {
+      // The list moves between two pages, so that an entry can come again.
+      const auto [place, added] =
+          this->places.try_emplace(engine.Key(), this->engines.size());
+      if (added) {
+        this->engines.push_back(std::move(engine));
+      } else {
+        this->engines[place->second] = std::move(engine);
+      }
+    }
+    this->skipped += page.skipped;
+    if (this->first_problem.empty()) {
+      this->first_problem = std::move(page.first_problem);
+    }
+    ++this->pages;
+    if (page.next.empty() || this->pages >= this->most_pages) {
+      this->LogSkipped();
+      this->reader.unread.Due({}, MonotonicNow());
+      this->reader.pages = this->pages;
+      this->End(std::move(this->engines));
+      return;
+    }
+    this->token = std::move(page.next);
+    this->Ask();
+  }
+
+  /// Symptom guarded against: a replica that exists gets no request, and
+  /// nothing tells why. Its entry lacks a field, so it was left out of the
+  /// list.
+  void LogSkipped() {
+    const std::string text =
+        this->first_problem.empty()
+            ? std::string()
+            : fmt::format("{} {}", this->skipped, this->first_problem);
+    if (this->reader.skipped.Due(text, MonotonicNow())) {
+      Log(LogLevel::kWarn, "engine_entries_skipped",
+          {{"skipped", this->skipped},
+           {"kept", this->engines.size()},
+           {"first_problem", this->first_problem}});
+    }
+  }
+
+  void GiveUp(const std::string& reason) {
+    if (this->reader.unread.Due(reason, MonotonicNow())) {
+      Log(LogLevel::kWarn, "engine_list_unread",
+          {{"reason", reason},
+           {"pages", this->pages},
+           {"refused", this->refused}});
+    }
+    // A list that was not read to its end has at least one page more.
+    this->reader.pages = std::max(this->reader.pages, this->pages + 1);
+    this->End(std::nullopt);
+  }
+
+  void End(std::optional<EngineList> result) {
+    this->over = true;
+    this->again.cancel();
+    this->limit.cancel();
+    this->reader.refused = this->refused;
+    this->done(std::move(result));
+  }
+
+  http::HttpClient& client;
+  const Dialect& dialect;
+  Endpoint list;
+  ListReader& reader;
+  std::size_t most_pages;
+  std::function<void(std::optional<EngineList>)> done;
+  PageRetry retry;
+  asio::steady_timer again;
+  asio::steady_timer limit;
+  http::HttpCallId call = 0;
+  std::string token;  ///< Of the page being read; empty for the first.
+  std::string body;
+  int status = 0;
+  EngineList engines;
+  std::unordered_map<std::string, std::size_t> places;  ///< By Key().
+  std::size_t pages = 0;
+  std::size_t refused = 0;
+  std::size_t skipped = 0;
+  std::string first_problem;
+  bool over = false;
+};
 
 }  // namespace
 
 void ReadEngineList(
-    http::HttpClient& client, const Dialect& dialect, const Endpoint& list,
-    LogThrottle& skipped,
+    asio::io_context& context, http::HttpClient& client, const Dialect& dialect,
+    const Endpoint& list, ListReader& reader, const ListExtent& extent,
     std::function<
         void(std::optional<std::vector<coordination::EngineInstance>>)>
         done) {
-  const auto reading = std::make_shared<ListReading>();
-  reading->done = std::move(done);
-  ReadPage(client, dialect, list, {}, skipped, reading);
+  std::make_shared<ListReading>(context, client, dialect, list, reader, extent,
+                                std::move(done))
+      ->Begin();
 }
 
 NodeRuntime::NodeRuntime(NodeOptions given, const Dialect& dialect)
-    : options(std::move(given)), dialect(dialect), incarnation(RandomNumber()) {
+    : options(std::move(given)),
+      dialect(dialect),
+      incarnation(RandomNumber()),
+      search_pace(this->incarnation) {
   // Where no entry has a disk the seeds keep the coordination group in memory:
   // a restarted one is a new member, as after a lost disk.
   const bool in_memory = this->options.data_folder.empty() &&
@@ -298,35 +405,46 @@
 /// settings is gone never joins. Beside each replica on the platform's list
 /// runs a gate, and every gate knows the members.
 void NodeRuntime::SearchInList() {
-  this->search_timer->expires_after(kSearchEvery);
+  this->search_timer->expires_after(this->search_pace.Next());
   this->search_timer->async_wait([this](std::error_code error) {
     if (error) {
       return;
     }
     const Time heard = this->watch->knowledge().heard;
-    const bool lost = MonotonicNow() - heard > kSearchAfter;
-    if (lost && this->options.list.has_value()) {
-      ReadEngineList(
-          *this->list_client, this->dialect, *this->options.list,
-          this->skipped_entries,
-          [this](const std::optional<std::vector<coordination::EngineInstance>>&
-                     list) {
-            if (!list.has_value()) {
-              return;
-            }
-            std::vector<std::string> gates;
-            for (const coordination::EngineInstance& engine : *list) {
-              Endpoint gate = ParseEndpoint(engine.address, "engine");
-              gate.port = this->options.peer_listen.port;
-              gates.push_back(gate.ToString());
-            }
-            this->watch->SetFallbacks(std::move(gates));
-          });
+    if (MonotonicNow() - heard <= kSearchAfter) {
+      this->search_pace.Found();
+    } else if (this->options.list.has_value()) {
+      this->Search();
+      return;
     }
     this->SearchInList();
   });
 }
 
+void NodeRuntime::Search() {
+  ListExtent extent;
+  extent.most_pages = this->search_pace.Pages();
+  // What a search is refused would be of more use to readers of the whole list.
+  extent.most_repeats = 0;
+  ReadEngineList(
+      this->context, *this->list_client, this->dialect, *this->options.list,
+      this->search_reader, extent,
+      [this](const std::optional<std::vector<coordination::EngineInstance>>&
+                 list) {
+        this->search_pace.Ended(list.has_value());
+        if (list.has_value()) {
+          std::vector<std::string> gates;
+          for (const coordination::EngineInstance& engine : *list) {
+            Endpoint gate = ParseEndpoint(engine.address, "engine");
+            gate.port = this->options.peer_listen.port;
+            gates.push_back(gate.ToString());
+          }
+          this->watch->SetFallbacks(std::move(gates));
+        }
+        this->SearchInList();
+      });
+}
+
 void NodeRuntime::TakeRoutes() {
   const coordination::FleetKnowledge& fleet = this->watch->knowledge();
   try {
--- a/src/nodes/noderuntime.h
+++ b/src/nodes/noderuntime.h
@@ -4,6 +4,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 #include "nodes/dialect.h"
+#include "nodes/listpace.h"
 #include "nodes/logthrottle.h"
 #include "nodes/nodeoptions.h"
 #include "routes/routetable.h"
@@ -24,6 +26,16 @@
 
 namespace papayarack::nodes {
 
+/// What a process keeps from one reading of the platform's list to the next.
+/// The figures are those of the reading that ended last, for its `done`.
+struct ListReader {
+  LogThrottle skipped;  ///< Entries that name no replica to use.
+  LogThrottle unread;   ///< Readings that were given up.
+  std::minstd_rand random{std::random_device{}()};
+  std::size_t pages = 1;    ///< Of the list, as far as they were read.
+  std::size_t refused = 0;  ///< Calls over the platform's rate.
+};
+
 /// What every node has: the loop, the connections to other processes, what it
 /// knows of the fleet, the routes in force, its counters. Thread safety: none,
 /// the loop's thread.
@@ -62,13 +74,14 @@
   routes::RouteTablePtr table;  ///< Null until a configuration was learned.
   std::unique_ptr<coordination::GroupClient> coordination;
   std::unique_ptr<coordination::GroupClient> jobs;
-  LogThrottle skipped_entries;  ///< Of the platform's list, for its reader.
+  ListReader list_reader;
 
  private:
   void OpenFiles();
   bool IsSeed() const;
   void TakeRoutes();
   void SearchInList();
+  void Search();
   void WatchBacklog();
   std::vector<std::string> StoreAddresses() const;
 
@@ -76,18 +89,29 @@
   std::unique_ptr<http::HttpServer> metrics_server;
   std::unique_ptr<http::HttpClient> list_client;
   std::unique_ptr<asio::steady_timer> search_timer;
+  SearchPace search_pace;
+  /// Of this process's searches, whose readings are shorter than others.
+  ListReader search_reader;
   std::unique_ptr<asio::steady_timer> backlog_timer;
   transport::BacklogWatch backlog;
 };
 
-/// Reads the platform's whole list of replicas, page by page; `done` gets
-/// nothing when a page could not be read. Entries that name no replica to use
-/// are left out and logged as `skipped` allows. Precondition: `client`,
-/// `dialect` and `skipped` outlive the reading. Thread safety: none, the loop's
-/// thread.
+/// How much of the list one reading asks for.
+struct ListExtent {
+  std::size_t most_pages = SearchPace::kMostPages;
+  std::size_t most_repeats = PageRetry::kMostRepeats;  ///< Of each page.
+};
+
+/// Reads the platform's list of replicas, page by page. A page that is not
+/// given is asked for again as PageRetry says; `done` gets nothing when the
+/// reading was given up, at the latest after PageRetry::kLongestReading. An
+/// entry that stands on two pages is given once, as the later one has it.
+/// Entries that name no replica to use are left out and logged. Precondition:
+/// `context`, `client`, `dialect` and `reader` outlive the reading. Thread
+/// safety: none, the loop's thread.
 void ReadEngineList(
-    http::HttpClient& client, const Dialect& dialect, const Endpoint& list,
-    LogThrottle& skipped,
+    asio::io_context& context, http::HttpClient& client, const Dialect& dialect,
+    const Endpoint& list, ListReader& reader, const ListExtent& extent,
     std::function<
         void(std::optional<std::vector<coordination::EngineInstance>>)>
         done);
--- /dev/null
+++ b/src/nodes/tests/listpace_tests.cpp
@@ -0,0 +1,390 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <queue>
+#include <vector>
+
+#include "nodes/listpace.h"
+
+namespace papayarack::nodes {
+namespace {
+
+using std::chrono::milliseconds;
+
+Time At(int ms) { return Time(milliseconds(ms)); }
+
+/// The platform's list: what it takes in `burst_s` may come at once.
+struct LimitedList {
+  double rate = 0;
+  double burst_s = 1;
+  double left = 0;
+  Time filled{};
+
+  bool Takes(Time now) {
+    this->left =
+        std::min(this->rate * this->burst_s,
+                 this->left + this->rate * ToSeconds(now - this->filled));
+    this->filled = now;
+    if (this->left < 1) {
+      return false;
+    }
+    this->left -= 1;
+    return true;
+  }
+};
+
+/// How a reader acts. Anew: a refused page ends the reading and another begins
+/// a fixed pause after the former began. Paced: as OwnListPace and PageRetry
+/// say.
+enum class Manner { kAnew, kPaced };
+
+struct Reader {
+  explicit Reader(std::uint64_t seed) : pace(seed), random(seed + 1) {}
+
+  OwnListPace pace;
+  std::minstd_rand random;
+  std::optional<PageRetry> retry;
+  Time begun{};
+  bool has_begun = false;
+  std::size_t pages = 0;
+  std::size_t refused = 0;
+  Time seen{};
+  std::size_t lists = 0;
+};
+
+struct Fleet {
+  Manner manner = Manner::kPaced;
+  std::size_t readers = 0;
+  std::size_t replicas = 0;
+  std::size_t pages = 0;
+  double rate = 0;
+  bool leader = false;  ///< A leader that they do not hear reads as well.
+  double burst_s = 1;
+};
+
+struct Outcome {
+  std::size_t lists = 0;         ///< Whole readings.
+  std::size_t with_list = 0;     ///< Readers that got one or more.
+  std::size_t leader_lists = 0;  ///< Whole readings of the leader.
+  std::size_t refused = 0;
+  double oldest_s = 0;  ///< At the end.
+};
+
+/// Plays readers that hear of no list from time 0 on, when theirs is fresh.
+class Play {
+ public:
+  explicit Play(const Fleet& fleet)
+      : fleet(fleet),
+        list{fleet.rate, fleet.burst_s, fleet.rate * fleet.burst_s, {}} {
+    for (std::size_t i = 0; i <= fleet.readers; ++i) {
+      this->readers.emplace_back(i + 1);
+      // Looks are spread over a tick, as the processes started so.
+      this->Plan(At(static_cast<int>(i * 7 % 200)), i, false);
+    }
+  }
+
+  Outcome Until(Time end) {
+    while (!this->steps.empty() && this->steps.top().at <= end) {
+      const Step step = this->steps.top();
+      this->steps.pop();
+      if (step.page) {
+        this->Ask(step.at, step.reader);
+      } else {
+        this->Look(step.at, step.reader);
+      }
+    }
+    Outcome outcome;
+    for (std::size_t i = 0; i < this->fleet.readers; ++i) {
+      const Reader& reader = this->readers[i];
+      outcome.lists += reader.lists;
+      outcome.with_list += reader.lists > 0 ? 1 : 0;
+      outcome.oldest_s =
+          std::max(outcome.oldest_s, ToSeconds(end - reader.seen));
+    }
+    outcome.leader_lists = this->readers.back().lists;
+    outcome.refused = this->refused;
+    return outcome;
+  }
+
+ private:
+  struct Step {
+    Time at;
+    std::size_t order = 0;
+    std::size_t reader = 0;
+    bool page = false;
+    bool operator<(const Step& other) const {
+      return std::pair(this->at, this->order) >
+             std::pair(other.at, other.order);
+    }
+  };
+
+  bool IsLeader(std::size_t i) const { return i == this->fleet.readers; }
+  ListLoad Load() const {
+    return {this->fleet.rate, LikelyReaders(3, this->fleet.replicas),
+            this->fleet.pages};
+  }
+  void Plan(Time at, std::size_t reader, bool page) {
+    this->steps.push({at, this->order++, reader, page});
+  }
+
+  bool Due(Reader& reader, Time now, bool leader) {
+    if (leader) {
+      const milliseconds least =
+          this->fleet.manner == Manner::kAnew
+              ? milliseconds(500)
+              : std::max(milliseconds(500),
+                         LeaderListPause(this->fleet.rate, this->fleet.pages));
+      return this->fleet.leader &&
+             (!reader.has_begun || now - reader.begun >= least);
+    }
+    const milliseconds too_old = this->fleet.manner == Manner::kAnew
+                                     ? kListTooOld
+                                     : ListTooOld(this->Load());
+    if (now - reader.seen <= too_old) {
+      return false;
+    }
+    return this->fleet.manner == Manner::kAnew
+               ? !reader.has_begun || now - reader.begun > milliseconds(1000)
+               : reader.pace.Due(this->Load(), now);
+  }
+
+  void Look(Time now, std::size_t i) {
+    Reader& reader = this->readers[i];
+    if (!reader.retry.has_value() &&
+        this->Due(reader, now, this->IsLeader(i))) {
+      reader.retry.emplace(now);
+      reader.begun = now;
+      reader.has_begun = true;
+      reader.pages = 0;
+      reader.refused = 0;
+      this->Ask(now, i);
+    }
+    this->Plan(now + milliseconds(this->IsLeader(i) ? 50 : 200), i, false);
+  }
+
+  void Ask(Time now, std::size_t i) {
+    constexpr milliseconds kAnswerTime{5};
+    Reader& reader = this->readers[i];
+    if (this->list.Takes(now)) {
+      reader.retry->Taken();
+      if (++reader.pages < this->fleet.pages) {
+        this->Plan(now + kAnswerTime, i, true);
+      } else {
+        ++reader.lists;
+        reader.seen = now;
+        this->End(reader, true, now);
+      }
+      return;
+    }
+    ++this->refused;
+    ++reader.refused;
+    std::optional<milliseconds> pause;
+    if (this->fleet.manner == Manner::kPaced) {
+      pause = reader.retry->Again(
+          now, std::uniform_real_distribution<double>(0, 1)(reader.random));
+    }
+    if (pause.has_value()) {
+      this->Plan(now + *pause, i, true);
+    } else {
+      this->End(reader, false, now);
+    }
+  }
+
+  void End(Reader& reader, bool whole, Time now) {
+    reader.retry.reset();
+    reader.pace.Ended(this->Load(), whole, reader.refused, now);
+  }
+
+  Fleet fleet;
+  LimitedList list;
+  std::vector<Reader> readers;
+  std::priority_queue<Step> steps;
+  std::size_t order = 0;
+  std::size_t refused = 0;
+};
+
+Outcome PlayFor(Fleet fleet, Manner manner, int seconds) {
+  fleet.manner = manner;
+  const Outcome outcome = Play(fleet).Until(At(seconds * 1000));
+  UNSCOPED_INFO(
+      "readers " << fleet.readers << " pages " << fleet.pages << " rate "
+                 << fleet.rate << " paced " << (manner == Manner::kPaced)
+                 << " s " << seconds << ": lists " << outcome.lists
+                 << " with_list " << outcome.with_list << " leader "
+                 << outcome.leader_lists << " refused " << outcome.refused
+                 << " oldest_s " << outcome.oldest_s);
+  return outcome;
+}
+
+}  // namespace
+
+// Symptom: after the leader is lost replicas that drain go on being used, by
+// every entry, for as long as no leader is heard. Sequence: all entries miss it
+// at the same moment and read the list of several pages; together that is more
+// than the platform takes; each is refused a page and throws away those before.
+// Cause: a second later all of them begin anew, whatever they make together.
+TEST_CASE("processes without a leader get lists") {
+  SECTION("100 of them, 800 replicas") {
+    const Fleet fleet{{}, 100, 800, 16, 105};
+    const Outcome anew = PlayFor(fleet, Manner::kAnew, 10);
+    CHECK(anew.lists == 0);
+    CHECK(anew.oldest_s == 10);
+    CHECK(PlayFor(fleet, Manner::kAnew, 60).lists == 0);
+    CHECK(PlayFor(fleet, Manner::kPaced, 10).lists >= 40);
+    // A round of all is 1,600 calls at four fifths of 105 a second, 19 s, and a
+    // pause is up to a quarter longer.
+    const Outcome later = PlayFor(fleet, Manner::kPaced, 60);
+    CHECK(later.with_list == 100);
+    CHECK(later.oldest_s < 25);
+  }
+  SECTION("100 of them, 3000 replicas") {
+    const Fleet fleet{{}, 100, 3000, 60, 210};
+    const std::size_t anew = PlayFor(fleet, Manner::kAnew, 10).lists;
+    CHECK(PlayFor(fleet, Manner::kPaced, 10).lists >= 2 * anew);
+    const Outcome late = PlayFor(fleet, Manner::kAnew, 60);
+    const Outcome paced = PlayFor(fleet, Manner::kPaced, 60);
+    CHECK(late.with_list < 60);
+    CHECK(paced.with_list == 100);
+    CHECK(paced.refused * 10 < late.refused);
+  }
+  SECTION("24 of them, 200 replicas") {
+    // Whether a second's calls may come at once is the platform's choice.
+    const double burst_s = GENERATE(1.0, 0.1);
+    const Fleet fleet{{}, 24, 200, 4, 47, false, burst_s};
+    for (const int seconds : {10, 60}) {
+      const Outcome paced = PlayFor(fleet, Manner::kPaced, seconds);
+      CHECK(paced.with_list == 24);
+      CHECK(paced.oldest_s < 3.5);
+    }
+    CHECK(PlayFor(fleet, Manner::kAnew, 60).oldest_s > 20);
+  }
+  SECTION("a few of them as often as without a pace") {
+    const Fleet fleet{{}, 3, 10, 1, 47};
+    const Outcome anew = PlayFor(fleet, Manner::kAnew, 10);
+    const Outcome paced = PlayFor(fleet, Manner::kPaced, 10);
+    CHECK(paced.lists >= anew.lists);
+    CHECK(paced.refused == 0);
+    CHECK(paced.oldest_s <= 2.2);
+  }
+}
+
+// Symptom: the leader's list is older than it needs to be, and so is that of
+// everyone who hears it. Cause: processes that do not hear it use up the rate.
+TEST_CASE("a leader gets lists beside processes that do not hear it") {
+  const Fleet fleet = GENERATE(Fleet{{}, 24, 200, 4, 47, true},
+                               Fleet{{}, 100, 800, 16, 105, true},
+                               Fleet{{}, 100, 3000, 60, 210, true});
+  const Outcome anew = PlayFor(fleet, Manner::kAnew, 60);
+  const Outcome paced = PlayFor(fleet, Manner::kPaced, 60);
+  CHECK(paced.leader_lists > anew.leader_lists);
+  CHECK(paced.with_list >= anew.with_list);
+}
+
+TEST_CASE("own readings keep to their share of the rate") {
+  const ListLoad load{100, 20, 10};
+  SECTION("with pauses that differ") {
+    std::vector<milliseconds> first;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      OwnListPace pace(seed);
+      int ms = 0;
+      while (!pace.Due(load, At(ms))) {
+        ++ms;
+      }
+      first.emplace_back(ms);
+      // 200 calls at 80 a second.
+      CHECK(ms <= 2500);
+      pace.Ended(load, true, 0, At(ms));
+      CHECK_FALSE(pace.Due(load, At(ms + 2499)));
+      CHECK(pace.Due(load, At(ms + 3125)));
+    }
+    std::ranges::sort(first);
+    CHECK(first.front() < milliseconds(500));
+    CHECK(first.back() > milliseconds(2000));
+    CHECK(std::ranges::adjacent_find(first) == first.end());
+  }
+  SECTION("never faster than one a second") {
+    const ListLoad small{100, 1, 1};
+    OwnListPace pace(1);
+    pace.Ended(small, true, 0, At(100));
+    CHECK_FALSE(pace.Due(small, At(1099)));
+    CHECK(pace.Due(small, At(1350)));
+  }
+  SECTION("slower when more read than was thought, and back again") {
+    OwnListPace pace(1);
+    pace.Ended(load, false, 3, At(0));
+    CHECK_FALSE(pace.Due(load, At(4999)));
+    for (int i = 0; i < 9; ++i) {
+      pace.Ended(load, false, 3, At(0));
+    }
+    CHECK_FALSE(pace.Due(load, At(19999)));
+    CHECK((pace.Due(load, At(22500)) || pace.Due(load, At(25000))));
+    for (int i = 0; i < 6; ++i) {
+      pace.Ended(load, true, 3, At(0));
+    }
+    CHECK(pace.Due(load, At(3125)));
+  }
+  SECTION("not slower for a list that is out of reach") {
+    OwnListPace pace(1);
+    pace.Ended(load, false, 0, At(0));
+    CHECK(pace.Due(load, At(3125)));
+  }
+}
+
+TEST_CASE("the leader's pause grows with the list") {
+  CHECK(LeaderListPause(40, 1) == milliseconds(50));
+  CHECK(LeaderListPause(40, 60) == milliseconds(3000));
+  CHECK(LeaderListPause(ListRate(0), 1) == milliseconds(50));
+  CHECK(ListRate(47) == 47);
+  CHECK(ListRate(-1) == kDefaultListRate);
+}
+
+TEST_CASE("a list is not too old while the leader keeps to its pause") {
+  CHECK(ListTooOld({47, 25, 4}) == milliseconds(1700));
+  CHECK(ListTooOld({40, 100, 60}) == milliseconds(4200));
+}
+
+TEST_CASE("those that may read are guessed from the replicas") {
+  CHECK(LikelyReaders(0, 0) == 1);
+  CHECK(LikelyReaders(5, 10) == 5);
+  CHECK(LikelyReaders(3, 200) == 25);
+  CHECK(LikelyReaders(3, 3000) == 100);
+}
+
+TEST_CASE("a page is asked for again a few times, in bounded time") {
+  SECTION("with pauses that grow") {
+    PageRetry retry(At(0));
+    const std::vector<int> longest = {100, 200, 400, 800, 800, 800};
+    for (const int ms : longest) {
+      CHECK(retry.Again(At(0), 1.0) == milliseconds(ms));
+    }
+    CHECK_FALSE(retry.Again(At(0), 1.0).has_value());
+    retry.Taken();
+    CHECK(retry.Again(At(0), 0.0) == milliseconds(50));
+  }
+  SECTION("not when the pages before would be too old") {
+    PageRetry retry(At(0));
+    CHECK(retry.Again(At(2800), 1.0).has_value());
+    CHECK_FALSE(retry.Again(At(2900), 1.0).has_value());
+  }
+}
+
+// Symptom: entries get no list while they hear no leader, because each of some
+// thousand gates searches the whole of it every few seconds as well.
+TEST_CASE("searches take little of the rate while there are many") {
+  SearchPace pace(7);
+  CHECK(pace.Pages() == 1);
+  for (int i = 0; i < 10; ++i) {
+    pace.Ended(true);
+  }
+  CHECK(pace.Pages() == SearchPace::kMostPages);
+  CHECK(pace.Next() <= milliseconds(5000));
+  for (int i = 0; i < 10; ++i) {
+    pace.Ended(false);
+  }
+  CHECK(pace.Pages() == 1);
+  CHECK(pace.Next() >= milliseconds(48000));
+  CHECK(pace.Next() != pace.Next());
+  pace.Found();
+  CHECK(pace.Next() <= milliseconds(5000));
+}
+
+}  // namespace papayarack::nodes
--- /dev/null
+++ b/src/nodes/tests/listreading_tests.cpp
@@ -0,0 +1,191 @@
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+
+#include "http/httpserver.h"
+#include "nodes/noderuntime.h"
+
+namespace papayarack::nodes {
+namespace {
+
+using EngineList = std::vector<coordination::EngineInstance>;
+
+/// A stand-in list. A page is its ids, in words, and after a bar the path of
+/// the next page; an id that ends in "!" drains.
+struct PagedList {
+  PagedList()
+      : server(this->context, Endpoint{"127.0.0.1", 0}, {}, this->Handlers()) {
+    this->dialect.list_target = [](const std::string& token) {
+      return "/" + token;
+    };
+    this->dialect.read_engine_page = ReadWords;
+  }
+
+  static EnginePage ReadWords(std::string_view text) {
+    EnginePage page;
+    const std::size_t bar = text.find('|');
+    if (bar == std::string_view::npos) {
+      throw ResultError(ResultCode::kBadInput, "no bar");
+    }
+    page.next = text.substr(bar + 1);
+    std::string_view words = text.substr(0, bar);
+    while (!words.empty()) {
+      const std::size_t end = std::min(words.find(' '), words.size());
+      coordination::EngineInstance engine;
+      engine.id = words.substr(0, end);
+      engine.draining = engine.id.ends_with('!');
+      if (engine.draining) {
+        engine.id.pop_back();
+      }
+      page.engines.push_back(engine);
+      words.remove_prefix(std::min(end + 1, words.size()));
+    }
+    return page;
+  }
+
+  http::HttpServerHandlers Handlers() {
+    http::HttpServerHandlers handlers;
+    handlers.on_request = [this](http::ExchangeId exchange,
+                                 const http::HttpRequest& request) {
+      const std::string path(request.Path());
+      const int asked = ++this->asked[path];
+      http::HttpResponse response;
+      if (path == this->silent_at) {
+        return;
+      }
+      if (path == this->refused_at && asked <= this->refusals) {
+        response.status = this->refusal;
+      } else {
+        response.body = this->pages[path];
+      }
+      this->server.Respond(exchange, response);
+    };
+    handlers.on_gone = [](http::ExchangeId) {};
+    return handlers;
+  }
+
+  /// Runs one reading; how long it took is in `took`.
+  std::optional<EngineList> Read(const ListExtent& extent = {}) {
+    std::optional<EngineList> result;
+    int ended = 0;
+    const Time begun = MonotonicNow();
+    ReadEngineList(this->context, this->client, this->dialect,
+                   Endpoint{"127.0.0.1", this->server.port()}, this->reader,
+                   extent, [&](std::optional<EngineList> list) {
+                     result = std::move(list);
+                     ++ended;
+                     this->context.stop();
+                   });
+    this->context.restart();
+    this->context.run_for(std::chrono::seconds(10));
+    this->took = MonotonicNow() - begun;
+    CHECK(ended == 1);
+    return result;
+  }
+
+  std::vector<std::string> IdsOf(const std::optional<EngineList>& list) {
+    std::vector<std::string> ids;
+    if (list.has_value()) {
+      for (const coordination::EngineInstance& engine : *list) {
+        ids.push_back(engine.id + (engine.draining ? "!" : ""));
+      }
+    }
+    return ids;
+  }
+
+  std::map<std::string, std::string> pages = {
+      {"/", "a b|2"}, {"/2", "c d|3"}, {"/3", "e|"}};
+  std::string refused_at;
+  std::string silent_at;
+  int refusal = 429;
+  int refusals = 0;
+  std::map<std::string, int> asked;
+  Duration took{};
+  asio::io_context context;
+  Dialect dialect;
+  ListReader reader;
+  http::HttpServer server;
+  http::HttpClient client{this->context};
+};
+
+const std::vector<std::string> kWhole = {"a", "b", "c", "d", "e"};
+
+}  // namespace
+
+// Symptom: nobody gets a list of replicas while many read it. Sequence: page 2
+// is refused as the platform's rate is used up at that moment. Cause: the pages
+// before were thrown away and the reading given up.
+TEST_CASE("a refused page is asked for again, without those before") {
+  PagedList list;
+  list.refused_at = "/2";
+  list.refusals = 1;
+  SECTION("refused over the rate") {
+    CHECK(list.IdsOf(list.Read()) == kWhole);
+    CHECK(list.reader.refused == 1);
+  }
+  SECTION("failed for now") {
+    list.refusal = 503;
+    CHECK(list.IdsOf(list.Read()) == kWhole);
+    CHECK(list.reader.refused == 0);
+  }
+  CHECK(list.asked["/"] == 1);
+  CHECK(list.asked["/2"] == 2);
+  CHECK(list.asked["/3"] == 1);
+  CHECK(list.reader.pages == 3);
+}
+
+TEST_CASE("a reading ends in bounded time") {
+  PagedList list;
+  list.refused_at = "/2";
+  list.refusals = 1000;
+  SECTION("when a page is refused again and again") {
+    CHECK_FALSE(list.Read().has_value());
+    CHECK(list.took < PageRetry::kLongestReading + std::chrono::seconds(1));
+    CHECK(list.asked["/2"] <= static_cast<int>(PageRetry::kMostRepeats) + 1);
+    CHECK(list.asked["/2"] > 2);
+    CHECK(list.reader.refused == static_cast<std::size_t>(list.asked["/2"]));
+  }
+  SECTION("when a page is not answered") {
+    list.silent_at = "/2";
+    CHECK_FALSE(list.Read().has_value());
+    CHECK(list.took >= PageRetry::kLongestReading);
+    CHECK(list.took < PageRetry::kLongestReading + std::chrono::seconds(1));
+  }
+  SECTION("at once when another try would be answered the same") {
+    list.refusal = 404;
+    CHECK_FALSE(list.Read().has_value());
+    CHECK(list.asked["/2"] == 1);
+  }
+  SECTION("at once when the page cannot be read") {
+    list.refusals = 0;
+    list.pages["/2"] = "no end";
+    CHECK_FALSE(list.Read().has_value());
+    CHECK(list.asked["/2"] == 1);
+  }
+  SECTION("at once for a search") {
+    CHECK_FALSE(list.Read({SearchPace::kMostPages, 0}).has_value());
+    CHECK(list.asked["/2"] == 1);
+  }
+  // The list is known to have a second page.
+  CHECK(list.reader.pages == 2);
+}
+
+// Symptom: one replica counts twice, and where one line of it drains it goes on
+// being used. Cause: a replica came to the list between the reading of two
+// pages, so that the last entry of the first page begins the second.
+TEST_CASE("an entry on two pages is given once, as the later page has it") {
+  PagedList list;
+  list.pages["/2"] = "b! c d|3";
+  CHECK(list.IdsOf(list.Read()) ==
+        std::vector<std::string>{"a", "b!", "c", "d", "e"});
+}
+
+TEST_CASE("a search reads no more pages than it is to") {
+  PagedList list;
+  CHECK(list.IdsOf(list.Read({2, 0})) ==
+        std::vector<std::string>{"a", "b", "c", "d"});
+  CHECK(list.asked["/3"] == 0);
+}
+
+}  // namespace papayarack::nodes
