Hand an item's text back again unless the pull that carried it arrived

Cause: what a gate hands back left its list with the pull. A pull that was refused, or cancelled for a newer one before it arrived, took the texts with it, and the next gate began from nothing.

Change: the runner keeps what a pull carries until that is answered, and puts it before what the next one carries. So that this doesn't grow under failures, one pull hands back up to 256 KB of texts, at least one item; what waits for the next pull is still named as held, or the leader would give it on without its text. The leader answers a pull that hands something back at once instead of after its hold of 1 s, so the copies are few. A second arrival is harmless, a test of LeaseDesk shows it: the text that goes further stays, and an item that another gate has is left alone.

--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -472,9 +472,14 @@
   }
 }
 
+/// A pull that hands something back is answered at once: the gate keeps the
+/// texts and sends them again until it knows that they arrived.
 void BatchStore::OnPull(StreamId stream, const std::string& body) {
   const Time now = MonotonicNow();
-  Puller puller{DecodeMessage<PullItems>(body), now + kPullHold};
+  Puller puller{DecodeMessage<PullItems>(body), now};
+  if (puller.pull.returned.empty()) {
+    puller.until = now + kPullHold;
+  }
   this->desk.Renew(puller.pull.gate, puller.pull.incarnation,
                    puller.pull.holding, now);
   for (const ReturnedItem& returned : puller.pull.returned) {
--- a/src/batches/tests/batches_tests.cpp
+++ b/src/batches/tests/batches_tests.cpp
@@ -177,6 +177,29 @@
     CHECK(desk.PartialOf(one).last_event == 3);
     CHECK(take("h", 1, 2100).front() == one);
   }
+  SECTION("an item handed back a second time changes nothing") {
+    take("g", 1, 2000);
+    const ReturnedItem returned{one, {"abc", 3}};
+    desk.Return("g", returned);
+    SECTION("while it waits") {
+      desk.Return("g", returned);
+      CHECK(desk.Waiting() == 2);
+    }
+    SECTION("while another gate runs it") {
+      REQUIRE(take("h", 1, 2100).front() == one);
+      desk.Return("g", returned);
+      CHECK(desk.Waiting() == 1);
+    }
+    SECTION("when it got further meanwhile") {
+      REQUIRE(take("h", 1, 2100).front() == one);
+      desk.Return("h", {one, {"abcde", 5}});
+      desk.Return("g", returned);
+      CHECK(desk.Waiting() == 2);
+      CHECK(desk.PartialOf(one).text == "abcde");
+      return;
+    }
+    CHECK(desk.PartialOf(one).text == "abc");
+  }
   SECTION("what is listed has to stop") {
     take("g", 1, 2000);
     desk.Remove(one, At(7000));
--- a/src/batches/tests/batchstore_tests.cpp
+++ b/src/batches/tests/batchstore_tests.cpp
@@ -259,4 +259,30 @@
   }
 }
 
+// Symptom: gates send the texts of items that they hand back several times.
+// Sequence: the leader holds the pull that carries them for a second, as it has
+// no items; meanwhile room changes and the gate asks anew. Cause: only an
+// answer tells the gate that the texts arrived.
+TEST_CASE("a pull that hands something back is answered at once") {
+  constexpr milliseconds kFarBelowHold{500};
+  Pair pair;
+  std::vector<ResultCode> codes;
+  const auto answered = [&codes] { return !codes.empty(); };
+  PullItems pull;
+  pull.gate = "g";
+  const Time start = MonotonicNow();
+  SECTION("whether the item is known or not") {
+    pull.returned.push_back({{"b", "i"}, {"made", 1}});
+    pair.Leader().Ask("/jobs/pull", pull, codes);
+    pair.RunUntil(answered);
+    CHECK(MonotonicNow() - start < kFarBelowHold);
+  }
+  SECTION("one that does not is held") {
+    pair.Leader().Ask("/jobs/pull", pull, codes);
+    pair.RunUntil(answered);
+    CHECK(MonotonicNow() - start > kFarBelowHold);
+  }
+  CHECK(codes == std::vector<ResultCode>{ResultCode::kOk});
+}
+
 }  // namespace papayarack::batches
--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -39,6 +39,9 @@
   /// second on a link at the pace of coordination::TimeToCarry, within one
   /// attempt, and a quarter of the log that a store keeps between snapshots.
   static constexpr std::size_t kMostReportBytes = 256U << 10U;
+  /// Most bytes of texts that one pull hands back, unless a single one has
+  /// more: as for a report.
+  static constexpr std::size_t kMostReturnBytes = kMostReportBytes;
   /// Wait after the first report that failed; doubled by each further one. A
   /// call that failed has asked for up to 3 s already, so this only keeps
   /// refusals that come at once from being met with copies at the pace of the
@@ -91,6 +94,10 @@
 
   void Pull();
   void OnPulled(const Result& result, const std::string& body);
+  /// What the next pull hands back; it stays in `returning` until answered.
+  void ChooseReturns();
+  /// The pull under way may not have arrived: the next hands back again.
+  void KeepReturns();
   std::vector<batches::ItemRef> Holding() const;
   std::uint32_t Room() const;
   std::uint32_t Replaceable() const;
@@ -139,7 +146,8 @@
   double events_per_item;
   double ms_per_event;
   Time next_pull{};
-  std::vector<batches::ReturnedItem> to_return;
+  std::vector<batches::ReturnedItem> to_return;  ///< With a later pull.
+  std::vector<batches::ReturnedItem> returning;  ///< With that under way.
   bool reporting = false;
   Time next_report{};
   std::chrono::milliseconds report_pause = kReportPause;
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -1,6 +1,7 @@
 #include "nodes/batchrunner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "global/logging.h"
@@ -57,6 +58,9 @@
   for (const auto& [id, run] : this->runs) {
     holding.push_back({run.item.batch, run.item.spec.id});
   }
+  for (const batches::ReturnedItem& waits : this->to_return) {
+    holding.push_back(waits.item);
+  }
   return holding;
 }
 
@@ -143,7 +147,9 @@
 void BatchRunner::Pull() {
   if (this->pull_call != 0) {
     this->jobs.Cancel(this->pull_call);
+    this->KeepReturns();
   }
+  this->ChooseReturns();
   this->next_pull = MonotonicNow() + kPullPace;
   this->pulled_room = this->Room();
   batches::PullItems pull;
@@ -154,7 +160,7 @@
   this->pulled_replaceable = this->Replaceable();
   pull.replaceable = this->pulled_replaceable;
   pull.holding = this->Holding();
-  pull.returned = std::exchange(this->to_return, {});
+  pull.returned = this->returning;
   this->pull_call =
       this->jobs.Call("/jobs/pull", EncodeMessage(pull), kPullTime, kPullTry,
                       [this, alive = this->alive](const Result& result,
@@ -166,10 +172,37 @@
                       });
 }
 
+void BatchRunner::ChooseReturns() {
+  std::size_t bytes = 0;
+  const auto first_left =
+      std::ranges::find_if(this->to_return, [&](const auto& returned) {
+        const bool first = bytes == 0;
+        bytes += returned.partial.text.size() + 1;
+        return !first && bytes > kMostReturnBytes;
+      });
+  this->returning.assign(std::make_move_iterator(this->to_return.begin()),
+                         std::make_move_iterator(first_left));
+  this->to_return.erase(this->to_return.begin(), first_left);
+}
+
+/// Symptom guarded against: an item that was handed back begins from nothing at
+/// the next gate, and is late. What a pull hands back was forgotten when it
+/// left, though it might be refused, or given up before it arrived. A second
+/// arrival is harmless: the leader keeps the text that goes further, and leaves
+/// an item alone that another gate has by then.
+void BatchRunner::KeepReturns() {
+  this->to_return.insert(this->to_return.begin(),
+                         std::make_move_iterator(this->returning.begin()),
+                         std::make_move_iterator(this->returning.end()));
+  this->returning.clear();
+}
+
 void BatchRunner::OnPulled(const Result& result, const std::string& body) {
   if (!result.Ok()) {
+    this->KeepReturns();
     return;
   }
+  this->returning.clear();
   batches::PulledItems pulled;
   try {
     pulled = DecodeMessage<batches::PulledItems>(body);
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -276,4 +276,93 @@
   }
 }
 
+// Symptom: items that were handed back begin from nothing at the next gate, and
+// are late. Sequence: a gate hands an item back with what its run has made; the
+// pull that carries it is refused, or given up for a newer one. Cause: what a
+// pull carries was forgotten when it left, not when it was answered.
+TEST_CASE("what a pull hands back goes with the next one unless it arrived") {
+  Bench bench(1);
+  bench.engine.ends = false;
+  const milliseconds late(-1000);
+  bench.leader.on_pull = [&](Leader::Pull& pull) {
+    if (bench.leader.pulls.size() == 1) {
+      bench.leader.Answer(pull, {{MakeItem("1", late)}, {}});
+    }
+  };
+  REQUIRE(bench.RunUntil([&] { return bench.engine.asked == 1; }));
+  bench.RunFor(milliseconds(50));
+  // The online request takes the slot; the late item goes back 0.4 s later.
+  bench.Occupy(1);
+  const auto handed_back = [&] {
+    return !bench.leader.pulls.back().asked.returned.empty();
+  };
+  const auto check = [&] {
+    const auto& returned = bench.leader.pulls.back().asked.returned;
+    REQUIRE(returned.size() == 1);
+    CHECK(returned.front().item == batches::ItemRef{"b", "1"});
+    CHECK(returned.front().partial.text == "made");
+    CHECK(returned.front().partial.last_event == 1);
+  };
+  REQUIRE(bench.RunUntil(handed_back));
+  check();
+  const std::size_t pulls = bench.leader.pulls.size();
+  const auto next_pull = [&] { return bench.leader.pulls.size() > pulls; };
+  SECTION("after a refusal") {
+    bench.leader.Refuse(bench.leader.pulls.back());
+    REQUIRE(bench.RunUntil(next_pull));
+    check();
+  }
+  SECTION("after it was given up for a newer one") {
+    bench.Leave(1);
+    REQUIRE(bench.RunUntil(next_pull));
+    check();
+    CHECK(bench.leader.pulls.back().asked.room == 1);
+  }
+  SECTION("but not once it was answered") {
+    bench.leader.Answer(bench.leader.pulls.back(), {});
+    REQUIRE(bench.RunUntil(next_pull));
+    CHECK(bench.leader.pulls.back().asked.returned.empty());
+  }
+}
+
+// Symptom and cause as for reports: what a gate could not hand back for a
+// moment leaves in one ever larger pull.
+TEST_CASE("what a pull hands back is bounded") {
+  constexpr std::uint32_t kItems = 4;
+  constexpr std::size_t kTextBytes = 100'000;
+  Bench bench(kItems);
+  bench.engine.ends = false;
+  bench.engine.text = std::string(kTextBytes, 't');
+  bench.leader.on_pull = [&](Leader::Pull& pull) {
+    batches::PulledItems items;
+    if (bench.leader.pulls.size() == 1) {
+      for (std::uint32_t i = 0; i < kItems; ++i) {
+        items.items.push_back(MakeItem(std::to_string(i), kAmpleTime));
+      }
+    }
+    bench.leader.Answer(pull, items);
+  };
+  REQUIRE(bench.RunUntil([&] { return bench.engine.asked == kItems; }));
+  bench.RunFor(milliseconds(100));
+  bench.runner.Stop();
+  std::set<std::string> returned;
+  std::size_t looked_at = 0;
+  REQUIRE(bench.RunUntil([&] {
+    for (; looked_at < bench.leader.pulls.size(); ++looked_at) {
+      const batches::PullItems& pull = bench.leader.pulls[looked_at].asked;
+      CHECK(pull.returned.size() <= BatchRunner::kMostReturnBytes / kTextBytes);
+      for (const batches::ReturnedItem& item : pull.returned) {
+        CHECK(item.partial.text.size() == kTextBytes);
+        returned.insert(item.item.item);
+      }
+      // What waits for the next pull is still this gate's.
+      CHECK((returned.empty() ||
+             pull.holding.size() + returned.size() == kItems));
+    }
+    return returned.size() == kItems;
+  }));
+  REQUIRE(bench.RunUntil(
+      [&] { return bench.leader.pulls.back().asked.returned.empty(); }));
+}
+
 }  // namespace papayarack::nodes
