Give a pull up only for what the leader's hold would spoil

Cause: whenever room changed, or something was to be handed back, the gate cancelled the pull under way 40 ms after it was sent and asked anew. The leader had leased items for it and sent their bodies; the answer was lost and the items were leased and sent again, again to a pull of 40 ms.

Change, the rule: the leader hands out at once what it has, and holds a pull only while it has nothing, for 1 s at most. So a pull that can bring nothing and hands nothing back is given up as soon as there is room. Any other is left alone for 200 ms, in which an answer given at once is here; after that it is given up if there is less room than it asked for, room where it asked for none, or something to hand back. Room that merely grew is left to the next pull. Each pull given up under this rule doubles the 200 ms up to 1.6 s, each answer halves them, so an answer of any size that one attempt can carry arrives in the end.

An item that comes back while it waits to be handed back goes on with its text and is not handed back: that was possible before within the 40 ms.

Measured by the tests: room of 4 that shrank by one gave the pull up after 40.7 ms and its answer was lost before; it is kept for 200 ms now. With room that goes up and down by one all the time, answers that take 100 ms did not arrive within 8 s before; they do now. An item that came back was handed back in the next pull before, though it was held again; now it is held once. The section with answers of 600 ms passes on the old code too: it guards the doubling, not the old fault.

--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -39,6 +39,14 @@
   /// second on a link at the pace of coordination::TimeToCarry, within one
   /// attempt, and a quarter of the log that a store keeps between snapshots.
   static constexpr std::size_t kMostReportBytes = 256U << 10U;
+  /// An answer that the leader gave at once is here after this long: ten round
+  /// trips between regions of one continent (20 ms each), or 200 KB at the pace
+  /// of coordination::TimeToCarry. Doubled by each pull that was given up in
+  /// vain, so that an answer of any size arrives in the end.
+  static constexpr std::chrono::milliseconds kAnswerTime{200};
+  /// The time stops growing here: the leader holds a pull for 1 s at most, and
+  /// this leaves 0.6 s for its answer, as one attempt does.
+  static constexpr std::chrono::milliseconds kLongestAnswerTime{1600};
   /// Most bytes of texts that one pull hands back, unless a single one has
   /// more: as for a report.
   static constexpr std::size_t kMostReturnBytes = kMostReportBytes;
@@ -93,7 +101,12 @@
   using RunId = std::uint64_t;
 
   void Pull();
+  /// Whether the answer to the pull under way can bring no items, and it hands
+  /// nothing back.
+  bool PullIsIdle() const;
+  bool ShouldPull(Time now) const;
   void OnPulled(const Result& result, const std::string& body);
+  void Take(batches::LeasedItem item);
   /// What the next pull hands back; it stays in `returning` until answered.
   void ChooseReturns();
   /// The pull under way may not have arrived: the next hands back again.
@@ -146,6 +159,8 @@
   double events_per_item;
   double ms_per_event;
   Time next_pull{};
+  Time pulled_at{};
+  std::chrono::milliseconds answer_time = kAnswerTime;
   std::vector<batches::ReturnedItem> to_return;  ///< With a later pull.
   std::vector<batches::ReturnedItem> returning;  ///< With that under way.
   bool reporting = false;
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -9,8 +9,8 @@
 namespace papayarack::nodes {
 namespace {
 
-/// A pull is asked anew with a changed room no more often than this: room
-/// changes at each online request, and each pull costs the leader a message.
+/// Pulls follow each other no more often than this: room changes at each online
+/// request, and each pull costs the leader a message.
 constexpr std::chrono::milliseconds kPullPace{40};
 constexpr std::chrono::milliseconds kPullTime{4000};
 constexpr std::chrono::milliseconds kPullTry{1600};
@@ -135,22 +135,53 @@
     run.not_before = now + kAfterFailure;
   }
   this->Balance();
-  const bool idle = this->pull_call == 0;
-  const bool more_room = this->Room() != this->pulled_room ||
-                         this->Replaceable() != this->pulled_replaceable;
-  if ((idle || more_room || !this->to_return.empty()) &&
-      now >= this->next_pull) {
+  if (now >= this->next_pull && this->ShouldPull(now)) {
+    if (this->pull_call != 0 && !this->PullIsIdle()) {
+      this->answer_time = std::min(2 * this->answer_time, kLongestAnswerTime);
+    }
     this->Pull();
   }
 }
 
+bool BatchRunner::PullIsIdle() const {
+  return this->pulled_room == 0 && this->pulled_replaceable == 0 &&
+         this->returning.empty();
+}
+
+/// Symptom guarded against: while online requests come and go, the links carry
+/// the same items again and again and they start late. Any change of room gave
+/// up the pull under way, 41 ms after it was sent, and with it the bodies that
+/// the leader had sent already. What the leader has it hands out at once, so a
+/// pull is left alone while an answer may be on its way, and is given up only
+/// for what the leader's hold of 1 s would spoil: room that is less than asked
+/// for, or that there is now where none was, or items to hand back. Room that
+/// merely grew is filled by the next pull. A pull that can bring nothing is
+/// given up at once.
+bool BatchRunner::ShouldPull(Time now) const {
+  if (this->pull_call == 0) {
+    return true;
+  }
+  const std::uint32_t room = this->Room();
+  const std::uint32_t replaceable = this->Replaceable();
+  const bool shrank =
+      room < this->pulled_room || replaceable < this->pulled_replaceable;
+  const bool grew_from_zero =
+      (this->pulled_room == 0 && room > 0) ||
+      (this->pulled_replaceable == 0 && replaceable > 0);
+  if (!shrank && !grew_from_zero && this->to_return.empty()) {
+    return false;
+  }
+  return this->PullIsIdle() || now - this->pulled_at >= this->answer_time;
+}
+
 void BatchRunner::Pull() {
   if (this->pull_call != 0) {
     this->jobs.Cancel(this->pull_call);
     this->KeepReturns();
   }
   this->ChooseReturns();
-  this->next_pull = MonotonicNow() + kPullPace;
+  this->pulled_at = MonotonicNow();
+  this->next_pull = this->pulled_at + kPullPace;
   this->pulled_room = this->Room();
   batches::PullItems pull;
   pull.gate = this->target.gate;
@@ -203,6 +234,7 @@
     return;
   }
   this->returning.clear();
+  this->answer_time = std::max(this->answer_time / 2, kAnswerTime);
   batches::PulledItems pulled;
   try {
     pulled = DecodeMessage<batches::PulledItems>(body);
@@ -226,19 +258,36 @@
     });
   }
   for (batches::LeasedItem& item : pulled.items) {
-    Run run;
-    run.text = std::move(item.partial.text);
-    run.last_event = item.partial.last_event;
-    run.any_event = run.last_event > 0 || !run.text.empty();
-    run.since = MonotonicNow();
-    run.due = run.since + std::chrono::milliseconds(item.due_in_ms);
-    run.item = std::move(item);
-    this->runs.emplace(++this->last_run, std::move(run));
+    this->Take(std::move(item));
   }
   this->Balance();
   this->ReplaceLate();
 }
 
+/// An item may come back before it was handed back, in the answer to a pull
+/// that still named it as held or had left before. It goes on from here, and is
+/// handed back no more: a return that came later would give it to another gate
+/// while it runs.
+void BatchRunner::Take(batches::LeasedItem item) {
+  const batches::ItemRef ref{item.batch, item.spec.id};
+  const auto kept =
+      std::ranges::find(this->to_return, ref, &batches::ReturnedItem::item);
+  if (kept != this->to_return.end()) {
+    if (kept->partial.last_event > item.partial.last_event) {
+      item.partial = std::move(kept->partial);
+    }
+    this->to_return.erase(kept);
+  }
+  Run run;
+  run.text = std::move(item.partial.text);
+  run.last_event = item.partial.last_event;
+  run.any_event = run.last_event > 0 || !run.text.empty();
+  run.since = MonotonicNow();
+  run.due = run.since + std::chrono::milliseconds(item.due_in_ms);
+  run.item = std::move(item);
+  this->runs.emplace(++this->last_run, std::move(run));
+}
+
 /// Late runs give their slots to items that can still be in time.
 void BatchRunner::ReplaceLate() {
   const auto waits = [this] {
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -365,4 +365,131 @@
       [&] { return bench.leader.pulls.back().asked.returned.empty(); }));
 }
 
+// Symptom: an item is run from its beginning though this gate has a part of
+// it, and is given to another gate while it runs here. Sequence: the item waits
+// to be handed back with the next pull when the answer to the one under way
+// brings it here again. Cause: both were kept, the item and its return.
+TEST_CASE("an item that comes back before it was handed back is held once") {
+  const milliseconds late(-1000);
+  Bench bench(2);
+  bench.engine.ends = false;
+  bench.engine.text = std::string(BatchRunner::kMostReturnBytes, 't');
+  bool came_back = false;
+  std::vector<batches::PullItems> after;
+  bench.leader.on_pull = [&](Leader::Pull& pull) {
+    batches::PulledItems items;
+    if (bench.leader.pulls.size() == 1) {
+      items.items = {MakeItem("1", late), MakeItem("2", late)};
+    } else if (came_back) {
+      after.push_back(pull.asked);
+    } else if (!pull.asked.returned.empty()) {
+      came_back = true;
+      items.items = {MakeItem("2", late)};
+    }
+    bench.leader.Answer(pull, items);
+  };
+  REQUIRE(bench.RunUntil([&] { return bench.engine.asked == 2; }));
+  bench.RunFor(milliseconds(300));
+  bench.runner.Stop();
+  REQUIRE(bench.RunUntil([&] { return !after.empty(); }));
+  CHECK(after.front().returned.empty());
+  CHECK(after.front().holding == std::vector<batches::ItemRef>{{"b", "2"}});
+  REQUIRE(bench.RunUntil([&] { return !after.back().returned.empty(); }));
+  CHECK(after.back().returned.front().partial.text == bench.engine.text);
+}
+
+// Symptom: while online requests come and go, items reach their gates late or
+// not at all, though the links carry them again and again. Sequence: the leader
+// leases items to a gate and answers with their bodies; before the answer is
+// whole the gate's room changes by one; it cancels the pull and asks anew.
+// Cause: any change of room, and anything to hand back, gave up a pull, however
+// much was on its way.
+TEST_CASE("a pull whose answer may be on its way is not given up") {
+  constexpr std::uint32_t kSlots = 4;
+  Bench bench(kSlots);
+  const auto pulls = [&]() -> std::vector<Leader::Pull>& {
+    return bench.leader.pulls;
+  };
+  const auto pulled = [&](std::size_t count) {
+    return bench.RunUntil([&, count] { return pulls().size() >= count; });
+  };
+  REQUIRE(pulled(1));
+  REQUIRE(pulls()[0].asked.room == kSlots);
+  const auto hand_out = [&](std::size_t pull) {
+    bench.leader.Answer(pulls()[pull], {{MakeItem("1", kAmpleTime)}, {}});
+    CHECK(bench.RunUntil([&] { return bench.leader.listed.size() == 1; }));
+  };
+  SECTION("because room shrank just now") {
+    bench.Occupy(1);
+    bench.RunFor(BatchRunner::kAnswerTime / 2);
+    CHECK_FALSE(pulls()[0].cancelled);
+    CHECK(pulls().size() == 1);
+    hand_out(0);
+  }
+  SECTION("because room grew, which a further pull can fill") {
+    bench.Occupy(1);
+    bench.Leave(1);
+    bench.desk.SetSlots(kSlots + 2);
+    bench.RunFor(3 * BatchRunner::kAnswerTime);
+    CHECK_FALSE(pulls()[0].cancelled);
+    hand_out(0);
+  }
+  SECTION("though the leader, which may hold it, hears of less room soon") {
+    bench.Occupy(1);
+    REQUIRE(pulled(2));
+    CHECK(pulls()[1].at - pulls()[0].at > BatchRunner::kAnswerTime / 2);
+    CHECK(pulls()[1].at - pulls()[0].at < 3 * BatchRunner::kAnswerTime);
+    CHECK(pulls()[1].asked.room == kSlots - 1);
+  }
+  SECTION("while room goes up and down by one all the time") {
+    constexpr auto kLate = BatchRunner::kAnswerTime / 2;
+    bool occupied = false;
+    const bool arrived = bench.RunUntil([&] {
+      occupied ? bench.Leave(1) : bench.Occupy(1);
+      occupied = !occupied;
+      for (Leader::Pull& pull : pulls()) {
+        if (!pull.answered && MonotonicNow() - pull.at >= kLate) {
+          bench.leader.Answer(pull, {{MakeItem("1", kAmpleTime)}, {}});
+        }
+      }
+      return bench.engine.asked > 0;
+    });
+    CHECK(arrived);
+  }
+  SECTION("and an answer that is longer under way arrives in the end") {
+    // Each answer takes longer than the first pull may, and room shrinks at
+    // each pull.
+    constexpr auto kLate = 3 * BatchRunner::kAnswerTime;
+    const bool arrived = bench.RunUntil([&] {
+      const std::uint32_t room = bench.desk.BatchRoom();
+      if (room > 1 && pulls().back().asked.room == room) {
+        bench.Occupy(1);
+      }
+      for (Leader::Pull& pull : pulls()) {
+        if (!pull.answered && MonotonicNow() - pull.at >= kLate) {
+          bench.leader.Answer(pull, {{MakeItem("1", kAmpleTime)}, {}});
+        }
+      }
+      return bench.engine.asked > 0;
+    });
+    CHECK(arrived);
+    CHECK(pulls()[0].cancelled);
+  }
+}
+
+// An answer to a pull that asked for nothing carries no items, so nothing is
+// lost with it, and the leader would hold it for a second though there is room.
+TEST_CASE("a pull without room is given up as soon as there is room") {
+  Bench bench(1);
+  bench.Occupy(1);
+  REQUIRE(bench.RunUntil([&] { return bench.leader.pulls.size() == 1; }));
+  REQUIRE(bench.leader.pulls[0].asked.room == 0);
+  bench.RunFor(milliseconds(50));
+  const Time start = MonotonicNow();
+  bench.Leave(1);
+  REQUIRE(bench.RunUntil([&] { return bench.leader.pulls.size() == 2; }));
+  CHECK(MonotonicNow() - start < BatchRunner::kAnswerTime / 2);
+  CHECK(bench.leader.pulls[1].asked.room == 1);
+}
+
 }  // namespace papayarack::nodes
