Keep an export for all that fetch it; ask for a lost part again

Cause: a member's export was let go when one of those that fetched it had its last part, so another that was a part behind got a new export and began from the first byte. And a fetch that lost one part gave up all that it had.

Change: requests of one fetch carry a number, and the export stays until everyone who asked for a part within the last 3 s has had it whole. Who begins joins an export that somebody is at; an old one that somebody had whole already is made anew, or two members could keep each other on it. A fetch that has something asks for a lost part up to three times more. As it now goes on after a lost connection, versions count from the wall clock: else a member that was started anew could give the rest of its predecessor's export from one of its own. A member without the number in its requests counts as one reader.

Not done: the export is let go with the last part, not kExportKept after its last use. That needs a timer, and with it the loop's context from MakeGroupEnvironment. So a last part that is lost begins again, and an export whose readers all vanished stays until the next request, as before. There is no pause between the attempts at a part for the same reason.

--- a/src/coordination/tests/coordination_tests.cpp
+++ b/src/coordination/tests/coordination_tests.cpp
@@ -222,6 +222,81 @@
   }
 }
 
+namespace {
+
+constexpr std::size_t kStateBytes = 1U << 20U;
+
+/// One member that gives its state away, and others that fetch it.
+struct StateGiver {
+  StateGiver() {
+    this->Listen(0);
+    consensus::FoundGroup(this->files, 0, {{{1, "a:1", true}}});
+    auto environment =
+        MakeGroupEnvironment(this->context, 0, "a:1", this->peers, this->server,
+                             this->dispatch, this->group, {});
+    this->fetch_state = environment.fetch_state;
+    replication::ReplicatedState state;
+    state.apply = [](std::string_view) { return std::string(); };
+    state.export_all = [this] {
+      ++this->exports;
+      return std::string(kStateBytes, 's') + std::to_string(this->exports);
+    };
+    state.load = [](std::string_view) {};
+    consensus::RaftOptions options;
+    options.self = 1;
+    this->group = std::make_unique<replication::ReplicatedGroup>(
+        this->files, options, replication::GroupLimits{}, std::move(state),
+        std::move(environment));
+  }
+
+  void Listen(std::uint16_t port) {
+    this->owned = std::make_unique<transport::PeerServer>(
+        this->context, Endpoint{"127.0.0.1", port},
+        this->dispatch.For(this->server));
+    this->server = this->owned.get();
+  }
+  /// All connections end; the member itself stays.
+  void LoseConnections() {
+    const std::uint16_t port = this->owned->port();
+    this->owned.reset();
+    this->Listen(port);
+  }
+  void Fetch(std::string& fetched, bool& done) {
+    this->fetch_state("127.0.0.1:" + std::to_string(this->owned->port()),
+                      [&](std::string bytes) {
+                        fetched = std::move(bytes);
+                        done = true;
+                      });
+  }
+  void RunUntil(const std::function<bool()>& done) {
+    const Time until = MonotonicNow() + std::chrono::seconds(8);
+    while (!done() && MonotonicNow() < until) {
+      this->context.run_one_for(std::chrono::milliseconds(10));
+      this->context.restart();
+    }
+    REQUIRE(done());
+  }
+  std::uint64_t Sent() const { return this->owned->Totals().sent_bytes; }
+  /// Whether `fetched` is the whole state of the export of that number.
+  bool IsExport(const std::string& fetched, int number) {
+    const std::string end = "s" + std::to_string(number);
+    return fetched.size() > kStateBytes && fetched.ends_with(end);
+  }
+
+  asio::io_context context;
+  transport::PeerDispatch dispatch;
+  transport::PeerServer* server = nullptr;
+  std::unique_ptr<transport::PeerServer> owned;
+  transport::PeerClient peers{this->context};
+  storage::MemoryFileSystem files;
+  std::unique_ptr<replication::ReplicatedGroup> group;
+  std::function<void(const std::string&, std::function<void(std::string)>)>
+      fetch_state;
+  int exports = 0;
+};
+
+}  // namespace
+
 // Symptom: a store of 130 MB is killed for its memory when another one joins.
 // Sequence: the newcomer lags behind the log, asks for the whole state, which
 // leaves as one message. Cause: each layer holds a copy of it. It now leaves in
@@ -267,4 +342,55 @@
   }
 }
 
+// Symptom: of two members that lag, one fetches the state for ever. Sequence:
+// both fetch the same export; one has its last part. Cause: the export was let
+// go with that, and the other got a new one, from the first byte.
+TEST_CASE("members that fetch a state at once get the same export") {
+  StateGiver giver;
+  std::string first;
+  std::string second;
+  bool first_done = false;
+  bool second_done = false;
+  giver.Fetch(first, first_done);
+  giver.Fetch(second, second_done);
+  giver.RunUntil([&] { return first_done && second_done; });
+  CHECK(giver.exports == 1);
+  CHECK(giver.IsExport(first, 1));
+  CHECK((first == second));
+  CHECK(giver.Sent() < 3 * kStateBytes);
+  // Who had it whole and asks again lags behind it already.
+  SECTION("and a newer one when they ask again") {
+    first_done = false;
+    giver.Fetch(first, first_done);
+    giver.RunUntil([&] { return first_done; });
+    CHECK(giver.exports == 2);
+    CHECK(giver.IsExport(first, 2));
+  }
+}
+
+// Symptom: a state never arrives over a link whose connections break now and
+// then, though it is full. Sequence: a connection ends while a part is under
+// way. Cause: the fetch gave up all that it had.
+TEST_CASE("a lost part of a state is asked for again") {
+  StateGiver giver;
+  std::string fetched;
+  bool done = false;
+  giver.Fetch(fetched, done);
+  SECTION("and the rest follows") {
+    giver.RunUntil([&] { return giver.Sent() > kStateBytes / 2; });
+    REQUIRE_FALSE(done);
+    giver.LoseConnections();
+    giver.RunUntil([&] { return done; });
+    CHECK(giver.exports == 1);
+    CHECK(giver.IsExport(fetched, 1));
+    CHECK(giver.Sent() < kStateBytes);
+  }
+  SECTION("a few times, if the member is gone") {
+    giver.RunUntil([&] { return giver.Sent() > kStateBytes / 2; });
+    giver.owned.reset();
+    giver.RunUntil([&] { return done; });
+    CHECK(fetched.empty());
+  }
+}
+
 }  // namespace papayarack::coordination
