--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -441,6 +441,21 @@
     CHECK(pulls()[1].at - pulls()[0].at < 3 * BatchRunner::kAnswerTime);
     CHECK(pulls()[1].asked.room == kSlots - 1);
   }
+  SECTION("while room goes up and down by one all the time") {
+    constexpr auto kLate = BatchRunner::kAnswerTime / 2;
+    bool occupied = false;
+    const bool arrived = bench.RunUntil([&] {
+      occupied ? bench.Leave(1) : bench.Occupy(1);
+      occupied = !occupied;
+      for (Leader::Pull& pull : pulls()) {
+        if (!pull.answered && MonotonicNow() - pull.at >= kLate) {
+          bench.leader.Answer(pull, {{MakeItem("1", kAmpleTime)}, {}});
+        }
+      }
+      return bench.engine.asked > 0;
+    });
+    CHECK(arrived);
+  }
   SECTION("and an answer that is longer under way arrives in the end") {
     // Each answer takes longer than the first pull may, and room shrinks at
     // each pull.
