--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -11,8 +11,8 @@
 
 #include "batches/batchbook.h"
 #include "batches/leasedesk.h"
-#include "coordination/coordinator.h"
 #include "coordination/fleetwatch.h"
+#include "coordination/groupenvironment.h"
 #include "routes/routetable.h"
 
 namespace papayarack::batches {
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -13,6 +13,7 @@
 #include "coordination/changelist.h"
 #include "coordination/configurationshelf.h"
 #include "coordination/coordinationstate.h"
+#include "coordination/groupenvironment.h"
 #include "coordination/nodetable.h"
 #include "coordination/transferplan.h"
 #include "replication/replicatedgroup.h"
@@ -22,9 +23,6 @@
 
 namespace papayarack::coordination {
 
-inline constexpr consensus::GroupId kCoordinationGroup = 0;
-inline constexpr consensus::GroupId kJobGroup = 1;
-
 /// Where the group is, as far as this process has learned.
 struct LeaderHint {
   std::string leader;  ///< Empty when it is not known.
@@ -146,16 +144,6 @@
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
-/// What a group needs of its process, over the peer protocol: messages to
-/// `/group/N/message`, state from `/group/N/state`. Registers both paths.
-/// Precondition: `group` is set before a message can arrive.
-replication::GroupEnvironment MakeGroupEnvironment(
-    asio::io_context& context, consensus::GroupId group_id,
-    const std::string& own_address, transport::PeerClient& peers,
-    transport::PeerServer*& server, transport::PeerDispatch& dispatch,
-    std::unique_ptr<replication::ReplicatedGroup>& group,
-    std::function<void(const std::string&)> storage_failed);
-
 }  // namespace papayarack::coordination
 
 #endif  // PAPAYARACK_COORDINATION_COORDINATOR_H_
--- a/src/coordination/tests/coordination_tests.cpp
+++ b/src/coordination/tests/coordination_tests.cpp
@@ -7,6 +7,7 @@
 #include "coordination/coordinator.h"
 #include "coordination/fleetwatch.h"
 #include "coordination/founders.h"
+#include "coordination/groupenvironment.h"
 #include "coordination/nodetable.h"
 #include "global/variantcodec.h"
 #include "storage/memoryfilesystem.h"
