Take over the chunks' names with a configuration instead of splitting it again

Cause: a process that had fetched a text by its manifest split and hashed it once more to serve it; NodeTable::For had no caller left but a test. Change: Obey takes the manifest; the test asks ChangesFor, which For called the same way. Its checks are as they were.

--- a/src/coordination/fleetwatch.h
+++ b/src/coordination/fleetwatch.h
@@ -86,7 +86,8 @@
   void AskAnew();
   void OnReply(const std::string& message);
   bool TakeConfiguration(const WatchReply& reply);
-  void Obey(std::uint64_t version, std::string text);
+  /// `manifest` is that of `text`.
+  void Obey(const TextManifest& manifest, std::string text);
   void OnFetched(std::optional<std::string> text);
   void OnChunksUnusable(std::uint64_t version);
   void TakeNodes(const WatchReply& reply);
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -260,7 +260,7 @@
     return false;
   }
   if (!reply.config.empty()) {
-    this->Obey(reply.config_version, reply.config);
+    this->Obey(SplitText(reply.config_version, reply.config), reply.config);
     return true;
   }
   if (reply.manifest.version <= this->known.config_version) {
@@ -269,7 +269,7 @@
   std::optional<std::string> text =
       this->fetch.Prepare(reply.manifest, this->known.config, reply.chunks);
   if (text.has_value()) {
-    this->Obey(reply.manifest.version, std::move(*text));
+    this->Obey(reply.manifest, std::move(*text));
     return true;
   }
   if (reply.source.empty()) {
@@ -294,11 +294,11 @@
   this->text_unusable = true;
 }
 
-void FleetWatch::Obey(std::uint64_t version, std::string text) {
+void FleetWatch::Obey(const TextManifest& manifest, std::string text) {
   this->text_unusable = false;
-  this->known.config_version = version;
+  this->known.config_version = manifest.version;
   this->known.config = std::move(text);
-  this->index = ChunkIndex(SplitText(version, this->known.config));
+  this->index = ChunkIndex(manifest);
 }
 
 /// The leader hears of it at once: whoever holds the text can give it to
@@ -311,7 +311,7 @@
   }
   this->fetch_failures = 0;
   if (this->fetch.version() > this->known.config_version) {
-    this->Obey(this->fetch.version(), std::move(*text));
+    this->Obey(this->fetch.manifest(), std::move(*text));
     FleetChange change;
     change.config = true;
     this->changed(change);
--- a/src/coordination/internal/nodetable.cpp
+++ b/src/coordination/internal/nodetable.cpp
@@ -56,10 +56,6 @@
   return this->nodes.Since(revision, WantedBy(asker));
 }
 
-std::vector<NodeReport> NodeTable::For(NodeRole asker) const {
-  return this->nodes.Since(0, WantedBy(asker)).set;
-}
-
 std::vector<NodeReport> NodeTable::WithRole(NodeRole role) const {
   return this->nodes
       .Since(0,
--- a/src/coordination/nodetable.h
+++ b/src/coordination/nodetable.h
@@ -37,10 +37,9 @@
   std::uint64_t revision() const { return this->nodes.revision(); }
   /// Whether reports of the roles that `asker` works with changed since then.
   bool ChangedFor(NodeRole asker, std::uint64_t revision) const;
+  /// Those changes; since revision zero: all of them, by name.
   ListChanges<NodeReport> ChangesFor(NodeRole asker,
                                      std::uint64_t revision) const;
-  /// Reports of the roles that `asker` works with, by name.
-  std::vector<NodeReport> For(NodeRole asker) const;
   std::vector<NodeReport> WithRole(NodeRole role) const;
   const NodeReport* Find(const std::string& name) const;
   std::optional<Time> LastHeard(const std::string& name) const;
--- a/src/coordination/tests/coordination_tests.cpp
+++ b/src/coordination/tests/coordination_tests.cpp
@@ -205,8 +205,8 @@
   table.Clear(At(0));
   CHECK(table.Take(Gate("g1"), At(10)));
   CHECK_FALSE(table.Take(Gate("g1"), At(20)));
-  CHECK(table.For(NodeRole::kEntry).size() == 1);
-  CHECK(table.For(NodeRole::kStore).empty());
+  CHECK(table.ChangesFor(NodeRole::kEntry, 0).set.size() == 1);
+  CHECK(table.ChangesFor(NodeRole::kStore, 0).set.empty());
   SECTION("a silent process is dropped") {
     const auto revision = table.revision();
     table.DropSilent(At(6000));
--- a/src/coordination/textfetch.h
+++ b/src/coordination/textfetch.h
@@ -58,7 +58,8 @@
 
   /// Address of the process that is being asked; empty while none is.
   const std::string& source() const { return this->address; }
-  std::uint64_t version() const { return this->assembly.manifest().version; }
+  const TextManifest& manifest() const { return this->assembly.manifest(); }
+  std::uint64_t version() const { return this->manifest().version; }
 
  private:
   void AskPart();
