Let a gate take no work while its engine does not answer

Cause: an engine that crashes stays on the platform's list for seconds. Change: EnginePulse judges by the reports that the gate asks its engine for anyway.

--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -77,7 +77,10 @@
   void EngineRestarted();
   /// Slots were taken or given back: preempts and starts runs accordingly.
   void Balance();
-  /// No further items; runs are stopped and handed back.
+  /// Runs are stopped and handed back, but for those that wait to be reported.
+  /// The next pull carries them.
+  void HandBackAll();
+  /// No further items; as HandBackAll, at once.
   void Stop();
   /// Called every few tens of milliseconds.
   void Tick();
--- a/src/nodes/gatenode.h
+++ b/src/nodes/gatenode.h
@@ -12,6 +12,7 @@
 #include "nodes/logthrottle.h"
 #include "nodes/noderuntime.h"
 #include "nodes/slotmessages.h"
+#include "slots/enginepulse.h"
 #include "slots/slotdesk.h"
 
 namespace papayarack::nodes {
@@ -46,6 +47,9 @@
   void Tick();
   void AskReport(Time now);
   void OnReport(const std::string& body);
+  void ReportFailed();
+  /// Opens or closes desk and runner by what is known of the engine.
+  void Apply();
   void TakeListed(const coordination::EngineInstance& listed);
   void LearnStart(std::uint64_t started_ms);
   void OnOtherStart();
@@ -60,7 +64,8 @@
   std::uint64_t engine_started_ms = 0;  ///< As in EngineInstance.
   Time next_report{};
   std::optional<http::HttpCallId> report_call;  ///< Under way.
-  Time report_asked{};
+  slots::EnginePulse pulse;
+  bool engine_up = true;  ///< As last logged.
   std::uint32_t last_foreign = 0;
   LogThrottle report_problems;
   bool leaving = false;
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -587,6 +587,11 @@
 
 void BatchRunner::Stop() {
   this->stopping = true;
+  this->HandBackAll();
+  this->Pull();
+}
+
+void BatchRunner::HandBackAll() {
   this->EraseRuns([this](Run& run) {
     if (run.phase == Phase::kReporting) {
       return false;
@@ -595,7 +600,6 @@
     this->HandBack(run);
     return true;
   });
-  this->Pull();
 }
 
 }  // namespace papayarack::nodes
--- a/src/nodes/internal/gatenode.cpp
+++ b/src/nodes/internal/gatenode.cpp
@@ -18,11 +18,6 @@
 /// lasts for seconds.
 constexpr std::chrono::milliseconds kReportEvery{100};
 
-/// A report that takes longer, ten times the pace, is given up with its
-/// connection. Symptom guarded against: an engine falls silent and starts
-/// again, and its gate waits forever for an answer of the former start.
-constexpr std::chrono::milliseconds kReportTime{1000};
-
 const char* NameOf(SlotVerdict verdict) {
   switch (verdict) {
     case SlotVerdict::kGranted:
@@ -74,15 +69,32 @@
     this->engine_id = id;
   }
   this->desk.SetSlots(present ? found->slots : 0);
-  this->desk.SetOpen(present && !this->leaving);
-  this->runner.SetEngine(this->leaving ? std::string() : id);
   this->runner.SetRoutes(this->runtime.table);
+  this->Apply();
   if (present) {
     this->TakeListed(*found);
   }
   this->Settle(MonotonicNow());
 }
 
+void GateNode::Apply() {
+  const bool up = this->pulse.Up();
+  if (up != this->engine_up) {
+    this->engine_up = up;
+    Log(up ? LogLevel::kInfo : LogLevel::kWarn, "engine_reachable",
+        {{"engine", this->engine_id},
+         {"address", this->runtime.options.engine_address},
+         {"reachable", up},
+         {"items_held", this->runner.Held()}});
+  }
+  const bool takes_work = up && !this->leaving && !this->engine_id.empty();
+  this->desk.SetOpen(takes_work);
+  this->runner.SetEngine(takes_work ? this->engine_id : std::string());
+  if (!up) {
+    this->runner.HandBackAll();
+  }
+}
+
 /// Symptom guarded against: slots stay taken, or items wait, after another
 /// replica has begun at this address, for what the one before was running.
 void GateNode::TakeListed(const coordination::EngineInstance& listed) {
@@ -128,7 +140,7 @@
   const bool other_engine =
       this->engine_id.empty() || ask.engine_id != this->engine_id;
   const Ticket ticket{ask.request, now, ask.wait_ms};
-  if (this->leaving || other_engine) {
+  if (other_engine || !this->desk.Open()) {
     this->Answer(stream, ticket, SlotVerdict::kClosed);
     return;
   }
@@ -191,7 +203,9 @@
   for (const slots::TicketId stream : this->desk.TakeExpired(now)) {
     const auto expired = this->tickets.extract(stream);
     if (!expired.empty()) {
-      this->Answer(stream, expired.mapped(), SlotVerdict::kBusy);
+      this->Answer(
+          stream, expired.mapped(),
+          this->desk.Open() ? SlotVerdict::kBusy : SlotVerdict::kClosed);
     }
   }
   for (const slots::TicketId stream : this->desk.TakeGranted(now)) {
@@ -219,19 +233,21 @@
 
 /// The engine's own word on what runs in it; asked on the same VM it is fresh.
 void GateNode::AskReport(Time now) {
-  if (this->report_call.has_value() && now - this->report_asked > kReportTime) {
+  if (this->report_call.has_value() && this->pulse.Overdue(now)) {
     if (this->report_problems.Due("overdue", now)) {
       Log(LogLevel::kWarn, "engine_report_overdue",
           {{"engine", this->engine_id}});
     }
     this->engine.Cancel(*std::exchange(this->report_call, std::nullopt));
+    this->pulse.FellSilent();
+    this->Apply();
   }
-  if (this->report_call.has_value() || now < this->next_report ||
-      this->engine_id.empty()) {
+  const bool due = now >= this->next_report || this->pulse.InDoubt();
+  if (this->report_call.has_value() || !due || this->engine_id.empty()) {
     return;
   }
   this->next_report = now + kReportEvery;
-  this->report_asked = now;
+  this->pulse.Asked(now);
   http::HttpCall call;
   call.peer =
       ParseEndpoint(this->runtime.options.engine_address, "engine_address");
@@ -244,14 +260,24 @@
     this->report_call.reset();
     if (end == http::HttpEnd::kComplete) {
       this->OnReport(*body);
+    } else {
+      this->ReportFailed();
     }
   };
   this->report_call = this->engine.Call(std::move(call), std::move(handlers));
 }
 
+void GateNode::ReportFailed() {
+  this->pulse.Failed();
+  this->Apply();
+  this->Settle(MonotonicNow());
+}
+
 /// Counts only what two reports in a row show: a run that was just cancelled,
 /// or whose caller has not yet said that it ended, is gone by the second.
 void GateNode::OnReport(const std::string& body) {
+  this->pulse.Answered();
+  this->Apply();
   EngineLoad load;
   try {
     load = this->runtime.dialect.read_report(body);
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -198,6 +198,9 @@
   call.slot = 0;
   if (reply.Verdict() == SlotVerdict::kBusy) {
     call.search->Busy(std::chrono::milliseconds(reply.expected_wait_ms));
+  } else {
+    call.search->Closed();
+    this->chooser.Closed(call.engine.address, MonotonicNow());
   }
   this->Place(id);
 }
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -477,6 +477,36 @@
   }
 }
 
+// Symptom: items wait for seconds beside an engine that is gone. Sequence: the
+// engine of a gate stops answering while items run and wait there. Cause: the
+// gate kept what it had, for an engine that the list still named.
+TEST_CASE("what an engine that is gone held goes to others at once") {
+  Bench bench(2);
+  bench.engine.ends = false;
+  bench.leader.on_pull = [&](Leader::Pull& pull) {
+    if (bench.leader.pulls.size() == 1) {
+      bench.leader.Answer(
+          pull, {{MakeItem("1", kAmpleTime), MakeItem("2", kAmpleTime)}, {}});
+    }
+  };
+  REQUIRE(bench.RunUntil([&] { return bench.engine.asked == 2; }));
+  bench.RunFor(milliseconds(50));
+  bench.runner.SetEngine("");
+  bench.runner.HandBackAll();
+  CHECK(bench.runner.Held() == 0);
+  REQUIRE(bench.RunUntil(
+      [&] { return bench.leader.pulls.back().asked.returned.size() == 2; }));
+  const batches::PullItems& pull = bench.leader.pulls.back().asked;
+  CHECK(pull.room == 0);
+  CHECK(pull.returned[0].partial.last_event == 1);
+  SECTION("and a gate that is not leaving takes items again later") {
+    bench.leader.Answer(bench.leader.pulls.back(), {});
+    bench.runner.SetEngine("e");
+    REQUIRE(bench.RunUntil(
+        [&] { return bench.leader.pulls.back().asked.room == 2; }));
+  }
+}
+
 // An answer to a pull that asked for nothing carries no items, so nothing is
 // lost with it, and the leader would hold it for a second though there is room.
 TEST_CASE("a pull without room is given up as soon as there is room") {
--- a/src/placement/enginechooser.h
+++ b/src/placement/enginechooser.h
@@ -72,6 +72,9 @@
   /// The engine or its gate failed a request: set aside, doubled at each
   /// failure in a row up to kLongestAside.
   void Failed(const std::string& address, Time now);
+  /// Its gate gives no slots at the moment: set aside for kFirstAside, which is
+  /// not doubled, as an ask costs a round trip only.
+  void Closed(const std::string& address, Time now);
   /// Moment at which a set-aside engine is tried again; past when it is not.
   Time AsideUntil(const std::string& address) const;
   std::size_t OptionCount(const std::string& service) const;
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -179,6 +179,11 @@
   state.aside_until = now + aside;
 }
 
+void EngineChooser::Closed(const std::string& address, Time now) {
+  Known& state = this->known[address];
+  state.aside_until = std::max(state.aside_until, now + Duration(kFirstAside));
+}
+
 Time EngineChooser::AsideUntil(const std::string& address) const {
   const auto found = this->known.find(address);
   return found != this->known.end() ? found->second.aside_until : Time{};
--- a/src/placement/internal/slotsearch.cpp
+++ b/src/placement/internal/slotsearch.cpp
@@ -50,6 +50,18 @@
   }
 }
 
+void SlotSearch::Closed() {
+  if (!this->queueing) {
+    this->asks -= this->asks > 0 ? 1 : 0;
+    return;
+  }
+  this->asks = 0;
+  this->queueing = false;
+  this->longest_wait = std::chrono::milliseconds(0);
+  this->least_busy.reset();
+  this->least_wait.reset();
+}
+
 void SlotSearch::Unanswered() {
   if (!this->queueing) {
     this->asks -= this->asks > 0 ? 1 : 0;
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -50,6 +50,9 @@
                   Time now);
   /// The gate asked last has no slot; a new request would wait this long.
   void Busy(std::chrono::milliseconds expected_wait);
+  /// The gate asked last gives no slots at the moment: its engine is gone or
+  /// leaves. A request that queued there looks for a slot elsewhere.
+  void Closed();
   /// The gate asked last did not answer, so nothing was sent to its engine.
   void Unanswered();
   /// Whether the gate asked last is frozen or cut off: it answers an ask within
--- a/src/placement/tests/enginechooser_tests.cpp
+++ b/src/placement/tests/enginechooser_tests.cpp
@@ -50,6 +50,19 @@
   }
 }
 
+// A gate whose engine is gone says so within a round trip, so it is asked again
+// soon; doubling would leave the engine unused for seconds after it is back.
+TEST_CASE("an engine whose gate is closed is set aside for a moment") {
+  EngineChooser chooser(1);
+  chooser.SetOptions("llm", Fleet(2));
+  for (int at = 0; at < 1000; at += 250) {
+    chooser.Closed("e0", At(at));
+    CHECK(chooser.AsideUntil("e0") ==
+          At(at) + Duration(EngineChooser::kFirstAside));
+    CHECK(chooser.Choose("llm", "z", {}, At(at + 1))->address == "e1");
+  }
+}
+
 // Load: a trough, in which all engines have room. Bytes of streams should stay
 // in the zone, but not at the price of a fuller engine.
 TEST_CASE("of equally busy engines one of the own zone is chosen") {
--- a/src/placement/tests/slotsearch_tests.cpp
+++ b/src/placement/tests/slotsearch_tests.cpp
@@ -93,6 +93,34 @@
   CHECK(asked.size() == 5);
 }
 
+// Symptom: callers are refused while other engines have room. Sequence: a
+// request queues at the least busy gate; the engine behind that crashes. Cause:
+// the gate's word that it gives no slots was taken for the end of the wait.
+TEST_CASE("a request goes on looking when a gate closes") {
+  EngineChooser chooser(1);
+  chooser.SetOptions("llm", Fleet(12));
+  SlotSearch search("llm", "z");
+  SECTION("when it asked for a free slot, and that does not count as asked") {
+    std::set<std::string> asked;
+    for (std::size_t i = 0; i < SlotSearch::kQuickAsks + 2; ++i) {
+      const SearchStep step = search.Next(chooser, kBudget, At(0));
+      asked.insert(std::get<AskGate>(step).engine.address);
+      search.Closed();
+    }
+    CHECK(asked.size() == SlotSearch::kQuickAsks + 2);
+  }
+  SECTION("when it queued there") {
+    std::vector<std::string> asked;
+    const SearchStep queued = AllBusy(search, chooser, {90}, asked);
+    REQUIRE(std::get<AskGate>(queued).longest_wait == kBudget);
+    search.Closed();
+    const SearchStep step = search.Next(chooser, kBudget, At(50));
+    const auto& ask = std::get<AskGate>(step);
+    CHECK(ask.longest_wait == milliseconds(0));
+    CHECK(std::ranges::find(asked, ask.engine.address) == asked.end());
+  }
+}
+
 TEST_CASE("engines without a gate get a bounded number of requests") {
   EngineChooser chooser(1);
   chooser.SetOptions("llm", Fleet(2, false));
--- a/src/slots/slotdesk.h
+++ b/src/slots/slotdesk.h
@@ -59,6 +59,7 @@
   void SetForeign(std::uint32_t foreign) { this->foreign = foreign; }
   /// Whether the engine takes new work at all.
   void SetOpen(bool open) { this->open = open; }
+  bool Open() const { return this->open; }
 
   SlotAnswer Ask(const SlotRequest& request, Time now);
   /// The request ended, or gave up waiting.
