--- a/src/batches/batchmessages.h
+++ b/src/batches/batchmessages.h
@@ -136,11 +136,7 @@
   std::uint32_t room = 0;
   std::vector<ItemRef> holding;
   std::vector<ReturnedItem> returned;
-  /// Running items that can no longer be in time: their slots are free for
-  /// items that still can.
-  std::uint32_t replaceable = 0;
-  MSGPACK_DEFINE(gate, incarnation, service, room, holding, returned,
-                 replaceable)
+  MSGPACK_DEFINE(gate, incarnation, service, room, holding, returned)
 };
 struct PulledItems {
   std::vector<LeasedItem> items;
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -523,8 +523,7 @@
     return this->Fits(item, puller.pull.service);
   };
   for (const ItemRef& item :
-       this->desk.Take(puller.pull.gate, puller.pull.room,
-                       puller.pull.replaceable, now, fits)) {
+       this->desk.Take(puller.pull.gate, puller.pull.room, now, fits)) {
     pulled.items.push_back(this->Lease(item, now));
   }
   if (pulled.items.empty() && pulled.stop.empty() && now < puller.until) {
--- a/src/batches/leasedesk.h
+++ b/src/batches/leasedesk.h
@@ -45,11 +45,10 @@
              const std::vector<ItemRef>& holding, Time now);
   /// A gate hands an item back.
   void Return(const std::string& gate, const ReturnedItem& returned);
-  /// Takes up to `room` items for a gate for which `fits` says yes, and up to
-  /// `replaceable` more that can still be in time.
+  /// Takes up to `room` items for a gate for which `fits` says yes, those that
+  /// can still be in time first.
   template <typename Fits>
-  std::vector<ItemRef> Take(const std::string& gate, std::size_t room,
-                            std::size_t replaceable, Time now,
+  std::vector<ItemRef> Take(const std::string& gate, std::size_t room, Time now,
                             const Fits& fits) {
     std::vector<ItemRef> taken;
     if (!this->Settled(now)) {
@@ -57,7 +56,7 @@
     }
     const auto in_time =
         this->line.lower_bound({now + this->run_estimate, 0, {}});
-    this->TakeRange(in_time, this->line.end(), room + replaceable, fits, taken);
+    this->TakeRange(in_time, this->line.end(), room, fits, taken);
     this->TakeRange(this->line.begin(), in_time, room, fits, taken);
     for (const ItemRef& item : taken) {
       this->Lease(item, gate, now);
--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -120,7 +120,6 @@
   void KeepReturns();
   std::vector<batches::ItemRef> Holding() const;
   std::uint32_t Room() const;
-  std::uint32_t Replaceable() const;
   /// What a run still needs, by the runs that have ended here.
   Duration Remaining(const Run& run) const;
   /// Time to spare until it is due; below zero when it cannot be in time.
@@ -129,7 +128,6 @@
   Duration Urgency(const Run& run, Time now) const;
   bool Late(const Run& run) const;
   void LearnFrom(const Run& run);
-  void ReplaceLate();
   void StartNext();
   void Start(RunId id, Run& run);
   void PreemptOne();
@@ -162,7 +160,6 @@
   RunId last_run = 0;
   std::uint64_t pull_call = 0;
   std::uint32_t pulled_room = 0;
-  std::uint32_t pulled_replaceable = 0;
   double events_per_item;
   double ms_per_event;
   Time next_pull{};
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -95,17 +95,6 @@
   }
 }
 
-std::uint32_t BatchRunner::Replaceable() const {
-  if (this->stopping) {
-    return 0;
-  }
-  return static_cast<std::uint32_t>(
-      std::ranges::count_if(this->runs, [this](const auto& entry) {
-        return entry.second.phase == Phase::kRunning &&
-               this->Late(entry.second);
-      }));
-}
-
 std::uint32_t BatchRunner::Room() const {
   if (this->stopping || this->engine_id.empty() || this->table == nullptr) {
     return 0;
@@ -155,8 +144,7 @@
 }
 
 bool BatchRunner::PullIsIdle() const {
-  return this->pulled_room == 0 && this->pulled_replaceable == 0 &&
-         this->returning.empty();
+  return this->pulled_room == 0 && this->returning.empty();
 }
 
 /// Symptom guarded against: while online requests come and go, the links carry
@@ -173,12 +161,8 @@
     return true;
   }
   const std::uint32_t room = this->Room();
-  const std::uint32_t replaceable = this->Replaceable();
-  const bool shrank =
-      room < this->pulled_room || replaceable < this->pulled_replaceable;
-  const bool grew_from_zero =
-      (this->pulled_room == 0 && room > 0) ||
-      (this->pulled_replaceable == 0 && replaceable > 0);
+  const bool shrank = room < this->pulled_room;
+  const bool grew_from_zero = this->pulled_room == 0 && room > 0;
   if (!shrank && !grew_from_zero && this->to_return.empty()) {
     return false;
   }
@@ -199,8 +183,6 @@
   pull.incarnation = this->target.incarnation;
   pull.service = this->target.service;
   pull.room = this->pulled_room;
-  this->pulled_replaceable = this->Replaceable();
-  pull.replaceable = this->pulled_replaceable;
   pull.holding = this->Holding();
   pull.returned = this->returning;
   this->pull_call =
@@ -272,7 +254,6 @@
     this->Take(std::move(item));
   }
   this->Balance();
-  this->ReplaceLate();
 }
 
 /// An item may come back before it was handed back, in the answer to a pull
@@ -299,19 +280,6 @@
   this->runs.emplace(++this->last_run, std::move(run));
 }
 
-/// Late runs give their slots to items that can still be in time.
-void BatchRunner::ReplaceLate() {
-  const auto waits = [this] {
-    return std::ranges::any_of(this->runs, [this](const auto& entry) {
-      return entry.second.phase == Phase::kPaused && !this->Late(entry.second);
-    });
-  };
-  while (this->Replaceable() > 0 && this->desk.BatchRoom() == 0 && waits()) {
-    this->PreemptOne();
-    this->StartNext();
-  }
-}
-
 void BatchRunner::Balance() {
   while (this->desk.BatchToPreempt() > 0) {
     this->PreemptOne();
