Begin a search for a slot anew in one place; one check for copies of batches and reports

Cause: SlotSearch::Closed repeated Restart's resets and Unanswered's count; two sections of the batch store's tests were the same but for the call. Change: BeginAnew serves both, Closed calls Unanswered, the tests share send_copies. Conclusion: less to keep alike.

--- a/src/batches/tests/batchstore_tests.cpp
+++ b/src/batches/tests/batchstore_tests.cpp
@@ -171,11 +171,10 @@
   Member& leader = pair.Leader();
   std::vector<ResultCode> codes;
   const auto all_answered = [&codes] { return codes.size() == kCopies; };
-  SECTION("of a batch") {
+  const auto send_copies = [&](const std::string& path, const auto& message) {
     const std::uint64_t before = leader.BytesKept();
-    const SubmitBatch batch = MakeBatch("b", kBodyBytes);
     for (int i = 0; i < kCopies; ++i) {
-      leader.Ask("/jobs/submit", batch, codes);
+      leader.Ask(path, message, codes);
     }
     pair.RunLeaderAlone(kHeldUp);
     CHECK(codes.empty());
@@ -183,8 +182,8 @@
       pair.RunUntil(all_answered);
       CHECK(Count(codes, ResultCode::kOk) == kCopies);
       CHECK(leader.BytesKept() - before < 2 * kBodyBytes);
-      SECTION("and a later copy finds it") {
-        leader.Ask("/jobs/submit", batch, codes);
+      SECTION("and a later copy adds nothing") {
+        leader.Ask(path, message, codes);
         pair.RunUntil([&codes] { return codes.size() > kCopies; });
         CHECK(Count(codes, ResultCode::kOk) == kCopies + 1);
         CHECK(leader.BytesKept() - before < 2 * kBodyBytes);
@@ -197,6 +196,9 @@
       }
       CHECK(Count(codes, ResultCode::kUnknownOutcome) == kCopies);
     }
+  };
+  SECTION("of a batch") {
+    send_copies("/jobs/submit", MakeBatch("b", kBodyBytes));
   }
   SECTION("though another batch of that id is judged by itself") {
     const std::uint64_t before = leader.BytesKept();
@@ -212,31 +214,7 @@
     pair.RunUntil([&codes] { return codes.size() == 1; });
     REQUIRE(codes == std::vector<ResultCode>{ResultCode::kOk});
     codes.clear();
-    const std::uint64_t before = leader.BytesKept();
-    const ReportOutcomes report = Completed(std::string(kBodyBytes, 't'));
-    for (int i = 0; i < kCopies; ++i) {
-      leader.Ask("/jobs/report", report, codes);
-    }
-    pair.RunLeaderAlone(kHeldUp);
-    CHECK(codes.empty());
-    SECTION("whose senders are all answered once it is durable") {
-      pair.RunUntil(all_answered);
-      CHECK(Count(codes, ResultCode::kOk) == kCopies);
-      CHECK(leader.BytesKept() - before < 2 * kBodyBytes);
-      SECTION("and a later copy adds nothing") {
-        leader.Ask("/jobs/report", report, codes);
-        pair.RunUntil([&codes] { return codes.size() > kCopies; });
-        CHECK(Count(codes, ResultCode::kOk) == kCopies + 1);
-        CHECK(leader.BytesKept() - before < 2 * kBodyBytes);
-      }
-    }
-    SECTION("whose senders all learn that its outcome is unknown") {
-      const Time until = MonotonicNow() + kPatience;
-      while (!all_answered() && MonotonicNow() < until) {
-        pair.RunLeaderAlone(kSlice);
-      }
-      CHECK(Count(codes, ResultCode::kUnknownOutcome) == kCopies);
-    }
+    send_copies("/jobs/report", Completed(std::string(kBodyBytes, 't')));
   }
   SECTION("of a part of a report that comes with more") {
     SubmitBatch batch = MakeBatch("b", 1);
--- a/src/placement/internal/slotsearch.cpp
+++ b/src/placement/internal/slotsearch.cpp
@@ -51,15 +51,11 @@
 }
 
 void SlotSearch::Closed() {
-  if (!this->queueing) {
-    this->asks -= this->asks > 0 ? 1 : 0;
-    return;
+  if (this->queueing) {
+    this->BeginAnew();
+  } else {
+    this->Unanswered();
   }
-  this->asks = 0;
-  this->queueing = false;
-  this->longest_wait = std::chrono::milliseconds(0);
-  this->least_busy.reset();
-  this->least_wait.reset();
 }
 
 void SlotSearch::Unanswered() {
@@ -68,14 +64,18 @@
   }
 }
 
-void SlotSearch::Restart(const EngineChooser& chooser,
-                         const EngineStart& failed) {
+void SlotSearch::BeginAnew() {
   this->asks = 0;
   this->queueing = false;
   this->longest_wait = std::chrono::milliseconds(0);
   this->asked.reset();
   this->least_busy.reset();
   this->least_wait.reset();
+}
+
+void SlotSearch::Restart(const EngineChooser& chooser,
+                         const EngineStart& failed) {
+  this->BeginAnew();
   if (chooser.HasUntried(this->service, this->tried)) {
     return;
   }
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -87,6 +87,8 @@
   static constexpr std::uint32_t kUngatedUse = 1;
 
  private:
+  /// Asks for a free slot again; what was tried stays tried.
+  void BeginAnew();
   SearchStep QueueAtLeastBusy(std::chrono::milliseconds budget);
 
   std::string service;
