Wait for a large log entry as long as it needs before it is sent again

Cause: an entry was taken for lost after two heartbeats whatever its size; five copies of 0.9 MB need 0.35 s of the leader's link, so each was sent twice, before everything else on that link. The first wait is two heartbeats and a millisecond for each KB under way, at the pace that calls and fetches go by already, which now stands in one place (global/linkpace.h). Small entries are sent again as soon as before. The section that wants a lost probe sent again now asks for that after its time, and that it is not sent before.

--- a/src/consensus/internal/raftcore.cpp
+++ b/src/consensus/internal/raftcore.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "global/linkpace.h"
 #include "global/variantcodec.h"
 
 namespace papayarack::consensus {
@@ -558,11 +559,15 @@
 /// takes longer than the wait to arrive is sent again and again, which fills
 /// the leader's link and makes everything on it later still. With an
 /// acknowledgement 3 s late it was sent 15 times (6.0 MB) at one pace of two
-/// heartbeats; doubling the wait makes it 4 (1.6 MB).
+/// heartbeats; doubling the wait makes it 4 (1.6 MB). The first wait grows with
+/// what is under way: 0.9 MB for each of five followers need 0.35 s of a link
+/// of 12 MB/s, and were all sent twice when it was two heartbeats.
 void RaftCore::ResendWhenSilent(Progress& known) const {
   const bool outstanding = known.match + 1 < known.next;
-  const Duration wait =
-      std::max<Duration>(known.resend_wait, 2 * this->options.heartbeat);
+  const Duration first_wait =
+      2 * this->options.heartbeat + TimeToCarry(known.inflight_bytes);
+  const Duration wait = std::clamp<Duration>(first_wait, known.resend_wait,
+                                             this->options.longest_resend_wait);
   if (!outstanding || this->now - known.last_progress < wait) {
     return;
   }
--- a/src/consensus/raftcore.h
+++ b/src/consensus/raftcore.h
@@ -36,9 +36,9 @@
   /// followers of a process that may use 64 MB.
   std::size_t max_inflight_bytes = 2U << 20U;
   /// Bound of the wait for an acknowledgement before entries are sent again;
-  /// it starts at two heartbeats and doubles with each resend. 1 MB
-  /// (max_append_bytes) in 3.2 s is 2.6 Mbit/s, a tenth of the slowest
-  /// entry's link (30 Mbit/s).
+  /// it starts at two heartbeats and the time to carry what is under way, and
+  /// doubles with each resend. 1 MB (max_append_bytes) in 3.2 s is 2.6 Mbit/s,
+  /// a tenth of the slowest entry's link (30 Mbit/s).
   Duration longest_resend_wait{std::chrono::milliseconds(3200)};
   std::size_t max_uncommitted_bytes = 64U << 20U;
   std::uint64_t seed = 1;
@@ -167,8 +167,8 @@
     Time last_heard{};
     std::uint64_t read_round = 0;
     Time last_progress{};
-    Duration resend_wait{};  ///< For what is sent now; less than two heartbeats
-                             ///< stands for these.
+    Duration resend_wait{};  ///< For what is sent now; less than the first wait
+                             ///< (longest_resend_wait) stands for that.
     bool probing = true;
     Index sent_after = 0;  ///< Index before the entries of the last append.
     Index snapshot_offered = 0;
--- a/src/consensus/tests/raftcore_tests.cpp
+++ b/src/consensus/tests/raftcore_tests.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "consensus/tests/raftcluster.h"
+#include "global/linkpace.h"
 
 namespace papayarack::consensus {
 namespace {
@@ -433,9 +434,19 @@
   CHECK(sent.front().prev_index == 1);
 
   SECTION("and it is sent again when it was lost too") {
-    core.Tick(late + options.heartbeat);
-    core.Step({0, 2, 1, 3, AppendResponse{true, 1, 0}}, late);
-    core.Tick(late + 2 * options.heartbeat);
+    const Time again = late + 2 * options.heartbeat +
+                       TimeToCarry(sent.front().entries.size() * kEntryBytes);
+    std::size_t entries_sent = 0;
+    Time now = late;
+    while (now + options.heartbeat < again) {
+      now += options.heartbeat;
+      core.Tick(now);
+      core.Step({0, 2, 1, 3, AppendResponse{true, 1, 0}}, now);
+      take_sent();
+      entries_sent += sent.empty() ? 0 : sent.back().entries.size();
+    }
+    CHECK(entries_sent == 0);
+    core.Tick(now + options.heartbeat);
     take_sent();
     REQUIRE(!sent.empty());
     CHECK_FALSE(sent.back().entries.empty());
--- a/src/coordination/groupclient.h
+++ b/src/coordination/groupclient.h
@@ -18,11 +18,6 @@
 
 namespace papayarack::coordination {
 
-/// Time that a body of this size may take to the other side on top of what a
-/// small one may, at a pace of 1 MB/s: about a quarter of the slowest entry's
-/// link (30 Mbit/s, 3.75 MB/s), which it shares with all else that is sent.
-std::chrono::milliseconds TimeToCarry(std::size_t body_bytes);
-
 /// Calls the leader of a replicated group: follows hints, moves on to another
 /// member after a failure or silence, until the call's time is over. For calls
 /// that may be made twice. Thread safety: none, the loop's thread.
--- a/src/coordination/internal/groupclient.cpp
+++ b/src/coordination/internal/groupclient.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "coordination/coordinationmessages.h"
+#include "global/linkpace.h"
 #include "global/settings.h"
 
 namespace papayarack::coordination {
@@ -13,15 +14,9 @@
 /// 0.6 to 1.2 s, and asking it more often than this only costs processor time.
 constexpr std::chrono::milliseconds kPause{25};
 constexpr int kMostPauses = 6;
-/// Pace at which a body is taken to move at least (TimeToCarry says why).
-constexpr std::size_t kBytesPerMillisecond = 1000;
 
 }  // namespace
 
-std::chrono::milliseconds TimeToCarry(std::size_t body_bytes) {
-  return std::chrono::milliseconds(body_bytes / kBytesPerMillisecond);
-}
-
 GroupClient::GroupClient(asio::io_context& context,
                          transport::PeerClient& peers, Members members)
     : context(context), peers(peers), members(std::move(members)) {}
--- a/src/coordination/internal/textfetch.cpp
+++ b/src/coordination/internal/textfetch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "global/linkpace.h"
 #include "global/logging.h"
 #include "global/settings.h"
 #include "transport/peerserver.h"
@@ -19,10 +20,9 @@
 /// For one part. Twenty times what it needs on a link that is shared by five;
 /// a longer silence is a source that is frozen or gone.
 constexpr std::chrono::milliseconds kPartTime{1500};
-/// For all parts from one source, and a millisecond for each KB more: a source
-/// whose parts each come just in time would take 10 s for 400 KB.
+/// For all parts from one source, and TimeToCarry more: a source whose parts
+/// each come just in time would take 10 s for 400 KB.
 constexpr std::chrono::milliseconds kSourceTime{1500};
-constexpr std::size_t kBytesPerMillisecond = 1000;
 
 ChunksFound FindChunks(const HeldText& held, const ChunksWanted& wanted) {
   ChunksFound found;
@@ -76,9 +76,8 @@
   this->address = std::move(source);
   this->done = std::move(when_done);
   this->started = MonotonicNow();
-  this->deadline = this->started + kSourceTime +
-                   std::chrono::milliseconds(this->assembly.MissingBytes() /
-                                             kBytesPerMillisecond);
+  this->deadline =
+      this->started + kSourceTime + TimeToCarry(this->assembly.MissingBytes());
   this->bytes_at_start = this->assembly.TakenBytes();
   this->not_given.clear();
   try {
--- a/src/coordination/tests/groupclient_tests.cpp
+++ b/src/coordination/tests/groupclient_tests.cpp
@@ -9,6 +9,7 @@
 #include "coordination/coordinationmessages.h"
 #include "coordination/fleetwatch.h"
 #include "coordination/groupclient.h"
+#include "global/linkpace.h"
 #include "transport/peerdispatch.h"
 #include "transport/peerserver.h"
 
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "global/linkpace.h"
 #include "global/logging.h"
 #include "global/variantcodec.h"
 
@@ -400,7 +401,7 @@
   // Whoever sends a large configuration waits longer for its answer; at the
   // time of a small one a single attempt would use up the call.
   const std::chrono::milliseconds time =
-      kOperatorTime + coordination::TimeToCarry(body.size());
+      kOperatorTime + TimeToCarry(body.size());
   this->runtime.coordination->Call(
       path, std::move(body), time, kOperatorTry,
       [this, exchange, path, answer = std::move(answer)](const Result& result,
