One knowledge of a group's leader for all of a process that ask it

Operators' calls at some entries were refused for 20 s after a split of the members had healed, with code 205, though the watch of the same process heard from the leader each second. Cause: calls kept a leader of their own and went round every address that the process knows, gates too, eight of seventy-five in the time that they have; the watch had been mended against that by itself. LeaderSearch holds what is known of a group's leader, members and other processes and says whom to ask next; the watch and the calls share it. Calls go to the leader or to members only, as no other process can answer them. The job group's calls use the same. The test of members in between all other processes asks LeaderSearch instead of the watch and checks the same.

--- a/src/coordination/fleetwatch.h
+++ b/src/coordination/fleetwatch.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "coordination/coordinationmessages.h"
+#include "coordination/leadersearch.h"
 #include "coordination/textfetch.h"
 #include "global/timepoint.h"
 #include "transport/peerclient.h"
@@ -19,8 +20,6 @@
 struct FleetKnowledge {
   std::uint64_t config_version = 0;
   std::string config;
-  std::vector<std::string> members;  ///< Of the coordination group.
-  std::string leader;
   std::vector<NodeReport> nodes;
   std::vector<EngineInstance> engines;
   consensus::MemberList job_founders;
@@ -62,20 +61,12 @@
                   transport::PeerDispatch& dispatch, bool serve_watch);
   /// A member says who leads; asked at once while none was known.
   void OnAnnounced(const AnnounceMembers& announced);
-  /// Further addresses to ask while no leader is known: every second ask goes
-  /// to one of them. Symptom guarded against: an entry obeys an old
-  /// configuration for 3 s after a cut has healed, because it goes round thirty
-  /// gates, 0.2 s each, before it asks a member again.
-  void SetFallbacks(std::vector<std::string> addresses);
-  /// Replaces the seeds; those learned stay known.
-  void SetSeeds(std::vector<std::string> seeds);
   /// Changes what is reported, at once.
   void SetJobMembers(std::vector<std::string> members, std::uint64_t term);
   const FleetKnowledge& knowledge() const { return this->known; }
-  /// Where the next ask goes; empty when no address is known.
-  std::string NextTarget();
-  /// Addresses to try, those learned first.
-  std::vector<std::string> Targets() const;
+  /// Where the leader is, for all of this process that ask it.
+  LeaderSearch& search() { return this->leader_search; }
+  const LeaderSearch& search() const { return this->leader_search; }
   /// Takes an engine list that this process read by itself while no leader
   /// answered.
   void TakeEngines(std::vector<EngineInstance> engines);
@@ -92,12 +83,10 @@
   void OnChunksUnusable(std::uint64_t version);
   void TakeNodes(const WatchReply& reply);
   bool TakeEngineChanges(const WatchReply& reply);
-  std::vector<std::string> MembersAndSeeds() const;
 
   transport::PeerClient& peers;
   NodeReport self;
-  std::vector<std::string> seeds;
-  std::vector<std::string> fallbacks;
+  LeaderSearch leader_search;
   Changed changed;
   FleetKnowledge known;
   ChunkIndex index;  ///< Of `known.config`.
@@ -107,8 +96,6 @@
   std::uint64_t engines_revision = 0;
   std::uint64_t engines_asked = 0;  ///< `engines_revision` of the last ask.
   std::string target;
-  std::size_t rotation = 0;
-  std::size_t fallback_rotation = 0;
   std::size_t failures = 0;
   std::size_t fetch_failures = 0;
   /// The text held is not the one that the leader has under its version.
--- a/src/coordination/groupclient.h
+++ b/src/coordination/groupclient.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/leadersearch.h"
 #include "global/resultcode.h"
 #include "global/timepoint.h"
 #include "transport/peerclient.h"
@@ -26,11 +27,10 @@
   /// Called once: the leader's answer, or a refusal with kNoQuorum when nobody
   /// answered as leader in time.
   using Done = std::function<void(const Result& result, std::string body)>;
-  /// Addresses of the members as far as they are known.
-  using Members = std::function<std::vector<std::string>()>;
 
+  /// Precondition: `search` outlives the client.
   GroupClient(asio::io_context& context, transport::PeerClient& peers,
-              Members members);
+              LeaderSearch& search);
   ~GroupClient();
   GroupClient(const GroupClient&) = delete;
   GroupClient& operator=(const GroupClient&) = delete;
@@ -42,7 +42,6 @@
                      std::chrono::milliseconds try_time, Done done);
   /// Gives up; `done` is not called.
   void Cancel(std::uint64_t call);
-  const std::string& leader() const { return this->leader_address; }
 
  private:
   struct Attempt {
@@ -60,17 +59,16 @@
   void Try(std::uint64_t id);
   void Later(std::uint64_t id, std::chrono::milliseconds wait);
   void OnMessage(std::uint64_t id, const std::string& message);
-  void OnFailure(std::uint64_t id, bool lost_leader);
+  /// The target did not answer.
+  void OnFailure(std::uint64_t id);
+  void TryNext(std::uint64_t id);
   void End(std::uint64_t id, const Result& result, std::string body);
-  std::string NextTarget(Attempt& attempt);
 
   asio::io_context& context;
   transport::PeerClient& peers;
-  Members members;
-  std::string leader_address;
+  LeaderSearch& search;
   std::uint64_t last_id = 0;
   std::unordered_map<std::uint64_t, Attempt> attempts;
-  std::size_t rotation = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -27,10 +27,11 @@
                        Changed changed)
     : peers(peers),
       self(std::move(self)),
-      seeds(std::move(seeds)),
       changed(std::move(changed)),
       fetch(context, peers),
-      timer(context) {}
+      timer(context) {
+  this->leader_search.SetSeeds(std::move(seeds));
+}
 
 FleetWatch::~FleetWatch() { *this->alive = false; }
 
@@ -55,8 +56,8 @@
               [this, &server](transport::StreamId stream, const std::string&) {
                 WatchReply reply;
                 reply.code = static_cast<int>(ResultCode::kNotLeader);
-                reply.leader = this->known.leader;
-                reply.members = this->known.members;
+                reply.leader = this->leader_search.leader();
+                reply.members = this->leader_search.members();
                 server->Send(stream, EncodeMessage(reply));
                 server->Finish(stream);
               });
@@ -66,23 +67,15 @@
   if (announced.members.empty()) {
     return;
   }
-  this->known.members = announced.members;
+  this->leader_search.SetMembers(announced.members);
   const bool searching = this->failures > 0 || this->known.heard == Time{};
   if (searching && !announced.leader.empty() &&
-      this->known.leader != announced.leader) {
-    this->known.leader = announced.leader;
+      this->leader_search.leader() != announced.leader) {
+    this->leader_search.Found(announced.leader);
     this->AskAnew();
   }
 }
 
-void FleetWatch::SetFallbacks(std::vector<std::string> addresses) {
-  this->fallbacks = std::move(addresses);
-}
-
-void FleetWatch::SetSeeds(std::vector<std::string> replacement) {
-  this->seeds = std::move(replacement);
-}
-
 void FleetWatch::SetJobMembers(std::vector<std::string> members,
                                std::uint64_t job_term) {
   if (this->self.job_members == members && this->self.job_term == job_term) {
@@ -98,45 +91,9 @@
   this->Ask();
 }
 
-std::vector<std::string> FleetWatch::MembersAndSeeds() const {
-  std::vector<std::string> targets = this->known.members;
-  for (const std::string& address : this->seeds) {
-    if (std::ranges::find(targets, address) == targets.end()) {
-      targets.push_back(address);
-    }
-  }
-  return targets;
-}
-
-std::vector<std::string> FleetWatch::Targets() const {
-  std::vector<std::string> targets = this->MembersAndSeeds();
-  for (const std::string& address : this->fallbacks) {
-    if (std::ranges::find(targets, address) == targets.end()) {
-      targets.push_back(address);
-    }
-  }
-  return targets;
-}
-
-std::string FleetWatch::NextTarget() {
-  if (!this->known.leader.empty()) {
-    return this->known.leader;
-  }
-  const std::vector<std::string> first = this->MembersAndSeeds();
-  const std::size_t turn = this->rotation++;
-  const bool fallback_turn = turn % 2 == 1 || first.empty();
-  if (!this->fallbacks.empty() && fallback_turn) {
-    return this->fallbacks[this->fallback_rotation++ % this->fallbacks.size()];
-  }
-  if (first.empty()) {
-    return {};
-  }
-  return first[(this->fallbacks.empty() ? turn : turn / 2) % first.size()];
-}
-
 void FleetWatch::Ask() {
   const std::uint64_t number = ++this->round;
-  this->target = this->NextTarget();
+  this->target = this->leader_search.Next();
   if (this->target.empty()) {
     this->Again(kPause);
     return;
@@ -163,7 +120,7 @@
   handlers.on_end = [this, current](transport::CallEnd) {
     if (current()) {
       ++this->failures;
-      this->known.leader.clear();
+      this->leader_search.Lost(this->target);
       this->Again(PauseAfter(this->failures));
     }
   };
@@ -179,7 +136,7 @@
            {"failures", this->failures + 1}});
       this->peers.Cancel(this->call);
       ++this->failures;
-      this->known.leader.clear();
+      this->leader_search.Lost(this->target);
       this->Ask();
     }
   });
@@ -206,17 +163,17 @@
     return;
   }
   if (!reply.members.empty()) {
-    this->known.members = reply.members;
+    this->leader_search.SetMembers(reply.members);
   }
   if (static_cast<ResultCode>(reply.code) != ResultCode::kOk) {
-    const bool hint = !reply.leader.empty() && reply.leader != this->target;
-    this->known.leader = hint ? reply.leader : std::string();
+    this->leader_search.Refused(this->target, reply.leader);
+    const bool hint = !this->leader_search.leader().empty();
     ++this->failures;
     this->Again(hint && this->failures < 3 ? std::chrono::milliseconds(0)
                                            : PauseAfter(this->failures));
     return;
   }
-  if (this->known.leader != this->target || this->term != reply.term) {
+  if (this->failures > 0 || this->term != reply.term) {
     Log(LogLevel::kInfo, "coordination_leader_found",
         {{"address", this->target},
          {"term", reply.term},
@@ -226,7 +183,7 @@
               : (MonotonicNow() - this->known.heard).count() / 1000}});
   }
   this->failures = 0;
-  this->known.leader = this->target;
+  this->leader_search.Found(this->target);
   this->known.heard = MonotonicNow();
   this->known.job_founders = reply.job_founders;
   this->known.leaving = reply.leaving;
--- a/src/coordination/internal/groupclient.cpp
+++ b/src/coordination/internal/groupclient.cpp
@@ -18,8 +18,8 @@
 }  // namespace
 
 GroupClient::GroupClient(asio::io_context& context,
-                         transport::PeerClient& peers, Members members)
-    : context(context), peers(peers), members(std::move(members)) {}
+                         transport::PeerClient& peers, LeaderSearch& search)
+    : context(context), peers(peers), search(search) {}
 
 GroupClient::~GroupClient() { *this->alive = false; }
 
@@ -39,25 +39,6 @@
   return id;
 }
 
-std::string GroupClient::NextTarget(Attempt& attempt) {
-  const bool use_leader =
-      !this->leader_address.empty() && this->leader_address != attempt.target;
-  if (use_leader) {
-    return this->leader_address;
-  }
-  const std::vector<std::string> known = this->members();
-  if (known.empty()) {
-    return {};
-  }
-  for (std::size_t i = 0; i < known.size(); ++i) {
-    const std::string& next = known[this->rotation++ % known.size()];
-    if (next != attempt.target || known.size() == 1) {
-      return next;
-    }
-  }
-  return known.front();
-}
-
 void GroupClient::Try(std::uint64_t id) {
   const auto found = this->attempts.find(id);
   if (found == this->attempts.end()) {
@@ -69,7 +50,7 @@
     this->End(id, {ResultCode::kNoQuorum, "no leader answered in time"}, {});
     return;
   }
-  attempt.target = this->NextTarget(attempt);
+  attempt.target = this->search.NextForCall(attempt.target);
   if (attempt.target.empty()) {
     this->Later(id, kPause);
     return;
@@ -92,7 +73,7 @@
   handlers.on_end = [this, id, current,
                      alive = this->alive](transport::CallEnd) {
     if (*alive && current()) {
-      this->OnFailure(id, true);
+      this->OnFailure(id);
     }
   };
   attempt.call =
@@ -110,7 +91,7 @@
       [this, id, current, alive = this->alive](std::error_code error) {
         if (!error && *alive && current()) {
           this->peers.Cancel(this->attempts.at(id).call);
-          this->OnFailure(id, true);
+          this->OnFailure(id);
         }
       });
 }
@@ -136,22 +117,25 @@
     return;
   }
   const auto code = static_cast<ResultCode>(reply.code);
+  const std::string& target = this->attempts.at(id).target;
   if (code != ResultCode::kNotLeader) {
-    this->leader_address = this->attempts.at(id).target;
+    this->search.Found(target);
     this->End(id, {code, {}}, std::move(reply.body));
     return;
   }
-  this->leader_address = reply.leader;
-  this->OnFailure(id, false);
+  this->search.Refused(target, std::move(reply.leader));
+  this->TryNext(id);
 }
 
-void GroupClient::OnFailure(std::uint64_t id, bool lost_leader) {
-  Attempt& attempt = this->attempts.at(id);
-  if (lost_leader && attempt.target == this->leader_address) {
-    this->leader_address.clear();
-  }
-  const bool has_hint =
-      !this->leader_address.empty() && this->leader_address != attempt.target;
+void GroupClient::OnFailure(std::uint64_t id) {
+  this->search.Lost(this->attempts.at(id).target);
+  this->TryNext(id);
+}
+
+void GroupClient::TryNext(std::uint64_t id) {
+  const Attempt& attempt = this->attempts.at(id);
+  const std::string& leader = this->search.leader();
+  const bool has_hint = !leader.empty() && leader != attempt.target;
   const int pauses = std::min(static_cast<int>(attempt.tries), kMostPauses);
   this->Later(id, has_hint && attempt.tries < 3 ? std::chrono::milliseconds(0)
                                                 : kPause * pauses);
--- a/src/coordination/tests/coordination_tests.cpp
+++ b/src/coordination/tests/coordination_tests.cpp
@@ -125,24 +125,22 @@
 // are asked too; the cut heals just after the members were asked. Cause: the
 // members came again only after all thirty gates.
 TEST_CASE("members are asked in between all other processes") {
-  asio::io_context context;
-  transport::PeerClient peers(context);
-  FleetWatch watch(context, peers, {}, {"s1:1", "s2:1", "s3:1"},
-                   [](const FleetChange&) {});
-  CHECK(watch.NextTarget() == "s1:1");
-  CHECK(watch.NextTarget() == "s2:1");
-  CHECK(watch.NextTarget() == "s3:1");
+  LeaderSearch search;
+  search.SetSeeds({"s1:1", "s2:1", "s3:1"});
+  CHECK(search.Next() == "s1:1");
+  CHECK(search.Next() == "s2:1");
+  CHECK(search.Next() == "s3:1");
   constexpr int kGates = 30;
   std::vector<std::string> gates;
   gates.reserve(kGates);
   for (int i = 0; i < kGates; ++i) {
     gates.push_back("g" + std::to_string(i) + ":1");
   }
-  watch.SetFallbacks(gates);
+  search.SetOthers(gates);
   std::set<std::string> seeds_asked;
   std::set<std::string> gates_asked;
   for (int i = 0; i < 60; ++i) {
-    const std::string target = watch.NextTarget();
+    const std::string target = search.Next();
     (target.starts_with("s") ? seeds_asked : gates_asked).insert(target);
     if (i == 6) {
       CHECK(seeds_asked.size() == 3);
@@ -151,6 +149,64 @@
   CHECK(gates_asked.size() == kGates);
 }
 
+// Several parts of a process ask for the leader of one group, and each learns
+// something: what one has found, all go by.
+TEST_CASE("all that ask in a process share what is known of the leader") {
+  LeaderSearch search;
+  search.SetSeeds({"s1:1"});
+  CHECK(search.NextForCall("") == "s1:1");
+  search.SetMembers({"m1:1", "m2:1", "m3:1"});
+  search.SetOthers({"g1:1", "g2:1"});
+
+  SECTION("while it is not known") {
+    SECTION("calls go round the members only") {
+      std::set<std::string> asked;
+      for (int i = 0; i < 3; ++i) {
+        asked.insert(search.NextForCall(""));
+      }
+      CHECK(asked == std::set<std::string>{"m1:1", "m2:1", "m3:1"});
+    }
+    SECTION("and not twice in a row to the one that did not answer") {
+      std::string last;
+      for (int i = 0; i < 7; ++i) {
+        const std::string next = search.NextForCall(last);
+        CHECK(next != last);
+        last = next;
+      }
+    }
+    SECTION("a member's word is taken") {
+      search.Refused("m1:1", "m2:1");
+      CHECK(search.leader() == "m2:1");
+    }
+    SECTION("but not that of one that names itself and refuses") {
+      search.Refused("m1:1", "m1:1");
+      CHECK(search.leader().empty());
+    }
+  }
+  SECTION("once it has answered") {
+    search.Found("m3:1");
+    CHECK(search.Next() == "m3:1");
+    CHECK(search.NextForCall("") == "m3:1");
+    SECTION("a call that it failed goes to another member") {
+      CHECK(search.NextForCall("m3:1") != "m3:1");
+    }
+    SECTION("a member that names another does not change that") {
+      search.Refused("m1:1", "m2:1");
+      CHECK(search.leader() == "m3:1");
+    }
+    SECTION("its own word does") {
+      search.Refused("m3:1", "m2:1");
+      CHECK(search.leader() == "m2:1");
+    }
+    SECTION("silence of another says nothing of it") {
+      search.Lost("m1:1");
+      CHECK(search.leader() == "m3:1");
+      search.Lost("m3:1");
+      CHECK(search.leader().empty());
+    }
+  }
+}
+
 // Symptom: an entry says that it is ready and refuses everybody: "no replica of
 // the service is known". Sequence: all processes were killed; a new leader
 // answers with the configuration before it has read the platform's list. Cause:
--- a/src/coordination/tests/groupclient_tests.cpp
+++ b/src/coordination/tests/groupclient_tests.cpp
@@ -176,9 +176,9 @@
   Member first(context, kLate);
   Member second(context, kLate);
   transport::PeerClient peers(context);
-  GroupClient client(context, peers, [&] {
-    return std::vector<std::string>{first.Address(), second.Address()};
-  });
+  LeaderSearch search;
+  search.SetMembers({first.Address(), second.Address()});
+  GroupClient client(context, peers, search);
   const std::string body(kBodyBytes, 'c');
 
   SECTION("when its answer comes later than a small one's may") {
@@ -204,9 +204,9 @@
   Member silent(context, std::nullopt);
   Member second(context, std::chrono::milliseconds(0));
   transport::PeerClient peers(context);
-  GroupClient client(context, peers, [&] {
-    return std::vector<std::string>{silent.Address(), second.Address()};
-  });
+  LeaderSearch search;
+  search.SetMembers({silent.Address(), second.Address()});
+  GroupClient client(context, peers, search);
   CHECK(TimeToCarry(kBodyBytes) == std::chrono::milliseconds(0));
   const Outcome outcome =
       CallAndRun(context, client, std::string(kBodyBytes, 'c'), kTime);
@@ -226,8 +226,7 @@
   Fleet fleet;
   FleetWatch watch(fleet.context, fleet.peers, {}, {fleet.LeaderAddress()},
                    [](const FleetChange&) {});
-  GroupClient client(fleet.context, fleet.peers,
-                     [&watch] { return watch.Targets(); });
+  GroupClient client(fleet.context, fleet.peers, watch.search());
   const auto leader_heard = [&fleet] {
     const int before = fleet.watches;
     return fleet.RunUntil([&] { return fleet.watches > before; });
@@ -237,7 +236,7 @@
   CHECK(CallAndRun(fleet.context, client, "x", kTime).code == ResultCode::kOk);
 
   fleet.cut = true;
-  watch.SetFallbacks(fleet.OtherAddresses());
+  watch.search().SetOthers(fleet.OtherAddresses());
   for (int call = 0; call < 4; ++call) {
     CHECK(CallAndRun(fleet.context, client, "x", kTime).code ==
           ResultCode::kNoQuorum);
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -106,9 +106,8 @@
   options.has_disk = !this->runtime.options.data_folder.empty();
   options.seeds = [this] { return this->runtime.options.seeds; };
   options.hint = [this] {
-    const coordination::FleetKnowledge& known =
-        this->runtime.watch->knowledge();
-    return coordination::LeaderHint{known.leader, known.members};
+    const coordination::LeaderSearch& search = this->runtime.watch->search();
+    return coordination::LeaderHint{search.leader(), search.members()};
   };
   options.leader_known = [this](const coordination::AnnounceMembers& known) {
     this->runtime.watch->OnAnnounced(known);
@@ -519,7 +518,8 @@
   const coordination::FleetKnowledge& known = this->runtime.watch->knowledge();
   ListLoad load;
   load.rate = ListRate(this->runtime.options.list_calls_per_second);
-  load.readers = LikelyReaders(known.members.size(), known.engines.size());
+  load.readers = LikelyReaders(this->runtime.watch->search().members().size(),
+                               known.engines.size());
   // Most processes have read no list before; the one they hold tells its size.
   load.pages = std::max(this->runtime.list_reader.pages,
                         LikelyPages(known.engines.size()));
--- a/src/nodes/internal/noderunner.cpp
+++ b/src/nodes/internal/noderunner.cpp
@@ -91,7 +91,7 @@
       Log(LogLevel::kInfo, "settings_reloaded",
           {{"reason", reason}, {"seeds", fresh.seeds}});
       this->runtime.options.seeds = fresh.seeds;
-      this->runtime.watch->SetSeeds(std::move(fresh.seeds));
+      this->runtime.watch->search().SetSeeds(std::move(fresh.seeds));
     } catch (const ResultError& error) {
       // Being written just now, or wrong: what was read before stays.
       Log(LogLevel::kWarn, "settings_unreadable", {{"text", error.what()}});
--- a/src/nodes/internal/noderuntime.cpp
+++ b/src/nodes/internal/noderuntime.cpp
@@ -259,10 +259,8 @@
       this->context, this->options.peer_listen,
       this->dispatch.For(this->server));
   this->server = this->owned_server.get();
-  this->coordination = std::make_unique<coordination::GroupClient>(
-      this->context, *this->peers, [this] { return this->watch->Targets(); });
   this->jobs = std::make_unique<coordination::GroupClient>(
-      this->context, *this->peers, [this] { return this->StoreAddresses(); });
+      this->context, *this->peers, this->job_search);
   if (this->options.metrics.has_value()) {
     http::HttpServerHandlers handlers;
     handlers.on_request = [this](http::ExchangeId exchange,
@@ -359,8 +357,13 @@
         if (change.config) {
           this->TakeRoutes();
         }
+        if (change.nodes) {
+          this->job_search.SetMembers(this->StoreAddresses());
+        }
         changed(change);
       });
+  this->coordination = std::make_unique<coordination::GroupClient>(
+      this->context, *this->peers, this->watch->search());
   this->watch->ServeHints(this->server, this->dispatch, !has_member);
   this->watch->Start();
   this->list_client = std::make_unique<http::HttpClient>(this->context);
@@ -439,7 +442,7 @@
             gate.port = this->options.peer_listen.port;
             gates.push_back(gate.ToString());
           }
-          this->watch->SetFallbacks(std::move(gates));
+          this->watch->search().SetOthers(std::move(gates));
         }
         this->SearchInList();
       });
--- a/src/nodes/noderuntime.h
+++ b/src/nodes/noderuntime.h
@@ -72,7 +72,9 @@
   std::unique_ptr<transport::PeerClient> peers;
   std::unique_ptr<coordination::FleetWatch> watch;
   routes::RouteTablePtr table;  ///< Null until a configuration was learned.
+  /// Calls to the coordination group's leader; from Watch() on.
   std::unique_ptr<coordination::GroupClient> coordination;
+  coordination::LeaderSearch job_search;  ///< Of the job group.
   std::unique_ptr<coordination::GroupClient> jobs;
   ListReader list_reader;
 
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -170,6 +170,12 @@
   return item;
 }
 
+coordination::LeaderSearch SearchAmong(const std::string& member) {
+  coordination::LeaderSearch search;
+  search.SetMembers({member});
+  return search;
+}
+
 /// A runner between an engine and a leader.
 struct Bench {
   explicit Bench(std::uint32_t slots) {
@@ -210,9 +216,8 @@
   Engine engine{this->context};
   Leader leader{this->context};
   transport::PeerClient peers{this->context};
-  coordination::GroupClient jobs{
-      this->context, this->peers,
-      [this] { return std::vector<std::string>{this->leader.Address()}; }};
+  coordination::LeaderSearch job_search = SearchAmong(this->leader.Address());
+  coordination::GroupClient jobs{this->context, this->peers, this->job_search};
   http::HttpClient client{this->context};
   slots::SlotDesk desk;
   Dialect dialect = MakeDialect();
