Test, failing: a change costs the followers what it changes

Symptom: with a configuration of 0.9 MB a small change is acknowledged after 1.5 s and obeyed everywhere 1.9 s after that, without any fault; the bound is 2.5 s, and another 1,400 routes would pass it. The members, hosts and calls of the spread's tests move to a header, as they are, for both files.

--- /dev/null
+++ b/src/coordination/tests/groupfaults_tests.cpp
@@ -0,0 +1,87 @@
+#include <algorithm>
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <list>
+#include <string>
+#include <vector>
+
+#include "coordination/tests/groupmembers.h"
+
+namespace papayarack::coordination {
+namespace {
+
+constexpr std::size_t kLargeBytes = 400'000;
+
+/// A group with its members on one loop.
+class Group {
+ public:
+  explicit Group(asio::io_context& context, int size) : context(context) {
+    for (int i = 1; i <= size; ++i) {
+      const auto id = static_cast<consensus::MemberId>(i);
+      const Member& member = this->members.emplace_back(context, id);
+      this->list.members.push_back({id, member.host.Address(), true});
+    }
+    for (Member& member : this->members) {
+      member.Found(context, this->list, NoReplicas());
+    }
+    RunUntil(
+        context, [this] { return this->Find() != this->members.end(); },
+        kElected);
+    REQUIRE(this->Find() != this->members.end());
+  }
+
+  Member& Leader() { return *this->Find(); }
+
+  /// Bytes of log entries and all else that the leader sent its followers.
+  std::uint64_t BytesToFollowers() {
+    const transport::TransportTotals totals =
+        this->Leader().host.peers.Totals();
+    const auto found = std::ranges::find(totals.paths, "/group/0/message",
+                                         &transport::PathTotals::path);
+    return found != totals.paths.end() ? found->bytes : 0;
+  }
+
+ private:
+  std::list<Member>::iterator Find() {
+    return std::ranges::find_if(this->members, [](const Member& member) {
+      return member.coordinator->Leads();
+    });
+  }
+
+  asio::io_context& context;
+  std::list<Member> members;
+  consensus::MemberList list;
+};
+
+}  // namespace
+
+// A small change of a configuration of 0.9 MB was acknowledged after 1.5 s and
+// obeyed everywhere 1.9 s after that, on a day without any fault: "leader's
+// link: 9.1 MB in one second, peer_backlog /group/0/message 4,950,560 bytes
+// unsent". Each change put the whole text into the log, so five followers got
+// 0.9 MB each, and the chunks of the change before waited behind that.
+TEST_CASE("a change costs the followers what it changes") {
+  asio::io_context context;
+  constexpr int kMembers = 3;
+  Group group(context, kMembers);
+  const std::string first = Text(kLargeBytes, 1);
+  Submit(context, group.Leader().host, 1, first);
+  const std::uint64_t before = group.BytesToFollowers();
+  REQUIRE(before >= (kMembers - 1) * kLargeBytes);
+
+  SECTION("of a few bytes in the middle") {
+    std::string changed = first;
+    changed.replace(changed.size() / 2, 5, "other");
+    Submit(context, group.Leader().host, 2, changed);
+    CHECK(group.BytesToFollowers() - before <=
+          (kMembers - 1) * kLargeBytes / 10);
+  }
+  SECTION("of a fifth more text at the end") {
+    constexpr std::size_t kMore = kLargeBytes / 5;
+    Submit(context, group.Leader().host, 2, first + Text(kMore, 2));
+    CHECK(group.BytesToFollowers() - before <=
+          (kMembers - 1) * (kMore + kLargeBytes / 10));
+  }
+}
+
+}  // namespace papayarack::coordination
--- a/src/coordination/tests/spreadfaults_tests.cpp
+++ b/src/coordination/tests/spreadfaults_tests.cpp
@@ -12,29 +12,14 @@
 
 #include "coordination/coordinator.h"
 #include "coordination/fleetwatch.h"
-#include "global/timepoint.h"
-#include "storage/memoryfilesystem.h"
+#include "coordination/tests/groupmembers.h"
 
 namespace papayarack::coordination {
 namespace {
 
-using std::chrono::milliseconds;
-
-/// Within which a change is to be in force after its acknowledgement.
-constexpr milliseconds kInForce{2000};
-constexpr milliseconds kElected{3000};
 constexpr int kReplicas = 40;
 constexpr std::size_t kLargeBytes = 400'000;
 
-std::string Text(std::size_t bytes, std::uint32_t seed) {
-  std::mt19937 random(seed);
-  std::string text;
-  while (text.size() < bytes) {
-    text += fmt::format("{:08x}{:08x}\n", random(), random());
-  }
-  return text;
-}
-
 std::vector<EngineInstance> Replicas(bool first_drains) {
   std::vector<EngineInstance> replicas;
   for (int i = 0; i < kReplicas; ++i) {
@@ -48,101 +33,6 @@
   return replicas;
 }
 
-NodeReport Report(const std::string& name, const std::string& address) {
-  NodeReport report;
-  report.name = name;
-  report.address = address;
-  report.zone = "z";
-  report.incarnation = 1;
-  return report;
-}
-
-/// What a process has to be reached by others and to call them.
-struct Host {
-  explicit Host(asio::io_context& context)
-      : owned(context, {"127.0.0.1", 0}, this->dispatch.For(this->server)),
-        peers(context) {
-    this->server = &this->owned;
-  }
-  std::string Address() const {
-    return fmt::format("127.0.0.1:{}", this->owned.port());
-  }
-  void Answer(transport::StreamId stream, const std::string& message) {
-    this->server->Send(stream, message);
-    this->server->Finish(stream);
-  }
-
-  transport::PeerDispatch dispatch;
-  transport::PeerServer* server = nullptr;
-  transport::PeerServer owned;
-  transport::PeerClient peers;
-};
-
-/// A member of the coordination group.
-struct Member {
-  Member(asio::io_context& context, consensus::MemberId id)
-      : host(context), id(id) {}
-
-  void Found(asio::io_context& context, const consensus::MemberList& members,
-             ListEngines list) {
-    consensus::FoundGroup(this->files, kCoordinationGroup, members);
-    consensus::IdentifyFolder(this->files, {this->id, "test"});
-    CoordinatorOptions options;
-    options.member = this->id;
-    options.has_disk = true;
-    options.address = this->host.Address();
-    options.random_seed = this->id;
-    options.seeds = [members] {
-      std::vector<std::string> seeds;
-      for (const consensus::Member& member : members.members) {
-        seeds.push_back(member.address);
-      }
-      return seeds;
-    };
-    this->coordinator = std::make_unique<Coordinator>(
-        context, this->files, options, this->host.peers, this->host.server,
-        this->host.dispatch, std::move(list),
-        [](const std::string& reason) { FAIL(reason); });
-  }
-
-  Host host;
-  consensus::MemberId id;
-  storage::MemoryFileSystem files;
-  std::unique_ptr<Coordinator> coordinator;
-};
-
-milliseconds RunUntil(asio::io_context& context,
-                      const std::function<bool()>& done, milliseconds limit) {
-  constexpr milliseconds kSlice{5};
-  const Time start = MonotonicNow();
-  const auto passed = [start] {
-    return std::chrono::duration_cast<milliseconds>(MonotonicNow() - start);
-  };
-  while (!done() && passed() < limit) {
-    context.run_for(kSlice);
-    context.restart();
-  }
-  return passed();
-}
-
-void RunFor(asio::io_context& context, milliseconds time) {
-  RunUntil(
-      context, [] { return false; }, time);
-}
-
-void Submit(asio::io_context& context, Host& to, std::uint64_t version,
-            const std::string& text) {
-  bool ended = false;
-  transport::CallHandlers handlers;
-  handlers.on_end = [&](transport::CallEnd) { ended = true; };
-  to.peers.Call({"127.0.0.1", to.owned.port()}, "/coordination/submit",
-                EncodeMessage(SubmitConfiguration{version, text}),
-                std::move(handlers));
-  RunUntil(
-      context, [&] { return ended; }, kElected);
-  REQUIRE(ended);
-}
-
 /// A leader alone in its group.
 std::unique_ptr<Member> Lead(asio::io_context& context, ListEngines list) {
   auto member = std::make_unique<Member>(context, 1);
@@ -162,10 +52,6 @@
   return found != totals.paths.end() ? found->bytes : 0;
 }
 
-ListEngines NoReplicas() {
-  return [](const auto& done) { done(std::vector<EngineInstance>{}); };
-}
-
 /// Answers one watch with `reply`, as a leader that then loses its lead to
 /// `next`.
 void LeadOnce(Host& host, const WatchReply& reply, const std::string& next) {
