Acknowledge a configuration once the entries obey it, or after a bound

Callers saw two entries go by version 3 2.8 s after version 6 had been acknowledged. Cause, as a class: the acknowledgement said that a quorum had the change in its logs and nothing of who obeys; all that slows the spread, or ends the leader, came after it. The leader now holds it until all entries that it hears from report that they obey, for 0.3 s and a millisecond for each KB of text at most. What holds it is decided apart from I/O (AcknowledgementHold). An entry silent for 1.3 s is not waited for; a new leader, which does not know all entries yet, waits for the bound; a member that ceases to lead answers at once, as the change is confirmed. An entry's call waits for that: twice the time to carry the text.

--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/acknowledgementhold.h"
 #include "coordination/changelist.h"
 #include "coordination/configurationshelf.h"
 #include "coordination/coordinationstate.h"
@@ -95,6 +96,7 @@
   CoordinationCommand CommandFor(const SubmitConfiguration& submitted) const;
   bool MembersApplyChanges() const;
   void EndSubmission(std::uint64_t version, ResultCode code);
+  void Acknowledge(std::span<const transport::StreamId> streams);
   void OnEmptyStore(StreamId stream, const std::string& body);
   void OnReadStore(StreamId stream, const std::string& body);
   void AnswerWatchers(Time now);
@@ -131,6 +133,7 @@
   std::map<std::uint64_t, Submission> submissions;  ///< By version.
   /// Addresses that reported in this term that they apply changes.
   std::set<std::string> applies_changes;
+  AcknowledgementHold hold;
   ConfigurationShelf shelf;
   TransferPlan plan;
   /// Some process waits until another can give it the text.
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -156,6 +156,7 @@
   this->Announce(now);
   if (!this->group->Leads()) {
     this->led_term = 0;
+    this->Acknowledge(this->hold.ReleaseAll());
     this->AnswerWatchers(now);
     return;
   }
@@ -177,6 +178,7 @@
   }
   this->PollEngines(now);
   this->AnswerWatchers(now);
+  this->Acknowledge(this->hold.Release(now));
 }
 
 /// A new leader knows nobody: everyone reports anew.
@@ -186,6 +188,7 @@
   this->nodes.Clear(now);
   this->plan.Clear();
   this->applies_changes.clear();
+  this->hold.Clear(now);
   this->founding = false;
 }
 
@@ -440,6 +443,9 @@
     }
     this->nodes.Take(request.self, now);
     this->plan.Heard(this->TransferReportOf(request), now);
+    if (request.self.Role() == NodeRole::kEntry) {
+      this->hold.Heard(request.self.name, request.config_version, now);
+    }
     if (request.applies_changes) {
       this->applies_changes.insert(request.self.address);
     }
@@ -524,9 +530,15 @@
   if (command.version <= this->state.version()) {
     // Overtaken: acknowledged without an entry, once this member is known to
     // lead still.
-    this->group->Read([this, stream](bool confirmed) {
-      this->Reply(stream, confirmed ? ResultCode::kOk : ResultCode::kNotLeader);
-    });
+    this->group->Read(
+        [this, stream, version = command.version](bool confirmed) {
+          if (!confirmed) {
+            this->Reply(stream, ResultCode::kNotLeader);
+            return;
+          }
+          this->hold.Hold(stream, version, this->state.text().size(),
+                          MonotonicNow());
+        });
     return;
   }
   const auto under_way = this->submissions.find(command.version);
@@ -578,8 +590,20 @@
   if (ended.empty()) {
     return;
   }
-  for (const StreamId stream : ended.mapped().streams) {
-    this->Reply(stream, code);
+  const Submission& submission = ended.mapped();
+  const Time now = MonotonicNow();
+  for (const StreamId stream : submission.streams) {
+    if (code == ResultCode::kOk) {
+      this->hold.Hold(stream, version, submission.text.size(), now);
+    } else {
+      this->Reply(stream, code);
+    }
+  }
+}
+
+void Coordinator::Acknowledge(std::span<const StreamId> streams) {
+  for (const StreamId stream : streams) {
+    this->Reply(stream, ResultCode::kOk);
   }
 }
 
--- /dev/null
+++ b/src/coordination/tests/acknowledgementhold_tests.cpp
@@ -0,0 +1,93 @@
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "coordination/acknowledgementhold.h"
+#include "global/linkpace.h"
+
+namespace papayarack::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+using Streams = std::vector<transport::StreamId>;
+
+constexpr std::size_t kSmallBytes = 100;
+constexpr transport::StreamId kFirst = 11;
+constexpr transport::StreamId kSecond = 12;
+
+}  // namespace
+
+// A large configuration is confirmed, and the leader or its link fails right
+// after: what entries obey then is what they had obeyed when it was
+// acknowledged, so the acknowledgement waits for them, within bounds.
+TEST_CASE("an acknowledgement is held until the entries obey") {
+  AcknowledgementHold hold;
+  const Time start = Time(std::chrono::hours(1));
+  hold.Clear(start);
+  hold.Heard("a", 4, start + milliseconds(900));
+  hold.Heard("b", 4, start + milliseconds(1200));
+  const Time now = start + AcknowledgementHold::kInTouch;
+
+  SECTION("as long as one of them does not") {
+    hold.Hold(kFirst, 6, kSmallBytes, now);
+    hold.Heard("a", 6, now + milliseconds(20));
+    CHECK(hold.Release(now + milliseconds(40)).empty());
+    hold.Heard("b", 7, now + milliseconds(50));
+    CHECK(hold.Release(now + milliseconds(60)) == Streams{kFirst});
+    CHECK(hold.Release(now + milliseconds(80)).empty());
+  }
+  SECTION("each for its own version") {
+    hold.Hold(kFirst, 8, kSmallBytes, now);
+    hold.Hold(kSecond, 6, kSmallBytes, now);
+    hold.Heard("a", 6, now);
+    hold.Heard("b", 6, now);
+    CHECK(hold.Release(now) == Streams{kSecond});
+  }
+  SECTION("at most for its bound") {
+    hold.Hold(kFirst, 6, kSmallBytes, now);
+    const Time bound = now + AcknowledgementHold::kLongest;
+    hold.Heard("a", 4, now + milliseconds(200));
+    hold.Heard("b", 6, now + milliseconds(200));
+    CHECK(hold.Release(bound - milliseconds(1)).empty());
+    CHECK(hold.Release(bound) == Streams{kFirst});
+  }
+  SECTION("which is longer for a large text") {
+    constexpr std::size_t kLargeBytes = 900'000;
+    hold.Hold(kFirst, 6, kLargeBytes, now);
+    const Time bound =
+        now + AcknowledgementHold::kLongest + TimeToCarry(kLargeBytes);
+    for (Time at = now; at < bound; at += milliseconds(100)) {
+      hold.Heard("a", 4, at);
+      hold.Heard("b", 6, at);
+      CHECK(hold.Release(at).empty());
+    }
+    CHECK(hold.Release(bound) == Streams{kFirst});
+  }
+  SECTION("not for one that is gone") {
+    const Time gone = start + milliseconds(900) + AcknowledgementHold::kInTouch;
+    hold.Hold(kFirst, 6, kSmallBytes, gone);
+    hold.Heard("b", 6, gone);
+    CHECK(hold.Release(gone).empty());
+    CHECK(hold.Release(gone + milliseconds(1)) == Streams{kFirst});
+  }
+  SECTION("by a new leader for the bound, as it does not know them all yet") {
+    hold.Clear(now);
+    hold.Heard("a", 6, now);
+    hold.Hold(kFirst, 6, kSmallBytes, now);
+    CHECK(hold.Release(now + milliseconds(100)).empty());
+    CHECK(hold.Release(now + AcknowledgementHold::kLongest) == Streams{kFirst});
+  }
+  SECTION("no longer than this member leads, as it was confirmed") {
+    hold.Hold(kFirst, 6, kSmallBytes, now);
+    hold.Hold(kSecond, 6, kSmallBytes, now);
+    CHECK(hold.ReleaseAll() == Streams{kFirst, kSecond});
+    CHECK(hold.Release(now + AcknowledgementHold::kLongest).empty());
+  }
+  SECTION("and not at all where no entry is known") {
+    AcknowledgementHold alone;
+    alone.Clear(start);
+    alone.Hold(kFirst, 6, kSmallBytes, now);
+    CHECK(alone.Release(now) == Streams{kFirst});
+  }
+}
+
+}  // namespace papayarack::coordination
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -398,11 +398,11 @@
     ExchangeId exchange, const std::string& path, std::string body,
     std::function<http::HttpResponse(const Result&, std::string)> answer) {
   // Whoever sends a large configuration waits longer for its answer; at the
-  // time of a small one a single attempt would use up the call.
-  const std::chrono::milliseconds time =
-      kOperatorTime + TimeToCarry(body.size());
+  // time of a small one a single attempt would use up the call. The text moves
+  // twice before that: to the leader, and on to whoever is to obey it.
+  const std::chrono::milliseconds carry = TimeToCarry(body.size());
   this->runtime.coordination->Call(
-      path, std::move(body), time, kOperatorTry,
+      path, std::move(body), kOperatorTime + 2 * carry, kOperatorTry + carry,
       [this, exchange, path, answer = std::move(answer)](const Result& result,
                                                          std::string reply) {
         const http::HttpResponse response = answer(result, std::move(reply));
