Give each run of control_tests a loopback address of its own

Symptom: control_tests ends with "cannot listen ... Address already in use", 4 of 192 runs, 12 to 16 at a time. Cause: a port that was free when it was looked for is taken by another process, or by a connection that comes from 127.0.0.1, before the member binds it. Members must know each other's ports before they start, so port 0 alone does not do; each process now looks for ports on a loopback address made from its id, which nobody else uses.

--- a/src/control/tests/control_tests.cpp
+++ b/src/control/tests/control_tests.cpp
@@ -13,9 +13,22 @@
 
 constexpr std::chrono::milliseconds kPatience{20000};
 
-std::uint16_t FreePort() {
-  transport::PeerServer probe({"127.0.0.1", 0}, {});
-  return probe.port();
+/// A loopback address of this process alone. Symptom guarded against: a test
+/// cannot listen, "Address already in use", when others run beside it. Members
+/// must know each other's ports before they start, so a port is looked for and
+/// bound later; meanwhile another process may take it, also for a connection
+/// that it makes, which comes from 127.0.0.1.
+std::string OwnHost() {
+  const int process = getpid();
+  const auto part = [process](int shift) {
+    return std::to_string(((process >> shift) & 0x7F) + 1);
+  };
+  return "127." + part(14) + "." + part(7) + "." + part(0);
+}
+
+std::string FreeAddress() {
+  const transport::PeerServer probe({OwnHost(), 0}, {});
+  return OwnHost() + ":" + std::to_string(probe.port());
 }
 
 /// A few control members in one process, with real files and sockets.
@@ -23,7 +36,7 @@
  public:
   explicit Members(std::size_t count) {
     for (std::size_t i = 1; i <= count; ++i) {
-      this->list.push_back({i, "127.0.0.1:" + std::to_string(FreePort())});
+      this->list.push_back({i, FreeAddress()});
     }
     for (std::size_t i = 1; i <= count; ++i) {
       FormatDataFolder(this->SettingsOf(i), i, false);
