--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -6,17 +6,16 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
 
-#include "coordination/acknowledgementhold.h"
 #include "coordination/changelist.h"
 #include "coordination/configurationshelf.h"
 #include "coordination/coordinationstate.h"
 #include "coordination/groupenvironment.h"
 #include "coordination/nodetable.h"
+#include "coordination/submissions.h"
 #include "coordination/transferplan.h"
 #include "replication/replicatedgroup.h"
 #include "transport/peerclient.h"
@@ -78,11 +77,6 @@
     bool offer = false;
     std::string source;  ///< Where it is to fetch that from; empty: inline.
   };
-  /// A configuration on its way into the log, and who waits for that.
-  struct Submission {
-    std::string text;
-    std::vector<transport::StreamId> streams;
-  };
   using StreamId = transport::StreamId;
 
   void Register(transport::PeerDispatch& dispatch);
@@ -90,13 +84,7 @@
   void Work(Time now);
   void OnTerm(Time now);
   void OnWatch(StreamId stream, const std::string& body);
-  void OnSubmit(StreamId stream, const std::string& body);
   void OnReadConfiguration(StreamId stream, const std::string& body);
-  /// The command for the log: what differs where all members can apply that.
-  CoordinationCommand CommandFor(const SubmitConfiguration& submitted) const;
-  bool MembersApplyChanges() const;
-  void EndSubmission(std::uint64_t version, ResultCode code);
-  void Acknowledge(std::span<const transport::StreamId> streams);
   void OnEmptyStore(StreamId stream, const std::string& body);
   void OnReadStore(StreamId stream, const std::string& body);
   void AnswerWatchers(Time now);
@@ -129,11 +117,8 @@
   CoordinationState state;
   NodeTable nodes;
   std::unique_ptr<replication::ReplicatedGroup> group;
+  std::unique_ptr<Submissions> submissions;
   std::map<StreamId, Watcher> watchers;
-  std::map<std::uint64_t, Submission> submissions;  ///< By version.
-  /// Addresses that reported in this term that they apply changes.
-  std::set<std::string> applies_changes;
-  AcknowledgementHold hold;
   ConfigurationShelf shelf;
   TransferPlan plan;
   /// Some process waits until another can give it the text.
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -7,7 +7,6 @@
 #include <set>
 #include <utility>
 
-#include "coordination/configurationchange.h"
 #include "coordination/founders.h"
 #include "coordination/textfetch.h"
 #include "global/logging.h"
@@ -83,6 +82,10 @@
   this->group = std::make_unique<replication::ReplicatedGroup>(
       files, raft, replication::GroupLimits{}, std::move(replicated),
       std::move(environment));
+  this->submissions = std::make_unique<Submissions>(
+      *this->group, this->state, options.address,
+      [this](StreamId stream, ResultCode code) { this->Reply(stream, code); },
+      [this] { this->AnswerWatchers(MonotonicNow()); });
   this->Register(dispatch);
   this->Tick();
 }
@@ -94,10 +97,10 @@
               [this](StreamId stream, const std::string& body) {
                 this->OnWatch(stream, body);
               });
-  dispatch.On("/coordination/submit",
-              [this](StreamId stream, const std::string& body) {
-                this->OnSubmit(stream, body);
-              });
+  dispatch.On("/coordination/submit", [this](StreamId stream,
+                                             const std::string& body) {
+    this->submissions->Take(stream, DecodeMessage<SubmitConfiguration>(body));
+  });
   dispatch.On("/coordination/read",
               [this](StreamId stream, const std::string& body) {
                 this->OnReadConfiguration(stream, body);
@@ -125,6 +128,7 @@
     }
     this->group->Tick();
     this->Work(MonotonicNow());
+    this->submissions->Tick(MonotonicNow());
     this->Tick();
   });
 }
@@ -156,7 +160,6 @@
   this->Announce(now);
   if (!this->group->Leads()) {
     this->led_term = 0;
-    this->Acknowledge(this->hold.ReleaseAll());
     this->AnswerWatchers(now);
     return;
   }
@@ -178,7 +181,6 @@
   }
   this->PollEngines(now);
   this->AnswerWatchers(now);
-  this->Acknowledge(this->hold.Release(now));
 }
 
 /// A new leader knows nobody: everyone reports anew.
@@ -187,8 +189,7 @@
   this->led_since = now;
   this->nodes.Clear(now);
   this->plan.Clear();
-  this->applies_changes.clear();
-  this->hold.Clear(now);
+  this->submissions->BeginTerm(now);
   this->founding = false;
 }
 
@@ -443,12 +444,7 @@
     }
     this->nodes.Take(request.self, now);
     this->plan.Heard(this->TransferReportOf(request), now);
-    if (request.self.Role() == NodeRole::kEntry) {
-      this->hold.Heard(request.self.name, request.config_version, now);
-    }
-    if (request.applies_changes) {
-      this->applies_changes.insert(request.self.address);
-    }
+    this->submissions->Heard(request, now);
   }
   this->watchers[stream] = {request, now, false, {}};
   if (!this->group->Leads() || this->waiting_for_source ||
@@ -521,92 +517,6 @@
       });
 }
 
-/// Symptom guarded against: an operator that hears nothing for a second sends
-/// the same text to another process, and each copy becomes an entry of the log,
-/// sent whole to every member, while the first still waits for the link. A copy
-/// of what is on its way waits for that.
-void Coordinator::OnSubmit(StreamId stream, const std::string& body) {
-  auto command = DecodeMessage<SubmitConfiguration>(body);
-  if (command.version <= this->state.version()) {
-    // Overtaken: acknowledged without an entry, once this member is known to
-    // lead still.
-    this->group->Read(
-        [this, stream, version = command.version](bool confirmed) {
-          if (!confirmed) {
-            this->Reply(stream, ResultCode::kNotLeader);
-            return;
-          }
-          this->hold.Hold(stream, version, this->state.text().size(),
-                          MonotonicNow());
-        });
-    return;
-  }
-  const auto under_way = this->submissions.find(command.version);
-  if (under_way != this->submissions.end() &&
-      under_way->second.text == command.text) {
-    under_way->second.streams.push_back(stream);
-    return;
-  }
-  if (under_way != this->submissions.end()) {
-    this->ProposeAndReply(stream, command);
-    return;
-  }
-  const std::uint64_t version = command.version;
-  const std::string entry = EncodeVariant(this->CommandFor(command));
-  this->submissions[version] = {std::move(command.text), {stream}};
-  this->group->Propose(
-      entry, [this, version](const Result& result, const std::string&) {
-        this->EndSubmission(version, result.code);
-        this->AnswerWatchers(MonotonicNow());
-      });
-}
-
-bool Coordinator::MembersApplyChanges() const {
-  return std::ranges::all_of(
-      this->group->members().members, [this](const consensus::Member& member) {
-        return member.address == this->options.address ||
-               this->applies_changes.count(member.address) > 0;
-      });
-}
-
-/// A change names what the text before lacks, so that text must be the same
-/// wherever the command is applied: nothing else may stand before it in the log
-/// that is not applied here.
-CoordinationCommand Coordinator::CommandFor(
-    const SubmitConfiguration& submitted) const {
-  const bool large = submitted.text.size() > ConfigurationShelf::kInlineBytes;
-  if (large && this->group->Leads() && this->group->AllApplied() &&
-      this->MembersApplyChanges()) {
-    auto change = ChangeBetween(this->state.text(), submitted);
-    if (change.has_value()) {
-      return std::move(*change);
-    }
-  }
-  return submitted;
-}
-
-void Coordinator::EndSubmission(std::uint64_t version, ResultCode code) {
-  const auto ended = this->submissions.extract(version);
-  if (ended.empty()) {
-    return;
-  }
-  const Submission& submission = ended.mapped();
-  const Time now = MonotonicNow();
-  for (const StreamId stream : submission.streams) {
-    if (code == ResultCode::kOk) {
-      this->hold.Hold(stream, version, submission.text.size(), now);
-    } else {
-      this->Reply(stream, code);
-    }
-  }
-}
-
-void Coordinator::Acknowledge(std::span<const StreamId> streams) {
-  for (const StreamId stream : streams) {
-    this->Reply(stream, ResultCode::kOk);
-  }
-}
-
 void Coordinator::OnReadConfiguration(StreamId stream,
                                       const std::string& body) {
   const bool held_given = !body.empty();
