--- a/src/coordination/tests/groupfaults_tests.cpp
+++ b/src/coordination/tests/groupfaults_tests.cpp
@@ -115,7 +115,7 @@
 /// Asks a leader as an entry does, and never fetches what it is offered.
 class IdleEntry {
  public:
-  IdleEntry(Host& host, Endpoint leader, std::string name)
+  IdleEntry(Host& host, Endpoint leader, const std::string& name)
       : host(host), leader(std::move(leader)) {
     this->request.self = Report(name, "127.0.0.1:1");
     this->request.takes_changes = true;
