--- a/src/coordination/acknowledgementhold.h
+++ b/src/coordination/acknowledgementhold.h
@@ -40,10 +40,18 @@
   void Hold(transport::StreamId stream, std::uint64_t version,
             std::size_t bytes, Time now);
 
-  /// Those that are to be acknowledged now; call it every 20 ms or so.
-  std::vector<transport::StreamId> Release(Time now);
+  /// An acknowledgement that is to leave now.
+  struct Released {
+    transport::StreamId stream = 0;
+    std::uint64_t version = 0;
+    Duration held_for{};
+    /// Entries in touch that do not obey the version yet.
+    std::size_t lagging = 0;
+  };
+  /// Those that are due; call it every 20 ms or so.
+  std::vector<Released> Release(Time now);
   /// All: this member does not lead any more, and hears from nobody.
-  std::vector<transport::StreamId> ReleaseAll();
+  std::vector<Released> ReleaseAll(Time now);
 
  private:
   struct Report {
@@ -53,9 +61,11 @@
   struct Held {
     transport::StreamId stream;
     std::uint64_t version = 0;
+    Time since{};
     Time until{};
   };
-  bool Obeyed(std::uint64_t version, Time now) const;
+  Released MakeReleased(const Held& held, Time now) const;
+  std::size_t Lagging(std::uint64_t version) const;
 
   std::map<std::string, Report> entries;
   std::vector<Held> waiting;
--- a/src/coordination/internal/acknowledgementhold.cpp
+++ b/src/coordination/internal/acknowledgementhold.cpp
@@ -21,40 +21,48 @@
                                std::uint64_t version, std::size_t bytes,
                                Time now) {
   this->waiting.push_back(
-      {stream, version, now + kLongest + TimeToCarry(bytes)});
+      {stream, version, now, now + kLongest + TimeToCarry(bytes)});
 }
 
-bool AcknowledgementHold::Obeyed(std::uint64_t version, Time now) const {
-  // Entries that have not reported to this leader yet are not known to it.
-  const bool all_reported = now - this->leads_since >= kInTouch;
-  return all_reported &&
-         std::ranges::all_of(this->entries, [&](const auto& entry) {
-           return entry.second.version >= version;
-         });
+std::size_t AcknowledgementHold::Lagging(std::uint64_t version) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->entries,
+      [version](const auto& entry) { return entry.second.version < version; }));
+}
+
+AcknowledgementHold::Released AcknowledgementHold::MakeReleased(
+    const Held& held, Time now) const {
+  return {held.stream, held.version, now - held.since,
+          this->Lagging(held.version)};
 }
 
-std::vector<transport::StreamId> AcknowledgementHold::Release(Time now) {
-  std::vector<transport::StreamId> released;
+std::vector<AcknowledgementHold::Released> AcknowledgementHold::Release(
+    Time now) {
+  std::vector<Released> released;
   if (this->waiting.empty()) {
     return released;
   }
   std::erase_if(this->entries, [now](const auto& entry) {
     return now - entry.second.heard > kInTouch;
   });
+  // Entries that have not reported to this leader yet are not known to it.
+  const bool all_reported = now - this->leads_since >= kInTouch;
   std::erase_if(this->waiting, [&](const Held& held) {
-    const bool over = now >= held.until || this->Obeyed(held.version, now);
-    if (over) {
-      released.push_back(held.stream);
+    const Released one = this->MakeReleased(held, now);
+    const bool due = now >= held.until || (all_reported && one.lagging == 0);
+    if (due) {
+      released.push_back(one);
     }
-    return over;
+    return due;
   });
   return released;
 }
 
-std::vector<transport::StreamId> AcknowledgementHold::ReleaseAll() {
-  std::vector<transport::StreamId> released;
+std::vector<AcknowledgementHold::Released> AcknowledgementHold::ReleaseAll(
+    Time now) {
+  std::vector<Released> released;
   for (const Held& held : std::exchange(this->waiting, {})) {
-    released.push_back(held.stream);
+    released.push_back(this->MakeReleased(held, now));
   }
   return released;
 }
--- a/src/coordination/internal/submissions.cpp
+++ b/src/coordination/internal/submissions.cpp
@@ -5,6 +5,7 @@
 
 #include "coordination/configurationchange.h"
 #include "coordination/configurationshelf.h"
+#include "global/logging.h"
 #include "global/variantcodec.h"
 
 namespace papayarack::coordination {
@@ -38,9 +39,22 @@
 }
 
 void Submissions::Tick(Time now) {
-  this->AnswerAll(
-      this->group.Leads() ? this->hold.Release(now) : this->hold.ReleaseAll(),
-      ResultCode::kOk);
+  this->Acknowledge(this->group.Leads() ? this->hold.Release(now)
+                                        : this->hold.ReleaseAll(now));
+}
+
+void Submissions::Acknowledge(
+    std::span<const AcknowledgementHold::Released> due) {
+  for (const AcknowledgementHold::Released& one : due) {
+    Log(LogLevel::kInfo, "configuration_acknowledged",
+        {{"config_version", one.version},
+         {"held_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(one.held_for)
+              .count()},
+         {"entries_lagging", one.lagging},
+         {"leads", this->group.Leads()}});
+    this->answer(one.stream, ResultCode::kOk);
+  }
 }
 
 /// Symptom guarded against: an operator that hears nothing for a second sends
@@ -71,6 +85,10 @@
     return;
   }
   const std::string entry = EncodeVariant(this->CommandFor(submitted));
+  Log(LogLevel::kInfo, "configuration_proposed",
+      {{"config_version", version},
+       {"text_bytes", submitted.text.size()},
+       {"entry_bytes", entry.size()}});
   this->under_way[version] = {std::move(submitted.text), {stream}};
   this->Propose(version, entry);
 }
@@ -107,7 +125,9 @@
   }
   const UnderWay& submission = ended.mapped();
   if (code != ResultCode::kOk) {
-    this->AnswerAll(submission.streams, code);
+    for (const StreamId stream : submission.streams) {
+      this->answer(stream, code);
+    }
     return;
   }
   const Time now = MonotonicNow();
@@ -116,13 +136,6 @@
   }
 }
 
-void Submissions::AnswerAll(std::span<const StreamId> streams,
-                            ResultCode code) {
-  for (const StreamId stream : streams) {
-    this->answer(stream, code);
-  }
-}
-
 bool Submissions::MembersApplyChanges() const {
   return std::ranges::all_of(
       this->group.members().members, [this](const consensus::Member& member) {
--- a/src/coordination/submissions.h
+++ b/src/coordination/submissions.h
@@ -53,7 +53,7 @@
   void TakeHeld(transport::StreamId stream, std::uint64_t version);
   void Propose(std::uint64_t version, const std::string& entry);
   void Confirmed(std::uint64_t version, ResultCode code);
-  void AnswerAll(std::span<const transport::StreamId> streams, ResultCode code);
+  void Acknowledge(std::span<const AcknowledgementHold::Released> due);
   /// The command for the log: what differs where all members can apply that.
   CoordinationCommand CommandFor(const SubmitConfiguration& submitted) const;
   bool MembersApplyChanges() const;
--- a/src/coordination/tests/acknowledgementhold_tests.cpp
+++ b/src/coordination/tests/acknowledgementhold_tests.cpp
@@ -14,6 +14,14 @@
 constexpr transport::StreamId kFirst = 11;
 constexpr transport::StreamId kSecond = 12;
 
+Streams StreamsOf(const std::vector<AcknowledgementHold::Released>& released) {
+  Streams streams;
+  for (const AcknowledgementHold::Released& one : released) {
+    streams.push_back(one.stream);
+  }
+  return streams;
+}
+
 }  // namespace
 
 // A large configuration is confirmed, and the leader or its link fails right
@@ -32,7 +40,7 @@
     hold.Heard("a", 6, now + milliseconds(20));
     CHECK(hold.Release(now + milliseconds(40)).empty());
     hold.Heard("b", 7, now + milliseconds(50));
-    CHECK(hold.Release(now + milliseconds(60)) == Streams{kFirst});
+    CHECK(StreamsOf(hold.Release(now + milliseconds(60))) == Streams{kFirst});
     CHECK(hold.Release(now + milliseconds(80)).empty());
   }
   SECTION("each for its own version") {
@@ -40,7 +48,7 @@
     hold.Hold(kSecond, 6, kSmallBytes, now);
     hold.Heard("a", 6, now);
     hold.Heard("b", 6, now);
-    CHECK(hold.Release(now) == Streams{kSecond});
+    CHECK(StreamsOf(hold.Release(now)) == Streams{kSecond});
   }
   SECTION("at most for its bound") {
     hold.Hold(kFirst, 6, kSmallBytes, now);
@@ -48,7 +56,11 @@
     hold.Heard("a", 4, now + milliseconds(200));
     hold.Heard("b", 6, now + milliseconds(200));
     CHECK(hold.Release(bound - milliseconds(1)).empty());
-    CHECK(hold.Release(bound) == Streams{kFirst});
+    const auto released = hold.Release(bound);
+    CHECK(StreamsOf(released) == Streams{kFirst});
+    CHECK(released.front().version == 6);
+    CHECK(released.front().lagging == 1);
+    CHECK(released.front().held_for == AcknowledgementHold::kLongest);
   }
   SECTION("which is longer for a large text") {
     constexpr std::size_t kLargeBytes = 900'000;
@@ -60,33 +72,34 @@
       hold.Heard("b", 6, at);
       CHECK(hold.Release(at).empty());
     }
-    CHECK(hold.Release(bound) == Streams{kFirst});
+    CHECK(StreamsOf(hold.Release(bound)) == Streams{kFirst});
   }
   SECTION("not for one that is gone") {
     const Time gone = start + milliseconds(900) + AcknowledgementHold::kInTouch;
     hold.Hold(kFirst, 6, kSmallBytes, gone);
     hold.Heard("b", 6, gone);
     CHECK(hold.Release(gone).empty());
-    CHECK(hold.Release(gone + milliseconds(1)) == Streams{kFirst});
+    CHECK(StreamsOf(hold.Release(gone + milliseconds(1))) == Streams{kFirst});
   }
   SECTION("by a new leader for the bound, as it does not know them all yet") {
     hold.Clear(now);
     hold.Heard("a", 6, now);
     hold.Hold(kFirst, 6, kSmallBytes, now);
     CHECK(hold.Release(now + milliseconds(100)).empty());
-    CHECK(hold.Release(now + AcknowledgementHold::kLongest) == Streams{kFirst});
+    CHECK(StreamsOf(hold.Release(now + AcknowledgementHold::kLongest)) ==
+          Streams{kFirst});
   }
   SECTION("no longer than this member leads, as it was confirmed") {
     hold.Hold(kFirst, 6, kSmallBytes, now);
     hold.Hold(kSecond, 6, kSmallBytes, now);
-    CHECK(hold.ReleaseAll() == Streams{kFirst, kSecond});
+    CHECK(StreamsOf(hold.ReleaseAll(now)) == Streams{kFirst, kSecond});
     CHECK(hold.Release(now + AcknowledgementHold::kLongest).empty());
   }
   SECTION("and not at all where no entry is known") {
     AcknowledgementHold alone;
     alone.Clear(start);
     alone.Hold(kFirst, 6, kSmallBytes, now);
-    CHECK(alone.Release(now) == Streams{kFirst});
+    CHECK(StreamsOf(alone.Release(now)) == Streams{kFirst});
   }
 }
 
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -403,11 +403,12 @@
   const std::chrono::milliseconds carry = TimeToCarry(body.size());
   this->runtime.coordination->Call(
       path, std::move(body), kOperatorTime + 2 * carry, kOperatorTry + carry,
-      [this, exchange, path, answer = std::move(answer)](const Result& result,
-                                                         std::string reply) {
+      [this, exchange, path, begun = MonotonicNow(),
+       answer = std::move(answer)](const Result& result, std::string reply) {
         const http::HttpResponse response = answer(result, std::move(reply));
         Log(LogLevel::kInfo, "operator_call",
             {{"call", path},
+             {"took_ms", (MonotonicNow() - begun).count() / 1000},
              {"status", response.status},
              {"code", static_cast<int>(result.code)}});
         this->control->Respond(exchange, response);
