Count an acknowledgement's bound from the first call for that version

Symptom: an operator whose call takes too long sends the configuration again, elsewhere, and waits a whole bound anew. Cause: the bound was counted from each call. It counts from the first one for that version or a newer one in the leader's term.

--- a/src/coordination/acknowledgementhold.h
+++ b/src/coordination/acknowledgementhold.h
@@ -36,7 +36,9 @@
   /// An entry reports which version it obeys.
   void Heard(const std::string& entry, std::uint64_t version, Time now);
   /// `stream` waits for the acknowledgement of `version`, whose text has so
-  /// many bytes. The group has confirmed it.
+  /// many bytes. The group has confirmed it. The bound counts from the first
+  /// call for that version or a newer one: an operator that sends it again,
+  /// elsewhere, does not wait anew.
   void Hold(transport::StreamId stream, std::uint64_t version,
             std::size_t bytes, Time now);
 
@@ -69,6 +71,9 @@
 
   std::map<std::string, Report> entries;
   std::vector<Held> waiting;
+  /// The newest version that was held in this term, and its bound.
+  std::uint64_t newest = 0;
+  Time newest_until{};
   Time leads_since{};
 };
 
--- a/src/coordination/internal/acknowledgementhold.cpp
+++ b/src/coordination/internal/acknowledgementhold.cpp
@@ -9,6 +9,7 @@
 
 void AcknowledgementHold::Clear(Time now) {
   this->entries.clear();
+  this->newest = 0;
   this->leads_since = now;
 }
 
@@ -20,8 +21,11 @@
 void AcknowledgementHold::Hold(transport::StreamId stream,
                                std::uint64_t version, std::size_t bytes,
                                Time now) {
-  this->waiting.push_back(
-      {stream, version, now, now + kLongest + TimeToCarry(bytes)});
+  if (version > this->newest) {
+    this->newest = version;
+    this->newest_until = now + kLongest + TimeToCarry(bytes);
+  }
+  this->waiting.push_back({stream, version, now, this->newest_until});
 }
 
 std::size_t AcknowledgementHold::Lagging(std::uint64_t version) const {
--- a/src/coordination/tests/acknowledgementhold_tests.cpp
+++ b/src/coordination/tests/acknowledgementhold_tests.cpp
@@ -62,6 +62,23 @@
     CHECK(released.front().lagging == 1);
     CHECK(released.front().held_for == AcknowledgementHold::kLongest);
   }
+  SECTION("counted from the first of those who sent it") {
+    hold.Hold(kFirst, 6, kSmallBytes, now);
+    const Time bound = now + AcknowledgementHold::kLongest;
+    hold.Heard("a", 4, now + milliseconds(250));
+    hold.Heard("b", 4, now + milliseconds(250));
+    hold.Hold(kSecond, 6, kSmallBytes, now + milliseconds(250));
+    CHECK(StreamsOf(hold.Release(bound)) == Streams{kFirst, kSecond});
+    SECTION("so that nobody waits again for what was acknowledged") {
+      hold.Hold(kFirst, 5, kSmallBytes, bound + milliseconds(10));
+      CHECK(StreamsOf(hold.Release(bound + milliseconds(10))) ==
+            Streams{kFirst});
+    }
+    SECTION("but for a newer one") {
+      hold.Hold(kFirst, 7, kSmallBytes, bound + milliseconds(10));
+      CHECK(hold.Release(bound + milliseconds(10)).empty());
+    }
+  }
   SECTION("which is longer for a large text") {
     constexpr std::size_t kLargeBytes = 900'000;
     hold.Hold(kFirst, 6, kLargeBytes, now);
