--- a/src/coordination/tests/groupfaults_tests.cpp
+++ b/src/coordination/tests/groupfaults_tests.cpp
@@ -258,6 +258,18 @@
       CHECK(group.CountHolding(2, large) == kMembers + kEntries);
     }
   }
+  SECTION("also where some stand still once they were told where to fetch") {
+    Host host(context);
+    const Endpoint leader{"127.0.0.1", group.Leader().host.owned.port()};
+    std::list<IdleEntry> idle;
+    for (const char* name : {"i1", "i2", "i3"}) {
+      idle.emplace_back(host, leader, name);
+    }
+    RunFor(context, kSettled);
+    const std::string large = Text(kLargeBytes, 1);
+    Submit(context, group.Leader().host, 1, large);
+    CHECK(group.CountHolding(1, large) == kMembers + kEntries);
+  }
 }
 
 }  // namespace papayarack::coordination
