Let hosts own the slots of engines that no process stands beside

Cause: only the process beside an engine owned its slots and ran batch items on it. Change: what owns one engine is EngineOwner, taken out of GateNode; EngineHost holds any number of them. Stores (entries where there is none) own the engines without a gate, worked out by each process from the list that all share (rendezvous hashing with bounded loads, own zone first). The leader marks a silent process as away after 2.2 s, a process that leaves says so at once. Runs of a former owner are counted from the engine's reports. Where nobody owns an engine, entries share its slots instead of using one each.

--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -31,8 +31,10 @@
   std::vector<std::string> job_members;
   std::uint64_t job_term = 0;
   bool durable = false;  ///< `member` lives on a disk, not in memory.
+  /// Owns no engines: it is leaving, or, as the leader says, silent.
+  bool away = false;
   MSGPACK_DEFINE(name, role, address, zone, incarnation, member, engine_address,
-                 service, job_members, job_term, durable)
+                 service, job_members, job_term, durable, away)
   bool operator==(const NodeReport&) const = default;
 
   NodeRole Role() const { return static_cast<NodeRole>(this->role); }
@@ -101,12 +103,14 @@
   std::vector<std::string> engines_removed;  ///< Of EngineInstance::Key.
   TextManifest manifest;  ///< Of a newer configuration, or of version zero.
   std::vector<std::string> chunks;  ///< Of that text, as far as they are few.
-  std::string source;  ///< Where the other chunks are to be fetched.
+  std::string source;         ///< Where the other chunks are to be fetched.
+  std::uint32_t entries = 0;  ///< Processes behind the balancer.
   MSGPACK_DEFINE(code, leader, members, term, config_version, config,
                  nodes_revision, has_nodes, nodes_settled, nodes,
                  engines_revision, has_engines, engines_age_ms, engines,
                  job_founders, leaving, nodes_partial, nodes_removed,
-                 engines_partial, engines_removed, manifest, chunks, source)
+                 engines_partial, engines_removed, manifest, chunks, source,
+                 entries)
 };
 
 /// Asks any process for chunks of the configuration that it holds.
--- a/src/coordination/fleetwatch.h
+++ b/src/coordination/fleetwatch.h
@@ -24,8 +24,11 @@
   std::vector<EngineInstance> engines;
   consensus::MemberList job_founders;
   std::vector<std::string> leaving;
-  Time heard{};         ///< Last reply of a leader.
-  Time engines_seen{};  ///< When the platform said what `engines` holds.
+  /// Whether a leader that had heard of all processes has named them.
+  bool nodes_settled = false;
+  std::size_t entries = 0;  ///< Processes behind the balancer.
+  Time heard{};             ///< Last reply of a leader.
+  Time engines_seen{};      ///< When the platform said what `engines` holds.
 };
 
 /// What changed with a reply.
@@ -33,6 +36,8 @@
   bool config = false;
   bool nodes = false;
   bool engines = false;
+
+  bool Any() const { return this->config || this->nodes || this->engines; }
 };
 
 /// Reports this process to the coordination group's leader and learns what
@@ -63,7 +68,11 @@
   void OnAnnounced(const AnnounceMembers& announced);
   /// Changes what is reported, at once.
   void SetJobMembers(std::vector<std::string> members, std::uint64_t term);
+  /// Tells that this process leaves and owns no engines, at once.
+  void SetAway();
   const FleetKnowledge& knowledge() const { return this->known; }
+  /// Since a leader last confirmed what is known; -1 before one did.
+  std::int64_t ListAgeMs() const;
   /// Where the leader is, for all of this process that ask it.
   LeaderSearch& search() { return this->leader_search; }
   const LeaderSearch& search() const { return this->leader_search; }
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -432,6 +432,8 @@
   reply.term = this->group->term();
   this->AddConfiguration(watcher, reply);
   this->AddLists(watcher.request, reply);
+  reply.entries =
+      static_cast<std::uint32_t>(this->nodes.Count(NodeRole::kEntry));
   reply.job_founders = this->state.job_founders();
   reply.leaving.assign(this->state.leaving().begin(),
                        this->state.leaving().end());
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -188,7 +188,11 @@
   this->known.heard = MonotonicNow();
   this->known.job_founders = reply.job_founders;
   this->known.leaving = reply.leaving;
+  this->known.entries = reply.entries;
   FleetChange change;
+  // The first list of hosts is a change, also where it names the same ones.
+  change.nodes = reply.nodes_settled && !this->known.nodes_settled;
+  this->known.nodes_settled |= reply.nodes_settled;
   change.config = this->TakeConfiguration(reply);
   if (this->term != reply.term) {
     // Another leader counts its changes from its own start: a revision of the
@@ -312,6 +316,17 @@
   return true;
 }
 
+void FleetWatch::SetAway() {
+  this->self.away = true;
+  this->AskAnew();
+}
+
+std::int64_t FleetWatch::ListAgeMs() const {
+  return this->known.heard == Time{}
+             ? -1
+             : (MonotonicNow() - this->known.heard).count() / 1000;
+}
+
 void FleetWatch::TakeEngines(std::vector<EngineInstance> engines) {
   this->known.engines_seen = MonotonicNow();
   if (this->known.engines == engines) {
--- a/src/coordination/internal/nodetable.cpp
+++ b/src/coordination/internal/nodetable.cpp
@@ -2,16 +2,25 @@
 
 #include <algorithm>
 
+#include "global/logging.h"
+
 namespace papayarack::coordination {
+
 namespace {
 
 /// Which reports a process of `asker`'s role works with: stores are for all,
-/// gates for entries.
-auto WantedBy(NodeRole asker) {
-  return [asker](const NodeReport& report) {
-    const bool store = report.Role() == NodeRole::kStore;
-    const bool gate = report.Role() == NodeRole::kGate;
-    return store || (gate && asker == NodeRole::kEntry);
+/// gates for those that use engines or may own them.
+auto WantedBy(NodeRole asker, bool entries_host) {
+  return [asker, entries_host](const NodeReport& report) {
+    switch (report.Role()) {
+      case NodeRole::kStore:
+        return true;
+      case NodeRole::kGate:
+        return asker != NodeRole::kGate;
+      case NodeRole::kEntry:
+        return entries_host && asker == NodeRole::kEntry;
+    }
+    return false;
   };
 }
 
@@ -26,10 +35,42 @@
 
 bool NodeTable::Take(const NodeReport& report, Time now) {
   this->heard[report.name] = now;
-  return this->nodes.Set(report.name, report);
+  const bool changed = this->nodes.Set(report.name, report);
+  this->TellWhoHosts();
+  return changed;
+}
+
+void NodeTable::TellWhoHosts() {
+  bool stores = false;
+  this->nodes.ForEach([&stores](const std::string&, const NodeReport& report) {
+    stores = stores || report.Role() == NodeRole::kStore;
+  });
+  if (stores == this->entries_host) {
+    this->entries_host = !stores;
+    this->nodes.MakeAllWhole();
+  }
+}
+
+/// Symptom guarded against: an engine stands idle, or is used blindly, for
+/// seconds after the process that owned its slots was lost.
+void NodeTable::MarkAway(Time now) {
+  std::vector<NodeReport> silent;
+  this->nodes.ForEach([&](const std::string& name, const NodeReport& report) {
+    if (!report.away && now - this->heard.at(name) > kAwayAfter) {
+      silent.push_back(report);
+    }
+  });
+  for (NodeReport& report : silent) {
+    report.away = true;
+    Log(LogLevel::kInfo, "process_silent",
+        {{"process", report.name},
+         {"silent_ms", (now - this->heard.at(report.name)).count() / 1000}});
+    this->nodes.Set(report.name, report);
+  }
 }
 
 bool NodeTable::DropSilent(Time now) {
+  this->MarkAway(now);
   this->last_dropped.clear();
   for (const auto& [name, last] : this->heard) {
     if (now - last > kForgetAfter) {
@@ -40,6 +81,7 @@
     this->heard.erase(name);
     this->nodes.Remove(name);
   }
+  this->TellWhoHosts();
   if (!this->settled_told && this->Settled(now)) {
     this->settled_told = true;
     this->nodes.MakeAllWhole();
@@ -48,12 +90,13 @@
 }
 
 bool NodeTable::ChangedFor(NodeRole asker, std::uint64_t revision) const {
-  return this->nodes.ChangedSince(revision, WantedBy(asker));
+  return this->nodes.ChangedSince(revision,
+                                  WantedBy(asker, this->entries_host));
 }
 
 ListChanges<NodeReport> NodeTable::ChangesFor(NodeRole asker,
                                               std::uint64_t revision) const {
-  return this->nodes.Since(revision, WantedBy(asker));
+  return this->nodes.Since(revision, WantedBy(asker, this->entries_host));
 }
 
 std::vector<NodeReport> NodeTable::WithRole(NodeRole role) const {
--- a/src/coordination/nodetable.h
+++ b/src/coordination/nodetable.h
@@ -20,6 +20,10 @@
   /// Longest silence before a process is dropped: two holds of a watch and a
   /// reconnection.
   static constexpr std::chrono::milliseconds kForgetAfter{4000};
+  /// Silence after which a process is marked as away: others own its engines
+  /// before callers have waited for long, while a member of a group keeps its
+  /// place. Two holds of a watch.
+  static constexpr std::chrono::milliseconds kAwayAfter{2200};
   /// From the start of a term until a missing process counts as gone.
   static constexpr std::chrono::milliseconds kSettleTime{2500};
 
@@ -27,7 +31,8 @@
   /// Takes a report; the latest to arrive counts. True when it changed the
   /// table.
   bool Take(const NodeReport& report, Time now);
-  /// Drops silent processes; true when one was dropped. The revision also moves
+  /// Marks silent processes as away, later drops them; true when one was
+  /// dropped. The revision also moves
   /// once the table is settled, as from then on a missing process is gone.
   bool DropSilent(Time now);
   /// Names dropped by the last call of DropSilent.
@@ -41,11 +46,18 @@
   ListChanges<NodeReport> ChangesFor(NodeRole asker,
                                      std::uint64_t revision) const;
   std::vector<NodeReport> WithRole(NodeRole role) const;
+  std::size_t Count(NodeRole role) const { return this->WithRole(role).size(); }
   const NodeReport* Find(const std::string& name) const;
   std::optional<Time> LastHeard(const std::string& name) const;
 
  private:
+  void MarkAway(Time now);
+  /// Entries own engines only where no store is there, and so need to know of
+  /// each other only then.
+  void TellWhoHosts();
+
   ChangeList<NodeReport, &NodeReport::role> nodes;
+  bool entries_host = true;  ///< No store has reported.
   std::map<std::string, Time> heard;
   Time since{};
   bool settled_told = false;
--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -85,6 +85,10 @@
   /// Called every few tens of milliseconds.
   void Tick();
   std::size_t Held() const { return this->runs.size(); }
+  /// Whether the leader has taken back all that was handed back.
+  bool Returned() const {
+    return this->to_return.empty() && this->returning.empty();
+  }
 
  private:
   enum class Phase { kPaused, kRunning, kReporting };
--- a/src/nodes/entrynode.h
+++ b/src/nodes/entrynode.h
@@ -9,6 +9,7 @@
 #include "coordination/coordinator.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
+#include "nodes/enginehost.h"
 #include "nodes/noderuntime.h"
 #include "nodes/onlinerelay.h"
 #include "nodes/startupqueue.h"
@@ -43,6 +44,8 @@
   void StartCoordinator();
   bool Ready() const;
   void OnFleet(const coordination::FleetChange& change);
+  /// Which engines there are, and who owns them as of now.
+  void ShowFleetToRelay();
   /// Whether a configuration and the platform's list are known.
   bool KnowsFleet() const;
   void OnRequest(ExchangeId exchange, http::HttpRequest request);
@@ -89,6 +92,8 @@
   bool polling = false;
   Time leader_read{};  ///< End of the last reading for the leader.
   asio::steady_timer leader_timer;
+  EngineHost host;
+  bool hosts_named = false;  ///< As the relay was last told.
   bool leaving = false;
   bool refusing = false;
   asio::steady_timer timer;
--- /dev/null
+++ b/src/nodes/internal/enginehost.cpp
@@ -0,0 +1,209 @@
+#include "nodes/enginehost.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "global/logging.h"
+
+namespace papayarack::nodes {
+namespace {
+
+/// Queues and runners are looked at this often; grants after a release do not
+/// wait for it.
+constexpr std::chrono::milliseconds kTick{20};
+/// The same while no engine is owned: only the age of the list counts.
+constexpr std::chrono::milliseconds kIdleTick{200};
+/// Longest time for a released engine's items to be taken back; after it their
+/// leases run out.
+constexpr std::chrono::milliseconds kReleaseTime{6000};
+
+}  // namespace
+
+EngineHost::EngineHost(NodeRuntime& runtime)
+    : runtime(runtime), timer(runtime.context) {
+  this->runtime.dispatch.On("/slots/ask", [this](transport::StreamId stream,
+                                                 const std::string& body) {
+    this->OnAsk(stream, body);
+  });
+  this->runtime.dispatch.OnCancel(
+      [this](transport::StreamId stream) { this->OnCancel(stream); });
+  this->Tick();
+}
+
+EngineHost::~EngineHost() { *this->alive = false; }
+
+void EngineHost::OnFleet() {
+  this->FollowList(MonotonicNow());
+  for (auto& [address, owned] : this->engines) {
+    owned.owner->OnFleet();
+  }
+  for (Released& former : this->released) {
+    former.owner->OnFleet();
+  }
+}
+
+void EngineHost::FollowList(Time now) {
+  const NodeOptions& options = this->runtime.options;
+  const coordination::FleetKnowledge& fleet = this->runtime.watch->knowledge();
+  this->list_holds = ListNamesHosts(fleet, now);
+  std::vector<EngineAt> wanted;
+  if (!options.engine_address.empty()) {
+    wanted.push_back({options.engine_address, options.engine_service});
+  } else if (!this->leaving) {
+    wanted = EnginesOwnedBy(fleet, options.peer_listen.ToString(), now);
+  }
+  std::map<std::string, const EngineAt*> by_address;
+  for (const EngineAt& engine : wanted) {
+    by_address[engine.address] = &engine;
+  }
+  for (auto owned = this->engines.begin(); owned != this->engines.end();) {
+    const auto next = std::next(owned);
+    const auto found = by_address.find(owned->first);
+    const bool stays =
+        found != by_address.end() &&
+        found->second->service == owned->second.owner->engine().service;
+    if (!stays) {
+      this->Release(owned, this->list_holds
+                               ? "the list of the fleet names another owner"
+                               : "no leader has confirmed the list for long");
+    }
+    owned = next;
+  }
+  for (const auto& [address, engine] : by_address) {
+    if (this->engines.count(address) == 0) {
+      this->TakeOver(*engine);
+    }
+  }
+  this->runtime.metrics.Set("engines_owned",
+                            static_cast<double>(this->engines.size()));
+}
+
+void EngineHost::TakeOver(const EngineAt& engine) {
+  const NodeOptions& options = this->runtime.options;
+  OwnedEngine owned;
+  owned.address = engine.address;
+  owned.service = engine.service;
+  owned.beside = engine.address == options.engine_address;
+  // Leases of batch items are each engine's own, also where the same process
+  // owns it again before the last of the former ones has come back.
+  owned.leaseholder = owned.beside
+                          ? options.name
+                          : fmt::format("{}/{}@{}", options.name,
+                                        ++this->last_owner, engine.address);
+  Log(LogLevel::kInfo, "engine_owned",
+      {{"address", engine.address},
+       {"service", engine.service},
+       {"beside", owned.beside},
+       {"engines", this->engines.size() + 1},
+       {"list_age_ms", this->runtime.watch->ListAgeMs()}});
+  auto owner = std::make_unique<EngineOwner>(this->runtime, std::move(owned));
+  owner->OnFleet();
+  this->engines[engine.address] = {std::move(owner), MonotonicNow()};
+}
+
+void EngineHost::Release(ByAddress::iterator owned, const char* reason) {
+  const Time now = MonotonicNow();
+  Log(LogLevel::kInfo, "engine_released",
+      {{"address", owned->first},
+       {"reason", reason},
+       {"owned_ms", (now - owned->second.since).count() / 1000},
+       {"list_age_ms", this->runtime.watch->ListAgeMs()}});
+  owned->second.owner->BeginLeave();
+  this->released.push_back({std::move(owned->second.owner), now});
+  this->engines.erase(owned);
+}
+
+/// Processes of the version before name the engine by its id only.
+EngineOwner* EngineHost::Find(const AskSlot& ask) {
+  const auto found = this->engines.find(ask.engine_address);
+  if (found != this->engines.end()) {
+    return found->second.owner.get();
+  }
+  if (ask.engine_address.empty()) {
+    for (auto& [address, owned] : this->engines) {
+      if (owned.owner->engine_id() == ask.engine_id) {
+        return owned.owner.get();
+      }
+    }
+  }
+  return nullptr;
+}
+
+void EngineHost::OnAsk(transport::StreamId stream, const std::string& body) {
+  const auto ask = DecodeMessage<AskSlot>(body);
+  EngineOwner* owner = this->Find(ask);
+  if (owner != nullptr) {
+    owner->Ask(stream, ask);
+    return;
+  }
+  Log(LogLevel::kInfo, "engine_not_owned",
+      {{"request", ask.request},
+       {"engine", ask.engine_id},
+       {"address", ask.engine_address}});
+  SlotReply reply;
+  reply.verdict = static_cast<std::uint8_t>(SlotVerdict::kClosed);
+  this->runtime.server->Send(stream, EncodeMessage(reply));
+  this->runtime.server->Finish(stream);
+}
+
+void EngineHost::OnCancel(transport::StreamId stream) {
+  for (auto& [address, owned] : this->engines) {
+    if (owned.owner->Cancelled(stream)) {
+      return;
+    }
+  }
+  for (Released& former : this->released) {
+    if (former.owner->Cancelled(stream)) {
+      return;
+    }
+  }
+}
+
+void EngineHost::Tick() {
+  const bool idle = this->engines.empty() && this->released.empty();
+  this->timer.expires_after(idle ? kIdleTick : kTick);
+  this->timer.async_wait([this, alive = this->alive](std::error_code error) {
+    if (error || !*alive) {
+      return;
+    }
+    const Time now = MonotonicNow();
+    if (this->runtime.watch != nullptr &&
+        ListNamesHosts(this->runtime.watch->knowledge(), now) !=
+            this->list_holds) {
+      this->FollowList(now);
+    }
+    for (auto& [address, owned] : this->engines) {
+      owned.owner->Tick();
+    }
+    for (Released& former : this->released) {
+      former.owner->Tick();
+    }
+    this->released.remove_if([now](const Released& former) {
+      return former.owner->HandedOver() || now - former.since > kReleaseTime;
+    });
+    this->Tick();
+  });
+}
+
+void EngineHost::BeginLeave() {
+  this->leaving = true;
+  this->runtime.watch->SetAway();
+  for (auto& [address, owned] : this->engines) {
+    owned.owner->BeginLeave();
+  }
+}
+
+bool EngineHost::Drained() const {
+  const auto drained = [](const EngineOwner& owner) { return owner.Drained(); };
+  return std::ranges::all_of(
+             this->engines,
+             [&](const auto& entry) { return drained(*entry.second.owner); }) &&
+         std::ranges::all_of(this->released, [&](const Released& former) {
+           return drained(*former.owner);
+         });
+}
+
+}  // namespace papayarack::nodes
--- /dev/null
+++ b/src/nodes/internal/engineowner.cpp
@@ -0,0 +1,309 @@
+#include "nodes/engineowner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "global/hash.h"
+#include "global/logging.h"
+#include "nodes/fleetengines.h"
+#include "placement/enginestart.h"
+
+namespace papayarack::nodes {
+namespace {
+
+/// Pace of reports from the own VM.
+constexpr std::chrono::milliseconds kReportEvery{100};
+/// The same from another VM, where each costs the engine a call.
+constexpr std::chrono::milliseconds kRemoteReportEvery{1000};
+/// The same while others run something there, to learn when it ends.
+constexpr std::chrono::milliseconds kReportWhileShared{250};
+
+const char* NameOf(SlotVerdict verdict) {
+  switch (verdict) {
+    case SlotVerdict::kGranted:
+      return "granted";
+    case SlotVerdict::kBusy:
+      return "busy";
+    case SlotVerdict::kClosed:
+      return "closed";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+EngineOwner::EngineOwner(NodeRuntime& runtime, OwnedEngine owned)
+    : runtime(runtime),
+      owned(std::move(owned)),
+      client(runtime.context),
+      runner({this->owned.leaseholder,
+              Hash64(this->owned.leaseholder, runtime.incarnation),
+              this->owned.service, this->owned.address},
+             runtime.dialect, this->client, *runtime.jobs, this->desk),
+      foreign(this->owned.beside ? slots::ReportAge::kFresh
+                                 : slots::ReportAge::kLate) {}
+
+EngineOwner::~EngineOwner() {
+  if (this->report_call.has_value()) {
+    this->client.Cancel(*this->report_call);
+  }
+}
+
+/// The engine as listed: its present id, whether it leaves, and how
+/// many slots it has.
+void EngineOwner::OnFleet() {
+  const coordination::FleetKnowledge& fleet = this->runtime.watch->knowledge();
+  const coordination::EngineInstance* found =
+      FindEngine(fleet.engines, this->owned.address, this->owned.service);
+  const bool present = found != nullptr && !found->draining;
+  const std::string id = present ? found->id : std::string();
+  if (id != this->id) {
+    Log(LogLevel::kInfo, "engine_changed",
+        {{"engine", id},
+         {"before", this->id},
+         {"draining", found != nullptr && found->draining}});
+    this->id = id;
+  }
+  this->desk.SetSlots(present ? found->slots : 0);
+  this->runner.SetRoutes(this->runtime.table);
+  this->Apply();
+  if (present) {
+    this->TakeListed(*found);
+  }
+  this->Settle(MonotonicNow());
+}
+
+void EngineOwner::Apply() {
+  const bool up = this->pulse.Up();
+  if (up != this->engine_up) {
+    this->engine_up = up;
+    Log(up ? LogLevel::kInfo : LogLevel::kWarn, "engine_reachable",
+        {{"engine", this->id},
+         {"address", this->owned.address},
+         {"reachable", up},
+         {"items_held", this->runner.Held()}});
+  }
+  const bool knows_others = this->owned.beside || this->foreign.Known();
+  const bool takes_work =
+      up && knows_others && !this->leaving && !this->id.empty();
+  this->desk.SetOpen(takes_work);
+  this->runner.SetEngine(takes_work ? this->id : std::string());
+  if (!up) {
+    this->runner.HandBackAll();
+  }
+}
+
+/// Symptom guarded against: slots stay taken, or items wait, after another
+/// replica has begun at this address, for what the one before was running.
+void EngineOwner::TakeListed(const coordination::EngineInstance& listed) {
+  const bool other_replica =
+      !this->last_id.empty() && this->last_id != listed.id;
+  this->last_id = listed.id;
+  if (other_replica) {
+    this->started_ms = 0;  // Its clock may be behind the former's.
+    this->OnOtherStart();
+  }
+  this->LearnStart(listed.started_ms);
+}
+
+/// The list lags behind the engine's own reports, so only a later start counts.
+void EngineOwner::LearnStart(std::uint64_t started_ms) {
+  const std::uint64_t before = this->started_ms;
+  if (!placement::LearnStart(this->started_ms, started_ms)) {
+    return;
+  }
+  Log(LogLevel::kInfo, "engine_restarted",
+      {{"engine", this->id},
+       {"before", this->id},
+       {"address", this->owned.address},
+       {"started_ms", started_ms},
+       {"started_before_ms", before}});
+  this->OnOtherStart();
+}
+
+/// Drops what holds only for the former start of the engine: runs counted as
+/// others', kept connections, and batch items that it was running. Online runs
+/// are their entries' to end.
+void EngineOwner::OnOtherStart() {
+  this->foreign.Forget();
+  this->desk.SetForeign(0);
+  this->client.CloseIdle(ParseEndpoint(this->owned.address, "engine_address"));
+  this->runner.EngineRestarted();
+}
+
+void EngineOwner::Ask(transport::StreamId stream, const AskSlot& ask) {
+  const Time now = MonotonicNow();
+  const bool other_engine = this->id.empty() || ask.engine_id != this->id;
+  const Ticket ticket{ask.request, now, ask.wait_ms};
+  if (other_engine || !this->desk.Open()) {
+    this->Answer(stream, ticket, SlotVerdict::kClosed);
+    return;
+  }
+  this->tickets[stream] = ticket;
+  const slots::SlotRequest request{
+      stream, ask.priority, now + std::chrono::milliseconds(ask.wait_ms)};
+  switch (this->desk.Ask(request, now)) {
+    case slots::SlotAnswer::kGranted:
+      this->Answer(stream, ticket, SlotVerdict::kGranted);
+      this->runner.Balance();
+      break;
+    case slots::SlotAnswer::kQueued:
+      break;
+    case slots::SlotAnswer::kRefused:
+      this->tickets.erase(stream);
+      this->Answer(stream, ticket, SlotVerdict::kBusy);
+      break;
+  }
+}
+
+void EngineOwner::Answer(transport::StreamId stream, const Ticket& ticket,
+                         SlotVerdict verdict) {
+  const slots::SlotLoad load = this->desk.Load();
+  SlotReply reply;
+  reply.verdict = static_cast<std::uint8_t>(verdict);
+  reply.online = load.online;
+  reply.waiting = load.waiting;
+  reply.batch = load.batch;
+  reply.slots = load.slots;
+  reply.expected_wait_ms =
+      static_cast<std::uint32_t>(this->desk.ExpectedWait().count() / 1000);
+  reply.engine_started_ms = this->started_ms;
+  Log(LogLevel::kInfo, "slot_answered",
+      {{"request", ticket.request},
+       {"verdict", NameOf(verdict)},
+       {"engine", this->id},
+       {"online", load.online},
+       {"waiting", load.waiting},
+       {"batch", load.batch},
+       {"slots", load.slots},
+       {"waited_ms", (MonotonicNow() - ticket.asked).count() / 1000},
+       {"could_wait_ms", ticket.wait_ms},
+       {"expected_wait_ms", reply.expected_wait_ms}});
+  this->runtime.server->Send(stream, EncodeMessage(reply));
+  if (verdict != SlotVerdict::kGranted) {
+    this->runtime.server->Finish(stream);
+  }
+}
+
+bool EngineOwner::Cancelled(transport::StreamId stream) {
+  if (this->tickets.erase(stream) == 0) {
+    return false;
+  }
+  const Time now = MonotonicNow();
+  this->desk.Leave(stream, now);
+  this->Settle(now);
+  return true;
+}
+
+void EngineOwner::Settle(Time now) {
+  const slots::SlotLoad own = this->desk.Load();
+  this->foreign.Held(own.online + own.batch);
+  for (const slots::TicketId stream : this->desk.TakeExpired(now)) {
+    const auto expired = this->tickets.extract(stream);
+    if (!expired.empty()) {
+      this->Answer(
+          stream, expired.mapped(),
+          this->desk.Open() ? SlotVerdict::kBusy : SlotVerdict::kClosed);
+    }
+  }
+  for (const slots::TicketId stream : this->desk.TakeGranted(now)) {
+    const auto granted = this->tickets.find(stream);
+    if (granted != this->tickets.end()) {
+      this->Answer(stream, granted->second, SlotVerdict::kGranted);
+    }
+  }
+  this->runner.Balance();
+}
+
+void EngineOwner::Tick() {
+  const Time now = MonotonicNow();
+  this->AskReport(now);
+  this->Settle(now);
+  this->runner.Tick();
+}
+
+Duration EngineOwner::ReportPace() const {
+  if (this->owned.beside) {
+    return kReportEvery;
+  }
+  return this->foreign.Counted() > 0 ? kReportWhileShared : kRemoteReportEvery;
+}
+
+/// The engine's own word on what runs in it.
+void EngineOwner::AskReport(Time now) {
+  if (this->report_call.has_value() && this->pulse.Overdue(now)) {
+    if (this->report_problems.Due("overdue", now)) {
+      Log(LogLevel::kWarn, "engine_report_overdue", {{"engine", this->id}});
+    }
+    this->client.Cancel(*std::exchange(this->report_call, std::nullopt));
+    this->pulse.FellSilent();
+    this->Apply();
+  }
+  const bool due = now >= this->next_report || this->pulse.InDoubt();
+  if (this->report_call.has_value() || !due || this->id.empty()) {
+    return;
+  }
+  this->next_report = now + this->ReportPace();
+  this->pulse.Asked(now);
+  http::HttpCall call;
+  call.peer = ParseEndpoint(this->owned.address, "engine_address");
+  call.target = this->runtime.dialect.report_target;
+  const auto body = std::make_shared<std::string>();
+  http::HttpCallHandlers handlers;
+  handlers.on_head = [](const http::HttpHead&) {};
+  handlers.on_body = [body](std::string_view bytes) { body->append(bytes); };
+  handlers.on_end = [this, body](http::HttpEnd end) {
+    this->report_call.reset();
+    if (end == http::HttpEnd::kComplete) {
+      this->OnReport(*body);
+    } else {
+      this->ReportFailed();
+    }
+  };
+  this->report_call = this->client.Call(std::move(call), std::move(handlers));
+}
+
+void EngineOwner::ReportFailed() {
+  this->pulse.Failed();
+  this->Apply();
+  this->Settle(MonotonicNow());
+}
+
+void EngineOwner::OnReport(const std::string& body) {
+  this->pulse.Answered();
+  this->Apply();
+  EngineLoad load;
+  try {
+    load = this->runtime.dialect.read_report(body);
+  } catch (const ResultError& error) {
+    if (this->report_problems.Due(error.what(), MonotonicNow())) {
+      Log(LogLevel::kWarn, "engine_report_unreadable",
+          {{"engine", this->id}, {"text", error.what()}});
+    }
+    return;
+  }
+  this->report_problems.Due({}, MonotonicNow());
+  this->LearnStart(load.started_ms);
+  const slots::SlotLoad own = this->desk.Load();
+  this->desk.SetForeign(this->foreign.Reported(load.running + load.waiting,
+                                               own.online + own.batch));
+  this->Apply();
+  this->Settle(MonotonicNow());
+}
+
+void EngineOwner::BeginLeave() {
+  this->leaving = true;
+  this->desk.SetOpen(false);
+  this->Settle(MonotonicNow());
+  this->runner.Stop();
+}
+
+bool EngineOwner::Drained() const {
+  return this->tickets.empty() && this->runner.Held() == 0;
+}
+
+bool EngineOwner::HandedOver() const {
+  return this->Drained() && this->runner.Returned();
+}
+
+}  // namespace papayarack::nodes
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -77,11 +77,13 @@
       early_timer(runtime.context),
       own_pace(runtime.incarnation),
       leader_timer(runtime.context),
+      host(runtime),
       timer(runtime.context) {
   this->ListenFront();
   this->relay = std::make_unique<OnlineRelay>(
       runtime.context, this->front, *runtime.peers, runtime.dialect,
-      runtime.metrics, runtime.options.zone, runtime.incarnation);
+      runtime.metrics, RelayPlace{runtime.options.name, runtime.options.zone},
+      runtime.incarnation);
   if (runtime.files != nullptr && runtime.options.control.has_value()) {
     this->StartCoordinator();
   }
@@ -228,7 +230,11 @@
     limits.idle_timeout = configuration.limits.idle_timeout;
     this->front->SetLimits(limits);
   }
-  this->relay->SetFleet(this->runtime.watch->knowledge(), configuration);
+  if (change.Any()) {
+    this->ShowFleetToRelay();
+    this->host.OnFleet();
+  }
+  this->relay->SetListSeen(this->runtime.watch->knowledge().engines_seen);
   if (this->KnowsFleet()) {
     for (EarlyRequest& held : this->early.TakeAll()) {
       this->Serve(held.exchange, std::move(held.request), held.arrived);
@@ -236,6 +242,14 @@
   }
 }
 
+void EntryNode::ShowFleetToRelay() {
+  const coordination::FleetKnowledge& fleet = this->runtime.watch->knowledge();
+  this->hosts_named = ListNamesHosts(fleet, MonotonicNow());
+  if (this->runtime.table != nullptr) {
+    this->relay->SetFleet(fleet, this->runtime.table->configuration());
+  }
+}
+
 void EntryNode::OnRequest(ExchangeId exchange, http::HttpRequest request) {
   if (this->refusing) {
     this->Refuse(exchange, request, "this process is leaving", kRetryElsewhere);
@@ -503,7 +517,12 @@
       return;
     }
     const Time now = MonotonicNow();
-    const Time seen = this->runtime.watch->knowledge().engines_seen;
+    const coordination::FleetKnowledge& fleet =
+        this->runtime.watch->knowledge();
+    if (ListNamesHosts(fleet, now) != this->hosts_named) {
+      this->ShowFleetToRelay();
+    }
+    const Time seen = fleet.engines_seen;
     if (this->runtime.options.list.has_value() && seen != Time{} &&
         !this->polling) {
       const ListLoad load = this->LoadOnList();
@@ -548,6 +567,7 @@
 
 void EntryNode::BeginLeave() {
   this->leaving = true;
+  this->host.BeginLeave();
   this->front->BeginLeave();
   if (this->coordinator != nullptr) {
     this->coordinator->HandOver();
@@ -560,6 +580,8 @@
   }
 }
 
-bool EntryNode::Drained() const { return this->front->OpenExchanges() == 0; }
+bool EntryNode::Drained() const {
+  return this->front->OpenExchanges() == 0 && this->host.Drained();
+}
 
 }  // namespace papayarack::nodes
--- a/src/nodes/internal/fleetengines.cpp
+++ b/src/nodes/internal/fleetengines.cpp
@@ -1,7 +1,10 @@
 #include "nodes/fleetengines.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "placement/enginehosts.h"
+
 namespace papayarack::nodes {
 namespace {
 
@@ -12,17 +15,106 @@
                                         : one.started_ms > other.started_ms;
 }
 
-}  // namespace
+/// The processes that own engines elsewhere: stores, and entries where no store
+/// is there.
+std::vector<placement::HostOption> HostsOf(
+    const coordination::FleetKnowledge& fleet) {
+  std::vector<placement::HostOption> stores;
+  std::vector<placement::HostOption> entries;
+  for (const coordination::NodeReport& node : fleet.nodes) {
+    const bool leaves =
+        std::ranges::find(fleet.leaving, node.name) != fleet.leaving.end();
+    if (node.away || leaves) {
+      continue;
+    }
+    if (node.Role() == coordination::NodeRole::kStore) {
+      stores.push_back({node.address, node.zone});
+    } else if (node.Role() == coordination::NodeRole::kEntry) {
+      entries.push_back({node.address, node.zone});
+    }
+  }
+  return stores.empty() ? entries : stores;
+}
 
-std::map<std::string, std::vector<placement::EngineOption>> OptionsByService(
-    const coordination::FleetKnowledge& fleet,
-    const routes::FleetConfiguration& configuration) {
-  std::map<std::string, std::string> gates;
+/// Who owns the slots of each engine, both by their addresses.
+using Owners = std::map<std::string, std::string>;
+
+Owners GatesOf(const coordination::FleetKnowledge& fleet) {
+  Owners gates;
   for (const coordination::NodeReport& node : fleet.nodes) {
-    if (node.Role() == coordination::NodeRole::kGate) {
+    if (node.Role() == coordination::NodeRole::kGate && !node.away) {
       gates[node.engine_address] = node.address;
     }
   }
+  return gates;
+}
+
+/// One engine of each address, those that drain among them: an engine that
+/// begins to drain moves no other.
+Owners HostedOf(const coordination::FleetKnowledge& fleet,
+                const Owners& gates) {
+  std::map<std::string, std::string> zones;
+  for (const coordination::EngineInstance& engine : fleet.engines) {
+    if (gates.count(engine.address) == 0) {
+      zones.emplace(engine.address, engine.zone);
+    }
+  }
+  std::vector<placement::HostedEngine> engines;
+  for (const auto& [address, zone] : zones) {
+    engines.push_back({address, zone});
+  }
+  const std::vector<placement::HostOption> hosts = HostsOf(fleet);
+  const auto chosen = placement::ChooseHosts(engines, hosts);
+  Owners hosted;
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    if (chosen[i].has_value()) {
+      hosted[engines[i].address] = hosts[*chosen[i]].address;
+    }
+  }
+  return hosted;
+}
+
+/// Symptom guarded against: a process refuses everybody though engines are
+/// idle. Nobody owns them, and of none of them a slot is its own to use.
+void GiveOneSlot(std::vector<placement::EngineOption>& options) {
+  const bool some = std::ranges::any_of(options, [](const auto& option) {
+    return !option.gate.empty() || option.unowned_share > 0;
+  });
+  if (!some && !options.empty()) {
+    std::ranges::max_element(options, {}, &placement::EngineOption::slots)
+        ->unowned_share = 1;
+  }
+}
+
+}  // namespace
+
+bool ListNamesHosts(const coordination::FleetKnowledge& fleet, Time now) {
+  return fleet.nodes_settled && now - fleet.heard <= kHostsHold;
+}
+
+std::vector<EngineAt> EnginesOwnedBy(const coordination::FleetKnowledge& fleet,
+                                     std::string_view host, Time now) {
+  std::vector<EngineAt> owned;
+  if (!ListNamesHosts(fleet, now)) {
+    return owned;
+  }
+  for (const auto& [address, owner] : HostedOf(fleet, GatesOf(fleet))) {
+    if (owner == host) {
+      owned.push_back(
+          {address, FindEngine(fleet.engines, address, "")->service});
+    }
+  }
+  return owned;
+}
+
+std::map<std::string, std::vector<placement::EngineOption>> OptionsByService(
+    const coordination::FleetKnowledge& fleet,
+    const routes::FleetConfiguration& configuration, const std::string& entry,
+    Time now) {
+  Owners owners = GatesOf(fleet);
+  if (ListNamesHosts(fleet, now)) {
+    owners.merge(HostedOf(fleet, owners));
+  }
   std::map<std::string, std::vector<placement::EngineOption>> by_service;
   for (const routes::ServiceSpec& service : configuration.services) {
     by_service[service.name];
@@ -42,11 +134,20 @@
     if (engine->draining || options == by_service.end()) {
       continue;
     }
-    const auto gate = gates.find(engine->address);
-    options->second.push_back(
-        {engine->address, engine->id,
-         gate != gates.end() ? gate->second : std::string(), engine->zone,
-         engine->slots, engine->started_ms});
+    placement::EngineOption option{
+        engine->address, engine->id,    {},
+        engine->zone,    engine->slots, engine->started_ms};
+    const auto owner = owners.find(engine->address);
+    if (owner != owners.end()) {
+      option.gate = owner->second;
+    } else {
+      option.unowned_share = placement::ShareOfSlots(
+          entry, engine->address, engine->slots, fleet.entries);
+    }
+    options->second.push_back(std::move(option));
+  }
+  for (auto& [service, options] : by_service) {
+    GiveOneSlot(options);
   }
   return by_service;
 }
--- a/src/nodes/internal/noderunner.cpp
+++ b/src/nodes/internal/noderunner.cpp
@@ -123,8 +123,8 @@
                    [](const std::unique_ptr<GateNode>& gate) {
                      return gate->Drained();
                    },
-                   [waited](const std::unique_ptr<StoreNode>&) {
-                     return waited >= kHandOver;
+                   [waited](const std::unique_ptr<StoreNode>& store) {
+                     return waited >= kHandOver && store->Drained();
                    }},
         this->node);
   }
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -43,13 +43,13 @@
 
 OnlineRelay::OnlineRelay(asio::io_context& context, http::HttpServer*& front,
                          transport::PeerClient& peers, const Dialect& dialect,
-                         Metrics& metrics, std::string own_zone,
-                         std::uint64_t seed)
+                         Metrics& metrics, RelayPlace place, std::uint64_t seed)
     : front(front),
       peers(peers),
       dialect(dialect),
       metrics(metrics),
-      own_zone(std::move(own_zone)),
+      own_name(std::move(place.name)),
+      own_zone(std::move(place.zone)),
       engines(context),
       chooser(seed),
       random(seed + 1),
@@ -61,8 +61,8 @@
 
 void OnlineRelay::SetFleet(const coordination::FleetKnowledge& fleet,
                            const routes::FleetConfiguration& configuration) {
-  this->engines_seen = fleet.engines_seen;
-  for (auto& [service, options] : OptionsByService(fleet, configuration)) {
+  for (auto& [service, options] :
+       OptionsByService(fleet, configuration, this->own_name, MonotonicNow())) {
     for (const placement::EngineRestart& restart :
          this->chooser.SetOptions(service, std::move(options))) {
       this->OnRestart(restart);
@@ -149,6 +149,7 @@
   AskSlot ask;
   ask.request = call.fields.id;
   ask.engine_id = call.engine.id;
+  ask.engine_address = call.engine.address;
   ask.priority = call.route->priority;
   ask.wait_ms = wait_ms;
   transport::CallHandlers handlers;
--- a/src/nodes/internal/storenode.cpp
+++ b/src/nodes/internal/storenode.cpp
@@ -15,10 +15,14 @@
           },
           [this](const std::string& reason) {
             this->runtime.StorageFailed(reason);
-          }) {
-  this->runtime.Watch([this](const coordination::FleetChange&) {
+          }),
+      host(runtime) {
+  this->runtime.Watch([this](const coordination::FleetChange& change) {
     this->store.OnRoutes(this->runtime.table);
     this->store.OnFleet(this->runtime.watch->knowledge());
+    if (change.Any()) {
+      this->host.OnFleet();
+    }
   });
 }
 
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -26,6 +26,12 @@
 
 namespace papayarack::nodes {
 
+/// The process that a relay works for.
+struct RelayPlace {
+  std::string name;
+  std::string zone;
+};
+
 /// Carries callers' requests that run at once: asks a gate for a slot, sends
 /// the request straight to the engine, passes the answer on as it comes, goes
 /// on at another engine where the route allows it. Every request gets exactly
@@ -35,7 +41,7 @@
  public:
   OnlineRelay(asio::io_context& context, http::HttpServer*& front,
               transport::PeerClient& peers, const Dialect& dialect,
-              Metrics& metrics, std::string own_zone, std::uint64_t seed);
+              Metrics& metrics, RelayPlace place, std::uint64_t seed);
   ~OnlineRelay();
   OnlineRelay(const OnlineRelay&) = delete;
   OnlineRelay& operator=(const OnlineRelay&) = delete;
@@ -47,6 +53,8 @@
             Time arrived);
   /// The caller is gone. True when the exchange was this relay's.
   bool CallerGone(http::ExchangeId exchange);
+  /// When the platform said which engines there are, for the log.
+  void SetListSeen(Time seen) { this->engines_seen = seen; }
   void SetFleet(const coordination::FleetKnowledge& fleet,
                 const routes::FleetConfiguration& configuration);
   std::size_t Open() const { return this->calls.size(); }
@@ -112,6 +120,7 @@
   transport::PeerClient& peers;
   const Dialect& dialect;
   Metrics& metrics;
+  std::string own_name;
   std::string own_zone;
   http::HttpClient engines;
   placement::EngineChooser chooser;
--- a/src/nodes/slotmessages.h
+++ b/src/nodes/slotmessages.h
@@ -6,9 +6,10 @@
 
 #include "global/messagecodec.h"
 
-/// Between an entry and the gate of an engine. The stream of an ask stays open
-/// while the slot is wanted or used: its end, however it comes, gives the slot
-/// back, so no slot is lost with an entry or a connection.
+/// Between an entry and the process that owns an engine's slots. The stream of
+/// an ask stays open while the slot is wanted or used: its end, however it
+/// comes, gives the slot back, so no slot is lost with an entry or a
+/// connection.
 namespace papayarack::nodes {
 
 struct AskSlot {
@@ -16,7 +17,9 @@
   std::string engine_id;
   std::int32_t priority = 0;
   std::uint32_t wait_ms = 0;  ///< Longest useful wait from now.
-  MSGPACK_DEFINE(request, engine_id, priority, wait_ms)
+  /// One process may own several engines; an earlier version names none.
+  std::string engine_address;
+  MSGPACK_DEFINE(request, engine_id, priority, wait_ms, engine_address)
 };
 
 enum class SlotVerdict : std::uint8_t { kGranted = 0, kBusy = 1, kClosed = 2 };
--- a/src/nodes/storenode.h
+++ b/src/nodes/storenode.h
@@ -2,6 +2,7 @@
 #define PAPAYARACK_NODES_STORENODE_H_
 
 #include "batches/batchstore.h"
+#include "nodes/enginehost.h"
 #include "nodes/noderuntime.h"
 
 namespace papayarack::nodes {
@@ -14,12 +15,18 @@
   StoreNode(const StoreNode&) = delete;
   StoreNode& operator=(const StoreNode&) = delete;
 
-  /// Hands leadership on.
-  void BeginLeave() { this->store.HandOver(); }
+  /// Hands leadership and engines on.
+  void BeginLeave() {
+    this->store.HandOver();
+    this->host.BeginLeave();
+  }
+  /// True when nobody uses a slot that it gave.
+  bool Drained() const { return this->host.Drained(); }
 
  private:
   NodeRuntime& runtime;
   batches::BatchStore store;
+  EngineHost host;
 };
 
 }  // namespace papayarack::nodes
--- a/src/placement/enginechooser.h
+++ b/src/placement/enginechooser.h
@@ -18,10 +18,14 @@
 struct EngineOption {
   std::string address;  ///< Names it; new for another machine.
   std::string id;       ///< Of the replica that runs there now.
-  std::string gate;  ///< Address of the process that owns its slots, or empty.
+  /// Address of the process that owns its slots: beside it or a host; empty
+  /// where none does.
+  std::string gate;
   std::string zone;
   std::uint32_t slots = 0;
   std::uint64_t started_ms = 0;  ///< As in EngineStart.
+  /// Requests that may be sent at once where nobody owns its slots.
+  std::size_t unowned_share = 0;
 
   EngineStart Start() const {
     return {this->address, this->id, this->started_ms};
--- a/src/placement/internal/slotsearch.cpp
+++ b/src/placement/internal/slotsearch.cpp
@@ -9,6 +9,7 @@
   if (this->queueing) {
     return NoSlot{"no slot came free in time"};
   }
+  bool unowned_full = false;
   while (this->asks < kQuickAsks) {
     const auto option =
         chooser.Choose(this->service, this->own_zone, this->tried, now);
@@ -16,18 +17,22 @@
       break;
     }
     this->tried.push_back(option->Start());
-    ++this->asks;
     if (!option->gate.empty()) {
+      ++this->asks;
       this->asked = option;
       return AskGate{*option};
     }
     const bool unlimited = option->slots == 0;
-    if (unlimited || chooser.OwnUse(option->address) < kUngatedUse) {
+    if (unlimited || chooser.OwnUse(option->address) < option->unowned_share) {
+      ++this->asks;
       return SendUngated{*option};
     }
+    unowned_full = true;
   }
   if (this->asks == 0) {
-    return NoSlot{"no replica of the service is known"};
+    return NoSlot{unowned_full
+                      ? "its share of engines that nobody owns is in use"
+                      : "no replica of the service is known"};
   }
   return this->QueueAtLeastBusy(budget);
 }
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -82,9 +82,6 @@
   static constexpr std::size_t kQuickAsks = 6;
   /// Sixty times a round trip within a region.
   static constexpr std::chrono::milliseconds kAskSilence{120};
-  /// Requests of one entry at an engine whose gate is not there. A few keep the
-  /// engine in use without overfilling it, as all entries do the same.
-  static constexpr std::uint32_t kUngatedUse = 1;
 
  private:
   /// Asks for a free slot again; what was tried stays tried.
--- a/src/placement/tests/slotsearch_tests.cpp
+++ b/src/placement/tests/slotsearch_tests.cpp
@@ -19,6 +19,7 @@
     const std::string number = std::to_string(i);
     options.push_back({"e" + number, "id" + number,
                        gates ? "g" + number : std::string(), "z", 8});
+    options.back().unowned_share = gates ? 0 : 1;
   }
   return options;
 }
@@ -128,6 +129,19 @@
   const SearchStep step = first.Next(chooser, kBudget, At(0));
   const std::string used = std::get<SendUngated>(step).engine.address;
   chooser.Started(used);
+  SECTION("none at engines whose slots are all for other entries") {
+    EngineChooser others(1);
+    auto options = Fleet(3, false);
+    options[0].unowned_share = 0;
+    options[1].unowned_share = 0;
+    others.SetOptions("llm", options);
+    SlotSearch search("llm", "z");
+    const SearchStep only = search.Next(others, kBudget, At(0));
+    CHECK(std::get<SendUngated>(only).engine.address == options[2].address);
+    others.Started(options[2].address);
+    SlotSearch second("llm", "z");
+    CHECK(std::holds_alternative<NoSlot>(second.Next(others, kBudget, At(0))));
+  }
   SECTION("one of each entry at each engine") {
     SlotSearch second("llm", "z");
     const SearchStep other = second.Next(chooser, kBudget, At(0));
