Use engines whose hosts are not there, and name hosts sooner after an election

Cause: an entry went on asking the hosts of its list one after the other, 120 ms each where they were silent; restarted hosts owned nothing until the leader's table was settled, 2.5 s after its election. Change: a host that does not answer, or says that it does not own the engine, leaves its engines to the entries' shares for 0.6 s; hosts are named 0.8 s after an election, and a gate that reports later gets its engine back.

--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -105,12 +105,13 @@
   std::vector<std::string> chunks;  ///< Of that text, as far as they are few.
   std::string source;         ///< Where the other chunks are to be fetched.
   std::uint32_t entries = 0;  ///< Processes behind the balancer.
+  bool names_hosts = false;   ///< Enough have reported to give engines hosts.
   MSGPACK_DEFINE(code, leader, members, term, config_version, config,
                  nodes_revision, has_nodes, nodes_settled, nodes,
                  engines_revision, has_engines, engines_age_ms, engines,
                  job_founders, leaving, nodes_partial, nodes_removed,
                  engines_partial, engines_removed, manifest, chunks, source,
-                 entries)
+                 entries, names_hosts)
 };
 
 /// Asks any process for chunks of the configuration that it holds.
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -76,6 +76,7 @@
     /// It is to be told of the newer configuration with the next answer.
     bool offer = false;
     std::string source;  ///< Where it is to fetch that from; empty: inline.
+    bool knew_hosts = false;  ///< NodeTable::NamesHosts when it asked.
   };
   using StreamId = transport::StreamId;
 
--- a/src/coordination/fleetwatch.h
+++ b/src/coordination/fleetwatch.h
@@ -24,8 +24,8 @@
   std::vector<EngineInstance> engines;
   consensus::MemberList job_founders;
   std::vector<std::string> leaving;
-  /// Whether a leader that had heard of all processes has named them.
-  bool nodes_settled = false;
+  /// Whether a leader that knew of enough of them has named the processes.
+  bool names_hosts = false;
   std::size_t entries = 0;  ///< Processes behind the balancer.
   Time heard{};             ///< Last reply of a leader.
   Time engines_seen{};      ///< When the platform said what `engines` holds.
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -432,6 +432,7 @@
   reply.term = this->group->term();
   this->AddConfiguration(watcher, reply);
   this->AddLists(watcher.request, reply);
+  reply.names_hosts = this->nodes.NamesHosts(MonotonicNow());
   reply.entries =
       static_cast<std::uint32_t>(this->nodes.Count(NodeRole::kEntry));
   reply.job_founders = this->state.job_founders();
@@ -451,7 +452,8 @@
     this->plan.Heard(this->TransferReportOf(request), now);
     this->submissions->Heard(request, now);
   }
-  this->watchers[stream] = {request, now, false, {}};
+  this->watchers[stream] = {
+      request, now, false, {}, this->nodes.NamesHosts(now)};
   if (!this->group->Leads() || this->waiting_for_source ||
       request.config_version < this->state.version() ||
       request.term != this->group->term()) {
@@ -464,7 +466,8 @@
     return now - watcher.since >= kNoLeaderHold || this->KnowsOtherLeader();
   }
   const bool offered = this->OfferConfiguration(watcher, now);
-  const bool differs = this->Differs(watcher.request);
+  const bool differs = this->Differs(watcher.request) ||
+                       this->nodes.NamesHosts(now) != watcher.knew_hosts;
   if (!differs && watcher.request.takes_changes) {
     // Nothing that it works with changed up to here: not looked at again. 300
     // watchers and 300 replicas took 1.7 ms for each pass and list.
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -191,8 +191,8 @@
   this->known.entries = reply.entries;
   FleetChange change;
   // The first list of hosts is a change, also where it names the same ones.
-  change.nodes = reply.nodes_settled && !this->known.nodes_settled;
-  this->known.nodes_settled |= reply.nodes_settled;
+  change.nodes = reply.names_hosts && !this->known.names_hosts;
+  this->known.names_hosts |= reply.names_hosts;
   change.config = this->TakeConfiguration(reply);
   if (this->term != reply.term) {
     // Another leader counts its changes from its own start: a revision of the
--- a/src/coordination/nodetable.h
+++ b/src/coordination/nodetable.h
@@ -27,6 +27,11 @@
   /// From the start of a term until a missing process counts as gone.
   static constexpr std::chrono::milliseconds kSettleTime{2500};
 
+  /// From the start of a term until engines are given hosts by who has reported
+  /// so far: processes that knew no leader report at once, and a gate that
+  /// comes later gets its engine back.
+  static constexpr std::chrono::milliseconds kHostsTime{800};
+
   void Clear(Time now);
   /// Takes a report; the latest to arrive counts. True when it changed the
   /// table.
@@ -38,6 +43,7 @@
   /// Names dropped by the last call of DropSilent.
   const std::vector<std::string>& dropped() const { return this->last_dropped; }
   bool Settled(Time now) const { return now - this->since >= kSettleTime; }
+  bool NamesHosts(Time now) const { return now - this->since >= kHostsTime; }
 
   std::uint64_t revision() const { return this->nodes.revision(); }
   /// Whether reports of the roles that `asker` works with changed since then.
--- a/src/nodes/fleetengines.h
+++ b/src/nodes/fleetengines.h
@@ -29,7 +29,7 @@
 inline constexpr std::chrono::milliseconds kHostsHold{6000};
 
 /// Whether engines without a process beside them have hosts at `now`: a leader
-/// that has heard of all processes named them within kHostsHold. Thread safety:
+/// that knew of the processes named them within kHostsHold. Thread safety:
 /// any thread.
 bool ListNamesHosts(const coordination::FleetKnowledge& fleet, Time now);
 
--- a/src/nodes/internal/enginehost.cpp
+++ b/src/nodes/internal/enginehost.cpp
@@ -144,7 +144,7 @@
        {"engine", ask.engine_id},
        {"address", ask.engine_address}});
   SlotReply reply;
-  reply.verdict = static_cast<std::uint8_t>(SlotVerdict::kClosed);
+  reply.verdict = static_cast<std::uint8_t>(SlotVerdict::kNotOwner);
   this->runtime.server->Send(stream, EncodeMessage(reply));
   this->runtime.server->Finish(stream);
 }
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -26,6 +26,8 @@
       return "busy";
     case SlotVerdict::kClosed:
       return "closed";
+    case SlotVerdict::kNotOwner:
+      return "not_owner";
   }
   return "unknown";
 }
--- a/src/nodes/internal/fleetengines.cpp
+++ b/src/nodes/internal/fleetengines.cpp
@@ -60,6 +60,7 @@
     }
   }
   std::vector<placement::HostedEngine> engines;
+  engines.reserve(zones.size());
   for (const auto& [address, zone] : zones) {
     engines.push_back({address, zone});
   }
@@ -78,7 +79,8 @@
 /// idle. Nobody owns them, and of none of them a slot is its own to use.
 void GiveOneSlot(std::vector<placement::EngineOption>& options) {
   const bool some = std::ranges::any_of(options, [](const auto& option) {
-    return !option.gate.empty() || option.unowned_share > 0;
+    const bool has_gate = !option.gate.empty() && !option.hosted;
+    return has_gate || option.unowned_share > 0;
   });
   if (!some && !options.empty()) {
     std::ranges::max_element(options, {}, &placement::EngineOption::slots)
@@ -89,7 +91,7 @@
 }  // namespace
 
 bool ListNamesHosts(const coordination::FleetKnowledge& fleet, Time now) {
-  return fleet.nodes_settled && now - fleet.heard <= kHostsHold;
+  return fleet.names_hosts && now - fleet.heard <= kHostsHold;
 }
 
 std::vector<EngineAt> EnginesOwnedBy(const coordination::FleetKnowledge& fleet,
@@ -111,10 +113,9 @@
     const coordination::FleetKnowledge& fleet,
     const routes::FleetConfiguration& configuration, const std::string& entry,
     Time now) {
-  Owners owners = GatesOf(fleet);
-  if (ListNamesHosts(fleet, now)) {
-    owners.merge(HostedOf(fleet, owners));
-  }
+  const Owners gates = GatesOf(fleet);
+  const Owners hosts =
+      ListNamesHosts(fleet, now) ? HostedOf(fleet, gates) : Owners{};
   std::map<std::string, std::vector<placement::EngineOption>> by_service;
   for (const routes::ServiceSpec& service : configuration.services) {
     by_service[service.name];
@@ -137,10 +138,13 @@
     placement::EngineOption option{
         engine->address, engine->id,    {},
         engine->zone,    engine->slots, engine->started_ms};
-    const auto owner = owners.find(engine->address);
-    if (owner != owners.end()) {
-      option.gate = owner->second;
+    const auto gate = gates.find(engine->address);
+    const auto host = hosts.find(engine->address);
+    option.hosted = host != hosts.end();
+    if (gate != gates.end()) {
+      option.gate = gate->second;
     } else {
+      option.gate = option.hosted ? host->second : std::string();
       option.unowned_share = placement::ShareOfSlots(
           entry, engine->address, engine->slots, fleet.entries);
     }
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -197,11 +197,18 @@
   }
   ++call.attempt;
   call.slot = 0;
-  if (reply.Verdict() == SlotVerdict::kBusy) {
-    call.search->Busy(std::chrono::milliseconds(reply.expected_wait_ms));
-  } else {
-    call.search->Closed();
-    this->chooser.Closed(call.engine.address, MonotonicNow());
+  switch (reply.Verdict()) {
+    case SlotVerdict::kBusy:
+      call.search->Busy(std::chrono::milliseconds(reply.expected_wait_ms));
+      break;
+    case SlotVerdict::kNotOwner:
+      call.search->NoOwner();
+      this->chooser.NotOwned(call.engine.address, MonotonicNow());
+      break;
+    default:
+      call.search->Closed();
+      this->chooser.Closed(call.engine.address, MonotonicNow());
+      break;
   }
   this->Place(id);
 }
@@ -220,12 +227,18 @@
   }
   ++call.attempt;
   call.slot = 0;
-  this->chooser.Failed(call.engine.address, MonotonicNow());
   Log(LogLevel::kInfo, "gate_did_not_answer",
       {{"request", call.fields.id},
        {"gate", call.engine.gate},
-       {"engine", call.engine.id}});
-  call.search->Unanswered();
+       {"engine", call.engine.id},
+       {"hosted", call.engine.hosted}});
+  if (call.engine.hosted) {
+    this->chooser.HostSilent(call.engine.gate, MonotonicNow());
+    call.search->NoOwner();
+  } else {
+    this->chooser.Failed(call.engine.address, MonotonicNow());
+    call.search->Unanswered();
+  }
   this->Place(id);
 }
 
--- a/src/nodes/slotmessages.h
+++ b/src/nodes/slotmessages.h
@@ -22,7 +22,12 @@
   MSGPACK_DEFINE(request, engine_id, priority, wait_ms, engine_address)
 };
 
-enum class SlotVerdict : std::uint8_t { kGranted = 0, kBusy = 1, kClosed = 2 };
+enum class SlotVerdict : std::uint8_t {
+  kGranted = 0,
+  kBusy = 1,
+  kClosed = 2,
+  kNotOwner = 3,  ///< An earlier version takes it for kClosed.
+};
 
 struct SlotReply {
   std::uint8_t verdict = 0;
--- a/src/placement/enginechooser.h
+++ b/src/placement/enginechooser.h
@@ -24,8 +24,11 @@
   std::string zone;
   std::uint32_t slots = 0;
   std::uint64_t started_ms = 0;  ///< As in EngineStart.
-  /// Requests that may be sent at once where nobody owns its slots.
+  /// Requests that may be sent at once while nobody owns its slots.
   std::size_t unowned_share = 0;
+  /// Its owner runs on another VM, so the engine may serve while the owner does
+  /// not answer.
+  bool hosted = false;
 
   EngineStart Start() const {
     return {this->address, this->id, this->started_ms};
@@ -79,6 +82,11 @@
   /// Its gate gives no slots at the moment: set aside for kFirstAside, which is
   /// not doubled, as an ask costs a round trip only.
   void Closed(const std::string& address, Time now);
+  /// The process asked for a slot of the engine does not own it: there is no
+  /// owner for kUnownedFor.
+  void NotOwned(const std::string& address, Time now);
+  /// A host did not answer: the same for each engine that it owns.
+  void HostSilent(const std::string& host, Time now);
   /// Moment at which a set-aside engine is tried again; past when it is not.
   Time AsideUntil(const std::string& address) const;
   std::size_t OptionCount(const std::string& service) const;
@@ -88,6 +96,10 @@
   /// platform's list would set aside half a fleet after one burst of resets.
   static constexpr std::chrono::milliseconds kFirstAside{300};
   static constexpr std::chrono::milliseconds kLongestAside{4000};
+  /// An engine whose host is not there is used without a slot for this long
+  /// before the host is asked again: an ask in vain costs its caller up to
+  /// SlotSearch::kAskSilence.
+  static constexpr std::chrono::milliseconds kUnownedFor{600};
 
  private:
   struct Known {
@@ -99,6 +111,7 @@
     Time reported{};
     std::uint32_t failures = 0;  ///< In a row.
     Time aside_until{};
+    Time unowned_until{};
   };
   std::optional<EngineRestart> TakeStart(const EngineStart& told);
   EngineStart StartOf(const EngineOption& option) const;
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -143,6 +143,9 @@
   }
   EngineOption chosen = *best;
   chosen.started_ms = this->StartOf(*best).started_ms;
+  if (this->known[chosen.address].unowned_until > now) {
+    chosen.gate.clear();
+  }
   return chosen;
 }
 
@@ -184,6 +187,22 @@
   state.aside_until = std::max(state.aside_until, now + Duration(kFirstAside));
 }
 
+void EngineChooser::NotOwned(const std::string& address, Time now) {
+  this->known[address].unowned_until = now + Duration(kUnownedFor);
+}
+
+/// Symptom guarded against: while the hosts' VMs are gone each request asks
+/// them in turn for seconds, though their engines are idle.
+void EngineChooser::HostSilent(const std::string& host, Time now) {
+  for (const auto& [service, list] : this->options) {
+    for (const EngineOption& option : list) {
+      if (option.hosted && option.gate == host) {
+        this->NotOwned(option.address, now);
+      }
+    }
+  }
+}
+
 Time EngineChooser::AsideUntil(const std::string& address) const {
   const auto found = this->known.find(address);
   return found != this->known.end() ? found->second.aside_until : Time{};
--- a/src/placement/internal/enginehosts.cpp
+++ b/src/placement/internal/enginehosts.cpp
@@ -76,7 +76,8 @@
 
 /// The same order in every process: whoever comes first gets the room.
 std::vector<std::size_t> OrderOf(std::span<const HostedEngine> engines) {
-  std::vector<std::size_t> order(engines.size());
+  std::vector<std::size_t> order;
+  order.resize(engines.size());
   std::iota(order.begin(), order.end(), std::size_t{0});
   std::ranges::sort(order, {}, [&engines](std::size_t index) {
     return std::string_view(engines[index].address);
--- a/src/placement/internal/slotsearch.cpp
+++ b/src/placement/internal/slotsearch.cpp
@@ -69,6 +69,15 @@
   }
 }
 
+void SlotSearch::NoOwner() {
+  this->Closed();
+  if (this->asked.has_value()) {
+    std::erase_if(this->tried, [this](const EngineStart& start) {
+      return start.address == this->asked->address;
+    });
+  }
+}
+
 void SlotSearch::BeginAnew() {
   this->asks = 0;
   this->queueing = false;
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -55,6 +55,9 @@
   void Closed();
   /// The gate asked last did not answer, so nothing was sent to its engine.
   void Unanswered();
+  /// The process asked last does not own the engine, or is a host that did not
+  /// answer: the engine may be used without a slot.
+  void NoOwner();
   /// Whether the gate asked last is frozen or cut off: it answers an ask within
   /// a round trip, and one that queues at the end of its wait. Symptom guarded
   /// against: a request queued at a gate whose VM froze waited until its
--- a/src/placement/tests/slotsearch_tests.cpp
+++ b/src/placement/tests/slotsearch_tests.cpp
@@ -122,6 +122,59 @@
   }
 }
 
+// Symptom: callers wait for seconds or are refused beside idle engines.
+// Sequence: the VMs of the hosts lose power, or have just started again and do
+// not know yet what they own; the engines run on. Cause: each request asked one
+// host after the other.
+TEST_CASE("engines are used while their hosts are not there") {
+  EngineChooser chooser(1);
+  auto options = Fleet(4);
+  for (EngineOption& option : options) {
+    option.gate = "host";
+    option.hosted = true;
+    option.unowned_share = 1;
+  }
+  chooser.SetOptions("llm", options);
+  SlotSearch search("llm", "z");
+  const SearchStep first = search.Next(chooser, kBudget, At(0));
+  const std::string asked = std::get<AskGate>(first).engine.address;
+  SECTION("one that does not own the engine leaves it to be used") {
+    search.NoOwner();
+    chooser.NotOwned(asked, At(1));
+    std::set<std::string> sent;
+    for (int i = 0; i < 4 && sent.count(asked) == 0; ++i) {
+      const SearchStep next = search.Next(chooser, kBudget, At(1));
+      if (const auto* send = std::get_if<SendUngated>(&next)) {
+        sent.insert(send->engine.address);
+      } else {
+        search.Busy(milliseconds(400));
+      }
+    }
+    CHECK(sent == std::set<std::string>{asked});
+  }
+  SECTION("one that does not answer is asked by one request only") {
+    search.NoOwner();
+    chooser.HostSilent("host", At(1));
+    for (int i = 0; i < 4; ++i) {
+      SlotSearch other("llm", "z");
+      const SearchStep next = other.Next(chooser, kBudget, At(2));
+      REQUIRE(std::holds_alternative<SendUngated>(next));
+      chooser.Started(std::get<SendUngated>(next).engine.address);
+    }
+    SECTION("the engines' shares are a bound") {
+      SlotSearch other("llm", "z");
+      CHECK(
+          std::holds_alternative<NoSlot>(other.Next(chooser, kBudget, At(2))));
+    }
+    SECTION("and asked again later") {
+      SlotSearch other("llm", "z");
+      const Time later = At(2) + EngineChooser::kUnownedFor;
+      CHECK(
+          std::holds_alternative<AskGate>(other.Next(chooser, kBudget, later)));
+    }
+  }
+}
+
 TEST_CASE("engines without a gate get a bounded number of requests") {
   EngineChooser chooser(1);
   chooser.SetOptions("llm", Fleet(2, false));
