--- a/bench/corebench.cpp
+++ b/bench/corebench.cpp
@@ -16,6 +16,7 @@
 #include "gate/gatecore.h"
 #include "gate/gateprotocol.h"
 #include "global/variantcodec.h"
+#include "placement/enginehosts.h"
 #include "statemachine/statemachine.h"
 #include "storage/memoryfilesystem.h"
 
@@ -54,6 +55,32 @@
   return members;
 }
 
+/// Time to work out who owns the engines that no process stands beside.
+nlohmann::json HostCosts() {
+  constexpr std::size_t kZones = 17;
+  constexpr std::size_t kRounds = 20;
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [engine_count, host_count] :
+       {std::pair{144U, 45U}, std::pair{4900U, 360U}}) {
+    std::vector<placement::HostedEngine> engines;
+    for (std::size_t i = 0; i < engine_count; ++i) {
+      engines.push_back({"10.0." + std::to_string(i) + ":8080",
+                         "zone-" + std::to_string(i % kZones)});
+    }
+    std::vector<placement::HostOption> hosts;
+    for (std::size_t i = 0; i < host_count; ++i) {
+      hosts.push_back({"10.9." + std::to_string(i) + ":7720",
+                       "zone-" + std::to_string(i % kZones)});
+    }
+    const double nanos = NanosEach(
+        kRounds, [&](std::size_t) { placement::ChooseHosts(engines, hosts); });
+    rows.push_back({{"engines", engine_count},
+                    {"hosts", host_count},
+                    {"nanos_each", nanos / engine_count}});
+  }
+  return rows;
+}
+
 nlohmann::json RouterCosts() {
   nlohmann::json rows = nlohmann::json::array();
   for (const std::size_t count : {12U, 128U, 1024U, 4900U}) {
@@ -270,6 +297,7 @@
       {"items", ItemCosts()},
       {"documents", DocumentCosts()},
       {"heartbeats", HeartbeatCosts()},
+      {"hosts", HostCosts()},
       {"sync", SyncCosts()},
       {"online_message_bytes", OnlineMessageBytes()}};
   std::cout << result.dump(2) << "\n";
--- a/src/placement/internal/enginehosts.cpp
+++ b/src/placement/internal/enginehosts.cpp
@@ -5,7 +5,6 @@
 #include <limits>
 #include <map>
 #include <numeric>
-#include <string_view>
 
 #include "global/hash.h"
 
@@ -79,8 +78,8 @@
   std::vector<std::size_t> order;
   order.resize(engines.size());
   std::iota(order.begin(), order.end(), std::size_t{0});
-  std::ranges::sort(order, {}, [&engines](std::size_t index) {
-    return std::string_view(engines[index].address);
+  std::ranges::sort(order, [&engines](std::size_t one, std::size_t other) {
+    return engines[one].address < engines[other].address;
   });
   return order;
 }
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -81,7 +81,8 @@
 class Fleet:
     """The processes and where they are."""
 
-    def __init__(self, args, folder):
+    def __init__(self, args, folder, gates):
+        self.gates = gates  # Engines with a process beside them.
         self.args, self.folder, self.processes, self.first = args, folder, {}, True
         self.entries = [f"127.1.1.{i + 1}" for i in range(args.entries)]
         self.stores = [f"127.1.2.{i + 1}" for i in range(args.stores)]
@@ -123,7 +124,7 @@
 
     def all_names(self):
         return ([f"entry-{i}" for i in range(len(self.entries))] + [f"store-{i}" for i in range(len(self.stores))] +
-                [f"gate-{i}" for i in range(len(self.engines))])
+                [f"gate-{i}" for i in range(self.gates)])
 
     def end(self, name, how=signal.SIGKILL):
         process = self.processes[name]
@@ -282,7 +283,7 @@
         time.sleep(length)
         proxy.mode = "pass"
         return
-    names = {"kill_all": fleet.all_names(), "kill_gates": fleet.names("gate")}.get(kind) or [
+    names = {"kill_all": fleet.all_names(), "kill_gates": fleet.names("gate") or fleet.names("store")[:1]}.get(kind) or [
         rng.choice(fleet.names("entry") + fleet.names("store") if kind == "wipe" else fleet.all_names())]
     log(f"{kind} {','.join(names) if len(names) < 4 else len(names)} {length:.1f} s")
     if kind == "pause":
@@ -310,10 +311,18 @@
     return False
 
 
+def gates_of(seed, args):
+    """Seeds from 101 on also play fleets that have a process beside some engines only, or beside none."""
+    if seed <= 100:
+        return args.engines
+    return random.Random(f"gates {seed}").choice([0, args.engines // 2, args.engines])
+
+
 def run_seed(seed, args):
     rng = random.Random(seed)
+    gates = gates_of(seed, args)
     folder = tempfile.mkdtemp(prefix=f"papayarack-soak-{seed}-")
-    fleet, checks, stop = Fleet(args, folder), Checks(), threading.Event()
+    fleet, checks, stop = Fleet(args, folder, gates), Checks(), threading.Event()
     started = time.time()
     faults = []
 
@@ -357,7 +366,7 @@
         stop.set()
         fleet.end_all()
     print(f"seed {seed}: {'FAILED' if checks.failures else 'ok'}; {checks.whole} streams whole, {checks.cut} cut, "
-          f"{checks.refused} refused; {len(checks.accepted)} batches; {len(faults) - 1} faults", flush=True)
+          f"{checks.refused} refused; {len(checks.accepted)} batches; {len(faults) - 1} faults; {gates} gates", flush=True)
     if checks.failures:
         print("\n".join(checks.failures[:10] + ["faults:"] + faults + [f"logs: {folder}"]), flush=True)
     else:
