--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -25,7 +25,7 @@
 /// Due time of items whose route is not known at the moment.
 constexpr std::chrono::milliseconds kUnknownDeadline{20000};
 /// The log since the snapshot before the last is held in memory, and so are the
-/// texts of results since the last: about 3 s of the users' peak each.
+/// texts of results since the last.
 constexpr std::uint64_t kSnapshotAfterBytes = 1U << 20U;
 
 }  // namespace
@@ -257,8 +257,8 @@
 /// Symptom guarded against: a store that is slow for a moment stays slow, its
 /// log and the links between members full. Whoever hears nothing in time sends
 /// the batch again, and each copy that came before the first was applied became
-/// an entry of its own, sent whole to every member: four copies of 100 KB took
-/// 400 KB of the log, now 100. A copy of what is on its way waits for that.
+/// an entry of its own, sent whole to every member. A copy of what is on its
+/// way waits for that.
 void BatchStore::OnSubmit(StreamId stream, const std::string& body) {
   auto command = DecodeMessage<SubmitBatch>(body);
   if (this->book.Find(command.id) != nullptr) {
@@ -407,8 +407,8 @@
 /// Symptom guarded against: as for a batch, with the texts of a report, which a
 /// gate sends again together with what ended meanwhile. What has its outcome
 /// already is left out, and of what is on its way the copy waits for that; only
-/// the rest becomes an entry. Four copies of 100 KB took 400 KB of the log, now
-/// 100. Only an outcome that is the same in all counts as a copy.
+/// the rest becomes an entry. Only an outcome that is the same in all counts as
+/// a copy.
 void BatchStore::OnReport(StreamId stream, const std::string& body) {
   auto report = DecodeMessage<ReportOutcomes>(body);
   std::set<ProposalId> awaited;
--- a/src/batches/internal/leasedesk.cpp
+++ b/src/batches/internal/leasedesk.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// Weight of one run in the mean time from lease to result: about the last
-/// twenty items, a few seconds of the users' load.
+/// twenty items, so that it follows a wave.
 constexpr double kRunWeight = 0.05;
 
 }  // namespace
--- a/src/batches/internal/resulttexts.cpp
+++ b/src/batches/internal/resulttexts.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr const char* kPrefix = "results";
-/// Files are dropped whole: about a minute of the users' results each.
+/// Files are dropped whole, so one must not hold results of many minutes.
 constexpr std::uint64_t kSegmentBytes = 4U << 20U;
 
 }  // namespace
--- a/src/batches/leasedesk.h
+++ b/src/batches/leasedesk.h
@@ -30,7 +30,7 @@
   /// After a change of leader nothing is handed out until the gates have said
   /// what they hold, or running items would be run twice.
   static constexpr std::chrono::milliseconds kSettleTime{1500};
-  /// From lease to result, until measured: the users' items run 4.9 s.
+  /// From lease to result, before the first result came.
   static constexpr std::chrono::milliseconds kFirstRunEstimate{5000};
 
   /// A new leader: forgets everything; Add what waits.
--- a/src/batches/resulttexts.h
+++ b/src/batches/resulttexts.h
@@ -23,11 +23,10 @@
 /// The texts of listed results: those since the last snapshot in memory, older
 /// ones in files, at offsets that are the same on every member.
 ///
-/// Symptom guarded against: a store of 130 MB is killed for its memory on a
-/// long day. A text is 5 to 10 KB, 32 of them come a second, and each snapshot
-/// held all of them three times: 53 MB at the peak after 50 s of the users'
-/// day, read from the platform's report. Thread safety: none, the loop's
-/// thread; only the work that Archive returns runs elsewhere.
+/// Symptom guarded against: a small store is killed for its memory on a long
+/// day, because the state holds the texts of all results, and each snapshot
+/// holds them again. Thread safety: none, the loop's thread; only the work that
+/// Archive returns runs elsewhere.
 class ResultTexts {
  public:
   explicit ResultTexts(storage::FileSystem& files);
--- a/src/consensus/internal/raftcore.cpp
+++ b/src/consensus/internal/raftcore.cpp
@@ -555,13 +555,10 @@
 }
 
 /// Answers to heartbeats do not count as acknowledgements: they come also when
-/// every append was lost. Symptom guarded against: an entry of 400 KB that
-/// takes longer than the wait to arrive is sent again and again, which fills
-/// the leader's link and makes everything on it later still. With an
-/// acknowledgement 3 s late it was sent 15 times (6.0 MB) at one pace of two
-/// heartbeats; doubling the wait makes it 4 (1.6 MB). The first wait grows with
-/// what is under way: 0.9 MB for each of five followers need 0.35 s of a link
-/// of 12 MB/s, and were all sent twice when it was two heartbeats.
+/// every append was lost. Symptom guarded against: a large entry that takes
+/// longer than the wait to arrive is sent again and again, which fills the
+/// leader's link and makes everything on it later still. So the first wait
+/// grows with what is under way, and each further one doubles.
 void RaftCore::ResendWhenSilent(Progress& known) const {
   const bool outstanding = known.match + 1 < known.next;
   const Duration first_wait =
--- a/src/coordination/changelist.h
+++ b/src/coordination/changelist.h
@@ -22,9 +22,9 @@
 
 /// A list whose readers learn what changed since the revision that they have.
 /// Symptom guarded against: one replica that drains costs a copy of the list of
-/// all replicas for every process; with 300 of each that is 9 MB for each
-/// change, most of a second of a link of 100 Mbit/s, while a rolling release
-/// makes two changes a second. Thread safety: none.
+/// all replicas for every process, which grows with the product of both and
+/// keeps the leader's link full while a rolling release makes two changes a
+/// second. Thread safety: none.
 ///
 /// `kAudience` is the member of Item that says which readers want it: no filter
 /// (`wanted`) looks at another one, the key aside. Symptom guarded against: an
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -40,8 +40,8 @@
 constexpr std::size_t kWholePace = 4000;
 /// Members tell seeds that are not members who the members are this often, and
 /// at once when another leads. Symptom guarded against: after all processes
-/// were killed the configuration was in force 0.5 s after the start, with a
-/// leader elected after 0.24 s.
+/// were killed the configuration is in force long after a leader was elected,
+/// as processes that know no member ask each other in turn.
 constexpr std::chrono::milliseconds kAnnounceEvery{500};
 
 }  // namespace
--- a/src/coordination/internal/groupclient.cpp
+++ b/src/coordination/internal/groupclient.cpp
@@ -79,11 +79,9 @@
   attempt.call =
       this->peers.Call(ParseEndpoint(attempt.target, "member"), attempt.path,
                        attempt.body, std::move(handlers));
-  // Symptom guarded against: a body of 400 KB is longer under way than one
+  // Symptom guarded against: a large body is longer under way than one
   // attempt may take, is cancelled and sent whole to the next member, and so on
-  // until the call's time is over, while the link stays full. On the loopback,
-  // with answers after 400 ms, attempts of 200 ms and 1 s for the call, members
-  // got it 4 times and the call failed; now once.
+  // until the call's time is over, while the link stays full.
   const std::chrono::milliseconds try_time =
       attempt.try_time + TimeToCarry(attempt.body.size());
   attempt.timer->expires_after(std::min<Duration>(left, Duration(try_time)));
--- a/src/coordination/leadersearch.h
+++ b/src/coordination/leadersearch.h
@@ -12,9 +12,8 @@
 /// whom it asks next. All that ask in a process share one. Symptom guarded
 /// against: operators' calls are refused for want of a leader while the watch
 /// of the same process hears from it every second, because calls keep a leader
-/// of their own and go round all seventy-five processes to find it, eight in
-/// the time that they have. After a split of 6 s had healed, 18 of 74 calls
-/// were refused. Does no I/O. Thread safety: none.
+/// of their own and go round more processes to find it than they have time
+/// for. Does no I/O. Thread safety: none.
 class LeaderSearch {
  public:
   /// Addresses of the group's members as far as they are known.
--- a/src/coordination/transferplan.h
+++ b/src/coordination/transferplan.h
@@ -24,9 +24,9 @@
 
 /// Decides who fetches a new text from whom, so that it spreads like a tree
 /// whatever its size. Load pattern it answers: one leader, a few hundred
-/// processes that all need 400 KB at once. Sent by the leader alone that is
-/// 52 MB for 130 processes, 4.3 s of a link of 100 Mbit/s; with a timeout of
-/// 1.6 s nothing arrived, and the link stayed full for 30 s. Each process that
+/// processes that all need a large text at once. Sent by the leader alone the
+/// copies keep its link full for longer than anybody waits, are begun anew and
+/// never arrive. Each process that
 /// holds the text serves at most `kMostFetchers` at a time, so the number of
 /// those that hold it triples with each round, and no link carries more than a
 /// few copies. Thread safety: none. Does no I/O.
--- a/src/global/internal/backgroundlog.h
+++ b/src/global/internal/backgroundlog.h
@@ -18,7 +18,7 @@
 class BackgroundLog {
  public:
   using Write = std::function<void(const std::string& lines)>;
-  /// Lines of half a second at ten times the users' load.
+  /// Lines of some seconds at a busy process; a slow reader costs no more.
   static constexpr std::size_t kMostBytes = 256U << 10U;
 
   explicit BackgroundLog(Write write);
--- a/src/nodes/enginehost.h
+++ b/src/nodes/enginehost.h
@@ -34,16 +34,11 @@
   bool Drained() const;
 
  private:
-  struct Owned {
+  struct Held {
     std::unique_ptr<EngineOwner> owner;
-    Time since{};
+    Time since{};  ///< Since when it owns the engine, or was released.
   };
-  /// An owner that gives no slots any more and whose last runs end.
-  struct Released {
-    std::unique_ptr<EngineOwner> owner;
-    Time since{};
-  };
-  using ByAddress = std::map<std::string, Owned>;
+  using ByAddress = std::map<std::string, Held>;
 
   void OnAsk(transport::StreamId stream, const std::string& body);
   void OnCancel(transport::StreamId stream);
@@ -56,9 +51,9 @@
 
   NodeRuntime& runtime;
   ByAddress engines;
-  std::list<Released> released;
+  std::list<Held> released;  ///< Give no slots any more; their last runs end.
   std::uint64_t last_owner = 0;  ///< Number of the last one that took over.
-  bool list_holds = false;       ///< As in FollowsList, when last looked at.
+  bool list_holds = false;       ///< As ListNamesHosts, when last looked at.
   bool leaving = false;
   asio::steady_timer timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -17,8 +17,8 @@
 constexpr std::chrono::milliseconds kPullTry{1600};
 constexpr std::chrono::milliseconds kReportTime{3000};
 constexpr std::chrono::milliseconds kReportTry{700};
-/// A paused item goes back to the others after this long: a wave's peak lasts
-/// 2.8 s at every engine alike, so handing back sooner finds no room elsewhere.
+/// A paused item goes back to the others after this long: a wave's peak reaches
+/// every engine alike, so handing back before it ends finds no room elsewhere.
 constexpr std::chrono::milliseconds kLongestPause{3500};
 /// A run without a byte for this long is taken up again on a new connection:
 /// a crowded engine makes an event at least every 0.2 s.
@@ -26,8 +26,7 @@
 /// Wait after an engine's refusal or a broken run.
 constexpr std::chrono::milliseconds kAfterFailure{150};
 
-/// What an item takes, until measured: the users' items make 241 events, one
-/// each 20 ms.
+/// What an item takes, before the first one ended here.
 constexpr double kFirstEventsPerItem = 240;
 constexpr double kFirstMsPerEvent = 21;
 /// Weight of one ended run in both means.
@@ -150,8 +149,8 @@
 
 /// Symptom guarded against: while online requests come and go, the links carry
 /// the same items again and again and they start late. Any change of room gave
-/// up the pull under way, 41 ms after it was sent, and with it the bodies that
-/// the leader had sent already. What the leader has it hands out at once, so a
+/// up the pull under way, and with it the bodies that the leader had sent
+/// already. What the leader has it hands out at once, so a
 /// pull is left alone while an answer may be on its way, and is given up only
 /// for what the leader's hold of 1 s would spoil: room that is less than asked
 /// for, or that there is now where none was, or items to hand back. Room that
@@ -489,9 +488,8 @@
 /// or the leader would hand it to another gate. Symptom guarded against: gates
 /// that could not report for a moment fill the links to the leader. A report
 /// that had failed was sent again at once, with all that had ended meanwhile,
-/// so it grew with the load that it made: with six texts of 100 KB the copies
-/// had 600 KB and followed each refusal after 1 to 3 ms. It is bounded now, the
-/// rest goes with the next, and a failure is followed by a pause.
+/// so it grew with the load that it made. It is bounded, the rest goes with the
+/// next, and a failure is followed by a pause.
 void BatchRunner::Report() {
   if (this->reporting || MonotonicNow() < this->next_report) {
     return;
--- a/src/nodes/internal/enginehost.cpp
+++ b/src/nodes/internal/enginehost.cpp
@@ -40,7 +40,7 @@
   for (auto& [address, owned] : this->engines) {
     owned.owner->OnFleet();
   }
-  for (Released& former : this->released) {
+  for (Held& former : this->released) {
     former.owner->OnFleet();
   }
 }
@@ -155,7 +155,7 @@
       return;
     }
   }
-  for (Released& former : this->released) {
+  for (Held& former : this->released) {
     if (former.owner->Cancelled(stream)) {
       return;
     }
@@ -178,10 +178,10 @@
     for (auto& [address, owned] : this->engines) {
       owned.owner->Tick();
     }
-    for (Released& former : this->released) {
+    for (Held& former : this->released) {
       former.owner->Tick();
     }
-    this->released.remove_if([now](const Released& former) {
+    this->released.remove_if([now](const Held& former) {
       return former.owner->HandedOver() || now - former.since > kReleaseTime;
     });
     this->Tick();
@@ -201,7 +201,7 @@
   return std::ranges::all_of(
              this->engines,
              [&](const auto& entry) { return drained(*entry.second.owner); }) &&
-         std::ranges::all_of(this->released, [&](const Released& former) {
+         std::ranges::all_of(this->released, [&](const Held& former) {
            return drained(*former.owner);
          });
 }
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -14,11 +14,10 @@
 
 /// Timeouts and silences are looked at this often.
 constexpr std::chrono::milliseconds kSweep{25};
-/// An engine with a free slot makes its first event within 12 ms, a slow one
-/// within 60 ms. A repeatable request silent for this long goes elsewhere.
+/// A repeatable request whose engine is silent for this long goes elsewhere:
+/// many times what an engine with a free slot takes to its first event.
 constexpr std::chrono::milliseconds kFirstEventSilence{700};
-/// The same between two events, which come every 20 ms, from a slow engine
-/// every 100 ms; callers leave after 2 s.
+/// The same between two events; half of what callers wait before they leave.
 constexpr std::chrono::milliseconds kGapSilence{900};
 /// Engines that may say "did not run" before the caller is told so.
 constexpr std::size_t kMostSends = 6;
--- a/src/nodes/startupqueue.h
+++ b/src/nodes/startupqueue.h
@@ -21,10 +21,9 @@
 /// Requests that wait for a process that has just started.
 ///
 /// Load pattern: all processes are killed at once; callers whose connections
-/// broke come back within the 0.25 s that an election and the first
-/// configuration take. Refused then, they return together into a queue that is
-/// longer still: 128 refusals within 0.25 s and 60 more a second later (12
-/// engines, 85 requests a second). Held for part of their first-token target
+/// broke come back while a leader is elected and the first configuration is
+/// read. Refused then, they return together into a queue that is longer still.
+/// Held for part of their first-token target
 /// they are served in time. Only a process that has just started holds: one
 /// that cannot reach a leader for longer refuses at once. Bounded in number and
 /// bytes. Thread safety: none.
@@ -45,9 +44,9 @@
   /// After this long a process counts as cut off rather than as starting: an
   /// election after a start takes 150 to 300 ms, a second one as long again.
   static constexpr std::chrono::milliseconds kStartTime{1000};
-  /// Two thirds of the users' shortest first-token target of 300 ms.
+  /// Within a first-token target, with time left for the run.
   static constexpr std::chrono::milliseconds kLongestHold{200};
-  /// What 0.2 s bring to one entry at six times the users' peak.
+  /// Far more than come to one entry in that time.
   static constexpr std::size_t kMostRequests = 256;
   static constexpr std::size_t kMostBytes = 4U << 20U;
 
--- a/src/placement/admission.h
+++ b/src/placement/admission.h
@@ -15,23 +15,21 @@
   std::chrono::milliseconds target_latency{0};
 };
 
-/// Least of a deadline that makes a run worth starting: the first events of an
-/// engine with a free slot come within 45 ms for 99 in 100.
+/// Least of a deadline that makes a run worth starting: an engine with a free
+/// slot makes its first event within this.
 inline constexpr std::chrono::milliseconds kLeastRun{60};
 
 /// How long a request may still queue for a slot and be in time: part of the
 /// first-token target, the rest is the engine's and the network's. Zero when it
 /// cannot. Load pattern: at a wave's peak every slot is taken and one comes
-/// free at each engine every 90 ms; four of five requests that queued within
-/// this bound got one (kivu-counters-grown, 1,600 of 2,000). Thread safety: any
-/// thread.
+/// free at each engine every tenth of a second; most requests that queue within
+/// this bound get one. Thread safety: any thread.
 std::chrono::milliseconds WaitBudget(const SlotWish& wish, Time now);
 
-/// When a refused caller should come back. Load pattern: a peak lasts 2.8 s and
-/// is followed by a trough of 3.8 s; callers that came back after 0.3 to 1.3 s
-/// met the same peak and were refused again: 2.0% of requests ended refused,
-/// with this span 1.7% (kivu-counters-grown, days with trouble). Spread, so
-/// that those refused together do not return together. `draw` is uniform in [0,
+/// When a refused caller should come back. Load pattern: a peak of some seconds
+/// is followed by a trough; callers that come back within the same peak are
+/// refused again. Spread, so that those refused together do not return
+/// together. `draw` is uniform in [0,
 /// 1); `expected_wait` is the shortest that a gate named. Thread safety: any
 /// thread.
 std::chrono::milliseconds RetryAfter(
--- a/src/placement/internal/admission.cpp
+++ b/src/placement/internal/admission.cpp
@@ -6,8 +6,7 @@
 namespace {
 
 /// Part of the first-token target that may pass before the engine has the
-/// request; an engine with a free slot makes its first event 25 ms later at the
-/// median of the users' fleets, and the client is 1 to 3 ms away.
+/// request; the rest is for its first event and the way back.
 constexpr double kWaitPart = 0.85;
 constexpr std::chrono::milliseconds kRetryFrom{900};
 constexpr std::chrono::milliseconds kRetryTo{1600};
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -13,9 +13,9 @@
 /// Width of the random part, in slots.
 constexpr double kNoise = 0.8;
 /// In slots. One more than the noise, so that of engines that are equally busy
-/// one of the own zone is taken: 7% fewer bytes between zones. At eight slots
-/// entries ask their whole zone before another: 3.0% of requests refused
-/// instead of 1.7% on the grown kivu fleet, whose zones are not equally busy.
+/// one of the own zone is taken, which saves bytes between zones. With a whole
+/// engine's slots entries would ask all of their zone before another, and be
+/// refused where zones are not equally busy.
 constexpr double kOtherZone = 1;
 /// Cost of an engine that is set aside: chosen only when all others are too.
 constexpr double kAside = 1000;
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -60,8 +60,8 @@
   void NoOwner();
   /// Whether the gate asked last is frozen or cut off: it answers an ask within
   /// a round trip, and one that queues at the end of its wait. Symptom guarded
-  /// against: a request queued at a gate whose VM froze waited until its
-  /// deadline, 5 s, where its caller could have come back within one.
+  /// against: a request queued at a gate whose VM froze waits until its
+  /// deadline, where its caller could come back at once.
   bool Silent(Duration asked_ago) const {
     return asked_ago > this->longest_wait + kAskSilence;
   }
@@ -77,11 +77,9 @@
   std::size_t Asks() const { return this->asks; }
 
   /// Gates asked for a free slot before the request queues at the least busy
-  /// one. An ask takes a round trip of 0.2 to 2 ms. An entry hears of each of
-  /// 38 gates about once a second, so at a wave's edge it asks nearly blindly:
-  /// with three asks 1.3% of requests ended refused, with six and the own zone
-  /// first 0.7% (lsc-clearhub, 5 days with trouble, 8 seeds; 1.7% both ways on
-  /// the grown kivu fleet, with 6% fewer late answers).
+  /// one. An ask takes a round trip within a region. An entry hears of each
+  /// gate about once a second, so at a wave's edge it asks nearly blindly, and
+  /// fewer asks leave free slots unfound.
   static constexpr std::size_t kQuickAsks = 6;
   /// Sixty times a round trip within a region.
   static constexpr std::chrono::milliseconds kAskSilence{120};
--- a/src/slots/enginepulse.h
+++ b/src/slots/enginepulse.h
@@ -14,10 +14,8 @@
 /// Load pattern: an engine crashes and stays on the platform's list for
 /// seconds. Its gate went on giving slots, so callers were sent to a port that
 /// refuses them, and went on taking batch items, which waited there for an
-/// engine that was gone: 344 starts failed in 5 s at two of nine engines. A
-/// gate that knows turns callers to other engines and gives its items back at
-/// once: 0.8% of items late instead of 3.5% on a day with four crashes (24
-/// pairs of simulated days with the same seeds, +- 0.5). Thread safety: none.
+/// engine that was gone. A gate that knows turns callers to other engines and
+/// gives its items back at once. Thread safety: none.
 class EnginePulse {
  public:
   /// A report from the same VM comes within a few milliseconds, and within a
--- a/src/slots/slotdesk.h
+++ b/src/slots/slotdesk.h
@@ -47,8 +47,7 @@
 /// told when to come back while that still helps. Thread safety: none.
 class SlotDesk {
  public:
-  /// How long a slot is held by an online request, until measured: the mean of
-  /// the users' online kinds is 0.71 s.
+  /// How long a slot is held by an online request, before the first one ended.
   static constexpr std::chrono::milliseconds kFirstHoldEstimate{700};
 
   void SetSlots(std::uint32_t slots) { this->slots = slots; }
--- a/src/transport/peerserver.h
+++ b/src/transport/peerserver.h
@@ -37,8 +37,7 @@
   /// requests. A client that lives sends a PING after each second without one
   /// (PeerClientOptions). Symptom guarded against: an entry's VM loses power;
   /// nothing says so to the gates, whose slots stay taken by its requests until
-  /// it is back. Three of eight entries dark for 13 s: 42 answers a second from
-  /// 72 slots held 0.62 s each, instead of 115.
+  /// it is back.
   std::chrono::milliseconds silent_after{2500};
 };
 
