--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -72,13 +72,28 @@
   this->server->Respond(exchange, response);
 }
 
+void StandInEngine::ReportLater(http::ExchangeId exchange) {
+  const auto wait = std::make_shared<asio::steady_timer>(
+      this->timer.get_executor(), this->report_delay);
+  wait->async_wait(
+      [this, wait, exchange, alive = this->alive](std::error_code) {
+        if (*alive) {
+          this->Report(exchange);
+        }
+      });
+}
+
 void StandInEngine::OnRequest(http::ExchangeId exchange,
                               const http::HttpRequest& request) {
   if (this->dark) {
     return;
   }
   if (request.Path() == "/report") {
-    this->Report(exchange);
+    if (this->report_delay.count() > 0) {
+      this->ReportLater(exchange);
+    } else {
+      this->Report(exchange);
+    }
     return;
   }
   const std::string_view expected = request.headers.Get("Expect-Instance");
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -49,6 +49,10 @@
   const std::vector<SeenRun>& runs() const { return this->seen; }
   std::uint64_t most_at_once() const { return this->most_running; }
   void CutNext(std::uint64_t runs) { this->options.cut_next = runs; }
+  /// Each report is answered so much later.
+  void DelayReports(std::chrono::milliseconds delay) {
+    this->report_delay = delay;
+  }
   /// Its runs are lost and nothing is answered any more, but all connections
   /// stay open.
   void GoDark();
@@ -67,6 +71,7 @@
   };
   void OnRequest(http::ExchangeId exchange, const http::HttpRequest& request);
   void Report(http::ExchangeId exchange);
+  void ReportLater(http::ExchangeId exchange);
   void Refuse(http::ExchangeId exchange, int status);
   void Step();
 
@@ -76,6 +81,7 @@
   std::vector<SeenRun> seen;
   std::uint64_t most_running = 0;
   bool dark = false;
+  std::chrono::milliseconds report_delay{0};
   asio::steady_timer timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
