An engine's new owner holds asks until the engine's first report

Callers saw: all requests refused with 503 beside idle engines, for as long as the first report of a new owner took, wherever one process took over all engines known to an entry (a start, the loss of most hosts).

Cause: a hosted owner knows which slots are free only from the engine's first report, and answered 'closed' until then. An entry takes 'closed' for an engine that takes no work, finds no other, and refuses.

Now the owner asks for the report as soon as it takes the engine over, and asks for a slot wait for it, 60 ms at most (an entry takes an owner for frozen after 120 ms); after that they hear that nobody owns the engine and use a share of its slots. Why it holds: until the first report no ask is answered 'closed' unless the engine is down, gone or leaving.

--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -7,6 +7,7 @@
 
 #include "http/httpclient.h"
 #include "nodes/batchrunner.h"
+#include "nodes/heldasks.h"
 #include "nodes/logthrottle.h"
 #include "nodes/noderuntime.h"
 #include "nodes/slotmessages.h"
@@ -61,8 +62,14 @@
     Time asked{};
     std::uint32_t wait_ms = 0;  ///< Longest useful wait when it asked.
   };
+  /// Grants, queues or refuses an ask made at `asked`.
+  void Decide(transport::StreamId stream, const AskSlot& ask, Time asked);
   void Answer(transport::StreamId stream, const Ticket& ticket,
               SlotVerdict verdict);
+  /// Whether the engine would be asked for work, were it known which of its
+  /// slots are free.
+  bool AwaitsFirstReport() const;
+  void SettleHeld(Time now);
   void Settle(Time now);
   void AskReport(Time now);
   /// The pace of reports: what others run ends within a second or lasts for
@@ -82,6 +89,7 @@
   http::HttpClient client;  ///< Of the engine.
   BatchRunner runner;
   std::map<transport::StreamId, Ticket> tickets;
+  HeldAsks held;
   std::string id;                ///< Empty while it takes no new work.
   std::string last_id;           ///< The last one that was not empty.
   std::uint64_t started_ms = 0;  ///< As in EngineInstance.
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -72,9 +72,17 @@
   if (present) {
     this->TakeListed(*found);
   }
+  if (this->AwaitsFirstReport()) {
+    this->AskReport(MonotonicNow());
+  }
   this->Settle(MonotonicNow());
 }
 
+bool EngineOwner::AwaitsFirstReport() const {
+  return !this->owned.beside && !this->foreign.Known() && this->engine_up &&
+         !this->leaving && !this->id.empty();
+}
+
 void EngineOwner::Apply() {
   const bool up = this->pulse.Up();
   if (up != this->engine_up) {
@@ -135,15 +143,26 @@
 
 void EngineOwner::Ask(transport::StreamId stream, const AskSlot& ask) {
   const Time now = MonotonicNow();
+  if (!this->AwaitsFirstReport()) {
+    this->Decide(stream, ask, now);
+  } else if (!this->held.Hold(stream, ask, now)) {
+    this->Answer(stream, {ask.request, now, ask.wait_ms},
+                 SlotVerdict::kNotOwner);
+  }
+}
+
+void EngineOwner::Decide(transport::StreamId stream, const AskSlot& ask,
+                         Time asked) {
+  const Time now = MonotonicNow();
   const bool other_engine = this->id.empty() || ask.engine_id != this->id;
-  const Ticket ticket{ask.request, now, ask.wait_ms};
+  const Ticket ticket{ask.request, asked, ask.wait_ms};
   if (other_engine || !this->desk.Open()) {
     this->Answer(stream, ticket, SlotVerdict::kClosed);
     return;
   }
   this->tickets[stream] = ticket;
   const slots::SlotRequest request{
-      stream, ask.priority, now + std::chrono::milliseconds(ask.wait_ms)};
+      stream, ask.priority, asked + std::chrono::milliseconds(ask.wait_ms)};
   switch (this->desk.Ask(request, now)) {
     case slots::SlotAnswer::kGranted:
       this->Answer(stream, ticket, SlotVerdict::kGranted);
@@ -188,6 +207,9 @@
 }
 
 bool EngineOwner::Cancelled(transport::StreamId stream) {
+  if (this->held.Remove(stream)) {
+    return true;
+  }
   if (this->tickets.erase(stream) == 0) {
     return false;
   }
@@ -197,7 +219,22 @@
   return true;
 }
 
+void EngineOwner::SettleHeld(Time now) {
+  if (this->AwaitsFirstReport()) {
+    for (const HeldAsk& late : this->held.TakeExpired(now)) {
+      this->Answer(late.stream,
+                   {late.ask.request, late.asked, late.ask.wait_ms},
+                   SlotVerdict::kNotOwner);
+    }
+    return;
+  }
+  for (const HeldAsk& early : this->held.TakeAll()) {
+    this->Decide(early.stream, early.ask, early.asked);
+  }
+}
+
 void EngineOwner::Settle(Time now) {
+  this->SettleHeld(now);
   const slots::SlotLoad own = this->desk.Load();
   this->foreign.Held(own.online + own.batch);
   for (const slots::TicketId stream : this->desk.TakeExpired(now)) {
@@ -301,7 +338,8 @@
 }
 
 bool EngineOwner::Drained() const {
-  return this->tickets.empty() && this->runner.Held() == 0;
+  return this->tickets.empty() && this->held.Empty() &&
+         this->runner.Held() == 0;
 }
 
 bool EngineOwner::HandedOver() const {
