--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -101,7 +101,8 @@
     this->Refuse(exchange, kMisdirected);
     return;
   }
-  if (this->running.size() >= this->options.slots) {
+  if (!this->options.admits_all &&
+      this->running.size() >= this->options.slots) {
     this->Refuse(exchange, kServiceUnavailable);
     return;
   }
@@ -123,6 +124,18 @@
       std::max<std::uint64_t>(this->most_running, this->running.size());
 }
 
+void StandInEngine::NoteOverfull() {
+  if (this->running.size() <= this->options.slots) {
+    this->over_since = {};
+    return;
+  }
+  const Time now = MonotonicNow();
+  if (this->over_since == Time{}) {
+    this->over_since = now;
+  }
+  this->longest_over = std::max(this->longest_over, now - this->over_since);
+}
+
 /// One step makes one event of every run, as a batching engine does.
 void StandInEngine::Step() {
   this->timer.expires_after(this->options.event_time);
@@ -130,6 +143,7 @@
     if (error || !*alive) {
       return;
     }
+    this->NoteOverfull();
     std::vector<http::ExchangeId> ended;
     for (auto& [exchange, run] : this->running) {
       if (run.next > this->options.events) {
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "coordination/coordinationmessages.h"
+#include "global/timepoint.h"
 #include "http/httpserver.h"
 
 /// Small stand-ins for what papayarack meets on a platform, written from its
@@ -24,6 +25,9 @@
   std::uint64_t events = 20;  ///< Of each answer.
   std::chrono::milliseconds event_time{5};
   std::uint64_t started_ms = 0;  ///< Told in its reports; zero: not told.
+  /// Admits runs beyond its slots, as engines do that keep a queue of their
+  /// own; otherwise it refuses them.
+  bool admits_all = false;
   /// So many of the next runs are cut in the middle.
   std::uint64_t cut_next = 0;
 };
@@ -48,6 +52,8 @@
 
   const std::vector<SeenRun>& runs() const { return this->seen; }
   std::uint64_t most_at_once() const { return this->most_running; }
+  /// For how long without a break it had more runs than slots, at most.
+  Duration longest_overfull() const { return this->longest_over; }
   void CutNext(std::uint64_t runs) { this->options.cut_next = runs; }
   /// Each report is answered so much later.
   void DelayReports(std::chrono::milliseconds delay) {
@@ -74,12 +80,15 @@
   void ReportLater(http::ExchangeId exchange);
   void Refuse(http::ExchangeId exchange, int status);
   void Step();
+  void NoteOverfull();
 
   StandInEngineOptions options;
   std::unique_ptr<http::HttpServer> server;
   std::map<http::ExchangeId, Run> running;
   std::vector<SeenRun> seen;
   std::uint64_t most_running = 0;
+  Time over_since{};  ///< Zero while it has no more runs than slots.
+  Duration longest_over{0};
   bool dark = false;
   std::chrono::milliseconds report_delay{0};
   asio::steady_timer timer;
