Operators see who owns an engine; calls of operators, of batches and the list in files of their own

Where an engine had changed hands, only log lines told who owned it.

Nothing else changed: the functions moved as they were.

--- a/src/nodes/enginehost.h
+++ b/src/nodes/enginehost.h
@@ -40,6 +40,7 @@
   };
   using ByAddress = std::map<std::string, Held>;
 
+  std::vector<OwnedEngineState> Owned() const;
   void OnAsk(transport::StreamId stream, const std::string& body);
   void OnCancel(transport::StreamId stream);
   EngineOwner* Find(const AskSlot& ask);
--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -10,6 +10,7 @@
 #include "nodes/heldasks.h"
 #include "nodes/logthrottle.h"
 #include "nodes/noderuntime.h"
+#include "nodes/ownedengine.h"
 #include "nodes/slotmessages.h"
 #include "slots/enginepulse.h"
 #include "slots/foreignruns.h"
@@ -55,6 +56,8 @@
   bool HandedOver() const;
   const std::string& engine_id() const { return this->id; }
   const OwnedEngine& engine() const { return this->owned; }
+  /// As operators are told, but for the time.
+  OwnedEngineState State() const;
 
  private:
   struct Ticket {
--- a/src/nodes/entrynode.h
+++ b/src/nodes/entrynode.h
@@ -4,14 +4,15 @@
 #include <asio.hpp>
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 #include "coordination/coordinator.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
+#include "nodes/batchfront.h"
 #include "nodes/enginehost.h"
 #include "nodes/noderuntime.h"
 #include "nodes/onlinerelay.h"
+#include "nodes/operatorfront.h"
 #include "nodes/startupqueue.h"
 
 namespace papayarack::nodes {
@@ -40,7 +41,6 @@
   using ExchangeId = http::ExchangeId;
   void ListenFront();
   void ListenReady();
-  void ListenControl();
   void StartCoordinator();
   bool Ready() const;
   void OnFleet(const coordination::FleetChange& change);
@@ -53,21 +53,6 @@
   void Serve(ExchangeId exchange, http::HttpRequest request, Time arrived);
   void Refuse(ExchangeId exchange, const http::HttpRequest& request,
               const char* reason, const char* retry_after);
-  void OnBatchSubmit(ExchangeId exchange, const http::HttpRequest& request,
-                     const routes::Route& route);
-  void OnBatchCall(ExchangeId exchange, const BatchCall& call);
-  void CallJobs(
-      ExchangeId exchange, const std::string& path, std::string body,
-      std::chrono::milliseconds time,
-      std::function<http::HttpResponse(const Result&, std::string)> answer);
-  void OnOperator(ExchangeId exchange, const http::HttpRequest& request);
-  void OnReplace(ExchangeId exchange, const ReplaceConfigurationCall& call);
-  void OnReadConfiguration(ExchangeId exchange);
-  void OnEmptyStore(ExchangeId exchange, const std::string& name);
-  void OnReadStore(ExchangeId exchange, const std::string& name);
-  void CallCoordination(
-      ExchangeId exchange, const std::string& path, std::string body,
-      std::function<http::HttpResponse(const Result&, std::string)> answer);
   void ReadForLeader(
       std::function<
           void(std::optional<std::vector<coordination::EngineInstance>>)>
@@ -82,10 +67,9 @@
   std::unique_ptr<http::HttpServer> owned_front;
   http::HttpServer* front = nullptr;
   std::unique_ptr<http::HttpServer> ready;
-  std::unique_ptr<http::HttpServer> control;
+  std::unique_ptr<OperatorFront> operators;
+  std::unique_ptr<BatchFront> batches;
   std::unique_ptr<OnlineRelay> relay;
-  /// Calls to a group on behalf of callers, to give up when they leave.
-  std::unordered_map<ExchangeId, std::uint64_t> job_calls;
   StartupQueue early;
   asio::steady_timer early_timer;
   OwnListPace own_pace;
--- /dev/null
+++ b/src/nodes/internal/batchfront.cpp
@@ -0,0 +1,117 @@
+#include "nodes/batchfront.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "global/logging.h"
+#include "global/variantcodec.h"
+#include "nodes/plainresponses.h"
+
+namespace papayarack::nodes {
+namespace {
+
+/// Callers of batches wait 1.5 s longer than they ask for.
+constexpr std::chrono::milliseconds kBatchTime{1300};
+constexpr std::chrono::milliseconds kBatchTry{600};
+
+}  // namespace
+
+BatchFront::BatchFront(NodeRuntime& runtime, http::HttpServer& front)
+    : runtime(runtime), front(front) {}
+
+bool BatchFront::CallerGone(http::ExchangeId exchange) {
+  const auto found = this->job_calls.find(exchange);
+  if (found == this->job_calls.end()) {
+    return false;
+  }
+  this->runtime.jobs->Cancel(found->second);
+  this->job_calls.erase(found);
+  return true;
+}
+
+void BatchFront::CallJobs(
+    http::ExchangeId exchange, const std::string& path, std::string body,
+    std::chrono::milliseconds time,
+    std::function<http::HttpResponse(const Result&, std::string)> answer) {
+  // The call may end before its id is known here.
+  const auto ended = std::make_shared<bool>(false);
+  const std::uint64_t call = this->runtime.jobs->Call(
+      path, std::move(body), time,
+      std::min(time, kBatchTry + time - kBatchTime),
+      [this, exchange, ended, path, answer = std::move(answer)](
+          const Result& result, std::string reply) {
+        *ended = true;
+        this->job_calls.erase(exchange);
+        const http::HttpResponse response = answer(result, std::move(reply));
+        if (response.status >= kNotFoundStatus) {
+          Log(LogLevel::kInfo, "batch_call_refused",
+              {{"call", path},
+               {"status", response.status},
+               {"code", static_cast<int>(result.code)},
+               {"text", result.text}});
+        }
+        this->front.Respond(exchange, response);
+      });
+  if (!*ended) {
+    this->job_calls[exchange] = call;
+  }
+}
+
+void BatchFront::Submit(http::ExchangeId exchange,
+                        const http::HttpRequest& request,
+                        const routes::Route& route) {
+  batches::SubmitBatch batch;
+  try {
+    batch = this->runtime.dialect.read_batch(request);
+  } catch (const ResultError& error) {
+    Log(LogLevel::kInfo, "batch_unreadable", {{"text", error.what()}});
+    this->front.Respond(exchange, Plain(kBadRequest));
+    return;
+  }
+  batch.host = route.host;
+  batch.route_key = route.Key();
+  batch.max_waiting_tokens = route.batch.max_waiting_tokens;
+  this->CallJobs(exchange, "/jobs/submit", EncodeMessage(batch), kBatchTime,
+                 [](const Result& result, const std::string&) {
+                   return Plain(StatusOf(result.code, kAccepted));
+                 });
+}
+
+void BatchFront::Answer(http::ExchangeId exchange, const BatchCall& call) {
+  std::visit(
+      Overloaded{
+          [](const std::monostate&) {},
+          [&](const BatchResultsCall& read) {
+            const std::chrono::milliseconds time =
+                kBatchTime + std::chrono::milliseconds(read.query.wait_ms);
+            this->CallJobs(
+                exchange, "/jobs/read", EncodeMessage(read.query), time,
+                [this](const Result& result, const std::string& body) {
+                  if (!result.Ok()) {
+                    return Plain(StatusOf(result.code, kOk));
+                  }
+                  return Json(this->runtime.dialect.write_results(
+                      DecodeMessage<batches::ResultPage>(body)));
+                });
+          },
+          [&](const BatchBodyCall& read) {
+            this->CallJobs(exchange, "/jobs/body", EncodeMessage(read.query),
+                           kBatchTime,
+                           [](const Result& result, std::string body) {
+                             http::HttpResponse response =
+                                 Plain(StatusOf(result.code, kOk));
+                             response.body = result.Ok() ? std::move(body) : "";
+                             return response;
+                           });
+          },
+          [&](const BatchEndCall& end) {
+            this->CallJobs(exchange, "/jobs/end",
+                           EncodeMessage(batches::EndBatch{end.id}), kBatchTime,
+                           [](const Result& result, const std::string&) {
+                             return Plain(StatusOf(result.code, kOk));
+                           });
+          }},
+      call);
+}
+
+}  // namespace papayarack::nodes
--- a/src/nodes/internal/enginehost.cpp
+++ b/src/nodes/internal/enginehost.cpp
@@ -30,10 +30,24 @@
   });
   this->runtime.dispatch.OnCancel(
       [this](transport::StreamId stream) { this->OnCancel(stream); });
+  this->runtime.owned_engines = [this] { return this->Owned(); };
   this->Tick();
 }
 
-EngineHost::~EngineHost() { *this->alive = false; }
+EngineHost::~EngineHost() {
+  *this->alive = false;
+  this->runtime.owned_engines = {};
+}
+
+std::vector<OwnedEngineState> EngineHost::Owned() const {
+  const Time now = MonotonicNow();
+  std::vector<OwnedEngineState> owned;
+  for (const auto& [address, held] : this->engines) {
+    owned.push_back(held.owner->State());
+    owned.back().owned = now - held.since;
+  }
+  return owned;
+}
 
 void EngineHost::OnFleet() {
   this->FollowList(MonotonicNow());
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -330,6 +330,17 @@
   this->Settle(MonotonicNow());
 }
 
+OwnedEngineState EngineOwner::State() const {
+  OwnedEngineState state;
+  state.address = this->owned.address;
+  state.id = this->id;
+  state.service = this->owned.service;
+  state.beside = this->owned.beside;
+  state.open = this->desk.Open();
+  state.load = this->desk.Load();
+  return state;
+}
+
 void EngineOwner::BeginLeave() {
   this->leaving = true;
   this->desk.SetOpen(false);
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -1,73 +1,20 @@
 #include "nodes/entrynode.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
-#include "global/linkpace.h"
 #include "global/logging.h"
-#include "global/variantcodec.h"
+#include "nodes/plainresponses.h"
 
 namespace papayarack::nodes {
 namespace {
 
-/// Operators move on after a second without an answer to a small call.
-constexpr std::chrono::milliseconds kOperatorTime{900};
-constexpr std::chrono::milliseconds kOperatorTry{450};
-/// Callers of batches wait 1.5 s longer than they ask for.
-constexpr std::chrono::milliseconds kBatchTime{1300};
-constexpr std::chrono::milliseconds kBatchTry{600};
 constexpr std::chrono::milliseconds kTick{200};
 /// Requests held at a start are looked at this often.
 constexpr std::chrono::milliseconds kHoldTick{20};
-/// Retry-After of a refusal that has no better figure, in seconds: an election
-/// takes 0.6 to 1.2 s.
-constexpr const char* kRetryAfter = "0.8";
-
-/// The same where another process can take the request now.
+/// Retry-After where another process can take the request now.
 constexpr const char* kRetryElsewhere = "0.05";
 
-constexpr int kOk = 200;
-constexpr int kAccepted = 202;
-constexpr int kBadRequest = 400;
-constexpr int kNotFoundStatus = 404;
-constexpr int kConflictStatus = 409;
-constexpr int kTooMany = 429;
-constexpr int kServiceUnavailable = 503;
-
-http::HttpResponse Plain(int status) {
-  http::HttpResponse response;
-  response.status = status;
-  if (status == kServiceUnavailable || status == kTooMany) {
-    response.headers.Add("Retry-After", kRetryAfter);
-  }
-  return response;
-}
-
-http::HttpResponse Json(std::string body) {
-  http::HttpResponse response;
-  response.headers.Add("Content-Type", "application/json");
-  response.body = std::move(body);
-  return response;
-}
-
-/// The status for a call whose answer is only its result.
-int StatusOf(ResultCode code, int success) {
-  switch (code) {
-    case ResultCode::kOk:
-      return success;
-    case ResultCode::kNotFound:
-      return kNotFoundStatus;
-    case ResultCode::kConflict:
-      return kConflictStatus;
-    case ResultCode::kOverloaded:
-      return kTooMany;
-    default:
-      return kServiceUnavailable;
-  }
-}
-
 }  // namespace
 
 EntryNode::EntryNode(NodeRuntime& runtime)
@@ -93,7 +40,7 @@
       },
       this->coordinator != nullptr);
   this->ListenReady();
-  this->ListenControl();
+  this->operators = std::make_unique<OperatorFront>(this->runtime);
   this->PollListWhenCutOff();
 }
 
@@ -164,19 +111,15 @@
     this->OnRequest(exchange, std::move(request));
   };
   handlers.on_gone = [this](ExchangeId exchange) {
-    if (this->relay->CallerGone(exchange) || this->early.Remove(exchange)) {
-      return;
-    }
-    const auto found = this->job_calls.find(exchange);
-    if (found != this->job_calls.end()) {
-      this->runtime.jobs->Cancel(found->second);
-      this->job_calls.erase(found);
+    if (!this->relay->CallerGone(exchange) && !this->early.Remove(exchange)) {
+      this->batches->CallerGone(exchange);
     }
   };
   this->owned_front = std::make_unique<http::HttpServer>(
       this->runtime.context, *this->runtime.options.front,
       http::HttpServerLimits{}, std::move(handlers));
   this->front = this->owned_front.get();
+  this->batches = std::make_unique<BatchFront>(this->runtime, *this->front);
 }
 
 bool EntryNode::KnowsFleet() const {
@@ -201,21 +144,6 @@
       http::HttpServerLimits{}, std::move(handlers));
 }
 
-void EntryNode::ListenControl() {
-  if (!this->runtime.options.control.has_value()) {
-    return;
-  }
-  http::HttpServerHandlers handlers;
-  handlers.on_request = [this](ExchangeId exchange,
-                               const http::HttpRequest& request) {
-    this->OnOperator(exchange, request);
-  };
-  handlers.on_gone = [](ExchangeId) {};
-  this->control = std::make_unique<http::HttpServer>(
-      this->runtime.context, *this->runtime.options.control,
-      http::HttpServerLimits{}, std::move(handlers));
-}
-
 void EntryNode::OnFleet(const coordination::FleetChange& change) {
   if (this->runtime.table == nullptr) {
     return;
@@ -303,7 +231,7 @@
   }
   const BatchCall batch_call = this->runtime.dialect.read_batch_call(request);
   if (!std::holds_alternative<std::monostate>(batch_call)) {
-    this->OnBatchCall(exchange, batch_call);
+    this->batches->Answer(exchange, batch_call);
     return;
   }
   const routes::Route* route =
@@ -317,199 +245,12 @@
     return;
   }
   if (route->kind == routes::RouteKind::kBatch) {
-    this->OnBatchSubmit(exchange, request, *route);
+    this->batches->Submit(exchange, request, *route);
     return;
   }
   this->relay->Take(exchange, std::move(request), table, *route, arrived);
 }
 
-void EntryNode::CallJobs(
-    ExchangeId exchange, const std::string& path, std::string body,
-    std::chrono::milliseconds time,
-    std::function<http::HttpResponse(const Result&, std::string)> answer) {
-  // The call may end before its id is known here.
-  const auto ended = std::make_shared<bool>(false);
-  const std::uint64_t call = this->runtime.jobs->Call(
-      path, std::move(body), time,
-      std::min(time, kBatchTry + time - kBatchTime),
-      [this, exchange, ended, path, answer = std::move(answer)](
-          const Result& result, std::string reply) {
-        *ended = true;
-        this->job_calls.erase(exchange);
-        const http::HttpResponse response = answer(result, std::move(reply));
-        if (response.status >= kNotFoundStatus) {
-          Log(LogLevel::kInfo, "batch_call_refused",
-              {{"call", path},
-               {"status", response.status},
-               {"code", static_cast<int>(result.code)},
-               {"text", result.text}});
-        }
-        this->front->Respond(exchange, response);
-      });
-  if (!*ended) {
-    this->job_calls[exchange] = call;
-  }
-}
-
-void EntryNode::OnBatchSubmit(ExchangeId exchange,
-                              const http::HttpRequest& request,
-                              const routes::Route& route) {
-  batches::SubmitBatch batch;
-  try {
-    batch = this->runtime.dialect.read_batch(request);
-  } catch (const ResultError& error) {
-    Log(LogLevel::kInfo, "batch_unreadable", {{"text", error.what()}});
-    this->front->Respond(exchange, Plain(kBadRequest));
-    return;
-  }
-  batch.host = route.host;
-  batch.route_key = route.Key();
-  batch.max_waiting_tokens = route.batch.max_waiting_tokens;
-  this->CallJobs(exchange, "/jobs/submit", EncodeMessage(batch), kBatchTime,
-                 [](const Result& result, const std::string&) {
-                   return Plain(StatusOf(result.code, kAccepted));
-                 });
-}
-
-void EntryNode::OnBatchCall(ExchangeId exchange, const BatchCall& call) {
-  std::visit(
-      Overloaded{
-          [](const std::monostate&) {},
-          [&](const BatchResultsCall& read) {
-            const std::chrono::milliseconds time =
-                kBatchTime + std::chrono::milliseconds(read.query.wait_ms);
-            this->CallJobs(
-                exchange, "/jobs/read", EncodeMessage(read.query), time,
-                [this](const Result& result, const std::string& body) {
-                  if (!result.Ok()) {
-                    return Plain(StatusOf(result.code, kOk));
-                  }
-                  return Json(this->runtime.dialect.write_results(
-                      DecodeMessage<batches::ResultPage>(body)));
-                });
-          },
-          [&](const BatchBodyCall& read) {
-            this->CallJobs(exchange, "/jobs/body", EncodeMessage(read.query),
-                           kBatchTime,
-                           [](const Result& result, std::string body) {
-                             http::HttpResponse response =
-                                 Plain(StatusOf(result.code, kOk));
-                             response.body = result.Ok() ? std::move(body) : "";
-                             return response;
-                           });
-          },
-          [&](const BatchEndCall& end) {
-            this->CallJobs(exchange, "/jobs/end",
-                           EncodeMessage(batches::EndBatch{end.id}), kBatchTime,
-                           [](const Result& result, const std::string&) {
-                             return Plain(StatusOf(result.code, kOk));
-                           });
-          }},
-      call);
-}
-
-void EntryNode::CallCoordination(
-    ExchangeId exchange, const std::string& path, std::string body,
-    std::function<http::HttpResponse(const Result&, std::string)> answer) {
-  // Whoever sends a large configuration waits longer for its answer; at the
-  // time of a small one a single attempt would use up the call. The text moves
-  // twice before that: to the leader, and on to whoever is to obey it.
-  const std::chrono::milliseconds carry = TimeToCarry(body.size());
-  this->runtime.coordination->Call(
-      path, std::move(body), kOperatorTime + 2 * carry, kOperatorTry + carry,
-      [this, exchange, path, begun = MonotonicNow(),
-       answer = std::move(answer)](const Result& result, std::string reply) {
-        const http::HttpResponse response = answer(result, std::move(reply));
-        Log(LogLevel::kInfo, "operator_call",
-            {{"call", path},
-             {"took_ms", (MonotonicNow() - begun).count() / 1000},
-             {"status", response.status},
-             {"code", static_cast<int>(result.code)}});
-        this->control->Respond(exchange, response);
-      });
-}
-
-void EntryNode::OnOperator(ExchangeId exchange,
-                           const http::HttpRequest& request) {
-  OperatorCall call;
-  try {
-    call = this->runtime.dialect.read_operator_call(request);
-  } catch (const ResultError& error) {
-    Log(LogLevel::kInfo, "operator_call_refused", {{"text", error.what()}});
-    this->control->Respond(exchange, Plain(kBadRequest));
-    return;
-  }
-  std::visit(Overloaded{[&](const std::monostate&) {
-                          this->control->Respond(exchange,
-                                                 Plain(kNotFoundStatus));
-                        },
-                        [&](const ReplaceConfigurationCall& replace) {
-                          this->OnReplace(exchange, replace);
-                        },
-                        [&](const ReadConfigurationCall&) {
-                          this->OnReadConfiguration(exchange);
-                        },
-                        [&](const EmptyStoreCall& empty) {
-                          this->OnEmptyStore(exchange, empty.name);
-                        },
-                        [&](const ReadStoreCall& read) {
-                          this->OnReadStore(exchange, read.name);
-                        }},
-             call);
-}
-
-void EntryNode::OnReplace(ExchangeId exchange,
-                          const ReplaceConfigurationCall& call) {
-  const coordination::SubmitConfiguration command{call.version, call.text};
-  this->CallCoordination(exchange, "/coordination/submit",
-                         EncodeMessage(command),
-                         [](const Result& result, const std::string&) {
-                           return Plain(StatusOf(result.code, kOk));
-                         });
-}
-
-/// The leader says which version is the newest; its text mostly is here.
-void EntryNode::OnReadConfiguration(ExchangeId exchange) {
-  const auto& known = this->runtime.watch->knowledge();
-  this->CallCoordination(
-      exchange, "/coordination/read",
-      EncodeMessage(coordination::ReadConfiguration{known.config_version}),
-      [held = known.config_version, text = known.config](
-          const Result& result, const std::string& body) {
-        if (!result.Ok()) {
-          return Plain(StatusOf(result.code, kOk));
-        }
-        auto found = DecodeMessage<coordination::SubmitConfiguration>(body);
-        if (found.version == held) {
-          found.text = text;
-        }
-        return found.text.empty() ? Plain(kServiceUnavailable)
-                                  : Json(found.text);
-      });
-}
-
-void EntryNode::OnEmptyStore(ExchangeId exchange, const std::string& name) {
-  this->CallCoordination(exchange, "/coordination/empty-store",
-                         EncodeMessage(coordination::EmptyStore{name}),
-                         [](const Result& result, const std::string&) {
-                           return Plain(StatusOf(result.code, kOk));
-                         });
-}
-
-void EntryNode::OnReadStore(ExchangeId exchange, const std::string& name) {
-  this->CallCoordination(
-      exchange, "/coordination/read-store",
-      EncodeMessage(coordination::ReadQuery{name}),
-      [this](const Result& result, const std::string& body) {
-        if (!result.Ok()) {
-          return Plain(StatusOf(result.code, kOk));
-        }
-        const auto state = DecodeMessage<coordination::StoreState>(body);
-        return state.leaving ? Json(this->runtime.dialect.write_store(state))
-                             : Plain(kNotFoundStatus);
-      });
-}
-
 void EntryNode::PollListWhenCutOff() {
   this->timer.expires_after(kTick);
   this->timer.async_wait([this, alive = this->alive](std::error_code error) {
--- /dev/null
+++ b/src/nodes/internal/listreading.cpp
@@ -0,0 +1,210 @@
+#include "nodes/listreading.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+
+#include "global/logging.h"
+#include "nodes/plainresponses.h"
+
+namespace papayarack::nodes {
+namespace {
+
+using EngineList = std::vector<coordination::EngineInstance>;
+
+/// Reading a list that comes in pages: keeps itself alive until it ends.
+class ListReading : public std::enable_shared_from_this<ListReading> {
+ public:
+  ListReading(asio::io_context& context, http::HttpClient& client,
+              const Dialect& dialect, Endpoint list, ListReader& reader,
+              const ListExtent& extent,
+              std::function<void(std::optional<EngineList>)> done)
+      : client(client),
+        dialect(dialect),
+        list(std::move(list)),
+        reader(reader),
+        most_pages(extent.most_pages),
+        done(std::move(done)),
+        retry(MonotonicNow(), extent.most_repeats),
+        again(context),
+        limit(context) {}
+
+  void Begin() {
+    this->limit.expires_after(PageRetry::kLongestReading);
+    this->limit.async_wait(
+        [self = this->shared_from_this()](std::error_code error) {
+          if (!error && !self->over) {
+            self->client.Cancel(self->call);
+            self->GiveUp("took too long");
+          }
+        });
+    this->Ask();
+  }
+
+ private:
+  void Ask() {
+    http::HttpCall ask;
+    ask.peer = this->list;
+    ask.target = this->dialect.list_target(this->token);
+    this->body.clear();
+    this->status = 0;
+    http::HttpCallHandlers handlers;
+    const auto self = this->shared_from_this();
+    handlers.on_head = [self](const http::HttpHead& head) {
+      self->status = head.status;
+    };
+    handlers.on_body = [self](std::string_view bytes) {
+      self->body.append(bytes);
+    };
+    handlers.on_end = [self](http::HttpEnd end) { self->OnEnd(end); };
+    this->call = this->client.Call(std::move(ask), std::move(handlers));
+  }
+
+  void OnEnd(http::HttpEnd end) {
+    if (end != http::HttpEnd::kComplete) {
+      this->AskAgain(fmt::format("call ended {}", static_cast<int>(end)));
+      return;
+    }
+    if (this->status != kOk) {
+      this->refused += this->status == kTooMany ? 1 : 0;
+      const std::string reason = fmt::format("status {}", this->status);
+      if (MayBeGivenLater(this->status)) {
+        this->AskAgain(reason);
+      } else {
+        this->GiveUp(reason);
+      }
+      return;
+    }
+    EnginePage page;
+    try {
+      page = this->dialect.read_engine_page(this->body);
+    } catch (const ResultError& error) {
+      this->GiveUp(fmt::format("unreadable: {}", error.what()));
+      return;
+    }
+    this->Take(page);
+  }
+
+  /// Symptom guarded against: a list is never whole. One call among all
+  /// processes is over the platform's rate, the pages before it are thrown away
+  /// and asked for anew, and those calls are over the rate in their turn.
+  void AskAgain(const std::string& reason) {
+    const double chance =
+        std::uniform_real_distribution<double>(0, 1)(this->reader.random);
+    const auto pause = this->retry.Again(MonotonicNow(), chance);
+    if (!pause.has_value()) {
+      this->GiveUp(reason);
+      return;
+    }
+    this->again.expires_after(*pause);
+    this->again.async_wait(
+        [self = this->shared_from_this()](std::error_code error) {
+          if (!error && !self->over) {
+            self->Ask();
+          }
+        });
+  }
+
+  void Take(EnginePage& page) {
+    this->retry.Taken();
+    for (coordination::EngineInstance& engine : page.engines) {
+      // The list moves between two pages, so that an entry can come again.
+      const auto [place, added] =
+          this->places.try_emplace(engine.Key(), this->engines.size());
+      if (added) {
+        this->engines.push_back(std::move(engine));
+      } else {
+        this->engines[place->second] = std::move(engine);
+      }
+    }
+    this->skipped += page.skipped;
+    if (this->first_problem.empty()) {
+      this->first_problem = std::move(page.first_problem);
+    }
+    ++this->pages;
+    if (page.next.empty() || this->pages >= this->most_pages) {
+      this->LogSkipped();
+      this->reader.unread.Due({}, MonotonicNow());
+      this->reader.pages = this->pages;
+      this->End(std::move(this->engines));
+      return;
+    }
+    this->token = std::move(page.next);
+    this->Ask();
+  }
+
+  /// Symptom guarded against: a replica that exists gets no request, and
+  /// nothing tells why. Its entry lacks a field, so it was left out of the
+  /// list.
+  void LogSkipped() {
+    const std::string text =
+        this->first_problem.empty()
+            ? std::string()
+            : fmt::format("{} {}", this->skipped, this->first_problem);
+    if (this->reader.skipped.Due(text, MonotonicNow())) {
+      Log(LogLevel::kWarn, "engine_entries_skipped",
+          {{"skipped", this->skipped},
+           {"kept", this->engines.size()},
+           {"first_problem", this->first_problem}});
+    }
+  }
+
+  void GiveUp(const std::string& reason) {
+    if (this->reader.unread.Due(reason, MonotonicNow())) {
+      Log(LogLevel::kWarn, "engine_list_unread",
+          {{"reason", reason},
+           {"pages", this->pages},
+           {"refused", this->refused}});
+    }
+    // A list that was not read to its end has at least one page more.
+    this->reader.pages = std::max(this->reader.pages, this->pages + 1);
+    this->End(std::nullopt);
+  }
+
+  void End(std::optional<EngineList> result) {
+    this->over = true;
+    this->again.cancel();
+    this->limit.cancel();
+    this->reader.refused = this->refused;
+    this->done(std::move(result));
+  }
+
+  http::HttpClient& client;
+  const Dialect& dialect;
+  Endpoint list;
+  ListReader& reader;
+  std::size_t most_pages;
+  std::function<void(std::optional<EngineList>)> done;
+  PageRetry retry;
+  asio::steady_timer again;
+  asio::steady_timer limit;
+  http::HttpCallId call = 0;
+  std::string token;  ///< Of the page being read; empty for the first.
+  std::string body;
+  int status = 0;
+  EngineList engines;
+  std::unordered_map<std::string, std::size_t> places;  ///< By Key().
+  std::size_t pages = 0;
+  std::size_t refused = 0;
+  std::size_t skipped = 0;
+  std::string first_problem;
+  bool over = false;
+};
+
+}  // namespace
+
+void ReadEngineList(
+    asio::io_context& context, http::HttpClient& client, const Dialect& dialect,
+    const Endpoint& list, ListReader& reader, const ListExtent& extent,
+    std::function<
+        void(std::optional<std::vector<coordination::EngineInstance>>)>
+        done) {
+  std::make_shared<ListReading>(context, client, dialect, list, reader, extent,
+                                std::move(done))
+      ->Begin();
+}
+
+}  // namespace papayarack::nodes
--- /dev/null
+++ b/src/nodes/internal/plainresponses.cpp
@@ -0,0 +1,38 @@
+#include "nodes/plainresponses.h"
+
+#include <utility>
+
+namespace papayarack::nodes {
+
+http::HttpResponse Plain(int status) {
+  http::HttpResponse response;
+  response.status = status;
+  if (status == kServiceUnavailable || status == kTooMany) {
+    response.headers.Add("Retry-After", kRetryAfter);
+  }
+  return response;
+}
+
+http::HttpResponse Json(std::string body) {
+  http::HttpResponse response;
+  response.headers.Add("Content-Type", "application/json");
+  response.body = std::move(body);
+  return response;
+}
+
+int StatusOf(ResultCode code, int success) {
+  switch (code) {
+    case ResultCode::kOk:
+      return success;
+    case ResultCode::kNotFound:
+      return kNotFoundStatus;
+    case ResultCode::kConflict:
+      return kConflictStatus;
+    case ResultCode::kOverloaded:
+      return kTooMany;
+    default:
+      return kServiceUnavailable;
+  }
+}
+
+}  // namespace papayarack::nodes
--- a/src/nodes/noderuntime.h
+++ b/src/nodes/noderuntime.h
@@ -15,8 +15,10 @@
 #include "http/httpserver.h"
 #include "nodes/dialect.h"
 #include "nodes/listpace.h"
+#include "nodes/listreading.h"
 #include "nodes/logthrottle.h"
 #include "nodes/nodeoptions.h"
+#include "nodes/ownedengine.h"
 #include "routes/routetable.h"
 #include "storage/filesystem.h"
 #include "transport/backlogwatch.h"
@@ -26,16 +28,6 @@
 
 namespace papayarack::nodes {
 
-/// What a process keeps from one reading of the platform's list to the next.
-/// The figures are those of the reading that ended last, for its `done`.
-struct ListReader {
-  LogThrottle skipped;  ///< Entries that name no replica to use.
-  LogThrottle unread;   ///< Readings that were given up.
-  std::minstd_rand random{std::random_device{}()};
-  std::size_t pages = 1;    ///< Of the list, as far as they were read.
-  std::size_t refused = 0;  ///< Calls over the platform's rate.
-};
-
 /// What every node has: the loop, the connections to other processes, what it
 /// knows of the fleet, the routes in force, its counters. Thread safety: none,
 /// the loop's thread.
@@ -74,6 +66,8 @@
   routes::RouteTablePtr table;  ///< Null until a configuration was learned.
   /// Calls to the coordination group's leader; from Watch() on.
   std::unique_ptr<coordination::GroupClient> coordination;
+  /// The engines that this process owns, for operators; none while empty.
+  std::function<std::vector<OwnedEngineState>()> owned_engines;
   coordination::LeaderSearch job_search;  ///< Of the job group.
   std::unique_ptr<coordination::GroupClient> jobs;
   ListReader list_reader;
@@ -85,6 +79,8 @@
   void SearchInList();
   void Search();
   void WatchBacklog();
+  void ServeMetrics();
+  http::HttpResponse Show(std::string_view path);
 
   std::unique_ptr<transport::PeerServer> owned_server;
   std::unique_ptr<http::HttpServer> metrics_server;
@@ -97,26 +93,6 @@
   transport::BacklogWatch backlog;
 };
 
-/// How much of the list one reading asks for.
-struct ListExtent {
-  std::size_t most_pages = SearchPace::kMostPages;
-  std::size_t most_repeats = PageRetry::kMostRepeats;  ///< Of each page.
-};
-
-/// Reads the platform's list of replicas, page by page. A page that is not
-/// given is asked for again as PageRetry says; `done` gets nothing when the
-/// reading was given up, at the latest after PageRetry::kLongestReading. An
-/// entry that stands on two pages is given once, as the later one has it.
-/// Entries that name no replica to use are left out and logged. Precondition:
-/// `context`, `client`, `dialect` and `reader` outlive the reading. Thread
-/// safety: none, the loop's thread.
-void ReadEngineList(
-    asio::io_context& context, http::HttpClient& client, const Dialect& dialect,
-    const Endpoint& list, ListReader& reader, const ListExtent& extent,
-    std::function<
-        void(std::optional<std::vector<coordination::EngineInstance>>)>
-        done);
-
 }  // namespace papayarack::nodes
 
 #endif  // PAPAYARACK_NODES_NODERUNTIME_H_
--- /dev/null
+++ b/src/nodes/operatorfront.h
@@ -0,0 +1,40 @@
+#ifndef PAPAYARACK_NODES_OPERATORFRONT_H_
+#define PAPAYARACK_NODES_OPERATORFRONT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "http/httpserver.h"
+#include "nodes/dialect.h"
+#include "nodes/noderuntime.h"
+
+namespace papayarack::nodes {
+
+/// Answers operators' calls with the coordination group's word. Thread safety:
+/// none, the loop's thread.
+class OperatorFront {
+ public:
+  /// Listens at once where the options name an address for it. Precondition:
+  /// `runtime` outlives it, and watches before the first call comes.
+  explicit OperatorFront(NodeRuntime& runtime);
+
+ private:
+  void Listen();
+  void OnRequest(http::ExchangeId exchange, const http::HttpRequest& request);
+  void OnReplace(http::ExchangeId exchange,
+                 const ReplaceConfigurationCall& call);
+  void OnReadConfiguration(http::ExchangeId exchange);
+  void OnEmptyStore(http::ExchangeId exchange, const std::string& name);
+  void OnReadStore(http::ExchangeId exchange, const std::string& name);
+  void CallCoordination(
+      http::ExchangeId exchange, const std::string& path, std::string body,
+      std::function<http::HttpResponse(const Result&, std::string)> answer);
+
+  NodeRuntime& runtime;
+  std::unique_ptr<http::HttpServer> control;
+};
+
+}  // namespace papayarack::nodes
+
+#endif  // PAPAYARACK_NODES_OPERATORFRONT_H_
--- a/src/nodes/tests/listreading_tests.cpp
+++ b/src/nodes/tests/listreading_tests.cpp
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "http/httpserver.h"
-#include "nodes/noderuntime.h"
+#include "nodes/listreading.h"
 
 namespace papayarack::nodes {
 namespace {
