Processes that stand still do not hold the places at those that have a new text

What callers saw or could see: entries that obey an older configuration more than 2 s after a newer one was acknowledged, with a calm core.

Cause: the leader gives each process a source and counts it there until it reports, or for 2.5 s. A process whose VM froze with its watch open is given a place and never fetches. Six such processes hold all places of a core of three (two at each), and nobody gets the text for 2.5 s. The class: a resource that is given out on trust and taken back by a timer that is longer than the promise that rests on it.

Change: a process that has not said that it fetches gives its place back after 0.4 s (it stays known where it was sent, so a failure is still noted); one that has begun and fell silent after 1.3 s instead of 2.5 s, as a report comes at least once a second. Taken back too early, a source serves three at a time for a moment instead of two.

--- a/src/coordination/internal/transferplan.cpp
+++ b/src/coordination/internal/transferplan.cpp
@@ -21,16 +21,18 @@
   }
 }
 
-void TransferPlan::Release(Process& process) {
-  if (process.source.empty()) {
+void TransferPlan::GiveBackPlace(Process& process) {
+  if (!std::exchange(process.counted, false)) {
     return;
   }
-  if (process.counted) {
-    const auto found = this->fetchers.find(process.source);
-    if (found != this->fetchers.end() && --found->second == 0) {
-      this->fetchers.erase(found);
-    }
+  const auto found = this->fetchers.find(process.source);
+  if (found != this->fetchers.end() && --found->second == 0) {
+    this->fetchers.erase(found);
   }
+}
+
+void TransferPlan::Release(Process& process) {
+  this->GiveBackPlace(process);
   process.source.clear();
 }
 
@@ -38,10 +40,15 @@
                          Time now) {
   process.source = source;
   process.source_since = now;
+  process.confirmed = false;
   process.held_before = process.report.held;
-  process.counted = source != process.report.address;
-  if (process.counted) {
-    ++this->fetchers[source];
+  this->TakePlace(process);
+}
+
+void TransferPlan::TakePlace(Process& process) {
+  const bool own_copy = process.source == process.report.address;
+  if (!own_copy && !std::exchange(process.counted, true)) {
+    ++this->fetchers[process.source];
   }
 }
 
@@ -71,6 +78,8 @@
   process.report = report;
   if (!process.source.empty() && report.fetching_from == process.source) {
     process.source_since = now;
+    process.confirmed = true;
+    this->TakePlace(process);
     return;
   }
   if (!process.source.empty()) {
@@ -85,6 +94,7 @@
   // many as it may, as the new leader knows of none that the former one gave.
   if (!report.fetching_from.empty()) {
     this->Begin(process, report.fetching_from, now);
+    process.confirmed = true;
   }
 }
 
@@ -99,8 +109,11 @@
 
 void TransferPlan::ForgetSilent(Time now) {
   for (auto& [name, process] : this->processes) {
-    if (!process.source.empty() && now - process.source_since > kForgetAfter) {
+    const Duration silent = now - process.source_since;
+    if (!process.source.empty() && silent > kForgetAfter) {
       this->Release(process);
+    } else if (!process.confirmed && silent > kUnconfirmedFor) {
+      this->GiveBackPlace(process);
     }
   }
   std::erase_if(this->failed, [now](const auto& source) {
--- a/src/coordination/transferplan.h
+++ b/src/coordination/transferplan.h
@@ -35,9 +35,14 @@
   /// Two: one fetch waits for its next part while the other's is on the way,
   /// and a link of 30 Mbit/s still gives each 190 KB in 0.1 s.
   static constexpr std::size_t kMostFetchers = 2;
-  /// A fetcher that has not said for this long that it goes on is forgotten:
-  /// two of its reports, which come at least once a second.
-  static constexpr std::chrono::milliseconds kForgetAfter{2500};
+  /// A fetcher that has not said for this long that it goes on is forgotten: it
+  /// reports at least once a second.
+  static constexpr std::chrono::milliseconds kForgetAfter{1300};
+  /// One that has not said at all that it fetches keeps no place at its source
+  /// for longer: a process that runs says so as it begins. Symptom guarded
+  /// against: nobody gets the text while processes that stand still, whose
+  /// watches were open, hold all places at those that have it.
+  static constexpr std::chrono::milliseconds kUnconfirmedFor{400};
   /// A source that failed one of its fetchers is given to nobody for this long.
   /// Symptom guarded against: after most of a fleet was killed, the processes
   /// that still need the text are sent from one dead holder to the next, each
@@ -90,6 +95,7 @@
     TransferReport report;
     std::string source;  ///< Given to it; empty: none.
     Time source_since{};
+    bool confirmed = false;  ///< It has said that it fetches from `source`.
     std::size_t own_copy_failures = 0;  ///< For this version.
     Time own_copy_failed{};
     bool counted = false;  ///< In `fetchers`; not when it reads its own copy.
@@ -99,6 +105,8 @@
   static bool ReadsOwnCopy(const Process& process);
   bool MayServe(const std::string& address, Time now) const;
   std::size_t FetchersOf(const std::string& address) const;
+  void TakePlace(Process& process);
+  void GiveBackPlace(Process& process);
   void Release(Process& process);
   void NoteFailure(Process& process, Time now);
   void Begin(Process& process, const std::string& source, Time now);
