The log of an acknowledgement names an entry that does not obey yet

Cause: configuration_acknowledged said how many entries in touch lagged, not which, so the line did not lead to the process whose configuration_fetched lines tell why.

--- a/src/coordination/acknowledgementhold.h
+++ b/src/coordination/acknowledgementhold.h
@@ -49,6 +49,7 @@
     Duration held_for{};
     /// Entries in touch that do not obey the version yet.
     std::size_t lagging = 0;
+    std::string first_lagging;  ///< Name of one of them.
   };
   /// Those that are due; call it every 20 ms or so.
   std::vector<Released> Release(Time now);
@@ -67,7 +68,6 @@
     Time until{};
   };
   Released MakeReleased(const Held& held, Time now) const;
-  std::size_t Lagging(std::uint64_t version) const;
 
   std::map<std::string, Report> entries;
   std::vector<Held> waiting;
--- a/src/coordination/internal/acknowledgementhold.cpp
+++ b/src/coordination/internal/acknowledgementhold.cpp
@@ -28,16 +28,15 @@
   this->waiting.push_back({stream, version, now, this->newest_until});
 }
 
-std::size_t AcknowledgementHold::Lagging(std::uint64_t version) const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      this->entries,
-      [version](const auto& entry) { return entry.second.version < version; }));
-}
-
 AcknowledgementHold::Released AcknowledgementHold::MakeReleased(
     const Held& held, Time now) const {
-  return {held.stream, held.version, now - held.since,
-          this->Lagging(held.version)};
+  Released released{held.stream, held.version, now - held.since, 0, {}};
+  for (const auto& [name, report] : this->entries) {
+    if (report.version < held.version && released.lagging++ == 0) {
+      released.first_lagging = name;
+    }
+  }
+  return released;
 }
 
 std::vector<AcknowledgementHold::Released> AcknowledgementHold::Release(
--- a/src/coordination/internal/submissions.cpp
+++ b/src/coordination/internal/submissions.cpp
@@ -52,6 +52,7 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(one.held_for)
               .count()},
          {"entries_lagging", one.lagging},
+         {"first_lagging", one.first_lagging},
          {"leads", this->group.Leads()}});
     this->answer(one.stream, ResultCode::kOk);
   }
--- a/src/coordination/tests/acknowledgementhold_tests.cpp
+++ b/src/coordination/tests/acknowledgementhold_tests.cpp
@@ -60,6 +60,7 @@
     CHECK(StreamsOf(released) == Streams{kFirst});
     CHECK(released.front().version == 6);
     CHECK(released.front().lagging == 1);
+    CHECK(released.front().first_lagging == "a");
     CHECK(released.front().held_for == AcknowledgementHold::kLongest);
   }
   SECTION("counted from the first of those who sent it") {
