--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -17,7 +17,15 @@
 
 StandInEngine::StandInEngine(asio::io_context& context,
                              StandInEngineOptions given)
-    : options(std::move(given)), timer(context) {
+    : options(std::move(given)),
+      context(context),
+      timer(context),
+      restart(context) {
+  this->Listen();
+  this->Step();
+}
+
+void StandInEngine::Listen() {
   http::HttpServerHandlers handlers;
   handlers.on_request = [this](http::ExchangeId exchange,
                                const http::HttpRequest& request) {
@@ -27,9 +35,37 @@
     this->running.erase(exchange);
   };
   this->server = std::make_unique<http::HttpServer>(
-      context, this->options.listen, http::HttpServerLimits{},
+      this->context, this->options.listen, http::HttpServerLimits{},
       std::move(handlers));
-  this->Step();
+}
+
+void StandInEngine::CrashOn(std::string path,
+                            std::chrono::milliseconds down_for) {
+  this->crash_path = std::move(path);
+  this->down_time = down_for;
+}
+
+bool StandInEngine::RunsCrasher() const {
+  constexpr std::uint64_t kEventsBefore = 2;
+  return std::ranges::any_of(this->running, [this](const auto& entry) {
+    const Run& run = entry.second;
+    return run.path == this->crash_path && run.next > kEventsBefore;
+  });
+}
+
+void StandInEngine::Crash() {
+  ++this->crash_count;
+  this->running.clear();
+  this->server.reset();
+  this->restart.expires_after(this->down_time);
+  this->restart.async_wait([this, alive = this->alive](std::error_code error) {
+    if (error || !*alive) {
+      return;
+    }
+    constexpr std::uint64_t kLater = 1000;
+    this->options.started_ms += kLater;
+    this->Listen();
+  });
 }
 
 StandInEngine::~StandInEngine() { *this->alive = false; }
@@ -77,7 +113,7 @@
       this->timer.get_executor(), this->report_delay);
   wait->async_wait(
       [this, wait, exchange, alive = this->alive](std::error_code) {
-        if (*alive) {
+        if (*alive && this->server != nullptr) {
           this->Report(exchange);
         }
       });
@@ -143,6 +179,9 @@
     if (error || !*alive) {
       return;
     }
+    if (this->RunsCrasher()) {
+      this->Crash();
+    }
     this->NoteOverfull();
     std::vector<http::ExchangeId> ended;
     for (auto& [exchange, run] : this->running) {
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -65,6 +65,10 @@
   /// Starts again under the same id at `started_ms`. What was asked before is
   /// never answered.
   void StartAgain(std::uint64_t started_ms);
+  /// From now on each run of `path` ends this process soon after it began, with
+  /// all that it runs; it starts again `down_for` later.
+  void CrashOn(std::string path, std::chrono::milliseconds down_for);
+  std::size_t crashes() const { return this->crash_count; }
   /// What the whole answer to `path` is, one line an event.
   static std::string TextOf(const std::string& path, std::uint64_t events);
 
@@ -75,6 +79,9 @@
     std::uint64_t next = 1;
     bool cut = false;
   };
+  void Listen();
+  void Crash();
+  bool RunsCrasher() const;
   void OnRequest(http::ExchangeId exchange, const http::HttpRequest& request);
   void Report(http::ExchangeId exchange);
   void ReportLater(http::ExchangeId exchange);
@@ -91,7 +98,12 @@
   Duration longest_over{0};
   bool dark = false;
   std::chrono::milliseconds report_delay{0};
+  std::string crash_path;  ///< Empty: none.
+  std::chrono::milliseconds down_time{0};
+  std::size_t crash_count = 0;
+  asio::io_context& context;
   asio::steady_timer timer;
+  asio::steady_timer restart;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
