A request that crashes the replicas that run it is not run any more

Cause: nothing remembers a request beyond one attempt. Where it ran is kept in the call; each attempt of its caller, at each entry, spends MaxAttempts replicas anew. The class: a retry bound that holds for one hop, with no bound for the whole.

Change: entries know a request by its content (128 bits of method, host, path and body). A broken run counts only if the replica's port then refuses. Entries tell the leader with the watch that they keep open; it counts for the fleet (CrashLedger) and tells all entries, which refuse at once. Innocent requests: crashes at one moment count once, of requests with the same crashes the one with the most is taken, a whole run at any replica frees a request of all blame. A new leader learns everything from the entries; an entry without a leader goes by its own reports. Everything is bounded in number and ends after ten minutes.

The relay also took a slot's word on the start of its engine: with the list's older word two crashes of one replica looked like one, and 10 replicas ended.

--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -8,6 +8,7 @@
 #include "consensus/raftmessages.h"
 #include "coordination/contentchunks.h"
 #include "global/messagecodec.h"
+#include "quarantine/crashledger.h"
 
 /// Messages between any process and the members of the coordination group.
 namespace papayarack::coordination {
@@ -73,9 +74,17 @@
   std::uint64_t fetching_version = 0;  ///< Of that text.
   /// A member of this release: knows ChangeConfiguration in the group's log.
   bool applies_changes = false;
+  /// Entry: replicas that crashed, requests that one of them ran to the end.
+  std::vector<quarantine::CrashReport> crashes;
+  std::vector<quarantine::Fingerprint> survived;
+  /// Entry: requests that an earlier leader named.
+  std::vector<quarantine::Fingerprint> quarantined;
+  /// Of the list that the sender has; zero: none, or an earlier release.
+  std::uint64_t quarantine_revision = 0;
   MSGPACK_DEFINE(self, config_version, term, nodes_revision, engines_revision,
                  takes_changes, fetching_from, fetching_version,
-                 applies_changes)
+                 applies_changes, crashes, survived, quarantined,
+                 quarantine_revision)
 };
 
 struct WatchReply {
@@ -106,12 +115,17 @@
   std::string source;         ///< Where the other chunks are to be fetched.
   std::uint32_t entries = 0;  ///< Processes behind the balancer.
   bool names_hosts = false;   ///< Enough have reported to give engines hosts.
+  std::uint64_t quarantine_revision = 0;
+  bool has_quarantined = false;
+  /// For entries: requests that crash the replicas that run them.
+  std::vector<quarantine::Fingerprint> quarantined;
   MSGPACK_DEFINE(code, leader, members, term, config_version, config,
                  nodes_revision, has_nodes, nodes_settled, nodes,
                  engines_revision, has_engines, engines_age_ms, engines,
                  job_founders, leaving, nodes_partial, nodes_removed,
                  engines_partial, engines_removed, manifest, chunks, source,
-                 entries, names_hosts)
+                 entries, names_hosts, quarantine_revision, has_quarantined,
+                 quarantined)
 };
 
 /// Asks any process for chunks of the configuration that it holds.
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -15,6 +15,7 @@
 #include "coordination/coordinationstate.h"
 #include "coordination/groupenvironment.h"
 #include "coordination/nodetable.h"
+#include "coordination/quarantinekeeper.h"
 #include "coordination/submissions.h"
 #include "coordination/transferplan.h"
 #include "replication/replicatedgroup.h"
@@ -121,6 +122,7 @@
   std::unique_ptr<Submissions> submissions;
   std::map<StreamId, Watcher> watchers;
   ConfigurationShelf shelf;
+  QuarantineKeeper quarantine;
   TransferPlan plan;
   /// Some process waits until another can give it the text.
   bool waiting_for_source = false;
--- a/src/coordination/fleetwatch.h
+++ b/src/coordination/fleetwatch.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "coordination/coordinationmessages.h"
+#include "coordination/crashreports.h"
 #include "coordination/leadersearch.h"
 #include "coordination/textfetch.h"
 #include "global/timepoint.h"
@@ -68,6 +69,12 @@
   void OnAnnounced(const AnnounceMembers& announced);
   /// Changes what is reported, at once.
   void SetJobMembers(std::vector<std::string> members, std::uint64_t term);
+  /// A replica crashed while it ran `request`; told to the leader at once.
+  void ReportCrash(const quarantine::Fingerprint& request, std::string replica);
+  /// A replica ran `request`, which is suspected, to the end; the same.
+  void ReportSurvival(const quarantine::Fingerprint& request);
+  /// What the leader says of requests that are not to be run.
+  const CrashReports& crashes() const { return this->crash_reports; }
   /// Tells that this process leaves and owns no engines, at once.
   void SetAway();
   const FleetKnowledge& knowledge() const { return this->known; }
@@ -100,6 +107,7 @@
   FleetKnowledge known;
   ChunkIndex index;  ///< Of `known.config`.
   TextFetch fetch;
+  CrashReports crash_reports;
   std::uint64_t term = 0;
   std::uint64_t nodes_revision = 0;
   std::uint64_t engines_revision = 0;
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -174,6 +174,7 @@
       this->plan.Gone(name);
     }
     this->plan.ForgetSilent(now);
+    this->quarantine.Judge(now);
     this->group->Heal(
         CoordinationCandidates(this->nodes.WithRole(NodeRole::kEntry),
                                this->options.has_disk),
@@ -191,6 +192,7 @@
   this->nodes.Clear(now);
   this->plan.Clear();
   this->submissions->BeginTerm(now);
+  this->quarantine.BeginTerm();
   this->founding = false;
 }
 
@@ -433,6 +435,7 @@
   reply.term = this->group->term();
   this->AddConfiguration(watcher, reply);
   this->AddLists(watcher.request, reply);
+  this->quarantine.AddTo(watcher.request, reply);
   reply.names_hosts = this->nodes.NamesHosts(MonotonicNow());
   reply.entries =
       static_cast<std::uint32_t>(this->nodes.Count(NodeRole::kEntry));
@@ -452,6 +455,7 @@
     this->nodes.Take(request.self, now);
     this->plan.Heard(this->TransferReportOf(request), now);
     this->submissions->Heard(request, now);
+    this->quarantine.Heard(request, now);
   }
   this->watchers[stream] = {
       request, now, false, {}, this->nodes.NamesHosts(now)};
@@ -468,7 +472,8 @@
   }
   const bool offered = this->OfferConfiguration(watcher, now);
   const bool differs = this->Differs(watcher.request) ||
-                       this->nodes.NamesHosts(now) != watcher.knew_hosts;
+                       this->nodes.NamesHosts(now) != watcher.knew_hosts ||
+                       this->quarantine.IsNews(watcher.request);
   if (!differs && watcher.request.takes_changes) {
     // Nothing that it works with changed up to here: not looked at again. 300
     // watchers and 300 replicas took 1.7 ms for each pass and list.
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -109,6 +109,7 @@
   request.applies_changes = true;
   request.fetching_from = this->fetch.source();
   request.fetching_version = this->fetch.version();
+  this->crash_reports.AddTo(request, MonotonicNow());
   const auto current = [this, number, alive = this->alive] {
     return *alive && this->round == number;
   };
@@ -199,6 +200,7 @@
     // one before says nothing, whether it is lower, higher or by chance equal.
     this->engines_revision = 0;
   }
+  this->crash_reports.Answered(reply);
   this->term = reply.term;
   if (reply.has_nodes) {
     this->TakeNodes(reply);
@@ -316,6 +318,17 @@
   return true;
 }
 
+void FleetWatch::ReportCrash(const quarantine::Fingerprint& request,
+                             std::string replica) {
+  this->crash_reports.Crashed(request, std::move(replica), MonotonicNow());
+  this->AskAnew();
+}
+
+void FleetWatch::ReportSurvival(const quarantine::Fingerprint& request) {
+  this->crash_reports.Survived(request, MonotonicNow());
+  this->AskAnew();
+}
+
 void FleetWatch::SetAway() {
   this->self.away = true;
   this->AskAnew();
--- /dev/null
+++ b/src/nodes/internal/crashwatch.cpp
@@ -0,0 +1,98 @@
+#include "nodes/crashwatch.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "global/logging.h"
+#include "global/settings.h"
+
+namespace papayarack::nodes {
+
+using quarantine::Fingerprint;
+
+/// A connection that is tried only to learn whether the port refuses it.
+struct CrashWatch::Probe {
+  Probe(asio::io_context& context, const Fingerprint& request,
+        std::string_view id, placement::EngineStart engine)
+      : socket(context),
+        timer(context, kConnectTime),
+        request(request),
+        id(id),
+        engine(std::move(engine)) {}
+
+  asio::ip::tcp::socket socket;
+  asio::steady_timer timer;
+  Fingerprint request;
+  std::string id;
+  placement::EngineStart engine;
+};
+
+CrashWatch::CrashWatch(asio::io_context& context,
+                       coordination::FleetWatch& watch)
+    : context(context), watch(watch) {}
+
+CrashWatch::~CrashWatch() { *this->alive = false; }
+
+Fingerprint CrashWatch::Identify(const http::HttpRequest& request) {
+  return quarantine::FingerprintOf({request.method, request.headers.Get("Host"),
+                                    request.target, request.body});
+}
+
+bool CrashWatch::Quarantined(const Fingerprint& request) const {
+  if (this->watch.crashes().Quarantined(request)) {
+    return true;
+  }
+  const bool leader_heard =
+      this->watch.knowledge().heard != Time{} &&
+      MonotonicNow() - this->watch.knowledge().heard <= kLeaderSilent;
+  return !leader_heard && this->own.Quarantined(request);
+}
+
+void CrashWatch::Broke(const Fingerprint& request, std::string_view id,
+                       const placement::EngineStart& engine) {
+  if (this->survivals.Has(request)) {
+    return;
+  }
+  const auto probe =
+      std::make_shared<Probe>(this->context, request, id, engine);
+  const Endpoint endpoint = ParseEndpoint(engine.address, "engine");
+  probe->timer.async_wait([probe](std::error_code error) {
+    if (!error) {
+      std::error_code ignored;  // It is given up whatever closing it says.
+      probe->socket.close(ignored);
+    }
+  });
+  probe->socket.async_connect(
+      {asio::ip::make_address(endpoint.host), endpoint.port},
+      [this, probe, alive = this->alive](std::error_code error) {
+        probe->timer.cancel();
+        if (*alive && error == asio::error::connection_refused) {
+          this->Refused(*probe);
+        }
+      });
+}
+
+void CrashWatch::Refused(const Probe& probe) {
+  const Time now = MonotonicNow();
+  const std::string replica =
+      fmt::format("{}@{}@{}", probe.engine.id, probe.engine.address,
+                  probe.engine.started_ms);
+  Log(LogLevel::kWarn, "replica_crashed_under_request",
+      {{"request", probe.id},
+       {"fingerprint", probe.request.ToString()},
+       {"replica", replica}});
+  this->own.Crashed({probe.request, replica, 0}, now);
+  this->own.Judge(now);
+  this->watch.ReportCrash(probe.request, replica);
+}
+
+void CrashWatch::Survived(const Fingerprint& request) {
+  this->survivals.Add(request);
+  if (this->own.Names(request) || this->watch.crashes().Quarantined(request)) {
+    this->own.Survived(request, MonotonicNow());
+    this->watch.ReportSurvival(request);
+  }
+}
+
+}  // namespace papayarack::nodes
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -27,10 +27,6 @@
       host(runtime),
       timer(runtime.context) {
   this->ListenFront();
-  this->relay = std::make_unique<OnlineRelay>(
-      runtime.context, this->front, *runtime.peers, runtime.dialect,
-      runtime.metrics, RelayPlace{runtime.options.name, runtime.options.zone},
-      runtime.incarnation);
   if (runtime.files != nullptr && runtime.options.control.has_value()) {
     this->StartCoordinator();
   }
@@ -39,6 +35,11 @@
         this->OnFleet(change);
       },
       this->coordinator != nullptr);
+  this->relay = std::make_unique<OnlineRelay>(
+      runtime.context, this->front, *runtime.peers, *runtime.watch,
+      runtime.dialect, runtime.metrics,
+      RelayPlace{runtime.options.name, runtime.options.zone},
+      runtime.incarnation);
   this->ListenReady();
   this->operators = std::make_unique<OperatorFront>(this->runtime);
   this->PollListWhenCutOff();
--- a/src/nodes/internal/noderuntime.cpp
+++ b/src/nodes/internal/noderuntime.cpp
@@ -1,5 +1,8 @@
 #include "nodes/noderuntime.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <random>
@@ -92,6 +95,11 @@
     response.body = WriteOwnedEngines(engines);
     return response;
   }
+  if (path == "/quarantine") {
+    response.headers.Add("Content-Type", "application/json");
+    response.body = this->QuarantineList();
+    return response;
+  }
   response.headers.Add("Content-Type", "text/plain; version=0.0.4");
   response.body = this->Exposition();
   return response;
@@ -184,6 +192,16 @@
   this->WatchBacklog();
 }
 
+std::string NodeRuntime::QuarantineList() const {
+  std::vector<std::string> names;
+  if (this->watch != nullptr) {
+    for (const quarantine::Fingerprint& one : this->watch->crashes().all()) {
+      names.push_back(fmt::format("\"{}\"", one.ToString()));
+    }
+  }
+  return fmt::format("[{}]", fmt::join(names, ","));
+}
+
 std::string NodeRuntime::Exposition() {
   transport::ShowTransport(this->server->Totals(), this->peers->Totals(),
                            this->metrics);
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kMostSends = 6;
 /// In the log where no gate named a wait.
 constexpr std::chrono::milliseconds kNoWaitNamed{-1};
+/// For a request that is not to be run, in seconds: as long as that stands.
+constexpr const char* kQuarantineRetryAfter = "600";
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
@@ -41,8 +43,10 @@
 }  // namespace
 
 OnlineRelay::OnlineRelay(asio::io_context& context, http::HttpServer*& front,
-                         transport::PeerClient& peers, const Dialect& dialect,
-                         Metrics& metrics, RelayPlace place, std::uint64_t seed)
+                         transport::PeerClient& peers,
+                         coordination::FleetWatch& watch,
+                         const Dialect& dialect, Metrics& metrics,
+                         RelayPlace place, std::uint64_t seed)
     : front(front),
       peers(peers),
       dialect(dialect),
@@ -50,6 +54,7 @@
       own_name(std::move(place.name)),
       own_zone(std::move(place.zone)),
       engines(context),
+      crash_watch(context, watch),
       chooser(seed),
       random(seed + 1),
       sweep(context) {
@@ -89,6 +94,7 @@
   call.exchange = exchange;
   call.fields = this->dialect.read_call(request.headers);
   call.request = std::move(request);
+  call.fingerprint = CrashWatch::Identify(call.request);
   call.table = std::move(table);
   call.route = &route;
   std::uniform_real_distribution<double> draw(0, 1);
@@ -105,6 +111,10 @@
   this->by_exchange[exchange] = id;
   this->calls.emplace(id, std::move(call));
   this->metrics.Add("online_requests_total");
+  if (this->crash_watch.Quarantined(this->calls.at(id).fingerprint)) {
+    this->RefuseQuarantined(id);
+    return;
+  }
   this->Place(id);
 }
 
@@ -188,6 +198,7 @@
                                                   reply.engine_started_ms)) {
     this->OnRestart(*restart);
   }
+  placement::LearnStart(call.engine.started_ms, reply.engine_started_ms);
   this->chooser.Reported(call.engine.address, {reply.online, reply.waiting},
                          MonotonicNow());
   if (reply.Verdict() == SlotVerdict::kGranted) {
@@ -383,12 +394,17 @@
     return;
   }
   if (end != http::HttpEnd::kComplete) {
+    this->crash_watch.Broke(call.fingerprint, call.fields.id,
+                            call.engine.Start());
     call.ran_at.insert(call.engine.address);
     this->OnBroken(id, end == http::HttpEnd::kMalformed
                            ? "the engine sent what is not an answer"
                            : "the engine's connection broke");
     return;
   }
+  if (call.ran_at.count(call.engine.address) > 0) {
+    this->crash_watch.Survived(call.fingerprint);
+  }
   if (call.failed_status) {
     const bool ran = call.ran_at.count(call.engine.address) > 0;
     if (ran) {
@@ -415,6 +431,7 @@
       {{"request", call.fields.id},
        {"engine", call.engine.id},
        {"address", call.engine.address},
+       {"fingerprint", call.fingerprint.ToString()},
        {"reason", reason},
        {"last_event", call.last_event},
        {"resumable", call.route->MayRepeat()}});
@@ -437,6 +454,10 @@
     this->Fail(id, kGatewayTimeout, "too little time left for another engine");
     return;
   }
+  if (this->crash_watch.Quarantined(call.fingerprint)) {
+    this->RefuseQuarantined(id);
+    return;
+  }
   call.search->Restart(this->chooser, call.engine.Start());
   this->Place(id);
 }
@@ -463,6 +484,27 @@
       .count();
 }
 
+/// At once, and with no invitation to come again soon: each run ends a replica
+/// and all that runs there.
+void OnlineRelay::RefuseQuarantined(CallId id) {
+  Call& call = this->calls.at(id);
+  constexpr const char* kReason = "it crashes the replicas that run it";
+  Log(LogLevel::kInfo, "quarantined_request_refused",
+      {{"request", call.fields.id},
+       {"fingerprint", call.fingerprint.ToString()},
+       {"may_have_run", !call.ran_at.empty()}});
+  if (!call.ran_at.empty()) {
+    this->Fail(id, kBadGateway, kReason);
+    return;
+  }
+  http::HttpResponse response;
+  response.status = kServiceUnavailable;
+  response.headers.Set("Retry-After", kQuarantineRetryAfter);
+  response.body = kReason;
+  this->front->Respond(call.exchange, response);
+  this->Finish(id, "quarantined", kServiceUnavailable);
+}
+
 /// Refuses truthfully: "not run" only where no engine may have run it.
 void OnlineRelay::Refuse(CallId id, const char* reason) {
   Call& call = this->calls.at(id);
--- a/src/nodes/noderuntime.h
+++ b/src/nodes/noderuntime.h
@@ -81,6 +81,8 @@
   void WatchBacklog();
   void ServeMetrics();
   http::HttpResponse Show(std::string_view path);
+  /// Fingerprints that this process knows of, as a JSON list.
+  std::string QuarantineList() const;
 
   std::unique_ptr<transport::PeerServer> owned_server;
   std::unique_ptr<http::HttpServer> metrics_server;
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -17,6 +17,7 @@
 #include "http/eventsplitter.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
+#include "nodes/crashwatch.h"
 #include "nodes/dialect.h"
 #include "nodes/slotmessages.h"
 #include "placement/enginechooser.h"
@@ -39,9 +40,11 @@
 /// that does not look complete. Thread safety: none, the loop's thread.
 class OnlineRelay {
  public:
+  /// Precondition: what is referred to outlives the relay.
   OnlineRelay(asio::io_context& context, http::HttpServer*& front,
-              transport::PeerClient& peers, const Dialect& dialect,
-              Metrics& metrics, RelayPlace place, std::uint64_t seed);
+              transport::PeerClient& peers, coordination::FleetWatch& watch,
+              const Dialect& dialect, Metrics& metrics, RelayPlace place,
+              std::uint64_t seed);
   ~OnlineRelay();
   OnlineRelay(const OnlineRelay&) = delete;
   OnlineRelay& operator=(const OnlineRelay&) = delete;
@@ -65,6 +68,7 @@
     http::ExchangeId exchange = 0;
     http::HttpRequest request;
     CallFields fields;
+    quarantine::Fingerprint fingerprint;
     routes::RouteTablePtr table;
     const routes::Route* route = nullptr;
     Time arrived{};
@@ -109,6 +113,7 @@
   void ReleaseEngine(Call& call);
   void OnRestart(const placement::EngineRestart& restart);
   void Refuse(CallId id, const char* reason);
+  void RefuseQuarantined(CallId id);
   void Fail(CallId id, int status, const char* reason);
   void Finish(CallId id, const char* outcome, int status);
   void Sweep();
@@ -123,6 +128,7 @@
   std::string own_name;
   std::string own_zone;
   http::HttpClient engines;
+  CrashWatch crash_watch;
   placement::EngineChooser chooser;
   std::mt19937_64 random;
   std::unordered_map<CallId, Call> calls;
--- /dev/null
+++ b/src/nodes/tests/crashwatch_tests.cpp
@@ -0,0 +1,74 @@
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "coordination/fleetwatch.h"
+#include "nodes/crashwatch.h"
+#include "transport/peerclient.h"
+
+namespace papayarack::nodes {
+namespace {
+
+using quarantine::Fingerprint;
+using std::chrono::milliseconds;
+
+constexpr Fingerprint kRequest{1, 1};
+
+/// Ports of this machine that refuse connections, one after the other.
+placement::EngineStart Gone(asio::io_context& context) {
+  asio::ip::tcp::acceptor closed(context,
+                                 {asio::ip::make_address("127.0.0.1"), 0});
+  return {"127.0.0.1:" + std::to_string(closed.local_endpoint().port()), "gone",
+          1};
+}
+
+}  // namespace
+
+// Guards against callers who are refused for a connection that was reset, where
+// the replica goes on.
+TEST_CASE("an entry tells crashes from other ends of a connection") {
+  asio::io_context context;
+  transport::PeerClient peers(context);
+  coordination::FleetWatch fleet(context, peers, {}, {},
+                                 [](const coordination::FleetChange&) {});
+  CrashWatch watch(context, fleet);
+  const auto pause = [&context] {
+    context.run_for(milliseconds(70));
+    context.restart();
+  };
+  constexpr int kCrashes = 3;
+
+  SECTION("by the port that refuses, and acts on them without a leader") {
+    for (int i = 0; i < kCrashes; ++i) {
+      CHECK_FALSE(watch.Quarantined(kRequest));
+      watch.Broke(kRequest, "r", Gone(context));
+      pause();
+    }
+    CHECK(watch.Quarantined(kRequest));
+    SECTION("until a replica runs the request to the end") {
+      watch.Survived(kRequest);
+      CHECK_FALSE(watch.Quarantined(kRequest));
+    }
+  }
+  SECTION("not where the replica still listens") {
+    asio::ip::tcp::acceptor open(context,
+                                 {asio::ip::make_address("127.0.0.1"), 0});
+    const std::string address =
+        "127.0.0.1:" + std::to_string(open.local_endpoint().port());
+    for (std::uint64_t i = 0; i < kCrashes; ++i) {
+      watch.Broke(kRequest, "r", {address, "up", i});
+      pause();
+    }
+    CHECK_FALSE(watch.Quarantined(kRequest));
+  }
+  SECTION("and holds nothing against what a replica has run before") {
+    watch.Survived(kRequest);
+    for (int i = 0; i < kCrashes; ++i) {
+      watch.Broke(kRequest, "r", Gone(context));
+      pause();
+    }
+    CHECK_FALSE(watch.Quarantined(kRequest));
+  }
+}
+
+}  // namespace papayarack::nodes
--- a/src/nodes/tests/nodes_tests.cpp
+++ b/src/nodes/tests/nodes_tests.cpp
@@ -137,7 +137,10 @@
   transport::PeerClient peers(context);
   const Dialect dialect = PlainDialect();
   Metrics metrics;
-  OnlineRelay relay(context, front, peers, dialect, metrics, {"entry", "z"}, 1);
+  coordination::FleetWatch watch(context, peers, {}, {},
+                                 [](const coordination::FleetChange&) {});
+  OnlineRelay relay(context, front, peers, watch, dialect, metrics,
+                    {"entry", "z"}, 1);
   EventEngine engine(context);
   routes::FleetConfiguration configuration;
   routes::Route route;
