--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -23,8 +23,9 @@
 constexpr std::size_t kMostSends = 6;
 /// In the log where no gate named a wait.
 constexpr std::chrono::milliseconds kNoWaitNamed{-1};
-/// For a request that is not to be run, in seconds: as long as that stands.
-constexpr const char* kQuarantineRetryAfter = "600";
+/// For a request that is not to be run: as long as that stands.
+constexpr std::chrono::seconds kQuarantineRetryAfter =
+    quarantine::CrashLedger::kRemember;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
@@ -499,7 +500,8 @@
   }
   http::HttpResponse response;
   response.status = kServiceUnavailable;
-  response.headers.Set("Retry-After", kQuarantineRetryAfter);
+  response.headers.Set("Retry-After",
+                       std::to_string(kQuarantineRetryAfter.count()));
   response.body = kReason;
   this->front->Respond(call.exchange, response);
   this->Finish(id, "quarantined", kServiceUnavailable);
--- a/src/quarantine/fingerprint.h
+++ b/src/quarantine/fingerprint.h
@@ -1,11 +1,11 @@
 #ifndef PAPAYARACK_QUARANTINE_FINGERPRINT_H_
 #define PAPAYARACK_QUARANTINE_FINGERPRINT_H_
 
-#include <compare>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace papayarack::quarantine {
 
@@ -15,7 +15,10 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
   MSGPACK_DEFINE(high, low)
-  auto operator<=>(const Fingerprint&) const = default;
+  bool operator==(const Fingerprint&) const = default;
+  bool operator<(const Fingerprint& other) const {
+    return std::tie(this->high, this->low) < std::tie(other.high, other.low);
+  }
 
   /// In hexadecimal, as logs show it.
   std::string ToString() const;
--- a/src/quarantine/internal/crashledger.cpp
+++ b/src/quarantine/internal/crashledger.cpp
@@ -111,6 +111,7 @@
 CrashLedger::Case CrashLedger::CaseOf(
     const Fingerprint& request, const std::set<std::string>& replicas) const {
   std::vector<std::pair<Time, std::string>> in_order;
+  in_order.reserve(replicas.size());
   for (const std::string& replica : replicas) {
     in_order.emplace_back(this->crashes.at(replica).when, replica);
   }
--- a/src/quarantine/tests/crashledger_tests.cpp
+++ b/src/quarantine/tests/crashledger_tests.cpp
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
@@ -120,6 +121,30 @@
   }
 }
 
+// Guards against most replicas of a service crashing within two seconds under a
+// request that comes again at once, while their other callers come again too.
+TEST_CASE("a row of crashes ends with the third, and only its cause is named") {
+  constexpr std::array kCrashMs = {0, 89, 237, 347, 387, 508, 727, 1151, 1590};
+  constexpr std::uint64_t kOthers = 7;  // On each replica, beside the cause.
+  CrashLedger ledger;
+  std::size_t needed = 0;
+  std::size_t verdicts = 0;
+  for (std::size_t i = 0; i < kCrashMs.size(); ++i) {
+    const std::string replica = fmt::format("r{}", i);
+    // Whoever ran there comes again once, and is on the next replica.
+    for (std::uint64_t other = i * kOthers; other < (i + 2) * kOthers;
+         ++other) {
+      ledger.Crashed({{other, kOthers}, replica, 0}, At(kCrashMs.at(i)));
+    }
+    ledger.Crashed({kCulprit, replica, 0}, At(kCrashMs.at(i)));
+    verdicts += ledger.Judge(At(kCrashMs.at(i))).size();
+    needed += ledger.Quarantined(kCulprit) ? 0 : 1;
+  }
+  CHECK(needed == CrashLedger::kCrashesForVerdict - 1);
+  CHECK(verdicts == 1);
+  CHECK(ledger.Judge(At(10000)).empty());
+}
+
 // Guards against callers who are refused after a loss of power of many
 // replicas, though no request had to do with it.
 TEST_CASE("replicas that crash at one moment speak against no request") {
