Only a run that began clears a request of blame

An attempt that came to a replica's next start and was refused there (421, not run) counted as a whole run if the same attempt had run at that address before, and would have freed a crashing request for good.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -261,6 +261,7 @@
   ++call.sends;
   call.sent = now;
   call.last_heard = now;
+  call.begun = false;
   call.splitter.Clear();
   http::HttpCall out;
   out.peer = ParseEndpoint(call.engine.address, "engine");
@@ -310,6 +311,7 @@
     call.failed_status = true;
     return;
   }
+  call.begun = true;
   call.ran_at.insert(call.engine.address);
   const bool success = IsSuccess(head.status);
   // A failure is the caller's to see once nothing else can be tried, unless it
@@ -403,7 +405,7 @@
                            : "the engine's connection broke");
     return;
   }
-  if (call.ran_at.count(call.engine.address) > 0) {
+  if (call.begun) {
     this->crash_watch.Survived(call.fingerprint);
   }
   if (call.failed_status) {
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -84,6 +84,7 @@
     Time last_heard{};
     bool head_sent = false;
     bool is_events = false;
+    bool begun = false;  ///< The engine of this attempt did not refuse it.
     bool failed_status = false;
     int status = 0;
     std::uint64_t last_event = 0;
--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -64,6 +64,9 @@
     }
     constexpr std::uint64_t kLater = 1000;
     this->options.started_ms += kLater;
+    if (this->renames) {
+      this->options.id += "-again";
+    }
     this->Listen();
   });
 }
@@ -227,6 +230,14 @@
   }
 }
 
+void StandInList::Rename(const std::string& address, const std::string& id) {
+  for (coordination::EngineInstance& engine : this->engines) {
+    if (engine.address == address) {
+      engine.id = id;
+    }
+  }
+}
+
 void StandInList::OnRequest(http::ExchangeId exchange,
                             const http::HttpRequest& request) {
   constexpr std::string_view kToken = "PageToken=";
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -68,6 +68,10 @@
   /// From now on each run of `path` ends this process soon after it began, with
   /// all that it runs; it starts again `down_for` later.
   void CrashOn(std::string path, std::chrono::milliseconds down_for);
+  /// From now on each start has an id of its own, as on a platform where only
+  /// the list tells it.
+  void RenameAtStart() { this->renames = true; }
+  const std::string& id() const { return this->options.id; }
   std::size_t crashes() const { return this->crash_count; }
   /// What the whole answer to `path` is, one line an event.
   static std::string TextOf(const std::string& path, std::uint64_t events);
@@ -101,6 +105,7 @@
   std::string crash_path;  ///< Empty: none.
   std::chrono::milliseconds down_time{0};
   std::size_t crash_count = 0;
+  bool renames = false;
   asio::io_context& context;
   asio::steady_timer timer;
   asio::steady_timer restart;
@@ -117,6 +122,8 @@
 
   /// Whoever reads the list from now on sees the engine draining.
   void Drain(const std::string& id);
+  /// Whoever reads the list from now on sees this id at the address.
+  void Rename(const std::string& address, const std::string& id);
 
  private:
   void OnRequest(http::ExchangeId exchange, const http::HttpRequest& request);
