--- a/src/quarantine/crashledger.h
+++ b/src/quarantine/crashledger.h
@@ -42,7 +42,7 @@
 ///   them one after the other;
 /// - of requests that share their crashes the one with the most is taken, and
 ///   its crashes count half for the others;
-/// - whoever is seen to be run to the end is free of all blame.
+/// - a request that a replica has run to the end is not counted any more.
 /// Does no I/O. Thread safety: none.
 class CrashLedger {
  public:
@@ -50,8 +50,8 @@
   /// Crashes closer to each other are one event. A replica makes the first
   /// event of a request after some 25 ms, and crashes later.
   static constexpr std::chrono::milliseconds kSameMoment{50};
-  /// How long two requests with the same crashes are both given another
-  /// chance: the culprit comes again, the other one hardly beside it.
+  /// How long two requests with the same crashes are both let on:
+  /// the culprit comes again, the other one hardly beside it.
   static constexpr std::chrono::milliseconds kTieWait{1000};
   /// Nothing is held against a request for longer.
   static constexpr std::chrono::minutes kRemember{10};
@@ -89,7 +89,7 @@
     std::set<Fingerprint> ran;
   };
   /// How much speaks against a request.
-  struct Case {
+  struct Evidence {
     std::vector<std::string> replicas;
     std::size_t halves = 0;  ///< Crashes that count, in halves.
     Time enough{};           ///< When they were enough for a verdict.
@@ -98,10 +98,10 @@
   void ForgetOld(Time now);
   Crashes::iterator Drop(Crashes::iterator crash);
   bool ExplainedByOther(const Crash& crash, const Fingerprint& request) const;
-  Case CaseOf(const Fingerprint& request,
-              const std::set<std::string>& replicas) const;
-  std::size_t RivalsOf(const Fingerprint& request, const Case& known) const;
-  void Condemn(const Fingerprint& request, Time now);
+  Evidence EvidenceOf(const Fingerprint& request,
+                      const std::set<std::string>& replicas) const;
+  std::size_t RivalsOf(const Fingerprint& request, const Evidence& known) const;
+  void AddVerdict(const Fingerprint& request, Time now);
 
   Crashes crashes;  ///< By replica.
   /// Without a verdict: the replicas whose crashes name the request.
--- a/src/quarantine/internal/crashledger.cpp
+++ b/src/quarantine/internal/crashledger.cpp
@@ -79,11 +79,11 @@
 
 void CrashLedger::Learn(const Fingerprint& request, Time now) {
   if (!this->Quarantined(request) && this->survivors.count(request) == 0) {
-    this->Condemn(request, now);
+    this->AddVerdict(request, now);
   }
 }
 
-void CrashLedger::Condemn(const Fingerprint& request, Time now) {
+void CrashLedger::AddVerdict(const Fingerprint& request, Time now) {
   this->suspects.erase(request);
   this->verdicts[request] = now;
   DropOldestAbove(this->verdicts, kMostVerdicts);
@@ -108,7 +108,7 @@
   });
 }
 
-CrashLedger::Case CrashLedger::CaseOf(
+CrashLedger::Evidence CrashLedger::EvidenceOf(
     const Fingerprint& request, const std::set<std::string>& replicas) const {
   std::vector<std::pair<Time, std::string>> in_order;
   in_order.reserve(replicas.size());
@@ -116,7 +116,7 @@
     in_order.emplace_back(this->crashes.at(replica).when, replica);
   }
   std::ranges::sort(in_order);
-  Case found;
+  Evidence found;
   std::optional<Time> counted;
   for (const auto& [when, replica] : in_order) {
     found.replicas.push_back(replica);
@@ -136,7 +136,7 @@
 }
 
 std::size_t CrashLedger::RivalsOf(const Fingerprint& request,
-                                  const Case& known) const {
+                                  const Evidence& known) const {
   std::set<Fingerprint> beside;
   for (const std::string& replica : known.replicas) {
     const std::set<Fingerprint>& ran = this->crashes.at(replica).ran;
@@ -146,7 +146,7 @@
       std::ranges::count_if(beside, [&](const Fingerprint& other) {
         const auto suspect = this->suspects.find(other);
         return other != request && suspect != this->suspects.end() &&
-               this->CaseOf(other, suspect->second).halves >= known.halves;
+               this->EvidenceOf(other, suspect->second).halves >= known.halves;
       }));
 }
 
@@ -157,7 +157,7 @@
     if (replicas.size() < kCrashesForVerdict) {
       continue;
     }
-    Case known = this->CaseOf(request, replicas);
+    Evidence known = this->EvidenceOf(request, replicas);
     if (known.halves < kHalvesForVerdict) {
       continue;
     }
@@ -167,7 +167,7 @@
     }
   }
   for (const Verdict& verdict : due) {
-    this->Condemn(verdict.request, now);
+    this->AddVerdict(verdict.request, now);
   }
   return due;
 }
