A batch's end that is asked again waits for the first

Now copies wait for the first one's outcome, and an end of a batch that has ended is only confirmed.

--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -141,6 +141,8 @@
   std::map<StreamId, Reader> readers;
   std::map<StreamId, Puller> pullers;
   std::map<std::string, Submission> submissions;  ///< By batch.
+  /// Ends on their way through the log, by batch, with who waits for them.
+  std::map<std::string, std::vector<StreamId>> ends;
   std::map<ProposalId, ReportProposal> proposals;
   std::map<ItemRef, OutcomeUnderWay> outcomes;
   std::map<StreamId, Reporter> reporters;
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -293,10 +293,29 @@
   });
 }
 
+/// An end that is asked again while the first is on its way waits for that: it
+/// is asked every half second while a store is slow.
 void BatchStore::OnEnd(StreamId stream, const std::string& body) {
   auto command = DecodeMessage<EndBatch>(body);
-  Log(LogLevel::kInfo, "batch_end_asked", {{"batch", command.id}});
-  this->Propose(stream, std::move(command));
+  const BatchBook::Batch* batch = this->book.Find(command.id);
+  if (batch != nullptr && batch->ended) {
+    this->Confirmed(stream,
+                    [this, stream] { this->Reply(stream, ResultCode::kOk); });
+    return;
+  }
+  const std::string id = command.id;
+  const auto [under_way, first] = this->ends.try_emplace(id);
+  under_way->second.push_back(stream);
+  if (!first) {
+    return;
+  }
+  Log(LogLevel::kInfo, "batch_end_asked", {{"batch", id}});
+  this->ProposeThen(std::move(command), [this, id](ResultCode code) {
+    const auto ended = this->ends.extract(id);
+    for (const StreamId waiting : ended.mapped()) {
+      this->Reply(waiting, code);
+    }
+  });
 }
 
 void BatchStore::OnBody(StreamId stream, const std::string& body) {
--- a/src/batches/tests/batchstore_tests.cpp
+++ b/src/batches/tests/batchstore_tests.cpp
@@ -200,6 +200,14 @@
   SECTION("of a batch") {
     send_copies("/jobs/submit", MakeBatch("b", kBodyBytes));
   }
+  SECTION("of a batch's end") {
+    const std::string long_id(kBodyBytes, 'b');
+    leader.Ask("/jobs/submit", MakeBatch(long_id, 1), codes);
+    pair.RunUntil([&codes] { return codes.size() == 1; });
+    REQUIRE(codes == std::vector<ResultCode>{ResultCode::kOk});
+    codes.clear();
+    send_copies("/jobs/end", EndBatch{long_id});
+  }
   SECTION("though another batch of that id is judged by itself") {
     const std::uint64_t before = leader.BytesKept();
     leader.Ask("/jobs/submit", MakeBatch("b", kBodyBytes), codes);
