A report for which the log has no room is refused before it is decoded

Nothing bounded the bytes of reports that a leader took on: 64 MB of the log in memory, what is committed included, was the only limit. Each report was decoded, each outcome encoded again for its digest and proposed, whatever already waited. The only report always goes.

--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -32,6 +32,11 @@
 /// safety: none, the loop's thread.
 class BatchStore {
  public:
+  /// Bytes of reports on their way through the log beyond which a further one
+  /// is refused, unless it is the only one: an eighth of the 64 MB that control
+  /// may take of a node, and some seconds of what a leader commits.
+  static constexpr std::size_t kMostReportBytes = std::size_t{8} << 20U;
+
   /// Told to the coordination group: the members, from the leader only.
   using MembersChanged =
       std::function<void(std::vector<std::string> addresses, std::uint64_t)>;
@@ -76,6 +81,7 @@
   using ProposalId = std::uint64_t;
   /// Outcomes on their way through the log in one entry.
   struct ReportProposal {
+    std::size_t bytes = 0;  ///< Of the report that brought them.
     std::vector<ItemRef> items;
     std::vector<StreamId> reporters;  ///< Wait for its outcome.
   };
@@ -107,6 +113,8 @@
   void OnEnd(StreamId stream, const std::string& body);
   void OnPull(StreamId stream, const std::string& body);
   void OnReport(StreamId stream, const std::string& body);
+  /// Whether the log has room for a report of this size.
+  bool HasRoom(std::size_t report_bytes) const;
   void EndReport(ProposalId id, ResultCode code);
   /// Listed, or its batch ended: no outcome changes that any more.
   bool IsFinal(const ItemRef& ref) const;
@@ -144,6 +152,7 @@
   /// Ends on their way through the log, by batch, with who waits for them.
   std::map<std::string, std::vector<StreamId>> ends;
   std::map<ProposalId, ReportProposal> proposals;
+  std::size_t proposed_bytes = 0;  ///< Of all `proposals`.
   std::map<ItemRef, OutcomeUnderWay> outcomes;
   std::map<StreamId, Reporter> reporters;
   ProposalId last_proposal = 0;
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -423,12 +423,25 @@
   return item != nullptr && (item->listed || this->book.Find(ref.batch)->ended);
 }
 
+bool BatchStore::HasRoom(std::size_t report_bytes) const {
+  return this->proposals.empty() ||
+         this->proposed_bytes + report_bytes <= kMostReportBytes;
+}
+
 /// Symptom guarded against: as for a batch, with the texts of a report, which a
 /// gate sends again together with what ended meanwhile. What has its outcome
 /// already is left out, and of what is on its way the copy waits for that; only
 /// the rest becomes an entry. Only an outcome that is the same in all counts as
 /// a copy.
 void BatchStore::OnReport(StreamId stream, const std::string& body) {
+  if (!this->HasRoom(body.size())) {
+    Log(LogLevel::kInfo, "report_refused",
+        {{"bytes", body.size()},
+         {"under_way_bytes", this->proposed_bytes},
+         {"reason", "too much waits to be committed"}});
+    this->Reply(stream, ResultCode::kOverloaded);
+    return;
+  }
   auto report = DecodeMessage<ReportOutcomes>(body);
   std::set<ProposalId> awaited;
   ReportOutcomes fresh;
@@ -453,6 +466,8 @@
   }
   if (!fresh.outcomes.empty()) {
     awaited.insert(id);
+    proposal.bytes = body.size();
+    this->proposed_bytes += proposal.bytes;
     this->proposals.emplace(id, std::move(proposal));
   }
   if (awaited.empty()) {
@@ -473,6 +488,7 @@
 
 void BatchStore::EndReport(ProposalId id, ResultCode code) {
   const auto ended = this->proposals.extract(id);
+  this->proposed_bytes -= ended.mapped().bytes;
   for (const ItemRef& item : ended.mapped().items) {
     this->outcomes.erase(item);
   }
--- a/src/batches/tests/batchstore_tests.cpp
+++ b/src/batches/tests/batchstore_tests.cpp
@@ -5,16 +5,11 @@
 #include <string>
 #include <vector>
 
-#include "batches/batchstore.h"
-#include "coordination/coordinationmessages.h"
-#include "storage/memoryfilesystem.h"
-#include "transport/peerdispatch.h"
-#include "transport/peerserver.h"
+#include "batches/tests/storemember.h"
 
 namespace papayarack::batches {
 namespace {
 
-using coordination::GroupReply;
 using std::chrono::milliseconds;
 
 constexpr std::size_t kBodyBytes = 100'000;
@@ -26,77 +21,6 @@
 /// Shorter than the time after which a leader without its quorum gives up.
 constexpr milliseconds kHeldUp{250};
 
-/// One member, on a loop of its own: whoever does not run it holds it up.
-class Member {
- public:
-  explicit Member(consensus::MemberId id)
-      : id(id),
-        owned(this->context, {"127.0.0.1", 0},
-              this->dispatch.For(this->server)),
-        peers(this->context) {
-    this->server = &this->owned;
-  }
-
-  std::string Address() const {
-    return "127.0.0.1:" + std::to_string(this->owned.port());
-  }
-
-  void Start(const consensus::MemberList& founders) {
-    consensus::FoundGroup(this->files, coordination::kJobGroup, founders);
-    consensus::IdentifyFolder(this->files, {this->id, "test"});
-    BatchStoreOptions options;
-    options.member = this->id;
-    options.address = this->Address();
-    options.random_seed = this->id;
-    this->store = std::make_unique<BatchStore>(
-        this->context, this->files, options, this->peers, this->server,
-        this->dispatch,
-        [this](const std::vector<std::string>&, std::uint64_t) {
-          this->leads = true;
-        },
-        [](const std::string& reason) { FAIL(reason); });
-  }
-
-  void Run(milliseconds time) {
-    this->context.run_for(time);
-    this->context.restart();
-  }
-
-  /// The code of each answer is added to `codes`.
-  template <typename Message>
-  void Ask(const std::string& path, const Message& message,
-           std::vector<ResultCode>& codes) {
-    transport::CallHandlers handlers;
-    handlers.on_message = [&codes](const std::string& reply) {
-      codes.push_back(
-          static_cast<ResultCode>(DecodeMessage<GroupReply>(reply).code));
-    };
-    this->peers.Call({"127.0.0.1", this->owned.port()}, path,
-                     EncodeMessage(message), std::move(handlers));
-  }
-
-  /// Bytes of all that this member keeps, its log above all.
-  std::uint64_t BytesKept() const {
-    std::uint64_t sum = 0;
-    for (const std::string& name : this->files.List()) {
-      sum += this->files.Size(name);
-    }
-    return sum;
-  }
-
-  bool leads = false;  ///< Has led at some time.
-
- private:
-  consensus::MemberId id;
-  asio::io_context context;
-  storage::MemoryFileSystem files;
-  transport::PeerDispatch dispatch;
-  transport::PeerServer* server = nullptr;
-  transport::PeerServer owned;
-  transport::PeerClient peers;
-  std::unique_ptr<BatchStore> store;
-};
-
 /// Two members, so that nothing is committed while one of them is held up.
 class Pair {
  public:
@@ -106,7 +30,7 @@
     const consensus::MemberList founders{
         {{1, this->members.front().Address(), true},
          {2, this->members.back().Address(), true}}};
-    for (Member& member : this->members) {
+    for (StoreMember& member : this->members) {
       member.Start(founders);
     }
     this->RunUntil([this] {
@@ -115,7 +39,7 @@
     REQUIRE((this->members.front().leads || this->members.back().leads));
   }
 
-  Member& Leader() {
+  StoreMember& Leader() {
     return this->members.front().leads ? this->members.front()
                                        : this->members.back();
   }
@@ -123,7 +47,7 @@
   void RunUntil(const std::function<bool()>& done) {
     const Time until = MonotonicNow() + kPatience;
     while (!done() && MonotonicNow() < until) {
-      for (Member& member : this->members) {
+      for (StoreMember& member : this->members) {
         member.Run(kSlice);
       }
     }
@@ -138,7 +62,7 @@
   }
 
  private:
-  std::list<Member> members;
+  std::list<StoreMember> members;
 };
 
 SubmitBatch MakeBatch(const std::string& id, std::size_t body_bytes) {
@@ -168,7 +92,7 @@
 // further entry of the log, sent whole to every member.
 TEST_CASE("a copy of what is on its way is no further entry of the log") {
   Pair pair;
-  Member& leader = pair.Leader();
+  StoreMember& leader = pair.Leader();
   std::vector<ResultCode> codes;
   const auto all_answered = [&codes] { return codes.size() == kCopies; };
   const auto send_copies = [&](const std::string& path, const auto& message) {
@@ -245,6 +169,42 @@
   }
 }
 
+// Guards against a leader that takes more than it can commit: refused at once,
+// a report waits at its gate.
+TEST_CASE("a report for which the log has no room is refused at once") {
+  constexpr std::size_t kTextBytes = BatchStore::kMostReportBytes / 2;
+  Pair pair;
+  StoreMember& leader = pair.Leader();
+  std::vector<ResultCode> codes;
+  SubmitBatch batch = MakeBatch("b", 1);
+  for (const char* item : {"j", "k"}) {
+    batch.items.push_back({item, "/r/1", {}, "body", 100});
+  }
+  leader.Ask("/jobs/submit", batch, codes);
+  pair.RunUntil([&codes] { return codes.size() == 1; });
+  codes.clear();
+  const auto report = [&](const std::string& item, std::size_t bytes) {
+    ReportOutcomes outcomes = Completed(std::string(bytes, 't'));
+    outcomes.outcomes.front().item = item;
+    leader.Ask("/jobs/report", outcomes, codes);
+  };
+  SECTION("and taken once there is room") {
+    report("i", kTextBytes);
+    report("j", kTextBytes);
+    pair.RunLeaderAlone(kHeldUp);
+    CHECK(codes == std::vector<ResultCode>{ResultCode::kOverloaded});
+    pair.RunUntil([&codes] { return codes.size() == 2; });
+    report("j", kTextBytes);
+    pair.RunUntil([&codes] { return codes.size() == 3; });
+    CHECK(Count(codes, ResultCode::kOk) == 2);
+  }
+  SECTION("but not the only one, whatever its size") {
+    report("i", BatchStore::kMostReportBytes + 1);
+    pair.RunUntil([&codes] { return codes.size() == 1; });
+    CHECK(codes == std::vector<ResultCode>{ResultCode::kOk});
+  }
+}
+
 // Symptom: gates send the texts of items that they hand back several times.
 // Sequence: the leader holds the pull that carries them for a second, as it has
 // no items; meanwhile room changes and the gate asks anew. Cause: only an
--- /dev/null
+++ b/src/batches/tests/storemember.h
@@ -0,0 +1,108 @@
+#ifndef PAPAYARACK_BATCHES_TESTS_STOREMEMBER_H_
+#define PAPAYARACK_BATCHES_TESTS_STOREMEMBER_H_
+
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "batches/batchstore.h"
+#include "coordination/coordinationmessages.h"
+#include "global/tests/processortime.h"
+#include "storage/memoryfilesystem.h"
+#include "transport/peerdispatch.h"
+#include "transport/peerserver.h"
+
+namespace papayarack::batches {
+
+/// One member, on a loop of its own: whoever does not run it holds it up.
+class StoreMember {
+ public:
+  explicit StoreMember(consensus::MemberId id)
+      : id(id),
+        owned(this->context, {"127.0.0.1", 0},
+              this->dispatch.For(this->server)),
+        peers(this->context) {
+    this->server = &this->owned;
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->owned.port());
+  }
+
+  void Start(const consensus::MemberList& founders) {
+    consensus::FoundGroup(this->files, coordination::kJobGroup, founders);
+    consensus::IdentifyFolder(this->files, {this->id, "test"});
+    BatchStoreOptions options;
+    options.member = this->id;
+    options.address = this->Address();
+    options.random_seed = this->id;
+    this->store = std::make_unique<BatchStore>(
+        this->context, this->files, options, this->peers, this->server,
+        this->dispatch,
+        [this](const std::vector<std::string>&, std::uint64_t) {
+          this->leads = true;
+        },
+        [](const std::string& reason) { FAIL(reason); });
+  }
+
+  void SetRoutes(routes::RouteTablePtr table) {
+    this->store->OnRoutes(std::move(table));
+  }
+
+  void Run(std::chrono::milliseconds time) {
+    this->context.run_for(time);
+    this->context.restart();
+  }
+
+  /// Runs what is ready, until that took `time` of the processor.
+  void RunWithin(std::chrono::nanoseconds time) {
+    std::chrono::nanoseconds used{0};
+    bool any = true;
+    while (any && used < time) {
+      used += ProcessorTimeOf([&] { any = this->context.poll_one() > 0; });
+    }
+    this->context.restart();
+  }
+
+  /// The code of each answer is added to `codes`.
+  template <typename Message>
+  void Ask(const std::string& path, const Message& message,
+           std::vector<ResultCode>& codes) {
+    transport::CallHandlers handlers;
+    handlers.on_message = [&codes](const std::string& reply) {
+      codes.push_back(static_cast<ResultCode>(
+          DecodeMessage<coordination::GroupReply>(reply).code));
+    };
+    this->peers.Call({"127.0.0.1", this->owned.port()}, path,
+                     EncodeMessage(message), std::move(handlers));
+  }
+
+  /// Bytes of all that this member keeps, its log above all.
+  std::uint64_t BytesKept() const {
+    std::uint64_t sum = 0;
+    for (const std::string& name : this->files.List()) {
+      sum += this->files.Size(name);
+    }
+    return sum;
+  }
+
+  bool leads = false;  ///< Has led at some time.
+
+ private:
+  consensus::MemberId id;
+  asio::io_context context;
+  storage::MemoryFileSystem files;
+  transport::PeerDispatch dispatch;
+  transport::PeerServer* server = nullptr;
+  transport::PeerServer owned;
+  transport::PeerClient peers;
+  std::unique_ptr<BatchStore> store;
+};
+
+}  // namespace papayarack::batches
+
+#endif  // PAPAYARACK_BATCHES_TESTS_STOREMEMBER_H_
