Gates do not make a slow leader slower with copies of their reports

A metastable overload: when engines come free, 144 gates finish hundreds of items within seconds. A report that was not answered within 0.7 s was cancelled and sent whole to the next member and again to the leader, 256 KB each: up to 37 MB a round, more than was ever committed in a second, so that the copies kept up what had brought them.

Change: one attempt at a report lasts as long as the call, 10 s. A leader answers each in the end, also when it loses its term; one that is gone is noticed by its connection after 2 s (before: 0.7 s and a millisecond a KB; that is the price, for a leader's VM that falls silent without closing). A report has 32 KB instead of 256 KB at most, as a gate has one on its way: 4.6 MB for the largest fleet played.

Test changed: texts of "reports are bounded in size" are a third of the bound instead of 100 KB, a single one of which the bound no longer holds; its checks are the same, in units of the bound.

--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -35,10 +35,10 @@
 /// safety: none, the loop's thread.
 class BatchRunner {
  public:
-  /// Most bytes of one report, unless a single outcome has more: a quarter of a
-  /// second on a link at the pace of TimeToCarry, within one attempt, and a
-  /// quarter of the log that a store keeps between snapshots.
-  static constexpr std::size_t kMostReportBytes = 256U << 10U;
+  /// Most bytes of one report, unless a single outcome has more. A gate has one
+  /// report on its way, so this times the gates of a fleet is what its leader
+  /// may have to take at once: 4.6 MB for 144.
+  static constexpr std::size_t kMostReportBytes = 32U << 10U;
   /// An answer that the leader gave at once is here after this long: ten round
   /// trips between regions of one continent (20 ms each), or 200 KB at the pace
   /// of TimeToCarry. Doubled by each pull that was given up in vain, so that an
@@ -48,12 +48,12 @@
   /// this leaves 0.6 s for its answer, as one attempt does.
   static constexpr std::chrono::milliseconds kLongestAnswerTime{1600};
   /// Most bytes of texts that one pull hands back, unless a single one has
-  /// more: as for a report.
-  static constexpr std::size_t kMostReturnBytes = kMostReportBytes;
-  /// Wait after the first report that failed; doubled by each further one. A
-  /// call that failed has asked for up to 3 s already, so this only keeps
-  /// refusals that come at once from being met with copies at the pace of the
-  /// link.
+  /// more: a quarter of a second on a link at the pace of TimeToCarry, within
+  /// one attempt.
+  static constexpr std::size_t kMostReturnBytes = 256U << 10U;
+  /// Wait after the first report that failed; doubled by each further one. It
+  /// keeps refusals that come at once from being met with copies at the pace of
+  /// the link.
   static constexpr std::chrono::milliseconds kReportPause{100};
   /// The pause stops growing here: longer than an election (0.6 to 1.2 s) it
   /// would only delay results.
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -15,8 +15,10 @@
 constexpr std::chrono::milliseconds kPullPace{40};
 constexpr std::chrono::milliseconds kPullTime{4000};
 constexpr std::chrono::milliseconds kPullTry{1600};
-constexpr std::chrono::milliseconds kReportTime{3000};
-constexpr std::chrono::milliseconds kReportTry{700};
+/// Of a report, and of one attempt at it: a leader answers each in the end, and
+/// one that is gone is noticed by its connection (PeerClientOptions). A copy
+/// for an answer that is late would only make it later.
+constexpr std::chrono::milliseconds kReportTime{10000};
 /// A paused item goes back to the others after this long: a wave's peak reaches
 /// every engine alike, so handing back before it ends finds no room elsewhere.
 constexpr std::chrono::milliseconds kLongestPause{3500};
@@ -513,7 +515,7 @@
   }
   this->reporting = true;
   this->jobs.Call("/jobs/report", EncodeMessage(report), kReportTime,
-                  kReportTry,
+                  kReportTime,
                   [this, reported, alive = this->alive](const Result& result,
                                                         const std::string&) {
                     if (*alive) {
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "nodes/batchrunner.h"
@@ -127,10 +128,19 @@
     this->Send(pull.stream, ResultCode::kNotReady, {});
   }
 
+  void AnswerReports() {
+    this->holds_reports = false;
+    for (const transport::StreamId stream :
+         std::exchange(this->held_reports, {})) {
+      this->Send(stream, ResultCode::kOk, {});
+    }
+  }
+
   std::vector<Pull> pulls;
   std::vector<Report> reports;
   std::set<std::string> listed;  ///< Items of reports that were taken.
   std::size_t reports_to_refuse = 0;
+  bool holds_reports = false;  ///< Without an answer, until AnswerReports.
   std::function<void(Pull&)> on_pull = [](Pull&) {};
 
  private:
@@ -141,6 +151,10 @@
       report.items.push_back(outcome.item);
     }
     this->reports.push_back(report);
+    if (this->holds_reports) {
+      this->held_reports.push_back(stream);
+      return;
+    }
     if (this->reports.size() <= this->reports_to_refuse) {
       this->Send(stream, ResultCode::kUnknownOutcome, {});
       return;
@@ -155,6 +169,7 @@
     this->server.Finish(stream);
   }
 
+  std::vector<transport::StreamId> held_reports;
   transport::PeerDispatch dispatch;
   transport::PeerServer* target = nullptr;
   transport::PeerServer server;
@@ -253,7 +268,7 @@
   /// What a report has besides the texts.
   constexpr std::size_t kMargin = 1000;
   SECTION("several texts, one after the other") {
-    bench.engine.text = std::string(100'000, 't');
+    bench.engine.text = std::string(BatchRunner::kMostReportBytes / 3, 't');
     bench.leader.reports_to_refuse = kRefused;
     REQUIRE(bench.RunUntil(all_listed));
     for (const Leader::Report& report : bench.leader.reports) {
@@ -281,6 +296,27 @@
   }
 }
 
+// Guards against gates that make a slow leader slower: each copy of a report
+// costs it as much as the first.
+TEST_CASE("a report is not sent again while its leader is there") {
+  constexpr milliseconds kLateAnswer{3500};
+  Bench bench(1);
+  bench.leader.holds_reports = true;
+  bench.leader.on_pull = [&](Leader::Pull& pull) {
+    batches::PulledItems items;
+    if (bench.leader.pulls.size() == 1) {
+      items.items = {MakeItem("1", kAmpleTime)};
+    }
+    bench.leader.Answer(pull, items);
+  };
+  REQUIRE(bench.RunUntil([&] { return !bench.leader.reports.empty(); }));
+  bench.RunFor(kLateAnswer);
+  CHECK(bench.leader.reports.size() == 1);
+  bench.leader.AnswerReports();
+  CHECK(bench.RunUntil([&] { return bench.runner.Held() == 0; }));
+  CHECK(bench.leader.reports.size() == 1);
+}
+
 // Symptom: items that were handed back begin from nothing at the next gate, and
 // are late. Sequence: a gate hands an item back with what its run has made; the
 // pull that carries it is refused, or given up for a newer one. Cause: what a
