--- a/bench/resultbench.cpp
+++ b/bench/resultbench.cpp
@@ -30,7 +30,7 @@
 using batches::ItemRef;
 using std::chrono::milliseconds;
 
-/// What one run plays.
+/// The load of one run.
 struct Load {
   int gates = 144;
   int slots = 7;  ///< Items that a gate runs at once.
@@ -147,7 +147,7 @@
 class Callers {
  public:
   Callers(const Load& load, std::uint16_t leader)
-      : load(load), leader("127.0.0.1", leader), peers(this->context) {}
+      : load(load), leader{"127.0.0.1", leader}, peers(this->context) {}
 
   void Submit() {
     int answered = 0;
--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -35,7 +35,7 @@
   /// Bytes of reports on their way through the log beyond which a further one
   /// is refused, unless it is the only one: an eighth of the 64 MB that control
   /// may take of a node, and some seconds of what a leader commits.
-  static constexpr std::size_t kMostReportBytes = std::size_t{8} << 20U;
+  static constexpr std::size_t kMostProposedBytes = std::size_t{8} << 20U;
 
   /// Told to the coordination group: the members, from the leader only.
   using MembersChanged =
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -425,7 +425,7 @@
 
 bool BatchStore::HasRoom(std::size_t report_bytes) const {
   return this->proposals.empty() ||
-         this->proposed_bytes + report_bytes <= kMostReportBytes;
+         this->proposed_bytes + report_bytes <= kMostProposedBytes;
 }
 
 /// Symptom guarded against: as for a batch, with the texts of a report, which a
--- a/src/batches/tests/batchstore_tests.cpp
+++ b/src/batches/tests/batchstore_tests.cpp
@@ -172,7 +172,7 @@
 // Guards against a leader that takes more than it can commit: refused at once,
 // a report waits at its gate.
 TEST_CASE("a report for which the log has no room is refused at once") {
-  constexpr std::size_t kTextBytes = BatchStore::kMostReportBytes / 2;
+  constexpr std::size_t kTextBytes = BatchStore::kMostProposedBytes / 2;
   Pair pair;
   StoreMember& leader = pair.Leader();
   std::vector<ResultCode> codes;
@@ -199,7 +199,7 @@
     CHECK(Count(codes, ResultCode::kOk) == 2);
   }
   SECTION("but not the only one, whatever its size") {
-    report("i", BatchStore::kMostReportBytes + 1);
+    report("i", BatchStore::kMostProposedBytes + 1);
     pair.RunUntil([&codes] { return codes.size() == 1; });
     CHECK(codes == std::vector<ResultCode>{ResultCode::kOk});
   }
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "nodes/batchrunner.h"
+#include "nodes/tests/batchfixtures.h"
 #include "transport/peerdispatch.h"
 #include "transport/peerserver.h"
 
@@ -23,27 +24,6 @@
 constexpr milliseconds kPatience{8000};
 constexpr milliseconds kAmpleTime{60000};
 
-Dialect MakeDialect() {
-  Dialect dialect;
-  dialect.identity = [](const std::string& id) {
-    return http::Header{"Id", id};
-  };
-  dialect.write_forward = [](http::Headers&, const ForwardFields&) {};
-  dialect.read_engine_head = [](const http::HttpHead&) { return EngineHead{}; };
-  return dialect;
-}
-
-routes::RouteTablePtr MakeTable() {
-  routes::Route route;
-  route.host = "h";
-  route.path_prefix = "/r/";
-  route.kind = routes::RouteKind::kBatch;
-  route.max_attempts = 3;
-  route.targets = {{"llm", 1}};
-  return std::make_shared<routes::RouteTable>(
-      routes::FleetConfiguration{1, {route}, {}, {}});
-}
-
 /// An engine whose answer to each item is one event, whole or not ended yet.
 class Engine {
  public:
@@ -196,7 +176,7 @@
   explicit Bench(std::uint32_t slots) {
     this->desk.SetSlots(slots);
     this->runner.SetEngine("e");
-    this->runner.SetRoutes(MakeTable());
+    this->runner.SetRoutes(MakeBatchTable());
   }
 
   bool RunUntil(const std::function<bool()>& done,
@@ -235,7 +215,7 @@
   coordination::GroupClient jobs{this->context, this->peers, this->job_search};
   http::HttpClient client{this->context};
   slots::SlotDesk desk;
-  Dialect dialect = MakeDialect();
+  Dialect dialect = MakeBatchDialect();
   slots::TicketId last_ticket = 0;
   BatchRunner runner{{"g", 1, "llm", this->engine.Address()},
                      this->dialect,
--- a/src/nodes/tests/resultburst_tests.cpp
+++ b/src/nodes/tests/resultburst_tests.cpp
@@ -11,6 +11,7 @@
 
 #include "batches/tests/storemember.h"
 #include "nodes/batchrunner.h"
+#include "nodes/tests/batchfixtures.h"
 
 namespace papayarack::nodes {
 namespace {
@@ -24,20 +25,6 @@
 constexpr std::size_t kTextBytes = 20'000;
 constexpr milliseconds kStep{10};
 constexpr milliseconds kPatience{8000};
-constexpr const char* kHost = "h";
-constexpr const char* kRouteKey = "h/r/";
-
-routes::RouteTablePtr MakeTable() {
-  routes::Route route;
-  route.host = kHost;
-  route.path_prefix = "/r/";
-  route.kind = routes::RouteKind::kBatch;
-  route.max_attempts = 3;
-  route.targets = {{"llm", 1}};
-  route.batch.result_deadline = std::chrono::seconds(60);
-  return std::make_shared<routes::RouteTable>(
-      routes::FleetConfiguration{1, {route}, {}, {}});
-}
 
 /// All engines at one address: each answer is one event, whose end the test
 /// gives.
@@ -85,16 +72,6 @@
   std::deque<http::ExchangeId> running;
 };
 
-Dialect MakeDialect() {
-  Dialect dialect;
-  dialect.identity = [](const std::string& id) {
-    return http::Header{"Id", id};
-  };
-  dialect.write_forward = [](http::Headers&, const ForwardFields&) {};
-  dialect.read_engine_head = [](const http::HttpHead&) { return EngineHead{}; };
-  return dialect;
-}
-
 /// A gate with connections of its own to the group.
 struct Gate {
   Gate(asio::io_context& context, const Engines& engines,
@@ -108,7 +85,7 @@
     this->search.SetMembers(members);
     this->desk.SetSlots(kSlots);
     this->runner.SetEngine("e");
-    this->runner.SetRoutes(MakeTable());
+    this->runner.SetRoutes(MakeBatchTable());
   }
 
   transport::PeerClient peers;
@@ -133,7 +110,7 @@
     }
     for (StoreMember& member : this->members) {
       member.Start(founders);
-      member.SetRoutes(MakeTable());
+      member.SetRoutes(MakeBatchTable());
     }
     for (std::size_t i = 0; i < kGates; ++i) {
       this->gates.emplace_back(this->context, this->engines, this->dialect,
@@ -187,7 +164,7 @@
   asio::io_context context;
   std::list<StoreMember> members;
   Engines engines{this->context};
-  Dialect dialect = MakeDialect();
+  Dialect dialect = MakeBatchDialect();
   std::list<Gate> gates;
   Time next_comment{};
 };
@@ -210,8 +187,8 @@
   for (std::size_t i = 0; i < kItems / kItemsOfBatch; ++i) {
     batches::SubmitBatch batch;
     batch.id = "b" + std::to_string(i);
-    batch.host = kHost;
-    batch.route_key = kRouteKey;
+    batch.host = "h";
+    batch.route_key = "h/r/";
     for (std::size_t j = 0; j < kItemsOfBatch; ++j) {
       const std::string id = batch.id + "-" + std::to_string(j);
       batch.items.push_back({id, "/r/" + id, {}, "body", 100});
