A route is found by its path without going through a host's routes

Cause: RouteTable::Find compared the path with each prefix of the host, longest first. Each request asks, and the job group's leader asks for each waiting item at each change of the configuration, so with thousands of routes on one host its work grows with what is configured, not with what happens: the kind of work that made the leader overload itself.

Change: prefixes of a host in a map, looked up once for each length in use. Test: `finding a route by its path costs the same among many routes`.

--- a/src/routes/internal/routetable.cpp
+++ b/src/routes/internal/routetable.cpp
@@ -1,21 +1,15 @@
 #include "routes/routetable.h"
 
-#include <algorithm>
-#include <numeric>
-
 namespace papayarack::routes {
 
 RouteTable::RouteTable(FleetConfiguration configuration)
     : config(std::move(configuration)) {
   for (std::size_t i = 0; i < this->config.routes.size(); ++i) {
-    this->by_host[this->config.routes[i].host].push_back(i);
-    this->by_key.emplace(this->config.routes[i].Key(), i);
-  }
-  for (auto& [host, positions] : this->by_host) {
-    std::ranges::sort(positions, [this](std::size_t one, std::size_t other) {
-      return this->config.routes[one].path_prefix.size() >
-             this->config.routes[other].path_prefix.size();
-    });
+    const Route& route = this->config.routes[i];
+    HostRoutes& of_host = this->by_host[route.host];
+    of_host.by_prefix.emplace(route.path_prefix, i);
+    of_host.lengths.insert(route.path_prefix.size());
+    this->by_key.emplace(route.Key(), i);
   }
 }
 
@@ -26,10 +20,13 @@
   if (found == this->by_host.end()) {
     return nullptr;
   }
-  for (const std::size_t position : found->second) {
-    const Route& route = this->config.routes[position];
-    if (path.starts_with(route.path_prefix)) {
-      return &route;
+  for (const std::size_t length : found->second.lengths) {
+    if (length > path.size()) {
+      continue;
+    }
+    const auto route = found->second.by_prefix.find(path.substr(0, length));
+    if (route != found->second.by_prefix.end()) {
+      return &this->config.routes[route->second];
     }
   }
   return nullptr;
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -1,11 +1,14 @@
 #ifndef PAPAYARACK_ROUTES_ROUTETABLE_H_
 #define PAPAYARACK_ROUTES_ROUTETABLE_H_
 
+#include <cstddef>
+#include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <vector>
 
 #include "routes/fleetconfiguration.h"
 
@@ -26,8 +29,14 @@
 
  private:
   FleetConfiguration config;
-  /// Positions in config.routes by host, longest prefix first.
-  std::unordered_map<std::string, std::vector<std::size_t>> by_host;
+  /// The routes of one host.
+  struct HostRoutes {
+    /// Positions in config.routes.
+    std::map<std::string, std::size_t, std::less<>> by_prefix;
+    /// Of all prefixes, the longest first, each once.
+    std::set<std::size_t, std::greater<>> lengths;
+  };
+  std::unordered_map<std::string, HostRoutes> by_host;
   std::unordered_map<std::string, std::size_t> by_key;  ///< Route::Key.
 };
 
--- a/src/routes/tests/routes_tests.cpp
+++ b/src/routes/tests/routes_tests.cpp
@@ -81,6 +81,31 @@
   CHECK(cost_among(4000) < kNoisyClock * cost_among(10));
 }
 
+// Guards against processes that are busy with look-ups alone: each request, and
+// each batch item at each change of the configuration, asks for its route.
+TEST_CASE("finding a route by its path costs the same among many routes") {
+  constexpr int kLookUps = 2000;
+  constexpr int kNoisyClock = 10;
+  const auto cost_among = [&](int count) {
+    FleetConfiguration configuration = MakeConfiguration();
+    for (int i = 0; i < count; ++i) {
+      const std::string name = std::to_string(i);
+      configuration.routes.push_back(MakeRoute(name, "/" + name + "/"));
+    }
+    const RouteTable table(std::move(configuration));
+    int found = 0;
+    const auto cost = ProcessorTimeOf([&] {
+      for (int i = 0; i < kLookUps; ++i) {
+        const Route* route = table.Find("shop.example", "/0/item");
+        found += route != nullptr && route->name == "0" ? 1 : 0;
+      }
+    });
+    CHECK(found == kLookUps);
+    return cost;
+  };
+  CHECK(cost_among(4000) < kNoisyClock * cost_among(10));
+}
+
 TEST_CASE("requests are split by weight") {
   Route route = MakeRoute("split", "/s/");
   route.targets = {{"one", 90}, {"two", 10}};
