A loop that stands still can be told from one that has nothing to say

Each process now logs `loop_delayed` when its loop takes a timer 0.2 s late or more, with the processor time used meanwhile (little: the disk or the machine; much: its own work), and counts it in `loop_delays_total`.

--- a/src/nodes/noderuntime.h
+++ b/src/nodes/noderuntime.h
@@ -17,6 +17,7 @@
 #include "nodes/listpace.h"
 #include "nodes/listreading.h"
 #include "nodes/logthrottle.h"
+#include "nodes/loopwatch.h"
 #include "nodes/nodeoptions.h"
 #include "nodes/ownedengine.h"
 #include "routes/routetable.h"
@@ -93,6 +94,7 @@
   ListReader search_reader;
   std::unique_ptr<asio::steady_timer> backlog_timer;
   transport::BacklogWatch backlog;
+  LoopWatch loop_watch{this->context, this->metrics};
 };
 
 }  // namespace papayarack::nodes
