Results and pulls cost the job group's leader what they change, not all that waits

What callers would see: with one batch of 63,000 items, or 7,000 items of a service that has no room, hardly any batch result comes any more, of whichever batch.

Cause: BatchBook looked for an item through its whole batch, SyncLeases went through a batch's items at each result, and LeaseDesk::Take through all that waits at each pull whose service nothing fits. HasNews was true for every gate with room while anything waited at all, so one item that nobody can run made each gate's pull do that fifty times a second.

Change: items of a batch are found by their ids; commands say which items they changed; what waits stands in one queue for each set of services that may run it, and a pull is looked at only while something waits for its service.

Tests: `a result costs the same in a large batch as in a small one`, `items are handed out by the services that may run them`, `a pull costs the same beside many items of other services`. The older tests of LeaseDesk name a service where they gave a predicate that was always true; their checks are as before.

--- a/bench/resultbench.cpp
+++ b/bench/resultbench.cpp
@@ -35,7 +35,9 @@
   int gates = 144;
   int slots = 7;  ///< Items that a gate runs at once.
   int batches = 700;
-  int items = 10;  ///< Of a batch.
+  int items = 10;         ///< Of a batch.
+  int body_bytes = 1500;  ///< Of an item.
+  int elsewhere = 0;      ///< Items that wait for a service without gates.
   int text_bytes = 20000;
   int routes = 44;
   int run_ms = 5600;  ///< Of one item.
@@ -45,6 +47,8 @@
 
 constexpr const char* kHost = "batches.example";
 constexpr const char* kService = "engine";
+/// Prefix of the route to a service without gates.
+constexpr const char* kElsewhere = "/elsewhere/";
 constexpr std::size_t kMembers = 5;
 constexpr milliseconds kGateTick{40};
 
@@ -61,6 +65,10 @@
     route.batch.result_deadline = milliseconds(18000);
     configuration.routes.push_back(std::move(route));
   }
+  routes::Route elsewhere = configuration.routes.back();
+  elsewhere.path_prefix = kElsewhere;
+  elsewhere.targets = {{"elsewhere", 1}};
+  configuration.routes.push_back(std::move(elsewhere));
   return std::make_shared<routes::RouteTable>(std::move(configuration));
 }
 
@@ -150,24 +158,14 @@
       : load(load), leader{"127.0.0.1", leader}, peers(this->context) {}
 
   void Submit() {
-    int answered = 0;
     for (int i = 0; i < this->load.batches; ++i) {
-      batches::SubmitBatch batch;
-      batch.id = "batch-0123456789abcdef-" + std::to_string(i);
-      batch.host = kHost;
-      batch.route_key = std::string(kHost) + "/b/";
-      for (int j = 0; j < this->load.items; ++j) {
-        constexpr std::size_t kBodyBytes = 1500;
-        batch.items.push_back({"item-0123456789abcdef-" + std::to_string(j),
-                               "/b/x",
-                               {},
-                               std::string(kBodyBytes, 'b'),
-                               350});
-      }
-      this->Ask("/jobs/submit", EncodeMessage(batch),
-                [&answered](const std::string&) { ++answered; });
+      this->Submit("batch-0123456789abcdef-" + std::to_string(i), "/b/",
+                   this->load.items);
+    }
+    if (this->load.elsewhere > 0) {
+      this->Submit("elsewhere", kElsewhere, this->load.elsewhere);
     }
-    while (answered < this->load.batches) {
+    while (this->submitting > 0) {
       this->Run(milliseconds(1));
     }
   }
@@ -196,6 +194,23 @@
     bool reporting = false;
   };
 
+  void Submit(const std::string& id, const std::string& prefix, int items) {
+    batches::SubmitBatch batch;
+    batch.id = id;
+    batch.host = kHost;
+    batch.route_key = kHost + prefix;
+    for (int i = 0; i < items; ++i) {
+      batch.items.push_back({"item-0123456789abcdef-" + std::to_string(i),
+                             prefix + "x",
+                             {},
+                             std::string(this->load.body_bytes, 'b'),
+                             350});
+    }
+    ++this->submitting;
+    this->Ask("/jobs/submit", EncodeMessage(batch),
+              [this](const std::string&) { --this->submitting; });
+  }
+
   void Run(milliseconds time) {
     this->context.run_for(time);
     this->context.restart();
@@ -284,6 +299,7 @@
   asio::io_context context;
   transport::PeerClient peers;
   std::map<std::string, Gate> gates;
+  int submitting = 0;  ///< Batches that were not answered yet.
 };
 
 nlohmann::json Play(const Load& load) {
@@ -354,6 +370,10 @@
       {"gates", 0, POPT_ARG_INT, &load.gates, 0, "gates", nullptr},
       {"batches", 0, POPT_ARG_INT, &load.batches, 0, "batches", nullptr},
       {"items", 0, POPT_ARG_INT, &load.items, 0, "items of a batch", nullptr},
+      {"body-bytes", 0, POPT_ARG_INT, &load.body_bytes, 0, "an item's body",
+       nullptr},
+      {"elsewhere", 0, POPT_ARG_INT, &load.elsewhere, 0,
+       "items that wait for a service without gates", nullptr},
       {"text-bytes", 0, POPT_ARG_INT, &load.text_bytes, 0, "a result's text",
        nullptr},
       {"routes", 0, POPT_ARG_INT, &load.routes, 0, "routes in force", nullptr},
--- a/src/batches/batchbook.h
+++ b/src/batches/batchbook.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -53,11 +54,23 @@
     bool ended = false;
     std::vector<Item> items;
     std::vector<Listed> results;  ///< In the order of their positions.
+    /// Positions in `items` in the order of their ids; not saved.
+    std::vector<std::uint32_t> by_id;
     MSGPACK_DEFINE(host, route_key, submitted_ms, ended, items, results)
 
     bool Open() const {
       return !this->ended && this->results.size() < this->items.size();
     }
+    /// Sorts `by_id`, to be called when `items` is complete.
+    void IndexItems();
+    /// Where the first item of that id stands. Precondition: IndexItems was
+    /// called.
+    std::optional<std::size_t> PositionOf(std::string_view id) const;
+  };
+  /// What commands changed of what may run.
+  struct Changes {
+    std::vector<std::string> batches;  ///< Opened or ended.
+    std::vector<ItemRef> items;        ///< Listed, or an attempt failed.
   };
 
   /// Precondition: `files` outlives the book.
@@ -94,8 +107,8 @@
   const std::unordered_map<std::string, Batch>& batches() const {
     return this->all;
   }
-  /// Batches that the last command opened or whose waiting items it changed.
-  std::vector<std::string> TakeTouched();
+  /// All changes since the last call.
+  Changes TakeChanges() { return std::exchange(this->changes, {}); }
 
  private:
   BatchReply Do(const SubmitBatch& command);
@@ -112,7 +125,7 @@
   std::unordered_map<std::string, Batch> all;
   ResultTexts texts;
   std::map<std::string, std::uint64_t> waiting_tokens;  ///< By route key.
-  std::vector<std::string> touched;
+  Changes changes;
 };
 
 }  // namespace papayarack::batches
--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -121,7 +121,11 @@
   /// Listed, or its batch ended: no outcome changes that any more.
   bool IsFinal(const ItemRef& ref) const;
   void OnApplied();
+  /// Answers who waits for news of one of these batches.
+  void AnswerReadersOf(const std::set<std::string>& changed);
+  /// Adds the batch's items to what may run, or takes them out.
   void SyncLeases(const std::string& batch, Time now);
+  void SyncLease(const ItemRef& item, Time now);
   void OnTerm(Time now);
   void AnswerReader(StreamId stream, const Reader& reader);
   void AnswerReaders(Time now);
@@ -130,7 +134,8 @@
                Time now) const;
   bool AnswerPuller(StreamId stream, const Puller& puller, Time now);
   void AnswerPullers(Time now);
-  bool Fits(const ItemRef& item, const std::string& service) const;
+  /// The services whose replicas may run the item by the routes in force.
+  Services ServicesOf(const ItemRef& item) const;
   LeasedItem Lease(const ItemRef& item, Time now) const;
   Time DueOf(const BatchBook::Batch& batch, Time now) const;
   void GiveUpItemsOfGoneRoutes();
--- a/src/batches/internal/batchbook.cpp
+++ b/src/batches/internal/batchbook.cpp
@@ -1,6 +1,7 @@
 #include "batches/batchbook.h"
 
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 #include <utility>
 
@@ -30,6 +31,26 @@
 
 }  // namespace
 
+void BatchBook::Batch::IndexItems() {
+  this->by_id.resize(this->items.size());
+  std::iota(this->by_id.begin(), this->by_id.end(), 0U);
+  std::ranges::stable_sort(this->by_id, {}, [this](std::uint32_t position) {
+    return std::string_view(this->items[position].spec.id);
+  });
+}
+
+std::optional<std::size_t> BatchBook::Batch::PositionOf(
+    std::string_view id) const {
+  const auto id_at = [this](std::uint32_t position) {
+    return std::string_view(this->items[position].spec.id);
+  };
+  const auto found = std::ranges::lower_bound(this->by_id, id, {}, id_at);
+  if (found == this->by_id.end() || id_at(*found) != id) {
+    return std::nullopt;
+  }
+  return *found;
+}
+
 BatchReply BatchBook::Apply(std::string_view command) {
   try {
     const auto decoded = DecodeVariant<BatchCommand>(command);
@@ -62,8 +83,9 @@
   for (const ItemSpec& spec : command.items) {
     batch.items.push_back({spec, false, 0, {}});
   }
+  batch.IndexItems();
   this->all.emplace(command.id, std::move(batch));
-  this->touched.push_back(command.id);
+  this->changes.batches.push_back(command.id);
   return ReplyWith(ResultCode::kOk);
 }
 
@@ -102,27 +124,25 @@
     return;
   }
   Batch& batch = found->second;
-  const auto item =
-      std::ranges::find_if(batch.items, [&outcome](const Item& candidate) {
-        return candidate.spec.id == outcome.item;
-      });
+  const std::optional<std::size_t> position = batch.PositionOf(outcome.item);
   // The first outcome stands: an item that ran twice, because a lease was
   // thought lost, is listed once.
-  if (item == batch.items.end() || item->listed || batch.ended) {
+  if (!position.has_value() || batch.items[*position].listed || batch.ended) {
     return;
   }
-  this->touched.push_back(outcome.batch);
+  Item& item = batch.items[*position];
+  this->changes.items.push_back({outcome.batch, outcome.item});
   switch (outcome.End()) {
     case ItemEnd::kComplete:
-      this->List(batch, *item, true, outcome.text);
+      this->List(batch, item, true, outcome.text);
       break;
     case ItemEnd::kGivenUp:
-      this->List(batch, *item, false, {});
+      this->List(batch, item, false, {});
       break;
     case ItemEnd::kFailed:
-      CountFailure(*item, outcome.run);
-      if (item->failures >= outcome.max_attempts) {
-        this->List(batch, *item, false, {});
+      CountFailure(item, outcome.run);
+      if (item.failures >= outcome.max_attempts) {
+        this->List(batch, item, false, {});
       }
       break;
   }
@@ -153,7 +173,7 @@
     }
   }
   batch.ended = true;
-  this->touched.push_back(command.id);
+  this->changes.batches.push_back(command.id);
   return ReplyWith(ResultCode::kOk);
 }
 
@@ -188,12 +208,8 @@
   if (batch == nullptr) {
     return nullptr;
   }
-  for (const Item& item : batch->items) {
-    if (item.spec.id == ref.item) {
-      return &item;
-    }
-  }
-  return nullptr;
+  const std::optional<std::size_t> position = batch->PositionOf(ref.item);
+  return position.has_value() ? &batch->items[*position] : nullptr;
 }
 
 bool BatchBook::Waits(const ItemRef& ref) const {
@@ -249,10 +265,6 @@
   return page;
 }
 
-std::vector<std::string> BatchBook::TakeTouched() {
-  return std::exchange(this->touched, {});
-}
-
 std::string BatchBook::Save() const {
   const std::tuple<const decltype(this->all)&, std::uint64_t> saved(
       this->all, this->texts.length());
@@ -263,6 +275,9 @@
   auto [batches, texts_length] =
       DecodeMessage<std::tuple<decltype(this->all), std::uint64_t>>(bytes);
   this->all = std::move(batches);
+  for (auto& [id, batch] : this->all) {
+    batch.IndexItems();
+  }
   this->texts.Open(texts_length);
   this->Recount();
 }
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -135,6 +135,10 @@
 
 void BatchStore::OnRoutes(routes::RouteTablePtr newer) {
   this->table = std::move(newer);
+  if (this->led_term != 0) {
+    this->desk.Reassign(
+        [this](const ItemRef& item) { return this->ServicesOf(item); });
+  }
 }
 
 void BatchStore::HandOver() {
@@ -198,7 +202,7 @@
   this->giving_up = false;
   this->desk.Reset(now);
   for (const ItemRef& item : this->book.WaitingItems()) {
-    this->desk.Add(item, this->DueOf(*this->book.Find(item.batch), now));
+    this->SyncLease(item, now);
   }
 }
 
@@ -389,20 +393,29 @@
 
 /// Brings readers and leases in line with what was just committed.
 void BatchStore::OnApplied() {
-  const std::vector<std::string> touched = this->book.TakeTouched();
+  const BatchBook::Changes changes = this->book.TakeChanges();
   if (this->led_term == 0) {
     return;
   }
   const Time now = MonotonicNow();
-  for (const std::string& batch : touched) {
-    this->SyncLeases(batch, now);
-    for (auto reader = this->readers.begin(); reader != this->readers.end();) {
-      const bool news = reader->second.query.id == batch;
-      if (news) {
-        this->AnswerReader(reader->first, reader->second);
-      }
-      reader = news ? this->readers.erase(reader) : std::next(reader);
+  std::set<std::string> changed(changes.batches.begin(), changes.batches.end());
+  for (const std::string& id : changes.batches) {
+    this->SyncLeases(id, now);
+  }
+  for (const ItemRef& item : changes.items) {
+    this->SyncLease(item, now);
+    changed.insert(item.batch);
+  }
+  this->AnswerReadersOf(changed);
+}
+
+void BatchStore::AnswerReadersOf(const std::set<std::string>& changed) {
+  for (auto reader = this->readers.begin(); reader != this->readers.end();) {
+    const bool news = changed.contains(reader->second.query.id);
+    if (news) {
+      this->AnswerReader(reader->first, reader->second);
     }
+    reader = news ? this->readers.erase(reader) : std::next(reader);
   }
 }
 
@@ -412,12 +425,16 @@
     return;
   }
   for (const BatchBook::Item& item : batch->items) {
-    const ItemRef ref{id, item.spec.id};
-    if (item.listed || batch->ended) {
-      this->desk.Remove(ref, now);
-    } else {
-      this->desk.Add(ref, this->DueOf(*batch, now));
-    }
+    this->SyncLease({id, item.spec.id}, now);
+  }
+}
+
+void BatchStore::SyncLease(const ItemRef& item, Time now) {
+  if (this->book.Waits(item)) {
+    this->desk.Add(item, this->DueOf(*this->book.Find(item.batch), now),
+                   this->ServicesOf(item));
+  } else {
+    this->desk.Remove(item, now);
   }
 }
 
@@ -525,18 +542,23 @@
   }
 }
 
-bool BatchStore::Fits(const ItemRef& item, const std::string& service) const {
+Services BatchStore::ServicesOf(const ItemRef& item) const {
   const BatchBook::Batch* batch = this->book.Find(item.batch);
   const BatchBook::Item* found = this->book.FindItem(item);
-  if (batch == nullptr || found == nullptr || this->table == nullptr) {
-    return false;
+  if (found == nullptr || this->table == nullptr) {
+    return {};
   }
   const routes::Route* route = this->table->Find(batch->host, found->spec.path);
-  return route != nullptr && route->kind == routes::RouteKind::kBatch &&
-         std::ranges::any_of(
-             route->targets, [&service](const routes::WeightedService& target) {
-               return target.service == service && target.weight > 0;
-             });
+  if (route == nullptr || route->kind != routes::RouteKind::kBatch) {
+    return {};
+  }
+  std::set<std::string> services;
+  for (const routes::WeightedService& target : route->targets) {
+    if (target.weight > 0) {
+      services.insert(target.service);
+    }
+  }
+  return {services.begin(), services.end()};
 }
 
 LeasedItem BatchStore::Lease(const ItemRef& item, Time now) const {
@@ -554,11 +576,8 @@
 bool BatchStore::AnswerPuller(StreamId stream, const Puller& puller, Time now) {
   PulledItems pulled;
   pulled.stop = this->desk.ToStop(puller.pull.holding);
-  const auto fits = [this, &puller](const ItemRef& item) {
-    return this->Fits(item, puller.pull.service);
-  };
-  for (const ItemRef& item :
-       this->desk.Take(puller.pull.gate, puller.pull.room, now, fits)) {
+  for (const ItemRef& item : this->desk.Take(
+           puller.pull.gate, puller.pull.service, puller.pull.room, now)) {
     pulled.items.push_back(this->Lease(item, now));
   }
   if (pulled.items.empty() && pulled.stop.empty() && now < puller.until) {
@@ -570,8 +589,8 @@
 
 bool BatchStore::HasNews(const PullItems& pull,
                          const std::set<ItemRef>& removed, Time now) const {
-  const bool items_wait =
-      pull.room > 0 && this->desk.Waiting() > 0 && this->desk.Settled(now);
+  const bool items_wait = pull.room > 0 && this->desk.Settled(now) &&
+                          this->desk.WaitsFor(pull.service);
   return items_wait ||
          std::ranges::any_of(pull.holding, [&removed](const ItemRef& item) {
            return removed.count(item) > 0;
--- a/src/batches/internal/leasedesk.cpp
+++ b/src/batches/internal/leasedesk.cpp
@@ -13,7 +13,8 @@
 }  // namespace
 
 void LeaseDesk::Reset(Time now) {
-  this->line.clear();
+  this->queues.clear();
+  this->queue_ids.clear();
   this->known.clear();
   this->held.clear();
   this->removed.clear();
@@ -21,13 +22,95 @@
   this->settled = now + kSettleTime;
 }
 
-void LeaseDesk::Add(const ItemRef& item, Time due) {
+bool LeaseDesk::Queue::Serves(const std::string& service) const {
+  return std::ranges::binary_search(this->services, service);
+}
+
+LeaseDesk::QueueId LeaseDesk::QueueFor(const Services& services) {
+  const auto [entry, added] =
+      this->queue_ids.try_emplace(services, this->queues.size());
+  if (added) {
+    this->queues.push_back({services, {}});
+  }
+  return entry->second;
+}
+
+void LeaseDesk::MoveTo(QueueId queue, const ItemRef& item, Known& entry) {
+  if (queue == entry.queue) {
+    return;
+  }
+  const Place place = PlaceOf(item, entry);
+  if (this->queues[entry.queue].waiting.erase(place) > 0) {
+    this->queues[queue].waiting.insert(place);
+  }
+  entry.queue = queue;
+}
+
+void LeaseDesk::Add(const ItemRef& item, Time due, const Services& services) {
   const auto [entry, added] = this->known.try_emplace(item);
   if (added) {
+    entry->second.queue = this->QueueFor(services);
     entry->second.due = due;
     entry->second.order = ++this->last_order;
-    this->line.insert(PlaceOf(item, entry->second));
+    this->queues[entry->second.queue].waiting.insert(
+        PlaceOf(item, entry->second));
+  }
+}
+
+std::vector<ItemRef> LeaseDesk::FirstOf(const std::string& service,
+                                        std::size_t most, Time soonest,
+                                        bool in_time) const {
+  std::vector<Place> places;
+  for (const Queue& queue : this->queues) {
+    if (!queue.Serves(service)) {
+      continue;
+    }
+    const auto split = queue.waiting.lower_bound({soonest, 0, {}});
+    auto next = in_time ? split : queue.waiting.begin();
+    const auto end = in_time ? queue.waiting.end() : split;
+    for (std::size_t i = 0; i < most && next != end; ++i, ++next) {
+      places.push_back(*next);
+    }
+  }
+  std::ranges::sort(places);
+  places.resize(std::min(places.size(), most));
+  std::vector<ItemRef> first;
+  first.reserve(places.size());
+  for (Place& place : places) {
+    first.push_back(std::move(std::get<ItemRef>(place)));
+  }
+  return first;
+}
+
+std::vector<ItemRef> LeaseDesk::Take(const std::string& gate,
+                                     const std::string& service,
+                                     std::size_t room, Time now) {
+  std::vector<ItemRef> taken;
+  if (!this->Settled(now)) {
+    return taken;
+  }
+  const Time soonest = now + this->run_estimate;
+  taken = this->FirstOf(service, room, soonest, true);
+  std::ranges::move(this->FirstOf(service, room - taken.size(), soonest, false),
+                    std::back_inserter(taken));
+  for (const ItemRef& item : taken) {
+    this->Lease(item, gate, now);
+  }
+  return taken;
+}
+
+bool LeaseDesk::WaitsFor(const std::string& service) const {
+  return std::ranges::any_of(this->queues, [&service](const Queue& queue) {
+    return !queue.waiting.empty() && queue.Serves(service);
+  });
+}
+
+std::size_t LeaseDesk::Waiting() const {
+  std::size_t sum = 0;
+  for (const Queue& queue : this->queues) {
+    sum += queue.waiting.size();
   }
+  return sum;
 }
 
 void LeaseDesk::Remove(const ItemRef& item, Time now) {
@@ -43,14 +126,14 @@
     this->run_estimate = Duration(static_cast<std::int64_t>(mean));
     this->EndHold(item, entry);
   }
-  this->line.erase(PlaceOf(item, entry));
+  this->queues[entry.queue].waiting.erase(PlaceOf(item, entry));
   this->removed.insert(item);
   this->known.erase(found);
 }
 
 void LeaseDesk::Lease(const ItemRef& item, const std::string& gate, Time now) {
   Known& entry = this->known.at(item);
-  this->line.erase(PlaceOf(item, entry));
+  this->queues[entry.queue].waiting.erase(PlaceOf(item, entry));
   entry.holder = gate;
   this->held[gate].insert(item);
   entry.leased = entry.leased == Time{} ? now : entry.leased;
@@ -59,7 +142,7 @@
 void LeaseDesk::PutBack(const ItemRef& item) {
   Known& entry = this->known.at(item);
   this->EndHold(item, entry);
-  this->line.insert(PlaceOf(item, entry));
+  this->queues[entry.queue].waiting.insert(PlaceOf(item, entry));
 }
 
 void LeaseDesk::EndHold(const ItemRef& item, Known& entry) {
--- a/src/batches/leasedesk.h
+++ b/src/batches/leasedesk.h
@@ -14,6 +14,9 @@
 
 namespace papayarack::batches {
 
+/// Names of services, sorted.
+using Services = std::vector<std::string>;
+
 /// Who runs which waiting item, and which comes next: the soft half of the job
 /// group's leader. An item may run twice, when a lease is thought lost; it is
 /// listed once, so leases need no log entry.
@@ -36,8 +39,16 @@
 
   /// A new leader: forgets everything; Add what waits.
   void Reset(Time now);
-  /// An item became ready to run; ignored when it is known.
-  void Add(const ItemRef& item, Time due);
+  /// An item became ready to run, at replicas of `services`, which are sorted;
+  /// ignored when it is known.
+  void Add(const ItemRef& item, Time due, const Services& services);
+  /// `services_of` says anew where each item may run.
+  template <typename ServicesOf>
+  void Reassign(const ServicesOf& services_of) {
+    for (auto& [item, entry] : this->known) {
+      this->MoveTo(this->QueueFor(services_of(item)), item, entry);
+    }
+  }
   /// An item is listed or its batch ended: whoever holds it must stop.
   void Remove(const ItemRef& item, Time now);
   /// A gate reports what it holds; renews its leases. Items that it held and no
@@ -46,24 +57,12 @@
              const std::vector<ItemRef>& holding, Time now);
   /// A gate hands an item back.
   void Return(const std::string& gate, const ReturnedItem& returned);
-  /// Takes up to `room` items for a gate for which `fits` says yes, those that
-  /// can still be in time first.
-  template <typename Fits>
-  std::vector<ItemRef> Take(const std::string& gate, std::size_t room, Time now,
-                            const Fits& fits) {
-    std::vector<ItemRef> taken;
-    if (!this->Settled(now)) {
-      return taken;
-    }
-    const auto in_time =
-        this->line.lower_bound({now + this->run_estimate, 0, {}});
-    this->TakeRange(in_time, this->line.end(), room, fits, taken);
-    this->TakeRange(this->line.begin(), in_time, room, fits, taken);
-    for (const ItemRef& item : taken) {
-      this->Lease(item, gate, now);
-    }
-    return taken;
-  }
+  /// Takes up to `room` items for a gate of `service`, those that can still be
+  /// in time first.
+  std::vector<ItemRef> Take(const std::string& gate, const std::string& service,
+                            std::size_t room, Time now);
+  /// Whether an item waits that may run at replicas of `service`.
+  bool WaitsFor(const std::string& service) const;
   /// Items of silent gates wait again.
   void Expire(Time now);
   /// Items that `holding` names and that are no longer to run.
@@ -74,7 +73,7 @@
   PartialText PartialOf(const ItemRef& item) const;
   /// When the item is due. Precondition: it is known.
   Time DueOf(const ItemRef& item) const { return this->known.at(item).due; }
-  std::size_t Waiting() const { return this->line.size(); }
+  std::size_t Waiting() const;
   bool Settled(Time now) const { return now >= this->settled; }
   Duration RunEstimate() const { return this->run_estimate; }
 
@@ -83,7 +82,9 @@
     std::uint64_t incarnation = 0;
     Time heard{};
   };
+  using QueueId = std::size_t;
   struct Known {
+    QueueId queue = 0;
     Time due{};
     std::uint64_t order = 0;
     std::string holder;  ///< Empty while it waits.
@@ -92,18 +93,21 @@
   };
   /// By due time, then by order of arrival.
   using Place = std::tuple<Time, std::uint64_t, ItemRef>;
-  using Line = std::set<Place>;
+  /// Waiting items that the same services may run. Kept apart from the others,
+  /// so that items which nobody can run at the moment cost no gate a look.
+  struct Queue {
+    Services services;
+    std::set<Place> waiting;
 
-  template <typename Fits>
-  static void TakeRange(Line::const_iterator from, Line::const_iterator to,
-                        std::size_t most, const Fits& fits,
-                        std::vector<ItemRef>& taken) {
-    for (auto next = from; next != to && taken.size() < most; ++next) {
-      if (fits(std::get<ItemRef>(*next))) {
-        taken.push_back(std::get<ItemRef>(*next));
-      }
-    }
-  }
+    bool Serves(const std::string& service) const;
+  };
+
+  QueueId QueueFor(const Services& services);
+  void MoveTo(QueueId queue, const ItemRef& item, Known& entry);
+  /// The first `most` that `service` may run: those that can be in time at
+  /// `soonest`, or the others.
+  std::vector<ItemRef> FirstOf(const std::string& service, std::size_t most,
+                               Time soonest, bool in_time) const;
   static Place PlaceOf(const ItemRef& item, const Known& known) {
     return {known.due, known.order, item};
   }
@@ -114,7 +118,8 @@
   void PutBackAllOf(const std::string& gate,
                     const std::set<ItemRef>& still_held);
 
-  Line line;
+  std::vector<Queue> queues;  ///< By QueueId.
+  std::map<Services, QueueId> queue_ids;
   std::map<ItemRef, Known> known;                 ///< Waiting or held.
   std::map<std::string, std::set<ItemRef>> held;  ///< By gate.
   std::set<ItemRef> removed;
--- a/src/batches/tests/batches_tests.cpp
+++ b/src/batches/tests/batches_tests.cpp
@@ -36,7 +36,7 @@
   return Time(std::chrono::milliseconds(milliseconds));
 }
 
-const auto kFitsAll = [](const ItemRef&) { return true; };
+const std::string kService = "s";
 
 }  // namespace
 
@@ -175,10 +175,10 @@
   const ItemRef one{"b", "1"};
   const ItemRef two{"b", "2"};
   desk.Reset(At(0));
-  desk.Add(one, At(18000));
-  desk.Add(two, At(18000));
+  desk.Add(one, At(18000), {kService});
+  desk.Add(two, At(18000), {kService});
   const auto take = [&desk](const std::string& gate, std::size_t room, int at) {
-    return desk.Take(gate, room, At(at), kFitsAll);
+    return desk.Take(gate, kService, room, At(at));
   };
   SECTION("after a change of leader the gates speak first") {
     desk.Renew("g", 1, {one}, At(100));
@@ -247,9 +247,9 @@
     LeaseDesk desk;
     desk.Reset(At(0));
     for (int i = 0; i < waiting; ++i) {
-      desk.Add({"b", std::to_string(i)}, At(18000));
+      desk.Add({"b", std::to_string(i)}, At(18000), {kService});
     }
-    const std::vector<ItemRef> held = desk.Take("g", kHeld, At(2000), kFitsAll);
+    const std::vector<ItemRef> held = desk.Take("g", kService, kHeld, At(2000));
     REQUIRE(held.size() == kHeld);
     const auto cost = ProcessorTimeOf([&] {
       for (int i = 0; i < kRenewals; ++i) {
@@ -262,6 +262,93 @@
   CHECK(cost_beside(60000) < kNoisyClock * cost_beside(60));
 }
 
+// Guards against a leader that is busy with one large batch alone: it looked at
+// all items of the batch for each result.
+TEST_CASE("a result costs the same in a large batch as in a small one") {
+  constexpr int kResults = 50;
+  constexpr int kNoisyClock = 10;
+  const auto cost_in = [&](int items) {
+    storage::MemoryFileSystem files;
+    BatchBook book(files);
+    Apply(book, MakeBatch("b", items));
+    book.TakeChanges();
+    std::vector<ItemRef> changed;
+    const auto cost = ProcessorTimeOf([&] {
+      for (int i = items - kResults; i < items; ++i) {
+        const std::string item = "i" + std::to_string(i);
+        Apply(book, ReportOutcomes{{Ended(item, ItemEnd::kComplete, "text")}});
+        CHECK_FALSE(book.Waits({"b", item}));
+        const BatchBook::Changes changes = book.TakeChanges();
+        CHECK(changes.batches.empty());
+        std::ranges::copy(changes.items, std::back_inserter(changed));
+      }
+    });
+    CHECK(changed.size() == kResults);
+    CHECK(book.Page("b", 0, 1U << 20U)->results.size() == kResults);
+    return cost;
+  };
+  CHECK(cost_in(63000) < kNoisyClock * cost_in(60));
+}
+
+// Guards against callers of one service who wait behind items of another, which
+// nobody can run at the moment.
+TEST_CASE("items are handed out by the services that may run them") {
+  LeaseDesk desk;
+  desk.Reset(At(0));
+  desk.Add({"b", "other"}, At(9000), {"other"});
+  desk.Add({"b", "own"}, At(18000), {kService});
+  desk.Add({"b", "both"}, At(12000), {"other", kService});
+  desk.Add({"b", "late"}, At(3000), {"other", kService});
+  desk.Add({"b", "nobody"}, At(9000), {});
+  const auto take = [&desk](std::size_t room) {
+    return desk.Take("g", kService, room, At(2000));
+  };
+  SECTION("by due time, whichever other services they may go to") {
+    CHECK(take(5) ==
+          std::vector<ItemRef>{{"b", "both"}, {"b", "own"}, {"b", "late"}});
+    CHECK_FALSE(desk.WaitsFor(kService));
+    CHECK(desk.WaitsFor("other"));
+    CHECK(desk.Waiting() == 2);
+  }
+  SECTION("and by other services once the configuration says so") {
+    REQUIRE(take(1) == std::vector<ItemRef>{{"b", "both"}});
+    desk.Reassign([](const ItemRef& item) {
+      return item.item == "nobody" ? Services{kService} : Services{"other"};
+    });
+    CHECK(take(5) == std::vector<ItemRef>{{"b", "nobody"}});
+    SECTION("also when they are handed back") {
+      desk.Return("g", {{"b", "both"}, {}});
+      CHECK(take(5).empty());
+      CHECK(desk.Take("h", "other", 2, At(2000)) ==
+            std::vector<ItemRef>{{"b", "other"}, {"b", "both"}});
+    }
+  }
+}
+
+// Guards against a leader that is busy with pulls alone: each looked at all
+// that waits when none of it was for its service.
+TEST_CASE("a pull costs the same beside many items of other services") {
+  constexpr int kPulls = 500;
+  constexpr int kNoisyClock = 10;
+  const auto cost_beside = [&](int waiting) {
+    LeaseDesk desk;
+    desk.Reset(At(0));
+    for (int i = 0; i < waiting; ++i) {
+      desk.Add({"b", std::to_string(i)}, At(18000), {"other"});
+    }
+    std::size_t taken = 0;
+    const auto cost = ProcessorTimeOf([&] {
+      for (int i = 0; i < kPulls; ++i) {
+        taken += desk.WaitsFor(kService) ? 1 : 0;
+        taken += desk.Take("g", kService, 7, At(2000 + i)).size();
+      }
+    });
+    CHECK(taken == 0);
+    return cost;
+  };
+  CHECK(cost_beside(60000) < kNoisyClock * cost_beside(60));
+}
+
 // Load: twice as many items as the slots can run, for half a minute. First come
 // first served finishes nearly all of them just too late; by what can still be
 // in time, as many are in time as the slots can run.
@@ -280,7 +367,7 @@
     if (now < start + 30000) {
       const ItemRef item{"b", std::to_string(now)};
       due[item] = now + kAllowedMs;
-      desk.Add(item, At(now + kAllowedMs));
+      desk.Add(item, At(now + kAllowedMs), {kService});
     }
     std::erase_if(running, [&](const auto& run) {
       if (run.first > now) {
@@ -299,7 +386,7 @@
     }
     desk.Renew("g", 1, held, At(now));
     for (const ItemRef& item :
-         desk.Take("g", kSlots - running.size(), At(now), kFitsAll)) {
+         desk.Take("g", kService, kSlots - running.size(), At(now))) {
       running.emplace_back(now + kRunMs, item);
     }
   }
@@ -312,11 +399,11 @@
 TEST_CASE("an item that can be in time goes before a late one") {
   LeaseDesk desk;
   desk.Reset(At(0));
-  desk.Add({"b", "late"}, At(3000));
-  desk.Add({"b", "fresh"}, At(20000));
-  CHECK(desk.Take("g", 1, At(2000), kFitsAll) ==
+  desk.Add({"b", "late"}, At(3000), {kService});
+  desk.Add({"b", "fresh"}, At(20000), {kService});
+  CHECK(desk.Take("g", kService, 1, At(2000)) ==
         std::vector<ItemRef>{{"b", "fresh"}});
-  CHECK(desk.Take("g", 1, At(2000), kFitsAll) ==
+  CHECK(desk.Take("g", kService, 1, At(2000)) ==
         std::vector<ItemRef>{{"b", "late"}});
 }
 
