A batch's end is in force at the leader when it is asked, not when it is committed

Cause: the leader stopped a batch's items only when the end's entry was applied. Behind results that are committed late, or a follower that is slow, gates went on with them and were handed more.

Change: the leader takes the items out of what may run, and tells who holds them, when the end is asked. An end that is not committed lets them run again. The log has `batch_end_answered`: how long each end took, how many callers waited for it.

Test: `an end that is asked stops the batch before it is committed`; without the early stop its first section failed (no answer to the gate that runs the items while the follower is held up).

--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -113,6 +113,7 @@
   void OnRead(StreamId stream, const std::string& body);
   void OnBody(StreamId stream, const std::string& body);
   void OnEnd(StreamId stream, const std::string& body);
+  void EndAnswered(const std::string& id, ResultCode code, Time asked);
   void OnPull(StreamId stream, const std::string& body);
   void OnReport(StreamId stream, const std::string& body);
   /// Whether the log has room for a report of this size.
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -301,8 +301,10 @@
   });
 }
 
-/// An end that is asked again while the first is on its way waits for that: it
-/// is asked every half second while a store is slow.
+/// Symptom guarded against: items run that nobody wants any more, because their
+/// batch's end waits behind results that are committed late. The leader stops
+/// them as soon as the end is asked; an end that is not committed lets them run
+/// again. One that is asked again while the first is on its way waits for that.
 void BatchStore::OnEnd(StreamId stream, const std::string& body) {
   auto command = DecodeMessage<EndBatch>(body);
   const BatchBook::Batch* batch = this->book.Find(command.id);
@@ -316,15 +318,31 @@
   if (!first) {
     return;
   }
+  const Time asked = MonotonicNow();
   Log(LogLevel::kInfo, "batch_end_asked", {{"batch", id}});
-  this->ProposeThen(std::move(command), [this, id](ResultCode code) {
-    const auto ended = this->ends.extract(id);
-    for (const StreamId waiting : ended.mapped()) {
-      this->Reply(waiting, code);
-    }
+  this->SyncLeases(id, asked);
+  this->ProposeThen(std::move(command), [this, id, asked](ResultCode code) {
+    this->EndAnswered(id, code, asked);
   });
 }
 
+void BatchStore::EndAnswered(const std::string& id, ResultCode code,
+                             Time asked) {
+  const auto ended = this->ends.extract(id);
+  const Time now = MonotonicNow();
+  Log(LogLevel::kInfo, "batch_end_answered",
+      {{"batch", id},
+       {"code", static_cast<int>(code)},
+       {"callers", ended.mapped().size()},
+       {"took_ms", (now - asked).count() / 1000}});
+  if (this->led_term != 0) {
+    this->SyncLeases(id, now);
+  }
+  for (const StreamId waiting : ended.mapped()) {
+    this->Reply(waiting, code);
+  }
+}
+
 void BatchStore::OnBody(StreamId stream, const std::string& body) {
   const auto query = DecodeMessage<ReadItemBody>(body);
   this->Confirmed(stream, [this, stream, query] {
@@ -430,7 +448,7 @@
 }
 
 void BatchStore::SyncLease(const ItemRef& item, Time now) {
-  if (this->book.Waits(item)) {
+  if (this->book.Waits(item) && !this->ends.contains(item.batch)) {
     this->desk.Add(item, this->DueOf(*this->book.Find(item.batch), now),
                    this->ServicesOf(item));
   } else {
--- a/src/batches/tests/batchstore_tests.cpp
+++ b/src/batches/tests/batchstore_tests.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "batches/tests/batchtable.h"
 #include "batches/tests/storemember.h"
 
 namespace papayarack::batches {
@@ -44,6 +45,8 @@
                                        : this->members.back();
   }
 
+  std::list<StoreMember>& Members() { return this->members; }
+
   void RunUntil(const std::function<bool()>& done) {
     const Time until = MonotonicNow() + kPatience;
     while (!done() && MonotonicNow() < until) {
@@ -205,6 +208,74 @@
   }
 }
 
+// Guards against items that run after their caller has ended the batch: the end
+// waited for the log, and gates went on until it was committed.
+TEST_CASE("an end that is asked stops the batch before it is committed") {
+  Pair pair;
+  for (StoreMember& member : pair.Members()) {
+    member.SetRoutes(MakeBatchTable());
+  }
+  StoreMember& leader = pair.Leader();
+  std::vector<ResultCode> codes;
+  SubmitBatch batch = MakeBatch("b", 1);
+  batch.items.push_back({"j", "/r/1", {}, "body", 100});
+  leader.Ask("/jobs/submit", batch, codes);
+  std::vector<PulledItems> pulls;
+  const auto pull = [&](std::uint32_t room, std::vector<ItemRef> holding) {
+    PullItems asked;
+    asked.gate = "g";
+    asked.service = "llm";
+    asked.room = room;
+    asked.holding = std::move(holding);
+    leader.Call("/jobs/pull", asked,
+                [&pulls](const coordination::GroupReply& reply) {
+                  pulls.push_back(DecodeMessage<PulledItems>(reply.body));
+                });
+  };
+  // Gates say first what they hold; only then is anything handed out.
+  while (pulls.empty() || pulls.back().items.empty()) {
+    const std::size_t before = pulls.size();
+    pull(1, {});
+    pair.RunUntil([&] { return pulls.size() > before; });
+    REQUIRE(pulls.size() > before);
+  }
+  REQUIRE(codes == std::vector<ResultCode>{ResultCode::kOk});
+  const ItemRef held{"b", pulls.back().items.front().spec.id};
+  pulls.clear();
+
+  pull(1, {held});
+  pair.RunUntil([&] { return pulls.size() == 1; });
+  REQUIRE(pulls.back().items.size() == 1);
+  const ItemRef other{"b", pulls.back().items.front().spec.id};
+  // Handed back: it waits again.
+  pull(0, {held});
+  pair.RunLeaderAlone(kSlice);
+  leader.Ask("/jobs/end", EndBatch{"b"}, codes);
+  pair.RunLeaderAlone(kHeldUp);
+  CHECK(codes.size() == 1);
+
+  SECTION("whoever runs its items is told at once") {
+    REQUIRE(pulls.size() == 2);
+    CHECK(pulls.back().stop == std::vector<ItemRef>{held});
+  }
+  SECTION("whoever has room gets none of them") {
+    pull(5, {});
+    pair.RunLeaderAlone(kHeldUp);
+    CHECK(pulls.size() == 2);
+  }
+  SECTION("and it is answered once it is committed") {
+    pair.RunUntil([&] { return codes.size() == 2; });
+    CHECK(Count(codes, ResultCode::kOk) == 2);
+  }
+  SECTION("but an end that is not committed stops nothing for good") {
+    const Time until = MonotonicNow() + kPatience;
+    while (codes.size() < 2 && MonotonicNow() < until) {
+      pair.RunLeaderAlone(kSlice);
+    }
+    CHECK(Count(codes, ResultCode::kUnknownOutcome) == 1);
+  }
+}
+
 // Symptom: gates send the texts of items that they hand back several times.
 // Sequence: the leader holds the pull that carries them for a second, as it has
 // no items; meanwhile room changes and the gate asks anew. Cause: only an
--- /dev/null
+++ b/src/batches/tests/batchtable.h
@@ -0,0 +1,26 @@
+#ifndef PAPAYARACK_BATCHES_TESTS_BATCHTABLE_H_
+#define PAPAYARACK_BATCHES_TESTS_BATCHTABLE_H_
+
+#include <chrono>
+#include <memory>
+
+#include "routes/routetable.h"
+
+namespace papayarack::batches {
+
+/// One batch route, of host "h" and prefix "/r/", to the service "llm".
+inline routes::RouteTablePtr MakeBatchTable() {
+  routes::Route route;
+  route.host = "h";
+  route.path_prefix = "/r/";
+  route.kind = routes::RouteKind::kBatch;
+  route.max_attempts = 3;
+  route.targets = {{"llm", 1}};
+  route.batch.result_deadline = std::chrono::seconds(60);
+  return std::make_shared<routes::RouteTable>(
+      routes::FleetConfiguration{1, {route}, {}, {}});
+}
+
+}  // namespace papayarack::batches
+
+#endif  // PAPAYARACK_BATCHES_TESTS_BATCHTABLE_H_
--- a/src/batches/tests/storemember.h
+++ b/src/batches/tests/storemember.h
@@ -4,6 +4,7 @@
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -72,10 +73,19 @@
   template <typename Message>
   void Ask(const std::string& path, const Message& message,
            std::vector<ResultCode>& codes) {
+    this->Call(path, message, [&codes](const coordination::GroupReply& reply) {
+      codes.push_back(static_cast<ResultCode>(reply.code));
+    });
+  }
+
+  /// `answered` gets each answer.
+  template <typename Message>
+  void Call(const std::string& path, const Message& message,
+            std::function<void(const coordination::GroupReply&)> answered) {
     transport::CallHandlers handlers;
-    handlers.on_message = [&codes](const std::string& reply) {
-      codes.push_back(static_cast<ResultCode>(
-          DecodeMessage<coordination::GroupReply>(reply).code));
+    handlers.on_message = [answered =
+                               std::move(answered)](const std::string& reply) {
+      answered(DecodeMessage<coordination::GroupReply>(reply));
     };
     this->peers.Call({"127.0.0.1", this->owned.port()}, path,
                      EncodeMessage(message), std::move(handlers));
--- a/src/nodes/tests/batchfixtures.h
+++ b/src/nodes/tests/batchfixtures.h
@@ -1,12 +1,10 @@
 #ifndef PAPAYARACK_NODES_TESTS_BATCHFIXTURES_H_
 #define PAPAYARACK_NODES_TESTS_BATCHFIXTURES_H_
 
-#include <chrono>
-#include <memory>
 #include <string>
 
+#include "batches/tests/batchtable.h"
 #include "nodes/dialect.h"
-#include "routes/routetable.h"
 
 namespace papayarack::nodes {
 
@@ -21,18 +19,7 @@
   return dialect;
 }
 
-/// One batch route, of host "h" and prefix "/r/", to the service "llm".
-inline routes::RouteTablePtr MakeBatchTable() {
-  routes::Route route;
-  route.host = "h";
-  route.path_prefix = "/r/";
-  route.kind = routes::RouteKind::kBatch;
-  route.max_attempts = 3;
-  route.targets = {{"llm", 1}};
-  route.batch.result_deadline = std::chrono::seconds(60);
-  return std::make_shared<routes::RouteTable>(
-      routes::FleetConfiguration{1, {route}, {}, {}});
-}
+using batches::MakeBatchTable;
 
 }  // namespace papayarack::nodes
 
