What a majority has synced does not wait for the leader's disk; a stalled one hands over

What callers saw: while the disk of the job group's leader answers nothing, no batch is accepted, no result is taken and none can be read, for as long as it lasts: the leader goes on with its heartbeats, so nobody takes over. A slow disk of the leader delays all of it alike. The coordination group is the same code: no configuration is acknowledged either.

Cause: a leader applied, and so answered, only what its own disk had synced, though a majority of the others had. Found by a test of the three leaders that go on without answering: `results reach the next leader when the first does not answer`.

Change: a leader applies what is committed. It does not count itself towards the majority before its disk has it, so that nothing acknowledged can be lost (Raft; Ongaro's thesis, 10.2.1). When its disk has answered nothing for 1 s it hands over (`group_disk_stalled`), before so much waits for it that the loop would.

Tests: the one named; `what a majority has synced does not wait for the leader's disk` (with the loss of power of that leader); `a leader whose disk stands still hands over`. All failed before. Random histories of crashes, cuts and torn writes pass as before.

--- a/src/batches/tests/storemember.h
+++ b/src/batches/tests/storemember.h
@@ -1,19 +1,21 @@
 #ifndef PAPAYARACK_BATCHES_TESTS_STOREMEMBER_H_
 #define PAPAYARACK_BATCHES_TESTS_STOREMEMBER_H_
 
+#include <algorithm>
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "batches/batchstore.h"
 #include "coordination/coordinationmessages.h"
 #include "global/tests/processortime.h"
-#include "storage/memoryfilesystem.h"
+#include "storage/tests/stallingfiles.h"
 #include "transport/peerdispatch.h"
 #include "transport/peerserver.h"
 
@@ -24,12 +26,15 @@
  public:
   explicit StoreMember(consensus::MemberId id)
       : id(id),
-        owned(this->context, {"127.0.0.1", 0},
-              this->dispatch.For(this->server)),
+        owned(this->context, {"127.0.0.1", 0}, this->Handlers()),
         peers(this->context) {
     this->server = &this->owned;
   }
 
+  ~StoreMember() { this->files.Stall(false); }
+  StoreMember(const StoreMember&) = delete;
+  StoreMember& operator=(const StoreMember&) = delete;
+
   std::string Address() const {
     return "127.0.0.1:" + std::to_string(this->owned.port());
   }
@@ -50,6 +55,14 @@
         [](const std::string& reason) { FAIL(reason); });
   }
 
+  /// Messages of the group that come from `other` do not arrive any more.
+  void CutFrom(const StoreMember& other) {
+    this->cut_from.push_back(other.Address());
+  }
+
+  /// The member's disk answers nothing any more, or again.
+  void StallDisk(bool stalls) { this->files.Stall(stalls); }
+
   void SetRoutes(routes::RouteTablePtr table) {
     this->store->OnRoutes(std::move(table));
   }
@@ -103,14 +116,33 @@
   bool leads = false;  ///< Has led at some time.
 
  private:
+  transport::PeerServerHandlers Handlers() {
+    transport::PeerServerHandlers handlers = this->dispatch.For(this->server);
+    handlers.on_request = [this, handle = std::move(handlers.on_request)](
+                              transport::StreamId stream, std::string_view path,
+                              std::string body) {
+      // A message between members begins with its sender's address.
+      const bool lost = path.starts_with("/group/") &&
+                        std::ranges::any_of(
+                            this->cut_from, [&body](const std::string& sender) {
+                              return body.find(sender) != std::string::npos;
+                            });
+      if (!lost) {
+        handle(stream, path, std::move(body));
+      }
+    };
+    return handlers;
+  }
+
   consensus::MemberId id;
   asio::io_context context;
-  storage::MemoryFileSystem files;
+  storage::StallingFiles files;
   transport::PeerDispatch dispatch;
   transport::PeerServer* server = nullptr;
   transport::PeerServer owned;
   transport::PeerClient peers;
   std::unique_ptr<BatchStore> store;
+  std::vector<std::string> cut_from;  ///< Addresses.
 };
 
 }  // namespace papayarack::batches
--- a/src/consensus/internal/raftcore.cpp
+++ b/src/consensus/internal/raftcore.cpp
@@ -827,15 +827,21 @@
 }
 
 RaftReady RaftCore::TakeReady() {
-  const Index can_apply = std::min(this->commit_index, this->persisted_index);
+  // Symptom guarded against: nothing is acknowledged or read while the leader's
+  // disk is slow, though a majority has synced all of it. A leader need not
+  // have synced what it answers; it does not count itself towards the majority
+  // before.
+  const Index can_apply =
+      this->current_role == RaftRole::kLeader
+          ? this->commit_index
+          : std::min(this->commit_index, this->persisted_index);
   if (can_apply > this->applied_index) {
     this->ready.committed =
         this->raft_log.Slice(this->applied_index + 1, can_apply, SIZE_MAX);
     this->applied_index = can_apply;
   }
-  // A majority may hold entries that this leader has not synced yet: a
-  // confirmed read waits for those, or it would miss what another caller was
-  // already told.
+  // A confirmed read waits for all that was committed when it came, or it would
+  // miss what another caller was already told.
   std::erase_if(this->confirmed_reads, [this](const PendingRead& read) {
     const bool served = read.index <= this->applied_index;
     if (served) {
--- a/src/consensus/tests/raftcore_tests.cpp
+++ b/src/consensus/tests/raftcore_tests.cpp
@@ -221,6 +221,54 @@
 // comes back and votes for another candidate of the same term. Cause: it forgot
 // its vote, which left before it was on disk. The random histories alone did
 // not find this bug when it was planted.
+// Guards against a leader whose disk answers late or not at all: nothing was
+// acknowledged or read any more, though the other members had all of it synced.
+TEST_CASE("what a majority has synced does not wait for the leader's disk") {
+  RaftCluster cluster(3);
+  cluster.RunCalm(100);
+  const MemberId leader = cluster.Leader();
+  REQUIRE(leader != 0);
+  const auto run_with_its_disk_stalled = [&](int rounds) {
+    for (int round = 0; round < rounds; ++round) {
+      cluster.TickAll(20 * kMillisecond);
+      for (auto& [id, node] : cluster.nodes) {
+        if (id != leader) {
+          cluster.Sync(id);
+        }
+        cluster.Pump(id);
+      }
+      for (std::size_t count = cluster.network.size(); count > 0; --count) {
+        cluster.Deliver(0);
+      }
+    }
+  };
+  REQUIRE(cluster.Propose(leader, "a"));
+  run_with_its_disk_stalled(20);
+  CHECK(cluster.acknowledged.count("a") == 1);
+  CHECK(cluster.Leader() == leader);
+  SECTION("and can be read") {
+    cluster.nodes.at(leader).core->RequestRead(9, cluster.now);
+    run_with_its_disk_stalled(20);
+    CHECK(cluster.nodes.at(leader).reads_ready.count(9) == 1);
+  }
+  SECTION("and is there when the leader loses power before its disk goes on") {
+    cluster.Crash(leader, 0);
+    cluster.RunCalm(100);
+    REQUIRE(cluster.Leader() != 0);
+    CHECK(cluster.nodes.at(cluster.Leader()).state ==
+          std::vector<std::string>{"a"});
+    cluster.Start(leader);
+    cluster.RunCalm(100);
+    CHECK(cluster.nodes.at(leader).state == std::vector<std::string>{"a"});
+  }
+  SECTION("but one of the others has to have it") {
+    CutOff(cluster, leader);
+    REQUIRE(cluster.Propose(leader, "b"));
+    run_with_its_disk_stalled(10);
+    CHECK(cluster.acknowledged.count("b") == 0);
+  }
+}
+
 TEST_CASE("a vote survives the loss of power") {
   RaftOptions options;
   options.self = 2;
--- a/src/nodes/tests/resultburst_tests.cpp
+++ b/src/nodes/tests/resultburst_tests.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t kGates = 144;
 constexpr std::uint32_t kSlots = 8;
 constexpr std::size_t kTextBytes = 20'000;
+constexpr std::size_t kItems = kGates * kSlots;
+constexpr std::size_t kItemsOfBatch = 12;
+constexpr double kWholeProcessor = 1.0;
 constexpr milliseconds kStep{10};
 constexpr milliseconds kPatience{8000};
 
@@ -129,7 +132,9 @@
     const std::chrono::nanoseconds most(
         static_cast<std::int64_t>(share * 1e6 * kStep.count()));
     for (StoreMember& member : this->members) {
-      member.RunWithin(most);
+      if (&member != this->frozen) {
+        member.RunWithin(most);
+      }
     }
     if (MonotonicNow() >= this->next_comment) {
       this->next_comment = MonotonicNow() + milliseconds(1000);
@@ -167,20 +172,11 @@
   Dialect dialect = MakeBatchDialect();
   std::list<Gate> gates;
   Time next_comment{};
+  const StoreMember* frozen = nullptr;  ///< Stands still.
 };
 
-}  // namespace
-
-// Guards against an overload that outlives its cause: results come faster than
-// a leader with a part of a processor commits them, and it never catches up.
-TEST_CASE("a burst of results is committed soon after it") {
-  constexpr std::size_t kItems = kGates * kSlots;
-  constexpr std::size_t kItemsOfBatch = 12;
-  constexpr milliseconds kBurst{4000};
-  constexpr double kWholeProcessor = 1.0;
-  constexpr double kShare = 0.06;
-  constexpr milliseconds kSoon = 8 * kBurst;
-  Fleet fleet;
+/// Submits so many items that every slot runs one, and waits until it does.
+void FillSlots(Fleet& fleet) {
   REQUIRE(fleet.RunUntil([&] { return fleet.Leader() != nullptr; },
                          kWholeProcessor, kPatience));
   std::vector<ResultCode> codes;
@@ -197,7 +193,18 @@
   }
   REQUIRE(fleet.RunUntil([&] { return fleet.engines.Running() == kItems; },
                          kWholeProcessor, 2 * kPatience));
+}
 
+}  // namespace
+
+// Guards against an overload that outlives its cause: results come faster than
+// a leader with a part of a processor commits them, and it never catches up.
+TEST_CASE("a burst of results is committed soon after it") {
+  constexpr milliseconds kBurst{4000};
+  constexpr double kShare = 0.06;
+  constexpr milliseconds kSoon = 8 * kBurst;
+  Fleet fleet;
+  FillSlots(fleet);
   const Time begun = MonotonicNow();
   std::size_t ended = 0;
   fleet.RunUntil(
@@ -222,4 +229,34 @@
   CHECK(fleet.Held() == 0);
 }
 
+// Guards against results that stay at their gates while a leader that does not
+// answer keeps its connections: they are late, though another member leads.
+TEST_CASE("results reach the next leader when the first does not answer") {
+  // A silent connection is given up, the others elect, a report is repeated.
+  constexpr milliseconds kElection{1200};
+  const milliseconds soon = transport::PeerClientOptions{}.ping_after +
+                            transport::PeerClientOptions{}.silent_after +
+                            kElection + BatchRunner::kLongestReportPause;
+  Fleet fleet;
+  FillSlots(fleet);
+  StoreMember& first = *fleet.Leader();
+  SECTION("as it stands still") { fleet.frozen = &first; }
+  SECTION("as it is cut off from the members, not from the gates") {
+    for (StoreMember& member : fleet.members) {
+      if (&member != &first) {
+        member.CutFrom(first);
+        first.CutFrom(member);
+      }
+    }
+  }
+  SECTION("as its disk answers nothing") { first.StallDisk(true); }
+  const std::size_t left = kItems - kGates;
+  fleet.engines.End(kGates);
+  const Time begun = MonotonicNow();
+  fleet.RunUntil([&] { return fleet.Held() <= left; }, kWholeProcessor, soon);
+  INFO("held " << fleet.Held() << " after " << ToSeconds(MonotonicNow() - begun)
+               << " s");
+  CHECK(fleet.Held() <= left);
+}
+
 }  // namespace papayarack::nodes
--- a/src/replication/internal/replicatedgroup.cpp
+++ b/src/replication/internal/replicatedgroup.cpp
@@ -70,10 +70,7 @@
         on_loop([this, messages] { this->SendAll(messages); });
       };
   handlers.synced = [this, on_loop](const consensus::RaftBatch& batch) {
-    on_loop([this, batch] {
-      this->core->Persisted(batch);
-      this->Pump();
-    });
+    on_loop([this, batch] { this->Synced(batch); });
   };
   handlers.snapshot_saved = [this,
                              on_loop](const consensus::SnapshotMeta& meta) {
@@ -101,9 +98,46 @@
 
 void ReplicatedGroup::Tick() {
   this->core->Tick(this->environment.now());
+  this->HandOverWhenDiskStalls();
   this->Pump();
 }
 
+void ReplicatedGroup::Write(consensus::RaftReady& ready) {
+  if (ready.NeedsSync()) {
+    if (this->last_unsynced == 0) {
+      this->disk_asked = this->environment.now();
+    }
+    this->last_unsynced = ready.batch.number;
+  }
+  this->writer->Offer(ready);
+}
+
+void ReplicatedGroup::Synced(const consensus::RaftBatch& batch) {
+  this->disk_asked = this->environment.now();
+  if (batch.number >= this->last_unsynced) {
+    this->last_unsynced = 0;
+  }
+  this->core->Persisted(batch);
+  this->Pump();
+}
+
+/// Symptom guarded against: a process stands still with all that runs on its
+/// loop, because more waits for its disk than the writer may hold. A leader
+/// writes most, so it makes way before that.
+void ReplicatedGroup::HandOverWhenDiskStalls() {
+  const Time now = this->environment.now();
+  if (!this->Leads() || this->last_unsynced == 0 ||
+      now - this->disk_asked < kDiskPatience) {
+    return;
+  }
+  Log(LogLevel::kWarn, "group_disk_stalled",
+      {{"group", this->options.group},
+       {"waited_ms", (now - this->disk_asked).count() / 1000}});
+  // Asked again when this has led nowhere.
+  this->disk_asked = now;
+  this->core->TransferLeadership(now);
+}
+
 void ReplicatedGroup::Step(std::string_view message) {
   const auto addressed = DecodeMessage<AddressedMessage>(message);
   const consensus::RaftMessage decoded =
@@ -168,7 +202,7 @@
            !ready.after_sync.empty() || !ready.committed.empty() ||
            !ready.reads_ready.empty() || !ready.reads_failed.empty();
     this->SendAll(ready.before_sync);
-    this->writer->Offer(ready);
+    this->Write(ready);
     for (const consensus::Entry& entry : ready.committed) {
       this->Apply(entry);
     }
--- a/src/replication/replicatedgroup.h
+++ b/src/replication/replicatedgroup.h
@@ -67,6 +67,10 @@
 /// requests that wait. Thread safety: none, the loop's thread.
 class ReplicatedGroup {
  public:
+  /// A leader hands over when its disk has answered nothing for this long: more
+  /// than any sync of a disk that works, and less than callers wait.
+  static constexpr std::chrono::milliseconds kDiskPatience{1000};
+
   /// Called with the state's reply, or with a refusal: kNotLeader means that
   /// nothing was added, kUnknownOutcome that it may still take effect.
   using ProposeDone =
@@ -120,6 +124,11 @@
   };
 
   void Pump();
+  /// Gives the writer what is to be synced.
+  void Write(consensus::RaftReady& ready);
+  /// The writer has synced `batch` and all before it.
+  void Synced(const consensus::RaftBatch& batch);
+  void HandOverWhenDiskStalls();
   void SendAll(const std::vector<consensus::RaftMessage>& messages);
   void Apply(const consensus::Entry& entry);
   void FailWaiting();
@@ -155,6 +164,9 @@
   std::optional<consensus::SnapshotMeta> last_snapshot;
   bool fetch_under_way = false;
   bool pumping = false;
+  std::uint64_t last_unsynced = 0;  ///< Batch; zero when all is synced.
+  /// When the disk last answered, or was first asked after that.
+  Time disk_asked{};
   consensus::RaftRole last_role = consensus::RaftRole::kFollower;
   consensus::MemberId last_leader = 0;
   /// False once the group is gone, for what the writer still posts.
--- a/src/replication/tests/replicatedgroup_tests.cpp
+++ b/src/replication/tests/replicatedgroup_tests.cpp
@@ -5,7 +5,7 @@
 #include <thread>
 
 #include "replication/replicatedgroup.h"
-#include "storage/memoryfilesystem.h"
+#include "storage/tests/stallingfiles.h"
 
 namespace papayarack::replication {
 namespace {
@@ -38,7 +38,7 @@
 /// Members in one process; time is the test's.
 struct Cluster {
   struct Node {
-    storage::MemoryFileSystem files;
+    storage::StallingFiles files;
     std::string applied;
     std::unique_ptr<ReplicatedGroup> group;
     bool cut = false;
@@ -144,6 +144,22 @@
     cluster.Leader()->group->Read([&read](bool ok) { read = ok; });
     CHECK(cluster.RunUntil([&] { return read; }));
   }
+  // Guards against a leader whose disk answers nothing: its loop would wait for
+  // the disk in the end, with all that else runs on it.
+  SECTION("a leader whose disk stands still hands over") {
+    Cluster::Node* leader = cluster.Leader();
+    leader->files.Stall(true);
+    leader->group->Propose("y", [](const Result&, const std::string&) {});
+    const Time until = cluster.now + ReplicatedGroup::kDiskPatience +
+                       2 * consensus::RaftOptions{}.election;
+    const bool handed_over = cluster.RunUntil([&] {
+      return cluster.now > until ||
+             (cluster.Leader() != nullptr && cluster.Leader() != leader);
+    });
+    CHECK(handed_over);
+    CHECK(cluster.now <= until);
+    leader->files.Stall(false);
+  }
   // Symptom: a cut-off leader shows an old state as the newest. Cause: it
   // answers from memory without asking whether it still leads.
   SECTION("a leader without its quorum refuses to read") {
