--- a/src/replication/internal/logwriter.cpp
+++ b/src/replication/internal/logwriter.cpp
@@ -7,13 +7,15 @@
 
 namespace papayarack::replication {
 namespace {
-constexpr std::size_t kRing = 1024;
 constexpr std::chrono::milliseconds kWait{200};
 }  // namespace
 
 LogWriter::LogWriter(storage::FileSystem& files, consensus::DurableLog& log,
                      LogWriterHandlers handlers)
-    : files(files), log(log), handlers(std::move(handlers)), ring(kRing) {
+    : files(files),
+      log(log),
+      handlers(std::move(handlers)),
+      ring(kMostWaiting) {
   this->thread = std::thread([this] { this->Run(); });
 }
 
@@ -29,8 +31,6 @@
   Batch batch{ready.batch, ready.truncate_from, std::move(ready.entries),
               ready.hard_state, std::move(ready.after_sync)};
   ++this->offered;
-  // The deciding thread stops taking events while 1,024 batches wait, so this
-  // rarely waits.
   return this->ring.Push(std::move(batch));
 }
 
--- a/src/replication/internal/replicatedgroup.cpp
+++ b/src/replication/internal/replicatedgroup.cpp
@@ -102,21 +102,8 @@
   this->Pump();
 }
 
-void ReplicatedGroup::Write(consensus::RaftReady& ready) {
-  if (ready.NeedsSync()) {
-    if (this->last_unsynced == 0) {
-      this->disk_asked = this->environment.now();
-    }
-    this->last_unsynced = ready.batch.number;
-  }
-  this->writer->Offer(ready);
-}
-
 void ReplicatedGroup::Synced(const consensus::RaftBatch& batch) {
-  this->disk_asked = this->environment.now();
-  if (batch.number >= this->last_unsynced) {
-    this->last_unsynced = 0;
-  }
+  this->disk_answered = this->environment.now();
   this->core->Persisted(batch);
   this->Pump();
 }
@@ -126,15 +113,21 @@
 /// writes most, so it makes way before that.
 void ReplicatedGroup::HandOverWhenDiskStalls() {
   const Time now = this->environment.now();
-  if (!this->Leads() || this->last_unsynced == 0 ||
-      now - this->disk_asked < kDiskPatience) {
+  const std::uint64_t waiting = this->writer->Waiting();
+  if (waiting == 0) {
+    this->disk_answered = now;
+  }
+  const Duration silent = now - this->disk_answered;
+  if (!this->Leads() || waiting < LogWriter::kMostWaiting / 2 ||
+      silent < kDiskPatience) {
     return;
   }
   Log(LogLevel::kWarn, "group_disk_stalled",
       {{"group", this->options.group},
-       {"waited_ms", (now - this->disk_asked).count() / 1000}});
+       {"waiting", waiting},
+       {"silent_ms", silent.count() / 1000}});
   // Asked again when this has led nowhere.
-  this->disk_asked = now;
+  this->disk_answered = now;
   this->core->TransferLeadership(now);
 }
 
@@ -202,7 +195,7 @@
            !ready.after_sync.empty() || !ready.committed.empty() ||
            !ready.reads_ready.empty() || !ready.reads_failed.empty();
     this->SendAll(ready.before_sync);
-    this->Write(ready);
+    this->writer->Offer(ready);
     for (const consensus::Entry& entry : ready.committed) {
       this->Apply(entry);
     }
@@ -288,8 +281,12 @@
 }
 
 void ReplicatedGroup::MaybeSnapshot() {
+  // As much of the log as the last snapshot had, or saving the whole state
+  // would cost more than what happens to it.
+  const std::uint64_t due =
+      std::max(this->limits.snapshot_after_bytes, this->snapshot_bytes);
   if (this->snapshot_under_way || this->fetch_under_way ||
-      this->bytes_since_snapshot < this->limits.snapshot_after_bytes) {
+      this->bytes_since_snapshot < due) {
     return;
   }
   this->snapshot_under_way = true;
@@ -299,6 +296,7 @@
   meta.term = this->applied_term;
   meta.members = this->core->log().MembersAt(this->applied_index);
   SavedState saved = this->state.save();
+  this->snapshot_bytes = saved.bytes.size();
   Log(LogLevel::kInfo, "group_snapshot_begun",
       {{"group", this->options.group},
        {"index", meta.index},
--- a/src/replication/logwriter.h
+++ b/src/replication/logwriter.h
@@ -27,6 +27,9 @@
 /// never acknowledged. Thread safety: the methods are for the deciding thread.
 class LogWriter {
  public:
+  /// Most that can wait; who offers more waits itself.
+  static constexpr std::size_t kMostWaiting = 1024;
+
   LogWriter(storage::FileSystem& files, consensus::DurableLog& log,
             LogWriterHandlers handlers);
   ~LogWriter();
@@ -41,6 +44,8 @@
   bool OfferSnapshot(consensus::SnapshotMeta meta, std::string state,
                      std::vector<std::string> blob_files,
                      std::function<void()> write_files = {});
+  /// What was offered and is not finished.
+  std::uint64_t Waiting() const { return this->offered - this->finished; }
   /// Waits until everything offered is written. Only for installing a fetched
   /// snapshot.
   void Drain();
--- a/src/replication/replicatedgroup.h
+++ b/src/replication/replicatedgroup.h
@@ -67,8 +67,9 @@
 /// requests that wait. Thread safety: none, the loop's thread.
 class ReplicatedGroup {
  public:
-  /// A leader hands over when its disk has answered nothing for this long: more
-  /// than any sync of a disk that works, and less than callers wait.
+  /// A leader hands over when its disk has answered nothing for this long, more
+  /// than any sync of a disk that works, and half of what can wait for it
+  /// waits.
   static constexpr std::chrono::milliseconds kDiskPatience{1000};
 
   /// Called with the state's reply, or with a refusal: kNotLeader means that
@@ -124,8 +125,6 @@
   };
 
   void Pump();
-  /// Gives the writer what is to be synced.
-  void Write(consensus::RaftReady& ready);
   /// The writer has synced `batch` and all before it.
   void Synced(const consensus::RaftBatch& batch);
   void HandOverWhenDiskStalls();
@@ -159,14 +158,13 @@
   consensus::Index applied_index = 0;
   consensus::Term applied_term = 0;
   std::uint64_t bytes_since_snapshot = 0;
+  std::uint64_t snapshot_bytes = 0;  ///< Of the last snapshot's state.
   bool snapshot_under_way = false;
   std::function<void()> snapshot_saved;  ///< Of the snapshot under way.
   std::optional<consensus::SnapshotMeta> last_snapshot;
   bool fetch_under_way = false;
   bool pumping = false;
-  std::uint64_t last_unsynced = 0;  ///< Batch; zero when all is synced.
-  /// When the disk last answered, or was first asked after that.
-  Time disk_asked{};
+  Time disk_answered{};  ///< Or nothing waited for it.
   consensus::RaftRole last_role = consensus::RaftRole::kFollower;
   consensus::MemberId last_leader = 0;
   /// False once the group is gone, for what the writer still posts.
