--- a/src/consensus/internal/raftcore.cpp
+++ b/src/consensus/internal/raftcore.cpp
@@ -559,7 +559,7 @@
 /// longer than the wait to arrive is sent again and again, which fills the
 /// leader's link and makes everything on it later still. So the first wait
 /// grows with what is under way, and each further one doubles.
-void RaftCore::ResendWhenSilent(Progress& known) const {
+void RaftCore::ResendWhenSilent(Progress& known) {
   const bool outstanding = known.match + 1 < known.next;
   const Duration first_wait =
       2 * this->options.heartbeat + TimeToCarry(known.inflight_bytes);
@@ -571,6 +571,7 @@
   known.next = known.match + 1;
   known.ForgetSent();
   known.probing = true;
+  ++this->resend_count;
   known.resend_wait = std::min(2 * wait, this->options.longest_resend_wait);
 }
 
--- a/src/consensus/raftcore.h
+++ b/src/consensus/raftcore.h
@@ -134,6 +134,8 @@
   /// Hands leadership to the best voter; no effect on others. For a graceful
   /// stop.
   void TransferLeadership(Time now);
+  /// How often entries were sent again for want of an acknowledgement.
+  std::uint64_t resends() const { return this->resend_count; }
   /// What is to be done since the last call.
   RaftReady TakeReady();
 
@@ -201,7 +203,7 @@
   std::optional<std::size_t> BytesToSend(const Progress& known) const;
   /// Whether what was sent may be lost; if so, begins again behind what is
   /// acknowledged.
-  void ResendWhenSilent(Progress& known) const;
+  void ResendWhenSilent(Progress& known);
   void SendOffer(MemberId to, Progress& progress);
   void BroadcastAppend(bool heartbeat);
   void AppendOwn(EntryKind kind, std::string payload);
@@ -249,6 +251,7 @@
   Index term_start =
       0;  ///< Index of the no-op with which this leader's term began.
   std::mt19937_64 random;
+  std::uint64_t resend_count = 0;
   std::uint64_t batch_number = 1;
   std::uint64_t truncated_in_batch = 0;
   RaftReady ready;
--- a/src/replication/internal/replicatedgroup.cpp
+++ b/src/replication/internal/replicatedgroup.cpp
@@ -23,6 +23,8 @@
   MSGPACK_DEFINE(address, message)
 };
 
+constexpr std::chrono::milliseconds kResendsLoggedEvery{1000};
+
 bool Contains(std::span<const std::string> list, const std::string& text) {
   return std::ranges::find(list, text) != list.end();
 }
@@ -99,6 +101,7 @@
 void ReplicatedGroup::Tick() {
   this->core->Tick(this->environment.now());
   this->HandOverWhenDiskStalls();
+  this->LogResends();
   this->Pump();
 }
 
@@ -131,6 +134,20 @@
   this->core->TransferLeadership(now);
 }
 
+void ReplicatedGroup::LogResends() {
+  const std::uint64_t resends = this->core->resends();
+  const Time now = this->environment.now();
+  if (resends == this->logged_resends ||
+      now - this->resends_logged < kResendsLoggedEvery) {
+    return;
+  }
+  Log(LogLevel::kInfo, "group_appends_resent",
+      {{"group", this->options.group},
+       {"count", resends - this->logged_resends}});
+  this->logged_resends = resends;
+  this->resends_logged = now;
+}
+
 void ReplicatedGroup::Step(std::string_view message) {
   const auto addressed = DecodeMessage<AddressedMessage>(message);
   const consensus::RaftMessage decoded =
--- a/src/replication/replicatedgroup.h
+++ b/src/replication/replicatedgroup.h
@@ -128,6 +128,7 @@
   /// The writer has synced `batch` and all before it.
   void Synced(const consensus::RaftBatch& batch);
   void HandOverWhenDiskStalls();
+  void LogResends();
   void SendAll(const std::vector<consensus::RaftMessage>& messages);
   void Apply(const consensus::Entry& entry);
   void FailWaiting();
@@ -165,6 +166,8 @@
   bool fetch_under_way = false;
   bool pumping = false;
   Time disk_answered{};  ///< Or nothing waited for it.
+  Time resends_logged{};
+  std::uint64_t logged_resends = 0;
   consensus::RaftRole last_role = consensus::RaftRole::kFollower;
   consensus::MemberId last_leader = 0;
   /// False once the group is gone, for what the writer still posts.
