--- a/src/batches/batchbook.h
+++ b/src/batches/batchbook.h
@@ -66,6 +66,7 @@
     /// Where the first item of that id stands. Precondition: IndexItems was
     /// called.
     std::optional<std::size_t> PositionOf(std::string_view id) const;
+    std::string_view IdAt(std::uint32_t position) const;
   };
   /// What commands changed of what may run.
   struct Changes {
--- a/src/batches/internal/batchbook.cpp
+++ b/src/batches/internal/batchbook.cpp
@@ -31,21 +31,24 @@
 
 }  // namespace
 
+std::string_view BatchBook::Batch::IdAt(std::uint32_t position) const {
+  return this->items[position].spec.id;
+}
+
 void BatchBook::Batch::IndexItems() {
   this->by_id.resize(this->items.size());
   std::iota(this->by_id.begin(), this->by_id.end(), 0U);
   std::ranges::stable_sort(this->by_id, {}, [this](std::uint32_t position) {
-    return std::string_view(this->items[position].spec.id);
+    return this->IdAt(position);
   });
 }
 
 std::optional<std::size_t> BatchBook::Batch::PositionOf(
     std::string_view id) const {
-  const auto id_at = [this](std::uint32_t position) {
-    return std::string_view(this->items[position].spec.id);
-  };
-  const auto found = std::ranges::lower_bound(this->by_id, id, {}, id_at);
-  if (found == this->by_id.end() || id_at(*found) != id) {
+  const auto found = std::ranges::lower_bound(
+      this->by_id, id, {},
+      [this](std::uint32_t position) { return this->IdAt(position); });
+  if (found == this->by_id.end() || this->IdAt(*found) != id) {
     return std::nullopt;
   }
   return *found;
