One fixture makes the configurations of many routes

Cause: the test of a route's cost by its path repeated the loop of the test by its key. Change: MakeConfigurationOf serves both; checks, counts and bounds are as they were. No product code changes.

--- a/src/routes/tests/routes_tests.cpp
+++ b/src/routes/tests/routes_tests.cpp
@@ -24,6 +24,16 @@
   return configuration;
 }
 
+/// With `count` routes more, the route i named "i" and of prefix "/i/".
+FleetConfiguration MakeConfigurationOf(int count) {
+  FleetConfiguration configuration = MakeConfiguration();
+  for (int i = 0; i < count; ++i) {
+    const std::string name = std::to_string(i);
+    configuration.routes.push_back(MakeRoute(name, "/" + name + "/"));
+  }
+  return configuration;
+}
+
 }  // namespace
 
 TEST_CASE("a configuration is checked as a whole") {
@@ -62,11 +72,7 @@
   constexpr int kLookUps = 2000;
   constexpr int kNoisyClock = 10;
   const auto cost_among = [&](int count) {
-    FleetConfiguration configuration = MakeConfiguration();
-    for (int i = 0; i < count; ++i) {
-      const std::string name = std::to_string(i);
-      configuration.routes.push_back(MakeRoute(name, "/" + name + "/"));
-    }
+    FleetConfiguration configuration = MakeConfigurationOf(count);
     const std::string last = configuration.routes.back().Key();
     const RouteTable table(std::move(configuration));
     int found = 0;
@@ -87,12 +93,7 @@
   constexpr int kLookUps = 2000;
   constexpr int kNoisyClock = 10;
   const auto cost_among = [&](int count) {
-    FleetConfiguration configuration = MakeConfiguration();
-    for (int i = 0; i < count; ++i) {
-      const std::string name = std::to_string(i);
-      configuration.routes.push_back(MakeRoute(name, "/" + name + "/"));
-    }
-    const RouteTable table(std::move(configuration));
+    const RouteTable table(MakeConfigurationOf(count));
     int found = 0;
     const auto cost = ProcessorTimeOf([&] {
       for (int i = 0; i < kLookUps; ++i) {
