Answer reads of batches a bounded part at a time, and only for callers that still wait

Callers saw: accepted batches cannot be read (503, no answer) for as long as anybody asks, with all results stored.

Cause: the leader answered all reads of one confirmation round in one handler, up to 900 KB each, whether or not their callers still waited. When that took longer than a caller's attempt (0.6 s), each read was cancelled and asked again, the pages of the first copies were built all the same, heartbeats waited behind them and the others elected. Work for nobody grew without bound: a metastable overload.

Change: ReadQueue decides. A confirmed read waits for its turn; a turn builds 256 KB or one page and runs behind the handlers that are ready; a cancelled read is dropped; none is built while 1 MB of answers is unsent; a read that has waited 300 ms, half of an attempt, is refused (503, Retry-After; `reads_refused`), at most eight a turn, so that refusals cannot take the whole processor either. Reads of item bodies, the same fault elsewhere, go the same way.

The pair of members moved from batchstore_tests.cpp to storepair.h, as it stood.

--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -12,6 +12,7 @@
 
 #include "batches/batchstate.h"
 #include "batches/leasescheduler.h"
+#include "batches/readqueue.h"
 #include "coordination/fleetwatch.h"
 #include "coordination/groupenvironment.h"
 #include "routes/routetable.h"
@@ -104,8 +105,16 @@
   void Tick();
   void RunPeriodicTasks(Time now);
   bool Leads() const;
-  void Reply(StreamId stream, ResultCode code, std::string body = {});
+  /// Returns the size of the reply in bytes.
+  std::size_t Reply(StreamId stream, ResultCode code, std::string body = {});
   void AfterConfirmation(StreamId stream, std::function<void()> read);
+  /// Answers the read once leadership is confirmed and its turn comes.
+  void QueueRead(StreamId stream, ReadQueue::Answer answer);
+  /// Answers reads until the turn's limit and continues in the next turn.
+  void AnswerQueuedReads();
+  void ScheduleReads();
+  void LogRefusedReads(Time now);
+  std::size_t UnsentReadBytes() const;
   /// Replies kOk once leadership is confirmed, for a command whose effect is
   /// already in the state.
   void ReplyConfirmed(StreamId stream);
@@ -134,7 +143,9 @@
   void SyncLeases(const std::string& batch, Time now);
   void SyncLease(const ItemRef& item, Time now);
   void OnNewTerm(Time now);
-  void AnswerReader(StreamId stream, const Reader& reader);
+  /// Returns the size of the answer in bytes.
+  std::size_t AnswerReader(StreamId stream, const Reader& reader);
+  std::size_t AnswerBody(StreamId stream, const ReadItemBody& query);
   void AnswerReaders(Time now);
   /// Whether a waiting pull can be answered now.
   bool ShouldAnswer(const PullItems& pull, const std::set<ItemRef>& removed,
@@ -160,7 +171,11 @@
   routes::RouteTablePtr table;
   std::vector<replication::Candidate> candidates;
   std::vector<std::string> leaving_addresses;
-  std::map<StreamId, Reader> readers;
+  std::map<StreamId, Reader> readers;  ///< Wait for results.
+  ReadQueue reads;
+  bool reads_scheduled = false;     ///< `read_timer` is set.
+  std::uint64_t refused_reads = 0;  ///< Since the last log line.
+  Time next_refusal_log{};
   std::map<StreamId, Puller> pullers;
   std::map<std::string, Submission> submissions;  ///< By batch id.
   /// Callers that wait for an EndBatch command to be committed, by batch id.
@@ -174,6 +189,7 @@
   Time next_tasks{};
   Time next_forget{};
   bool giving_up = false;
+  asio::steady_timer read_timer;
   asio::steady_timer timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -28,6 +28,10 @@
 /// Limits memory use: the log since the second-last snapshot and the result
 /// texts since the last one are kept in memory.
 constexpr std::uint64_t kSnapshotAfterBytes = 1U << 20U;
+constexpr std::chrono::seconds kRefusalLogInterval{1};
+constexpr std::chrono::milliseconds kUnsentCheckInterval{5};
+constexpr const char* kReadPath = "/jobs/read";
+constexpr const char* kBodyPath = "/jobs/body";
 
 }  // namespace
 
@@ -44,6 +48,7 @@
       members_changed(std::move(members_changed)),
       storage_failed(storage_failed),
       batch_state(files),
+      read_timer(context),
       timer(context) {
   this->environment = coordination::MakeGroupEnvironment(
       context, kJobGroup, options.address, peers, server, dispatch, this->group,
@@ -61,8 +66,8 @@
   using Method = void (BatchStore::*)(StreamId, const std::string&);
   const std::vector<std::pair<std::string, Method>> calls = {
       {"/jobs/submit", &BatchStore::OnSubmit},
-      {"/jobs/read", &BatchStore::OnRead},
-      {"/jobs/body", &BatchStore::OnBody},
+      {kReadPath, &BatchStore::OnRead},
+      {kBodyPath, &BatchStore::OnBody},
       {"/jobs/end", &BatchStore::OnEnd},
       {"/jobs/pull", &BatchStore::OnPull},
       {"/jobs/report", &BatchStore::OnReport}};
@@ -79,6 +84,7 @@
   }
   dispatch.OnCancel([this](StreamId stream) {
     this->readers.erase(stream);
+    this->reads.Remove(stream);
     this->pullers.erase(stream);
   });
 }
@@ -164,6 +170,8 @@
     if (this->group != nullptr) {
       this->group->Tick();
       this->RunPeriodicTasks(MonotonicNow());
+      this->ScheduleReads();
+      this->LogRefusedReads(MonotonicNow());
     }
     this->Tick();
   });
@@ -222,15 +230,18 @@
   return now + allowed - age;
 }
 
-void BatchStore::Reply(StreamId stream, ResultCode code, std::string body) {
+std::size_t BatchStore::Reply(StreamId stream, ResultCode code,
+                              std::string body) {
   GroupReply reply;
   reply.code = static_cast<int>(code);
   if (this->group != nullptr) {
     reply.leader = this->group->LeaderAddress();
   }
   reply.body = std::move(body);
-  this->server->Send(stream, EncodeMessage(reply));
+  const std::string encoded = EncodeMessage(reply);
+  this->server->Send(stream, encoded);
   this->server->Finish(stream);
+  return encoded.size();
 }
 
 void BatchStore::AfterConfirmation(StreamId stream,
@@ -249,6 +260,69 @@
       stream, [this, stream] { this->Reply(stream, ResultCode::kOk); });
 }
 
+void BatchStore::QueueRead(StreamId stream, ReadQueue::Answer answer) {
+  this->reads.Add(stream, std::move(answer), MonotonicNow());
+  this->group->Read([this, stream](bool confirmed) {
+    if (confirmed) {
+      this->reads.Confirm(stream);
+      this->ScheduleReads();
+    } else if (this->reads.Remove(stream)) {
+      this->Reply(stream, ResultCode::kNotLeader);
+    }
+  });
+}
+
+std::size_t BatchStore::UnsentReadBytes() const {
+  return this->server->UnsentBytes(kReadPath) +
+         this->server->UnsentBytes(kBodyPath);
+}
+
+/// Runs the next turn behind the handlers that are ready, or later if too many
+/// answers are unsent.
+void BatchStore::ScheduleReads() {
+  if (this->reads_scheduled || !this->reads.HasDue(MonotonicNow())) {
+    return;
+  }
+  this->reads_scheduled = true;
+  const bool blocked = this->UnsentReadBytes() >= ReadQueue::kMaxUnsentBytes;
+  this->read_timer.expires_after(blocked ? kUnsentCheckInterval
+                                         : std::chrono::milliseconds(0));
+  this->read_timer.async_wait(
+      [this, alive = this->alive](std::error_code error) {
+        if (!error && *alive) {
+          this->reads_scheduled = false;
+          this->AnswerQueuedReads();
+        }
+      });
+}
+
+void BatchStore::AnswerQueuedReads() {
+  this->reads.BeginTurn();
+  const std::size_t unsent = this->UnsentReadBytes();
+  std::optional<ReadQueue::Due> due;
+  while ((due = this->reads.Take(unsent, MonotonicNow())).has_value()) {
+    if (due->answer) {
+      this->reads.Answered(due->answer());
+    } else {
+      ++this->refused_reads;
+      this->Reply(due->stream, ResultCode::kOverloaded);
+    }
+  }
+  this->ScheduleReads();
+}
+
+void BatchStore::LogRefusedReads(Time now) {
+  if (this->refused_reads == 0 || now < this->next_refusal_log) {
+    return;
+  }
+  Log(LogLevel::kInfo, "reads_refused",
+      {{"count", std::exchange(this->refused_reads, 0)},
+       {"waiting", this->reads.size()},
+       {"unsent_bytes", this->UnsentReadBytes()},
+       {"reason", "they waited too long"}});
+  this->next_refusal_log = now + kRefusalLogInterval;
+}
+
 BatchStore::Fingerprint BatchStore::FingerprintOf(std::string_view bytes) {
   return {bytes.size(), std::hash<std::string_view>()(bytes)};
 }
@@ -350,35 +424,38 @@
 
 void BatchStore::OnBody(StreamId stream, const std::string& body) {
   const auto query = DecodeMessage<ReadItemBody>(body);
-  this->AfterConfirmation(stream, [this, stream, query] {
-    const ItemRef ref{query.batch, query.item};
-    if (this->batch_state.IsWaiting(ref)) {
-      this->Reply(stream, ResultCode::kOk,
-                  this->batch_state.FindItem(ref)->spec.body);
-    } else {
-      this->Reply(stream, ResultCode::kNotFound);
-    }
+  this->QueueRead(stream, [this, stream, query] {
+    return this->AnswerBody(stream, query);
   });
 }
 
+std::size_t BatchStore::AnswerBody(StreamId stream, const ReadItemBody& query) {
+  const ItemRef ref{query.batch, query.item};
+  if (!this->batch_state.IsWaiting(ref)) {
+    return this->Reply(stream, ResultCode::kNotFound);
+  }
+  return this->Reply(stream, ResultCode::kOk,
+                     this->batch_state.FindItem(ref)->spec.body);
+}
+
 void BatchStore::OnRead(StreamId stream, const std::string& body) {
   Reader reader;
   reader.query = DecodeMessage<ReadResults>(body);
   reader.until =
       MonotonicNow() + std::chrono::milliseconds(reader.query.wait_ms);
-  this->AfterConfirmation(stream, [this, stream, reader] {
+  this->QueueRead(stream, [this, stream, reader]() -> std::size_t {
     const BatchState::Batch* batch = this->batch_state.Find(reader.query.id);
     const bool more_to_come = batch != nullptr && batch->Open() &&
                               batch->results.size() <= reader.query.after;
     if (more_to_come && reader.query.wait_ms > 0) {
       this->readers[stream] = reader;
-    } else {
-      this->AnswerReader(stream, reader);
+      return 0;
     }
+    return this->AnswerReader(stream, reader);
   });
 }
 
-void BatchStore::AnswerReader(StreamId stream, const Reader& reader) {
+std::size_t BatchStore::AnswerReader(StreamId stream, const Reader& reader) {
   std::optional<ResultPage> page;
   try {
     page =
@@ -388,15 +465,13 @@
     // leadership.
     Log(LogLevel::kError, "result_unreadable",
         {{"batch", reader.query.id}, {"text", error.what()}});
-    this->Reply(stream, ResultCode::kStorageDamaged);
     this->group->TransferLeadership();
-    return;
+    return this->Reply(stream, ResultCode::kStorageDamaged);
   }
   if (page.has_value()) {
-    this->Reply(stream, ResultCode::kOk, EncodeMessage(*page));
-  } else {
-    this->Reply(stream, ResultCode::kNotFound);
+    return this->Reply(stream, ResultCode::kOk, EncodeMessage(*page));
   }
+  return this->Reply(stream, ResultCode::kNotFound);
 }
 
 /// A reader whose wait timed out is answered only after leadership is confirmed
@@ -411,8 +486,8 @@
   }
   for (const auto& [stream, reader] : due) {
     this->readers.erase(stream);
-    this->AfterConfirmation(stream, [this, stream = stream, reader = reader] {
-      this->AnswerReader(stream, reader);
+    this->QueueRead(stream, [this, stream = stream, reader = reader] {
+      return this->AnswerReader(stream, reader);
     });
   }
 }
--- a/src/batches/tests/batchstore_tests.cpp
+++ b/src/batches/tests/batchstore_tests.cpp
@@ -1,12 +1,10 @@
-#include <asio.hpp>
 #include <catch2/catch.hpp>
-#include <list>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "batches/tests/batchtable.h"
-#include "batches/tests/storemember.h"
+#include "batches/tests/storepair.h"
 
 namespace papayarack::batches {
 namespace {
@@ -15,60 +13,9 @@
 
 constexpr std::size_t kBodyBytes = 100'000;
 constexpr int kCopies = 4;
-/// The members' loops run in turn, each for this long.
-constexpr milliseconds kSlice{5};
-/// Test timeout. An election takes 0.15 to 1.2 s, so a test that takes this
-/// long hangs.
-constexpr milliseconds kTestTimeout{6000};
 /// Shorter than the time after which a leader without a quorum steps down.
 constexpr milliseconds kPause{250};
 
-/// Two members, so that nothing is committed while one of them is paused.
-class Pair {
- public:
-  Pair() {
-    this->members.emplace_back(1);
-    this->members.emplace_back(2);
-    const consensus::MemberList founders{
-        {{1, this->members.front().Address(), true},
-         {2, this->members.back().Address(), true}}};
-    for (StoreMember& member : this->members) {
-      member.Start(founders);
-    }
-    this->RunUntil([this] {
-      return this->members.front().leads || this->members.back().leads;
-    });
-    REQUIRE((this->members.front().leads || this->members.back().leads));
-  }
-
-  StoreMember& Leader() {
-    return this->members.front().leads ? this->members.front()
-                                       : this->members.back();
-  }
-
-  std::list<StoreMember>& Members() { return this->members; }
-
-  void RunUntil(const std::function<bool()>& done) {
-    const Time until = MonotonicNow() + kTestTimeout;
-    while (!done() && MonotonicNow() < until) {
-      for (StoreMember& member : this->members) {
-        member.Run(kSlice);
-      }
-    }
-  }
-
-  /// Runs only the leader for `time`; the other member is paused.
-  void RunLeaderAlone(milliseconds time) {
-    const Time until = MonotonicNow() + time;
-    while (MonotonicNow() < until) {
-      this->Leader().Run(kSlice);
-    }
-  }
-
- private:
-  std::list<StoreMember> members;
-};
-
 SubmitBatch MakeBatch(const std::string& id, std::size_t body_bytes) {
   SubmitBatch batch;
   batch.id = id;
@@ -93,7 +40,7 @@
 // process. If a copy of an uncommitted message became a log entry of its own,
 // the logs and the links between members would fill with copies.
 TEST_CASE("a copy of an uncommitted message adds no log entry") {
-  Pair pair;
+  StorePair pair;
   StoreMember& leader = pair.Leader();
   std::vector<ResultCode> codes;
   const auto all_answered = [&codes] { return codes.size() == kCopies; };
@@ -175,7 +122,7 @@
 // report that is refused at once waits at its gate.
 TEST_CASE("a report above the limit of uncommitted bytes is refused at once") {
   constexpr std::size_t kTextBytes = BatchStore::kMaxProposedBytes / 2;
-  Pair pair;
+  StorePair pair;
   StoreMember& leader = pair.Leader();
   std::vector<ResultCode> codes;
   SubmitBatch batch = MakeBatch("b", 1);
@@ -210,7 +157,7 @@
 // Guards against items that keep running after their caller has ended the
 // batch, until the EndBatch command is committed.
 TEST_CASE("a request to end a batch stops its items before it is committed") {
-  Pair pair;
+  StorePair pair;
   for (StoreMember& member : pair.Members()) {
     member.SetRoutes(MakeBatchTable());
   }
@@ -281,7 +228,7 @@
 // again with its next pull.
 TEST_CASE("a pull that returns items is answered at once") {
   constexpr milliseconds kFarBelowPullTimeout{500};
-  Pair pair;
+  StorePair pair;
   std::vector<ResultCode> codes;
   const auto answered = [&codes] { return !codes.empty(); };
   PullItems pull;
--- a/src/batches/tests/storemember.h
+++ b/src/batches/tests/storemember.h
@@ -73,6 +73,12 @@
     this->context.restart();
   }
 
+  /// Runs one handler if any is ready.
+  void RunOne() {
+    this->context.poll_one();
+    this->context.restart();
+  }
+
   /// Runs handlers that are ready, until they have used `time` of processor
   /// time.
   void RunWithin(std::chrono::nanoseconds time) {
@@ -106,6 +112,9 @@
                      EncodeMessage(message), std::move(handlers));
   }
 
+  /// Bytes read from this member's files: after recovery, only result texts.
+  std::uint64_t BytesRead() const { return this->files.BytesRead(); }
+
   /// Total size of this member's files, mostly its log.
   std::uint64_t BytesKept() const {
     std::uint64_t sum = 0;
--- a/src/nodes/internal/batchapi.cpp
+++ b/src/nodes/internal/batchapi.cpp
@@ -15,6 +15,12 @@
 constexpr std::chrono::milliseconds kBatchTime{1300};
 constexpr std::chrono::milliseconds kBatchAttemptTime{600};
 
+/// A refused read may be repeated soon; 429 would mean a full quota.
+int ReadStatusOf(ResultCode code) {
+  return code == ResultCode::kOverloaded ? kServiceUnavailable
+                                         : HttpStatusOf(code, kOk);
+}
+
 }  // namespace
 
 BatchApi::BatchApi(NodeRuntime& runtime, http::HttpServer& front)
@@ -89,7 +95,7 @@
                 exchange, "/jobs/read", EncodeMessage(read.query), time,
                 [this](const Result& result, const std::string& body) {
                   if (!result.Ok()) {
-                    return EmptyResponse(HttpStatusOf(result.code, kOk));
+                    return EmptyResponse(ReadStatusOf(result.code));
                   }
                   return JsonResponse(this->runtime.dialect.write_results(
                       DecodeMessage<batches::ResultPage>(body)));
@@ -100,7 +106,7 @@
                            kBatchTime,
                            [](const Result& result, std::string body) {
                              http::HttpResponse response =
-                                 EmptyResponse(HttpStatusOf(result.code, kOk));
+                                 EmptyResponse(ReadStatusOf(result.code));
                              response.body = result.Ok() ? std::move(body) : "";
                              return response;
                            });
--- a/src/transport/internal/peerserver.cpp
+++ b/src/transport/internal/peerserver.cpp
@@ -283,6 +283,10 @@
 
 std::size_t PeerServer::OpenStreams() const { return this->impl->open_streams; }
 
+std::uint64_t PeerServer::UnsentBytes(std::string_view path) const {
+  return this->impl->counters->paths.UnsentBytes(path);
+}
+
 TransportTotals PeerServer::Totals() const {
   return this->impl->counters->Totals();
 }
--- a/src/transport/internal/transportcounters.h
+++ b/src/transport/internal/transportcounters.h
@@ -42,8 +42,10 @@
   /// full or the path cannot be a label value. Allocates only for a new path.
   /// Thread safety: the loop's thread.
   PathCounters& Of(std::string_view path);
-  /// Thread safety: any thread.
+  /// Thread safety of both: any thread.
   std::vector<PathTotals> Totals() const;
+  /// Zero for a path without messages.
+  std::uint64_t UnsentBytes(std::string_view path) const;
 
  private:
   /// The first entry counts kOtherPaths.
--- a/src/transport/internal/transporttotals.cpp
+++ b/src/transport/internal/transporttotals.cpp
@@ -54,6 +54,16 @@
   return totals;
 }
 
+std::uint64_t PathTable::UnsentBytes(std::string_view path) const {
+  const std::size_t count = this->used.load(std::memory_order_acquire);
+  for (std::size_t i = 1; i < count; ++i) {
+    if (this->entries.at(i).path == path) {
+      return this->entries.at(i).unsent_bytes;
+    }
+  }
+  return 0;
+}
+
 void TransportCounters::CountCancelled(std::string_view path) {
   Increase(this->cancelled);
   Increase(this->paths.Of(path).cancelled);
--- a/src/transport/peerserver.h
+++ b/src/transport/peerserver.h
@@ -68,6 +68,9 @@
   void BeginLeave();
   /// Number of open streams.
   std::size_t OpenStreams() const;
+  /// Bytes of responses on `path` that are not passed to a write yet. Cheaper
+  /// than Totals.
+  std::uint64_t UnsentBytes(std::string_view path) const;
   /// Bytes, connections and responses by path since the start. Each value is
   /// exact, but they are not read atomically together.
   TransportTotals Totals() const;
