Encode a message between members in one pass

Callers saw: results stay at their gates for 10 to 20 s, items are left lying and batches cannot be read, when many items end at once and the job group's leader has little processor time.

Cause: an append of 1 MB was encoded in four layers (body, variant, message, address), each a new buffer with a copy, the first one grown by doubling. A leader sends each entry to four followers, so this was the longest step of its loop.

Change: the size is counted first, then all layers are packed in place into one buffer of that size.

--- a/src/consensus/internal/members.cpp
+++ b/src/consensus/internal/members.cpp
@@ -6,7 +6,7 @@
 namespace papayarack::consensus {
 namespace {
 
-/// Wire format of RaftMessage.
+/// Wire format of RaftMessage; PackWireMessage produces it.
 struct WireMessage {
   std::uint32_t version = kMessageVersion;
   GroupId group = 0;
@@ -17,6 +17,22 @@
   MSGPACK_DEFINE(version, group, from, to, term, body)
 };
 
+/// Encodes a WireMessage whose body is EncodeVariant(message.body), each nested
+/// encoding in place.
+template <typename Sink>
+void PackWireMessage(const RaftMessage& message, Sink& sink) {
+  constexpr std::uint32_t kFields = 6;
+  msgpack::packer<Sink> packer(sink);
+  packer.pack_array(kFields);
+  packer.pack(kMessageVersion);
+  packer.pack(message.group);
+  packer.pack(message.from);
+  packer.pack(message.to);
+  packer.pack(message.term);
+  packer.pack_str(static_cast<std::uint32_t>(EncodedVariantSize(message.body)));
+  PackVariant(message.body, sink);
+}
+
 }  // namespace
 
 const Member* MemberList::Find(MemberId id) const {
@@ -39,14 +55,23 @@
   return voters;
 }
 
+std::size_t EncodedRaftSize(const RaftMessage& message) {
+  PackedSize size;
+  PackWireMessage(message, size);
+  return size.bytes;
+}
+
+void PackRaftMessage(const RaftMessage& message, PackedString& packed) {
+  const auto length = static_cast<std::uint32_t>(EncodedRaftSize(message));
+  msgpack::packer<PackedString>(packed).pack_str(length);
+  PackWireMessage(message, packed);
+}
+
 std::string EncodeRaftMessage(const RaftMessage& message) {
-  WireMessage wire;
-  wire.group = message.group;
-  wire.from = message.from;
-  wire.to = message.to;
-  wire.term = message.term;
-  wire.body = EncodeVariant(message.body);
-  return EncodeMessage(wire);
+  PackedString packed;
+  packed.bytes.reserve(EncodedRaftSize(message));
+  PackWireMessage(message, packed);
+  return std::move(packed.bytes);
 }
 
 RaftMessage DecodeRaftMessage(std::string_view bytes) {
--- a/src/consensus/raftmessages.h
+++ b/src/consensus/raftmessages.h
@@ -126,8 +126,13 @@
   MessageBody body;
 };
 
-/// Thread safety: any thread.
+/// Thread safety of these functions: any thread.
 std::string EncodeRaftMessage(const RaftMessage& message);
+/// Encodes the message as a string field of `packed`, without a copy in
+/// between, as it may carry many entries.
+void PackRaftMessage(const RaftMessage& message, PackedString& packed);
+/// Size of EncodeRaftMessage(message).
+std::size_t EncodedRaftSize(const RaftMessage& message);
 /// Throws ResultError(kProtocol) if `bytes` are malformed.
 RaftMessage DecodeRaftMessage(std::string_view bytes);
 
--- a/src/global/messagecodec.h
+++ b/src/global/messagecodec.h
@@ -24,10 +24,25 @@
   }
 };
 
+/// Lets msgpack count the bytes of an encoding without producing them.
+struct PackedSize {
+  std::size_t bytes = 0;
+  void write(const char* /*data*/, std::size_t size) { this->bytes += size; }
+};
+
+/// Size of EncodeMessage(message). Thread safety: any thread.
+template <typename T>
+std::size_t EncodedSize(const T& message) {
+  PackedSize size;
+  msgpack::pack(size, message);
+  return size.bytes;
+}
+
 /// Encodes a type that has MSGPACK_DEFINE. Thread safety: any thread.
 template <typename T>
 std::string EncodeMessage(const T& message) {
   PackedString packed;
+  packed.bytes.reserve(EncodedSize(message));
   msgpack::pack(packed, message);
   return std::move(packed.bytes);
 }
--- a/src/global/variantcodec.h
+++ b/src/global/variantcodec.h
@@ -27,14 +27,38 @@
   MSGPACK_DEFINE(tag, body)
 };
 
+/// Packs a TaggedMessage, with its body encoded in place: a body may be large,
+/// and each copy of it costs as much as its encoding. Thread safety: any
+/// thread.
+template <typename Sink, typename... Alternatives>
+void PackVariant(const std::variant<Alternatives...>& message, Sink& sink) {
+  constexpr std::uint32_t kFields = 2;
+  msgpack::packer<Sink> packer(sink);
+  packer.pack_array(kFields);
+  packer.pack(static_cast<std::uint32_t>(message.index()));
+  std::visit(
+      [&packer](const auto& body) {
+        packer.pack_str(static_cast<std::uint32_t>(EncodedSize(body)));
+        packer.pack(body);
+      },
+      message);
+}
+
+/// Size of EncodeVariant(message). Thread safety: any thread.
+template <typename... Alternatives>
+std::size_t EncodedVariantSize(const std::variant<Alternatives...>& message) {
+  PackedSize size;
+  PackVariant(message, size);
+  return size.bytes;
+}
+
 /// Thread safety: any thread.
 template <typename... Alternatives>
 std::string EncodeVariant(const std::variant<Alternatives...>& message) {
-  TaggedMessage tagged;
-  tagged.tag = static_cast<std::uint32_t>(message.index());
-  tagged.body =
-      std::visit([](const auto& body) { return EncodeMessage(body); }, message);
-  return EncodeMessage(tagged);
+  PackedString packed;
+  packed.bytes.reserve(EncodedVariantSize(message));
+  PackVariant(message, packed);
+  return std::move(packed.bytes);
 }
 
 namespace internal {
--- a/src/replication/internal/replicatedgroup.cpp
+++ b/src/replication/internal/replicatedgroup.cpp
@@ -23,6 +23,21 @@
   MSGPACK_DEFINE(address, message)
 };
 
+/// Encodes an AddressedMessage without intermediate copies.
+std::string EncodeAddressed(const std::string& address,
+                            const consensus::RaftMessage& message) {
+  constexpr std::uint32_t kFields = 2;
+  constexpr std::size_t kMaxHeaderBytes = 16;
+  PackedString packed;
+  packed.bytes.reserve(address.size() + consensus::EncodedRaftSize(message) +
+                       kMaxHeaderBytes);
+  msgpack::packer<PackedString> packer(packed);
+  packer.pack_array(kFields);
+  packer.pack(address);
+  consensus::PackRaftMessage(message, packed);
+  return std::move(packed.bytes);
+}
+
 constexpr std::chrono::milliseconds kResendsLoggedEvery{1000};
 
 bool Contains(std::span<const std::string> list, const std::string& text) {
@@ -249,9 +264,8 @@
   for (const consensus::RaftMessage& message : messages) {
     const std::string address = this->AddressOf(message.to);
     if (!address.empty()) {
-      const AddressedMessage addressed{this->environment.own_address,
-                                       consensus::EncodeRaftMessage(message)};
-      this->environment.send(address, EncodeMessage(addressed));
+      this->environment.send(
+          address, EncodeAddressed(this->environment.own_address, message));
     }
   }
 }
