--- a/src/batches/tests/storemember.h
+++ b/src/batches/tests/storemember.h
@@ -124,6 +124,9 @@
     return sum;
   }
 
+  /// How often other members asked this one for its whole state.
+  int StateRequests() const { return this->state_requests; }
+
   bool leads = false;  ///< Whether it has ever led.
 
  private:
@@ -132,6 +135,9 @@
     handlers.on_request = [this, handle = std::move(handlers.on_request)](
                               transport::StreamId stream, std::string_view path,
                               std::string body) {
+      if (path.starts_with("/group/") && path.ends_with("/state")) {
+        ++this->state_requests;
+      }
       // A message between members starts with its sender's address.
       const bool lost = path.starts_with("/group/") &&
                         std::ranges::any_of(
@@ -154,6 +160,7 @@
   transport::PeerClient peers;
   std::unique_ptr<BatchStore> store;
   std::vector<std::string> cut_from;  ///< Addresses.
+  int state_requests = 0;
 };
 
 }  // namespace papayarack::batches
