Logs that say which software version continues a text

The platform's list says each replica's version; it is decoded, carried with the replica, and logged where a stream or an item of a batch goes on, and where a caller takes a stream up. The text of an item carries the software that wrote it. Nothing is decided by it yet. The stand-in engines write their version into each event, so that a text of two versions shows.

--- a/src/batches/batchmessages.h
+++ b/src/batches/batchmessages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "global/messagecodec.h"
+#include "global/replicasoftware.h"
 
 /// Messages about batches: many items that are submitted together and run
 /// later.
@@ -114,7 +115,8 @@
 struct PartialText {
   std::string text;
   std::uint64_t last_event = 0;
-  MSGPACK_DEFINE(text, last_event)
+  ReplicaSoftware software = {};  ///< Of the replicas that wrote `text`.
+  MSGPACK_DEFINE(text, last_event, software)
 };
 /// An item that is leased to a gate, which may run it now.
 struct LeasedItem {
--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -8,6 +8,7 @@
 #include "consensus/raftmessages.h"
 #include "coordination/contentchunks.h"
 #include "global/messagecodec.h"
+#include "global/replicasoftware.h"
 #include "quarantine/crashtracker.h"
 
 /// Messages between any process and the members of the coordination group.
@@ -52,9 +53,14 @@
   /// Unix time of its start in milliseconds, by its own clock. Together with
   /// `id` it identifies one start of a replica. Zero: unknown.
   std::uint64_t started_ms = 0;
-  MSGPACK_DEFINE(id, service, address, zone, slots, draining, started_ms)
+  /// Version of the software that the replica `id` runs, not whatever else runs
+  /// at the address later. Empty: unknown.
+  std::string version = {};
+  MSGPACK_DEFINE(id, service, address, zone, slots, draining, started_ms,
+                 version)
   bool operator==(const EngineInstance&) const = default;
 
+  ReplicaSoftware Software() const { return {this->service, this->version}; }
   /// Identifies the instance within a list: another replica may reuse the id.
   std::string Key() const { return this->id + "@" + this->address; }
 };
--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -29,6 +29,12 @@
   std::string engine_address;
 };
 
+/// The replica that runs at a runner's engine address.
+struct RunnerReplica {
+  std::string id;  ///< Empty: none is known, so no items run.
+  ReplicaSoftware software;
+};
+
 /// Runs batch items on one engine in the slots that online work leaves free:
 /// pulls them from the job group's leader, preempts them when online work needs
 /// the slot, resumes them after the last event received, and reports their
@@ -70,8 +76,7 @@
   void SetRoutes(routes::RouteTablePtr table) {
     this->table = std::move(table);
   }
-  /// Sets the id of the engine; empty when it is not known.
-  void SetEngine(std::string id) { this->engine_id = std::move(id); }
+  void SetEngine(RunnerReplica now) { this->replica = std::move(now); }
   /// The engine process has restarted. Resumes all runs at once instead of
   /// after kMaxSilence without data; a run that was already sent to the new
   /// process has to read its prompt again.
@@ -98,6 +103,7 @@
     std::string text;
     std::uint64_t last_event = 0;
     bool any_event = false;
+    ReplicaSoftware software;  ///< Of the replicas that wrote `text`.
     http::EventSplitter splitter;
     Phase phase = Phase::kPaused;
     http::HttpCallId call = 0;
@@ -162,7 +168,7 @@
   coordination::GroupClient& jobs;
   slots::SlotAllocator& allocator;
   routes::RouteTablePtr table;
-  std::string engine_id;
+  RunnerReplica replica;
   std::map<RunId, Run> runs;
   RunId last_run = 0;
   std::uint64_t pull_call = 0;
--- a/src/nodes/dialect.h
+++ b/src/nodes/dialect.h
@@ -23,6 +23,9 @@
   std::string id;
   std::optional<std::chrono::milliseconds> deadline;  ///< Since its arrival.
   std::optional<std::uint64_t> resume_after;          ///< Last event received.
+  /// Id of the caller's attempt that delivered the first event of the stream
+  /// that this request resumes; empty if it does not say.
+  std::string resumes;
 };
 
 /// Fields that an entry or gate adds to a request for an engine.
--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -94,6 +94,7 @@
   std::map<transport::StreamId, Ticket> tickets;
   PendingAcquireQueue pending;
   std::string id;                ///< Empty while it takes no new work.
+  ReplicaSoftware software;      ///< Of the replica `id`.
   std::string last_id;           ///< The last one that was not empty.
   std::uint64_t started_ms = 0;  ///< As in EngineInstance.
   Time next_report{};
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -101,7 +101,7 @@
 }
 
 std::uint32_t BatchRunner::Room() const {
-  if (this->stopping || this->engine_id.empty() || this->table == nullptr) {
+  if (this->stopping || this->replica.id.empty() || this->table == nullptr) {
     return 0;
   }
   const auto paused = static_cast<std::uint32_t>(std::ranges::count_if(
@@ -277,6 +277,7 @@
   Run run;
   run.text = std::move(item.partial.text);
   run.last_event = item.partial.last_event;
+  run.software = item.partial.software;
   run.any_event = run.last_event > 0 || !run.text.empty();
   run.since = MonotonicNow();
   run.due = run.since + std::chrono::milliseconds(item.due_in_ms);
@@ -325,7 +326,7 @@
 void BatchRunner::StartNext() {
   const Time now = MonotonicNow();
   while (this->allocator.FreeBatchSlots() > 0 && !this->stopping &&
-         !this->engine_id.empty() && this->table != nullptr) {
+         !this->replica.id.empty() && this->table != nullptr) {
     // Least slack first, late ones last.
     RunId best = 0;
     for (const auto& [id, run] : this->runs) {
@@ -360,9 +361,17 @@
   call.identity = this->dialect.identity(run.item.spec.id);
   call.headers.Set(call.identity.name, call.identity.value);
   ForwardFields fields;
-  fields.engine_id = this->engine_id;
+  fields.engine_id = this->replica.id;
   if (run.any_event) {
     fields.resume_after = run.last_event;
+    Log(LogLevel::kInfo, "item_continued",
+        {{"request", run.item.spec.id},
+         {"engine", this->replica.id},
+         {"version", this->replica.software.version},
+         {"began_at_version", run.software.version},
+         {"last_event", run.last_event}});
+  } else {
+    run.software = this->replica.software;
   }
   this->dialect.write_forward(call.headers, fields);
   call.body = run.item.spec.body;
@@ -543,8 +552,9 @@
 }
 
 void BatchRunner::ReturnItem(Run& run) {
-  this->to_return.push_back({{run.item.batch, run.item.spec.id},
-                             {std::move(run.text), run.last_event}});
+  this->to_return.push_back(
+      {{run.item.batch, run.item.spec.id},
+       {std::move(run.text), run.last_event, run.software}});
 }
 
 void BatchRunner::ReturnLongPaused(Time now) {
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -59,9 +59,11 @@
       FindEngine(fleet.engines, this->owned.address, this->owned.service);
   const bool present = found != nullptr && !found->draining;
   const std::string id = present ? found->id : std::string();
+  this->software = present ? found->Software() : ReplicaSoftware{};
   if (id != this->id) {
     Log(LogLevel::kInfo, "engine_changed",
         {{"engine", id},
+         {"version", this->software.version},
          {"before", this->id},
          {"draining", found != nullptr && found->draining}});
     this->id = id;
@@ -97,7 +99,8 @@
   const bool takes_work =
       up && knows_others && !this->leaving && !this->id.empty();
   this->allocator.SetOpen(takes_work);
-  this->runner.SetEngine(takes_work ? this->id : std::string());
+  this->runner.SetEngine(takes_work ? RunnerReplica{this->id, this->software}
+                                    : RunnerReplica{});
   if (!up) {
     this->runner.ReturnAll();
   }
--- a/src/nodes/internal/fleetengines.cpp
+++ b/src/nodes/internal/fleetengines.cpp
@@ -140,6 +140,7 @@
     placement::EngineOption option{
         engine->address, engine->id,    {},
         engine->zone,    engine->slots, engine->started_ms};
+    option.software = engine->Software();
     const auto gate = gates.find(engine->address);
     const auto host = hosts.find(engine->address);
     option.hosted = host != hosts.end();
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -112,6 +112,12 @@
     call.last_event = *call.fields.resume_after;
     call.any_event = true;
   }
+  if (call.any_event) {
+    Log(LogLevel::kInfo, "stream_taken_up",
+        {{"request", call.fields.id},
+         {"resumes", call.fields.resumes},
+         {"last_event", call.last_event}});
+  }
   this->by_exchange[exchange] = id;
   this->calls.emplace(id, std::move(call));
   this->metrics.Add("online_requests_total");
@@ -281,6 +287,13 @@
   fields.engine_id = call.engine.id;
   if (call.any_event) {
     fields.resume_after = call.last_event;
+    Log(LogLevel::kInfo, "stream_continued",
+        {{"request", call.fields.id},
+         {"resumes", call.fields.resumes},
+         {"engine", call.engine.id},
+         {"version", call.engine.software.version},
+         {"last_event", call.last_event},
+         {"engines_age_ms", MillisSince(this->engines_seen, now)}});
   }
   this->dialect.write_forward(out.headers, fields);
   out.body = call.request.body;
@@ -436,6 +449,7 @@
   Log(LogLevel::kInfo, "run_broken",
       {{"request", call.fields.id},
        {"engine", call.engine.id},
+       {"version", call.engine.software.version},
        {"address", call.engine.address},
        {"fingerprint", call.fingerprint.ToString()},
        {"reason", reason},
@@ -562,6 +576,7 @@
        {"outcome", outcome},
        {"status", status},
        {"engine", call.engine.id},
+       {"version", call.engine.software.version},
        {"sends", call.sends},
        {"sent_ms", MillisSince(call.arrived, call.sent)},
        {"first_ms", call.first_event == Time{}
--- a/src/placement/enginechooser.h
+++ b/src/placement/enginechooser.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "global/replicasoftware.h"
 #include "global/timepoint.h"
 #include "placement/enginestart.h"
 
@@ -29,6 +30,7 @@
   /// The owner runs on another VM, so the engine may be up while the owner does
   /// not respond.
   bool hosted = false;
+  ReplicaSoftware software = {};  ///< Of the replica `id`.
 
   EngineStart Start() const {
     return {this->address, this->id, this->started_ms};
--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -73,12 +73,24 @@
 
 StandInEngine::~StandInEngine() { *this->alive = false; }
 
+void StandInEngine::Stop() {
+  this->running.clear();
+  this->server.reset();
+}
+
+void StandInEngine::Start(std::string id, std::string version) {
+  this->options.id = std::move(id);
+  this->options.version = std::move(version);
+  this->Listen();
+}
+
 std::string StandInEngine::ExpectedText(const std::string& path,
-                                        std::uint64_t events) {
+                                        std::uint64_t events,
+                                        const std::string& version) {
   std::string text;
   for (std::uint64_t i = 1; i <= events; ++i) {
     text += i == 1 ? "" : "\n";
-    text += fmt::format("{}-{}", path, i);
+    text += fmt::format("{}-{}-{}", path, i, version);
   }
   return text;
 }
@@ -200,8 +212,8 @@
         ended.push_back(exchange);
       } else {
         this->server->Write(
-            exchange, fmt::format("id: {}\ndata: {}-{}\n\n", run.next, run.path,
-                                  run.next));
+            exchange, fmt::format("id: {}\ndata: {}-{}-{}\n\n", run.next,
+                                  run.path, run.next, this->options.version));
         ++run.next;
       }
     }
@@ -239,6 +251,23 @@
   }
 }
 
+void StandInList::Replace(const std::string& address, const std::string& id,
+                          const std::string& version) {
+  for (coordination::EngineInstance& engine : this->engines) {
+    if (engine.address == address) {
+      engine.id = id;
+      engine.version = version;
+    }
+  }
+}
+
+void StandInList::RemoveVersion(const std::string& version) {
+  std::erase_if(this->engines,
+                [&version](const coordination::EngineInstance& engine) {
+                  return engine.version == version;
+                });
+}
+
 void StandInList::OnRequest(http::ExchangeId exchange,
                             const http::HttpRequest& request) {
   constexpr std::string_view kToken = "PageToken=";
@@ -260,6 +289,7 @@
          {"Service", engine.service},
          {"Address", engine.address},
          {"Zone", engine.zone},
+         {"Version", engine.version},
          {"Slots", engine.slots},
          {"State", engine.draining ? "draining" : "ready"}});
   }
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -28,6 +28,8 @@
   /// Admits runs beyond its slots, like engines with an internal queue;
   /// otherwise refuses them.
   bool admits_all = false;
+  /// Version of its software, which each event's text names.
+  std::string version = "v1";
   /// Number of upcoming runs to abort in the middle.
   std::uint64_t cut_next = 0;
 };
@@ -40,9 +42,9 @@
   bool whole = false;
 };
 
-/// Streams `id: n`, `data: PATH-n`, resumes after Last-Event-Id, and refuses
-/// requests for another instance id or without a free slot. Thread safety:
-/// none; use it on the event loop's thread.
+/// Streams `id: n`, `data: PATH-n-VERSION`, resumes after Last-Event-Id, and
+/// refuses requests for another instance id or without a free slot. Thread
+/// safety: none; use it on the event loop's thread.
 class StandInEngine {
  public:
   StandInEngine(asio::io_context& context, StandInEngineOptions options);
@@ -72,10 +74,16 @@
   /// known only from the replica list.
   void ChangeIdAtStart() { this->changes_id = true; }
   const std::string& id() const { return this->options.id; }
+  const std::string& version() const { return this->options.version; }
+  std::size_t running_count() const { return this->running.size(); }
+  /// Ends like a crashed process: breaks off all runs and refuses connections.
+  void Stop();
+  /// Starts after Stop as replica `id` with software `version`.
+  void Start(std::string id, std::string version);
   std::size_t crashes() const { return this->crash_count; }
   /// The complete response text for `path`, one line per event.
-  static std::string ExpectedText(const std::string& path,
-                                  std::uint64_t events);
+  static std::string ExpectedText(const std::string& path, std::uint64_t events,
+                                  const std::string& version = "v1");
 
  private:
   struct Run {
@@ -125,6 +133,15 @@
   void Drain(const std::string& id);
   /// Changes the id at the address in subsequent reads of the list.
   void Rename(const std::string& address, const std::string& id);
+  /// Lists another replica at the address in subsequent reads of the list.
+  void Replace(const std::string& address, const std::string& id,
+               const std::string& version);
+  /// Adds a replica to subsequent reads of the list.
+  void Add(const coordination::EngineInstance& engine) {
+    this->engines.push_back(engine);
+  }
+  /// Removes the replicas of `version` from subsequent reads of the list.
+  void RemoveVersion(const std::string& version);
 
  private:
   void OnRequest(http::ExchangeId exchange, const http::HttpRequest& request);
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -173,7 +173,7 @@
 
 
 def text_of(path):
-    return "\n".join(f"{path}-{i}" for i in range(1, EVENTS + 1))
+    return "\n".join(f"{path}-{i}-v1" for i in range(1, EVENTS + 1))
 
 
 def configuration(version):
