An item of a batch goes on only at the software that began its text

The text now carries the service and version that wrote it, and a gate at another one, or where either is unknown, begins the item anew: an item has no reader yet, so nothing is lost but work. After a restart that the list does not show yet the version counts as unknown, as a replica may be upgraded under its id.

Weighed: leasing items with a text to gates of its version first. It saves work during a rollout only, and an item would wait for a version that shrinks.

--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -85,6 +85,9 @@
   void ApplyListing(const coordination::EngineInstance& listed);
   void LearnStart(std::uint64_t started_ms);
   void OnEngineRestart();
+  /// Unknown after a restart that the list does not show yet: the replica may
+  /// have been upgraded under its id.
+  ReplicaSoftware RunningSoftware() const;
 
   NodeRuntime& runtime;
   OwnedEngine owned;
@@ -93,10 +96,11 @@
   BatchRunner runner;
   std::map<transport::StreamId, Ticket> tickets;
   PendingAcquireQueue pending;
-  std::string id;                ///< Empty while it takes no new work.
-  ReplicaSoftware software;      ///< Of the replica `id`.
-  std::string last_id;           ///< The last one that was not empty.
-  std::uint64_t started_ms = 0;  ///< As in EngineInstance.
+  std::string id;                       ///< Empty while it takes no new work.
+  ReplicaSoftware listed_software;      ///< Of the replica `id`.
+  std::uint64_t listed_started_ms = 0;  ///< Its start; zero: not listed.
+  std::string last_id;                  ///< The last one that was not empty.
+  std::uint64_t started_ms = 0;         ///< As in EngineInstance.
   Time next_report{};
   std::optional<http::HttpCallId> report_call;  ///< In flight.
   slots::EngineHealth health;
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -362,6 +362,7 @@
   call.headers.Set(call.identity.name, call.identity.value);
   ForwardFields fields;
   fields.engine_id = this->replica.id;
+  this->KeepTextOnlyForItsSoftware(run);
   if (run.any_event) {
     fields.resume_after = run.last_event;
     Log(LogLevel::kInfo, "item_continued",
@@ -394,6 +395,23 @@
   run.call = this->engine.Call(std::move(call), std::move(handlers));
 }
 
+/// What another software wrote does not fit what this replica would write, so
+/// the item begins anew here.
+void BatchRunner::KeepTextOnlyForItsSoftware(Run& run) const {
+  if (!run.any_event || this->replica.software.CanContinue(run.software)) {
+    return;
+  }
+  Log(LogLevel::kInfo, "item_text_dropped",
+      {{"request", run.item.spec.id},
+       {"engine", this->replica.id},
+       {"version", this->replica.software.version},
+       {"began_at_version", run.software.version},
+       {"last_event", run.last_event}});
+  run.text.clear();
+  run.last_event = 0;
+  run.any_event = false;
+}
+
 void BatchRunner::OnHead(RunId id, const http::HttpHead& head) {
   const auto found = this->runs.find(id);
   if (found == this->runs.end()) {
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -59,11 +59,12 @@
       FindEngine(fleet.engines, this->owned.address, this->owned.service);
   const bool present = found != nullptr && !found->draining;
   const std::string id = present ? found->id : std::string();
-  this->software = present ? found->Software() : ReplicaSoftware{};
+  this->listed_software = present ? found->Software() : ReplicaSoftware{};
+  this->listed_started_ms = present ? found->started_ms : 0;
   if (id != this->id) {
     Log(LogLevel::kInfo, "engine_changed",
         {{"engine", id},
-         {"version", this->software.version},
+         {"version", this->listed_software.version},
          {"before", this->id},
          {"draining", found != nullptr && found->draining}});
     this->id = id;
@@ -99,8 +100,9 @@
   const bool takes_work =
       up && knows_others && !this->leaving && !this->id.empty();
   this->allocator.SetOpen(takes_work);
-  this->runner.SetEngine(takes_work ? RunnerReplica{this->id, this->software}
-                                    : RunnerReplica{});
+  this->runner.SetEngine(takes_work
+                             ? RunnerReplica{this->id, this->RunningSoftware()}
+                             : RunnerReplica{});
   if (!up) {
     this->runner.ReturnAll();
   }
@@ -119,6 +121,12 @@
   this->LearnStart(listed.started_ms);
 }
 
+ReplicaSoftware EngineOwner::RunningSoftware() const {
+  const bool upgraded = this->listed_started_ms != 0 &&
+                        this->started_ms > this->listed_started_ms;
+  return upgraded ? ReplicaSoftware{} : this->listed_software;
+}
+
 /// Only a later start counts, as the list lags behind the engine's own reports.
 void EngineOwner::LearnStart(std::uint64_t started_ms) {
   const std::uint64_t before = this->started_ms;
@@ -138,6 +146,7 @@
 /// connections and running batch items. Entries end their online runs
 /// themselves.
 void EngineOwner::OnEngineRestart() {
+  this->UpdateAvailability();
   this->foreign.Forget();
   this->allocator.SetForeign(0);
   this->client.CloseIdle(ParseEndpoint(this->owned.address, "engine_address"));
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -543,4 +543,55 @@
   CHECK(fixture.leader.pulls[1].asked.room == 1);
 }
 
+// Guards against the text of an item that one software version began and
+// another continues, at the next gate or after its replica came back upgraded.
+TEST_CASE("an item begins anew at another software version") {
+  RunnerFixture fixture(1);
+  fixture.engine.ends = false;
+  fixture.engine.text = "anew";
+  const auto lease = [&](const ReplicaSoftware& wrote) {
+    batches::LeasedItem item = MakeItem("1", kAmpleTime);
+    item.partial = {"made", 1, wrote};
+    fixture.leader.on_pull = [&fixture, item](Leader::Pull& pull) {
+      if (fixture.leader.pulls.size() == 1) {
+        fixture.leader.Answer(pull, {{item}, {}});
+      }
+    };
+    REQUIRE(fixture.RunUntil([&] { return fixture.engine.asked == 1; }));
+    fixture.RunFor(milliseconds(50));
+  };
+  const auto returned = [&] {
+    fixture.runner.ReturnAll();
+    REQUIRE(fixture.RunUntil(
+        [&] { return !fixture.leader.pulls.back().asked.returned.empty(); }));
+    return fixture.leader.pulls.back().asked.returned.front().partial;
+  };
+
+  SECTION("its text goes on at the software that wrote it") {
+    lease({"llm", "v1"});
+    const batches::PartialText partial = returned();
+    CHECK(partial.text.starts_with("made"));
+    CHECK(partial.software == ReplicaSoftware{"llm", "v1"});
+  }
+  SECTION("and is dropped at another, or where one of them is unknown") {
+    const auto wrote =
+        GENERATE(ReplicaSoftware{"llm", "v2"}, ReplicaSoftware{"other", "v1"},
+                 ReplicaSoftware{});
+    lease(wrote);
+    const batches::PartialText partial = returned();
+    CHECK(partial.text == "anew");
+    CHECK(partial.software == ReplicaSoftware{"llm", "v1"});
+  }
+  SECTION("also when its replica came back upgraded") {
+    lease({"llm", "v1"});
+    fixture.runner.SetEngine({"e-again", {"llm", "v2"}});
+    fixture.runner.EngineRestarted();
+    REQUIRE(fixture.RunUntil([&] { return fixture.engine.asked == 2; }));
+    fixture.RunFor(milliseconds(50));
+    const batches::PartialText partial = returned();
+    CHECK(partial.text == "anew");
+    CHECK(partial.software == ReplicaSoftware{"llm", "v2"});
+  }
+}
+
 }  // namespace papayarack::nodes
