A stream goes on only at the software that began it

After a broken run the entry continued the answer at any replica of the service, and a caller that took its stream up was sent to any replica, at whichever entry.

Within one answer, the first event that goes to the caller fixes service and version; only replicas of these are candidates for the choice, the wait and what is left, and with none left the answer ends at once. The head is held until that event, so an event that was not forwarded binds nothing. A stream that has begun may wait 0.9 s for a slot, ahead of what could run elsewhere.

Over a caller's tries, the entry records the origin under the id of the try that got the first event, in its own memory and at two gates in different zones chosen by rendezvous hashing, as the event is forwarded. The record is sent, not awaited: a lost one costs the continuation, as an unknown origin is refused, but mixes nothing. The entry that gets Resumes asks the homes at once and goes on with the first that knows; unknown is refused at once, with a short Retry-After, unless the list shows one software only for four timeouts of the longest route.

--- a/src/nodes/dialect.h
+++ b/src/nodes/dialect.h
@@ -25,7 +25,7 @@
   std::optional<std::uint64_t> resume_after;          ///< Last event received.
   /// Id of the caller's attempt that delivered the first event of the stream
   /// that this request resumes; empty if it does not say.
-  std::string resumes;
+  std::string resumes = {};
 };
 
 /// Fields that an entry or gate adds to a request for an engine.
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -28,6 +28,15 @@
 /// Retry-After of a quarantined request: as long as the quarantine lasts.
 constexpr std::chrono::seconds kQuarantineRetryAfter =
     quarantine::CrashTracker::kRetention;
+/// Retry-After of a stream that cannot go on anywhere: its caller can begin
+/// anew at once.
+constexpr double kBeginAnewSeconds = 0.05;
+/// A stream is not taken up later than this many times the longest timeout of a
+/// route after it began: each attempt of its caller ends within one.
+constexpr int kMaxAttemptsOfCaller = 4;
+/// Margin of the time for which an origin is kept, for the way of the caller's
+/// last attempt.
+constexpr std::chrono::milliseconds kOriginMargin{2000};
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
@@ -39,6 +48,20 @@
   return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+bool IsEventStream(const http::HttpHead& head) {
+  return head.headers.Get("Content-Type").starts_with("text/event-stream");
+}
+
+std::vector<std::string> ServicesOf(const routes::Route& route) {
+  std::vector<std::string> services;
+  for (const routes::WeightedService& target : route.targets) {
+    if (target.weight > 0) {
+      services.push_back(target.service);
+    }
+  }
+  return services;
+}
+
 std::int64_t MillisSince(Time start, Time now) {
   return start == Time{} ? -1 : (now - start).count() / 1000;
 }
@@ -59,6 +82,7 @@
       engines(context),
       crash_detector(context, watch),
       chooser(seed),
+      stream_origins(peers, metrics),
       random(seed + 1),
       sweep(context) {
   this->Sweep();
@@ -68,6 +92,7 @@
 
 void OnlineRelay::SetFleet(const coordination::FleetKnowledge& fleet,
                            const routes::FleetConfiguration& configuration) {
+  this->stream_origins.SetFleet(fleet, MonotonicNow());
   for (auto& [service, options] :
        OptionsByService(fleet, configuration, this->own_name, MonotonicNow())) {
     for (const placement::EngineRestart& restart :
@@ -77,6 +102,13 @@
   }
 }
 
+void OnlineRelay::SetListSeen(Time seen) {
+  this->engines_seen = seen;
+  if (seen != Time{}) {
+    this->stream_origins.ListRead(seen);
+  }
+}
+
 /// Closes idle connections to the former engine process. Its runs end with
 /// their connections or by timeout: their send times cannot be compared with a
 /// start time of another clock.
@@ -112,12 +144,6 @@
     call.last_event = *call.fields.resume_after;
     call.any_event = true;
   }
-  if (call.any_event) {
-    Log(LogLevel::kInfo, "stream_taken_up",
-        {{"request", call.fields.id},
-         {"resumes", call.fields.resumes},
-         {"last_event", call.last_event}});
-  }
   this->by_exchange[exchange] = id;
   this->calls.emplace(id, std::move(call));
   this->metrics.Add("online_requests_total");
@@ -125,12 +151,85 @@
     this->RefuseQuarantined(id);
     return;
   }
+  if (IsTakeUp(this->calls.at(id).fields)) {
+    this->FindOrigin(id);
+  } else {
+    this->FindSlot(id);
+  }
+}
+
+bool OnlineRelay::IsTakeUp(const CallFields& fields) {
+  return !fields.resumes.empty() || fields.resume_after.value_or(0) > 0;
+}
+
+void OnlineRelay::FindOrigin(CallId id) {
+  Call& call = this->calls.at(id);
+  call.phase = Phase::kFindingOrigin;
+  call.broken_at = call.arrived;
+  this->metrics.Add("streams_taken_up_total");
+  Log(LogLevel::kInfo, "stream_taken_up",
+      {{"request", call.fields.id},
+       {"resumes", call.fields.resumes},
+       {"last_event", call.last_event}});
+  const StreamOrigins::LookupId lookup = this->stream_origins.Find(
+      call.fields.resumes, [this, id](const ReplicaSoftware& recorded) {
+        this->OnOrigin(id, recorded);
+      });
+  // The origin may have been found, and the request have ended, by now.
+  const auto still = this->calls.find(id);
+  if (still != this->calls.end()) {
+    still->second.origin_lookup = lookup;
+  }
+}
+
+void OnlineRelay::OnOrigin(CallId id, const ReplicaSoftware& recorded) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  const std::vector<std::string> services = ServicesOf(*found->second.route);
+  const origins::OriginEvidence evidence{
+      recorded, this->SoleSoftware(found->second, services)};
+  const origins::Continuation decision =
+      origins::DecideContinuation(evidence, services);
+  std::visit([this, id](const auto& next) { this->Perform(id, next); },
+             decision);
+}
+
+ReplicaSoftware OnlineRelay::SoleSoftware(
+    const Call& call, std::span<const std::string> services) const {
+  if (services.size() != 1) {
+    return {};
+  }
+  std::chrono::milliseconds longest{0};
+  for (const routes::Route& route : call.table->configuration().routes) {
+    longest = std::max(longest, route.timeout);
+  }
+  return this->stream_origins.SoleSince(services.front(),
+                                        longest * kMaxAttemptsOfCaller);
+}
+
+void OnlineRelay::Perform(CallId id, const origins::ContinueWith& decision) {
+  Call& call = this->calls.at(id);
+  call.began = decision.software;
+  call.search.emplace(decision.software.service, this->own_zone);
+  call.search->ContinueOnly(decision.software);
   this->FindSlot(id);
 }
 
+void OnlineRelay::Perform(CallId id, const origins::OriginUnknown&) {
+  this->RefuseContinuation(id, "nothing tells which version began its text",
+                           "continuations_of_unknown_origin_total");
+}
+
+void OnlineRelay::Perform(CallId id, const origins::OriginNotOnRoute&) {
+  this->RefuseContinuation(id, "its route left the service that began its text",
+                           "continuations_without_replica_total");
+}
+
 std::chrono::milliseconds OnlineRelay::WaitBudget(const Call& call) const {
   return placement::WaitBudget(
-      {call.arrived, call.deadline, call.route->target_latency},
+      {call.arrived, call.deadline, call.route->target_latency, call.broken_at},
       MonotonicNow());
 }
 
@@ -157,7 +256,12 @@
 }
 
 void OnlineRelay::Perform(CallId id, const placement::NoSlot& step) {
-  this->Refuse(id, step.reason);
+  if (step.no_replica && this->calls.at(id).began.has_value()) {
+    this->RefuseContinuation(id, step.reason,
+                             "continuations_without_replica_total");
+  } else {
+    this->Refuse(id, step.reason);
+  }
 }
 
 void OnlineRelay::Ask(CallId id, std::uint32_t wait_ms) {
@@ -169,7 +273,8 @@
   ask.request = call.fields.id;
   ask.engine_id = call.engine.id;
   ask.engine_address = call.engine.address;
-  ask.priority = call.route->priority;
+  // What has begun can wait for these replicas only.
+  ask.priority = call.route->priority - (call.began.has_value() ? 1 : 0);
   ask.wait_ms = wait_ms;
   transport::CallHandlers handlers;
   handlers.on_message = [this, id, attempt,
@@ -208,14 +313,21 @@
           call.engine.address, reply.engine_started_ms)) {
     this->OnRestart(*restart);
   }
-  placement::LearnStart(call.engine.started_ms, reply.engine_started_ms);
+  if (placement::LearnStart(call.engine.started_ms, reply.engine_started_ms)) {
+    call.engine.software = {};  // It may have been upgraded under its id.
+  }
   this->chooser.Reported(call.engine.address, {reply.online, reply.waiting},
                          MonotonicNow());
-  if (reply.Verdict() == SlotVerdict::kGranted) {
+  const bool fits =
+      !call.began.has_value() || call.engine.software.CanContinue(*call.began);
+  if (reply.Verdict() == SlotVerdict::kGranted && fits) {
     this->Send(id);
     return;
   }
   ++call.attempt;
+  if (reply.Verdict() == SlotVerdict::kGranted) {
+    this->peers.Cancel(call.slot);
+  }
   call.slot = 0;
   switch (reply.Verdict()) {
     case SlotVerdict::kBusy:
@@ -292,6 +404,7 @@
          {"resumes", call.fields.resumes},
          {"engine", call.engine.id},
          {"version", call.engine.software.version},
+         {"began_at_version", call.began.value_or(ReplicaSoftware{}).version},
          {"last_event", call.last_event},
          {"engines_age_ms", MillisSince(this->engines_seen, now)}});
   }
@@ -343,14 +456,19 @@
     this->OnBroken(id, "a success without the engine's mark");
     return;
   }
-  if (!call.head_sent) {
+  if (call.head_sent) {
+    return;
+  }
+  call.is_events = IsEventStream(head);
+  if (call.is_events) {
+    call.held_head = head;
+  } else {
     this->ForwardHead(call, head);
   }
 }
 
 void OnlineRelay::ForwardHead(Call& call, const http::HttpHead& head) {
   http::Headers headers = head.headers;
-  call.is_events = headers.Get("Content-Type").starts_with("text/event-stream");
   http::RemoveConnectionFields(headers);
   if (call.is_events) {
     headers.Remove("Content-Length");
@@ -359,6 +477,22 @@
   this->front->BeginStream(call.exchange, head.status, headers);
 }
 
+void OnlineRelay::BeginEvents(Call& call) {
+  const bool taken_up = call.began.has_value();
+  if (!taken_up) {
+    call.began = call.engine.software;
+    call.search->ContinueOnly(*call.began);
+  }
+  const std::string& key = taken_up ? call.fields.resumes : call.fields.id;
+  if (call.route->MayRepeat() && !key.empty()) {
+    const Duration patience = call.fields.deadline.value_or(
+        call.route->timeout * kMaxAttemptsOfCaller);
+    this->stream_origins.Began(key, *call.began, patience + kOriginMargin);
+  }
+  this->ForwardHead(call, *call.held_head);
+  call.held_head.reset();
+}
+
 void OnlineRelay::OnBody(CallId id, std::uint64_t attempt,
                          std::string_view bytes) {
   const auto found = this->calls.find(id);
@@ -367,7 +501,7 @@
   }
   Call& call = found->second;
   call.last_heard = MonotonicNow();
-  if (call.failed_status || !call.head_sent) {
+  if (call.failed_status || (!call.head_sent && !call.held_head.has_value())) {
     return;
   }
   if (!call.is_events) {
@@ -395,6 +529,9 @@
         call.first_event = call.last_heard;
       }
     }
+    if (call.held_head.has_value()) {
+      this->BeginEvents(call);
+    }
     this->front->Write(call.exchange, event.raw);
   }
   return !call.splitter.TooLong();
@@ -438,6 +575,9 @@
     return;
   }
   this->chooser.Succeeded(call.engine.address);
+  if (call.held_head.has_value()) {
+    this->ForwardHead(call, *call.held_head);
+  }
   this->front->EndStream(call.exchange);
   this->Finish(id, "answered", call.status);
 }
@@ -470,6 +610,10 @@
   Call& call = this->calls.at(id);
   this->ReleaseEngine(call);
   call.failed_status = false;
+  call.held_head.reset();
+  if (call.began.has_value()) {
+    call.broken_at = MonotonicNow();
+  }
   if (MonotonicNow() + placement::kMinRunTime > call.deadline) {
     this->Fail(id, kGatewayTimeout, "too little time left for another engine");
     return;
@@ -533,10 +677,27 @@
     this->Fail(id, kBadGateway, reason);
     return;
   }
+  this->RespondRefused(id, reason, this->RetryAfterSeconds(call));
+}
+
+void OnlineRelay::RefuseContinuation(CallId id, const char* reason,
+                                     const char* metric) {
+  this->metrics.Add(metric);
+  Call& call = this->calls.at(id);
+  if (!call.ran_at.empty() || call.head_sent) {
+    this->Fail(id, kBadGateway, reason);
+    return;
+  }
+  this->RespondRefused(id, reason, kBeginAnewSeconds);
+}
+
+void OnlineRelay::RespondRefused(CallId id, const char* reason,
+                                 double retry_after_s) {
+  Call& call = this->calls.at(id);
   http::HttpResponse response;
   response.status = kServiceUnavailable;
-  response.headers.Add("Retry-After",
-                       fmt::format("{:.2f}", this->RetryAfterSeconds(call)));
+  response.headers.Add("Retry-After", fmt::format("{:.2f}", retry_after_s));
+  response.body = reason;
   this->front->Respond(call.exchange, response);
   Log(LogLevel::kInfo, "request_refused",
       {{"request", call.fields.id},
@@ -569,6 +730,7 @@
 void OnlineRelay::Finish(CallId id, const char* outcome, int status) {
   Call& call = this->calls.at(id);
   this->ReleaseEngine(call);
+  this->stream_origins.Cancel(call.origin_lookup);
   const Time now = MonotonicNow();
   Log(LogLevel::kInfo, "request_done",
       {{"request", call.fields.id},
@@ -610,6 +772,7 @@
     if (error || !*alive) {
       return;
     }
+    this->stream_origins.Tick();
     const Time now = MonotonicNow();
     std::vector<CallId> ids;
     ids.reserve(this->calls.size());
@@ -630,14 +793,14 @@
   }
   Call& call = found->second;
   if (now >= call.deadline) {
-    if (call.ran_at.empty() && call.phase == Phase::kAsking) {
+    if (call.ran_at.empty() && call.phase != Phase::kRunning) {
       this->Refuse(id, "its time was over before a slot came free");
     } else {
       this->Fail(id, kGatewayTimeout, "its time is over");
     }
     return;
   }
-  if (call.phase == Phase::kAsking) {
+  if (call.phase != Phase::kRunning) {
     if (call.slot != 0 && call.search->AskTimedOut(now - call.sent)) {
       this->peers.Cancel(call.slot);
       this->OnAskFailed(id, call.attempt);
--- a/src/nodes/noderuntime.h
+++ b/src/nodes/noderuntime.h
@@ -19,6 +19,7 @@
 #include "nodes/logthrottle.h"
 #include "nodes/loopdelaymonitor.h"
 #include "nodes/nodeoptions.h"
+#include "nodes/originserver.h"
 #include "nodes/ownedengine.h"
 #include "routes/routetable.h"
 #include "storage/filesystem.h"
@@ -95,6 +96,7 @@
   ListReaderState search_reader;
   std::unique_ptr<asio::steady_timer> backlog_timer;
   transport::BacklogMonitor backlog;
+  OriginServer origin_server{this->server, this->dispatch, this->metrics};
   LoopDelayMonitor loop_delay_monitor{this->context, this->metrics};
 };
 
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,6 +21,8 @@
 #include "nodes/crashdetector.h"
 #include "nodes/dialect.h"
 #include "nodes/slotmessages.h"
+#include "nodes/streamorigins.h"
+#include "origins/continuation.h"
 #include "placement/enginechooser.h"
 #include "placement/slotsearch.h"
 #include "routes/routetable.h"
@@ -35,9 +38,9 @@
 
 /// Forwards online requests: acquires a slot from a gate, sends the request
 /// directly to the engine, streams the answer back, and resumes at another
-/// engine where the route allows it. Every request gets exactly one answer: the
-/// engine's, a truthful refusal, or a broken connection that does not look
-/// complete. Thread safety: none, the loop's thread.
+/// engine of the same software where the route allows it. Every request gets
+/// exactly one answer: the engine's, a truthful refusal, or a broken connection
+/// that does not look complete. Thread safety: none, the loop's thread.
 class OnlineRelay {
  public:
   /// Precondition: all reference arguments outlive the relay.
@@ -57,13 +60,13 @@
   /// The caller has disconnected. True when the exchange was this relay's.
   bool CallerGone(http::ExchangeId exchange);
   /// Sets the time at which the platform's list was read, for the log.
-  void SetListSeen(Time seen) { this->engines_seen = seen; }
+  void SetListSeen(Time seen);
   void SetFleet(const coordination::FleetKnowledge& fleet,
                 const routes::FleetConfiguration& configuration);
   std::size_t Open() const { return this->calls.size(); }
 
  private:
-  enum class Phase { kAsking, kRunning };
+  enum class Phase { kFindingOrigin, kAsking, kRunning };
   struct Call {
     http::ExchangeId exchange = 0;
     http::HttpRequest request;
@@ -90,11 +93,29 @@
     std::uint64_t last_event = 0;
     bool any_event = false;
     Time first_event{};
+    /// Of the first event that the caller got, in this or an earlier attempt.
+    std::optional<ReplicaSoftware> began;
+    std::optional<Time> broken_at;  ///< When a stream that had begun broke.
+    StreamOrigins::LookupId origin_lookup = 0;
+    /// Head of an event stream that has not delivered an event: until then
+    /// another software may begin it.
+    std::optional<http::HttpHead> held_head;
     http::EventSplitter splitter;
     std::size_t sends = 0;
   };
   using CallId = std::uint64_t;
 
+  /// Whether the caller takes up a stream that an earlier attempt began.
+  static bool IsTakeUp(const CallFields& fields);
+  void FindOrigin(CallId id);
+  void OnOrigin(CallId id, const ReplicaSoftware& recorded);
+  /// The software that alone can have begun a stream of the route; unknown if
+  /// there may have been another.
+  ReplicaSoftware SoleSoftware(const Call& call,
+                               std::span<const std::string> services) const;
+  void Perform(CallId id, const origins::ContinueWith& decision);
+  void Perform(CallId id, const origins::OriginUnknown& decision);
+  void Perform(CallId id, const origins::OriginNotOnRoute& decision);
   void FindSlot(CallId id);
   void Perform(CallId id, const placement::AskGate& step);
   void Perform(CallId id, const placement::SendUngated& step);
@@ -105,6 +126,9 @@
   void Send(CallId id);
   void OnHead(CallId id, std::uint64_t attempt, const http::HttpHead& head);
   void ForwardHead(Call& call, const http::HttpHead& head);
+  /// Called as the first event of an attempt is about to be forwarded: fixes
+  /// the software of the stream, and forwards the head.
+  void BeginEvents(Call& call);
   void OnBody(CallId id, std::uint64_t attempt, std::string_view bytes);
   bool ForwardEvents(Call& call, std::string_view bytes);
   void OnEnd(CallId id, std::uint64_t attempt, http::HttpEnd end);
@@ -115,6 +139,11 @@
   void ReleaseEngine(Call& call);
   void OnRestart(const placement::EngineRestart& restart);
   void Refuse(CallId id, const char* reason);
+  /// Refuses a stream that cannot go on anywhere, so its caller has to begin
+  /// anew and need not wait for that.
+  void RefuseContinuation(CallId id, const char* reason, const char* metric);
+  /// Answers that the request did not run. Precondition: it did not.
+  void RespondRefused(CallId id, const char* reason, double retry_after_s);
   void RefuseQuarantined(CallId id);
   void Fail(CallId id, int status, const char* reason);
   void Finish(CallId id, const char* outcome, int status);
@@ -132,6 +161,7 @@
   http::HttpClient engines;
   CrashDetector crash_detector;
   placement::EngineChooser chooser;
+  StreamOrigins stream_origins;
   std::mt19937_64 random;
   std::unordered_map<CallId, Call> calls;
   std::unordered_map<http::ExchangeId, CallId> by_exchange;
--- a/src/placement/admission.h
+++ b/src/placement/admission.h
@@ -13,17 +13,27 @@
   Time arrived{};
   Time deadline{};  ///< The caller's deadline or the route's timeout.
   std::chrono::milliseconds target_latency{0};
+  /// When a stream that has begun lost its replica, or was taken up again.
+  std::optional<Time> broken_at = {};
 };
 
 /// Minimum time before the deadline for which a run is started. An engine with
 /// a free slot produces its first event within this time.
 inline constexpr std::chrono::milliseconds kMinRunTime{60};
 
+/// How long a stream that has begun may wait for a slot in which it goes on: a
+/// little under half of the pause after which callers disconnect.
+inline constexpr std::chrono::milliseconds kMaxContinuationWait{900};
+
 /// Returns how long a request may still queue for a slot: a fraction of the
-/// first-token target, of which the engine and the network need the rest. Zero
-/// when the request is too late. Load pattern: at the peak of a wave all slots
-/// are taken and each engine frees one every tenth of a second, so most
-/// requests that queue within this bound get one. Thread safety: any thread.
+/// first-token target, of which the engine and the network need the rest, or
+/// kMaxContinuationWait for a stream that has begun. Zero when the request is
+/// too late. Load pattern: at the peak of a wave all slots are taken and each
+/// engine frees one every tenth of a second, so most requests that queue within
+/// this bound get one. When replicas crash at a peak, what ran there can go on
+/// only at the few replicas of its version, whose slots are taken: without a
+/// wait of their own, streams whose first-token target is over get no slot.
+/// Thread safety: any thread.
 std::chrono::milliseconds WaitBudget(const RequestTiming& timing, Time now);
 
 /// Returns the retry delay for a refused caller. Load pattern: a peak of some
--- a/src/placement/enginechooser.h
+++ b/src/placement/enginechooser.h
@@ -37,6 +37,18 @@
   }
 };
 
+/// The replicas that may take a request.
+struct EngineQuery {
+  std::string service;
+  /// The software that began the request's text, which only it may continue.
+  std::optional<ReplicaSoftware> began = {};
+
+  /// Thread safety: any thread.
+  bool Admits(const ReplicaSoftware& software) const {
+    return !this->began.has_value() || software.CanContinue(*this->began);
+  }
+};
+
 /// Load of an engine as last reported by its gate.
 struct ReportedLoad {
   std::uint32_t online = 0;
@@ -65,12 +77,12 @@
                                             std::uint64_t started_ms);
   /// The best option whose current start is not in `tried`; nothing if none is
   /// left.
-  std::optional<EngineOption> Choose(const std::string& service,
+  std::optional<EngineOption> Choose(const EngineQuery& query,
                                      const std::string& own_zone,
                                      std::span<const EngineStart> tried,
                                      Time now);
   /// Whether Choose would return an option.
-  bool HasUntried(const std::string& service,
+  bool HasUntried(const EngineQuery& query,
                   std::span<const EngineStart> tried) const;
   /// A request of this entry starts or ends at an engine.
   void Started(const std::string& address);
@@ -91,7 +103,7 @@
   void HostTimedOut(const std::string& host, Time now);
   /// End of the engine's backoff; in the past if it is not backed off.
   Time BackoffUntil(const std::string& address) const;
-  std::size_t OptionCount(const std::string& service) const;
+  std::size_t OptionCount(const EngineQuery& query) const;
   std::uint32_t OwnRequests(const std::string& address) const;
 
   /// Initial backoff. If it exceeded the time until a crash appears in the
@@ -118,6 +130,9 @@
   };
   std::optional<EngineRestart> ApplyStart(const EngineStart& reported_start);
   EngineStart StartOf(const EngineOption& option) const;
+  /// Unknown after a restart that the list does not show yet: the replica may
+  /// have been upgraded under its id.
+  ReplicaSoftware SoftwareOf(const EngineOption& option) const;
   double CostOf(const EngineOption& option, const std::string& own_zone,
                 Time now);
 
--- a/src/placement/internal/admission.cpp
+++ b/src/placement/internal/admission.cpp
@@ -20,7 +20,9 @@
 std::chrono::milliseconds WaitBudget(const RequestTiming& timing, Time now) {
   const auto part = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(timing.target_latency) * kMaxWaitFraction);
-  const Duration in_time = timing.arrived + part - now;
+  const Duration in_time = timing.broken_at.has_value()
+                               ? *timing.broken_at + kMaxContinuationWait - now
+                               : timing.arrived + part - now;
   const Duration useful = timing.deadline - now - kMinRunTime;
   return std::max(std::chrono::milliseconds(0),
                   InMillis(std::min(in_time, useful)));
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -94,14 +94,20 @@
   return start;
 }
 
-bool EngineChooser::HasUntried(const std::string& service,
+ReplicaSoftware EngineChooser::SoftwareOf(const EngineOption& option) const {
+  const bool restarted = option.started_ms != 0 &&
+                         this->StartOf(option).started_ms > option.started_ms;
+  return restarted ? ReplicaSoftware{} : option.software;
+}
+
+bool EngineChooser::HasUntried(const EngineQuery& query,
                                std::span<const EngineStart> tried) const {
-  const auto found = this->options.find(service);
+  const auto found = this->options.find(query.service);
   return found != this->options.end() &&
-         std::ranges::any_of(found->second,
-                             [this, tried](const EngineOption& option) {
-                               return !Contains(tried, this->StartOf(option));
-                             });
+         std::ranges::any_of(found->second, [&](const EngineOption& option) {
+           return query.Admits(this->SoftwareOf(option)) &&
+                  !Contains(tried, this->StartOf(option));
+         });
 }
 
 double EngineChooser::CostOf(const EngineOption& option,
@@ -124,16 +130,17 @@
 }
 
 std::optional<EngineOption> EngineChooser::Choose(
-    const std::string& service, const std::string& own_zone,
+    const EngineQuery& query, const std::string& own_zone,
     std::span<const EngineStart> tried, Time now) {
-  const auto found = this->options.find(service);
+  const auto found = this->options.find(query.service);
   if (found == this->options.end()) {
     return std::nullopt;
   }
   const EngineOption* best = nullptr;
   double best_cost = 0;
   for (const EngineOption& option : found->second) {
-    if (Contains(tried, this->StartOf(option))) {
+    if (!query.Admits(this->SoftwareOf(option)) ||
+        Contains(tried, this->StartOf(option))) {
       continue;
     }
     const double cost = this->CostOf(option, own_zone, now);
@@ -147,6 +154,7 @@
   }
   EngineOption chosen = *best;
   chosen.started_ms = this->StartOf(*best).started_ms;
+  chosen.software = this->SoftwareOf(*best);
   if (this->states[chosen.address].unowned_until > now) {
     chosen.gate.clear();
   }
@@ -213,9 +221,15 @@
   return found != this->states.end() ? found->second.backoff_until : Time{};
 }
 
-std::size_t EngineChooser::OptionCount(const std::string& service) const {
-  const auto found = this->options.find(service);
-  return found != this->options.end() ? found->second.size() : 0;
+std::size_t EngineChooser::OptionCount(const EngineQuery& query) const {
+  const auto found = this->options.find(query.service);
+  if (found == this->options.end()) {
+    return 0;
+  }
+  return static_cast<std::size_t>(std::ranges::count_if(
+      found->second, [this, &query](const EngineOption& option) {
+        return query.Admits(this->SoftwareOf(option));
+      }));
 }
 
 std::uint32_t EngineChooser::OwnRequests(const std::string& address) const {
--- a/src/placement/internal/slotsearch.cpp
+++ b/src/placement/internal/slotsearch.cpp
@@ -12,7 +12,7 @@
   bool unowned_share_used = false;
   while (this->asks < kMaxImmediateAsks) {
     const auto option =
-        chooser.Choose(this->service, this->own_zone, this->tried, now);
+        chooser.Choose(this->query, this->own_zone, this->tried, now);
     if (!option.has_value()) {
       break;
     }
@@ -31,13 +31,21 @@
     unowned_share_used = true;
   }
   if (this->asks == 0) {
-    return NoSlot{unowned_share_used
-                      ? "its share of engines that nobody owns is in use"
-                      : "no replica of the service is known"};
+    return this->NothingAsked(unowned_share_used);
   }
   return this->QueueAtLeastBusy(budget);
 }
 
+NoSlot SlotSearch::NothingAsked(bool unowned_share_used) const {
+  if (unowned_share_used) {
+    return {"its share of engines that nobody owns is in use"};
+  }
+  return {this->query.began.has_value()
+              ? "no replica of the version that began its text is left"
+              : "no replica of the service is known",
+          true};
+}
+
 SearchStep SlotSearch::QueueAtLeastBusy(std::chrono::milliseconds budget) {
   if (!this->least_busy.has_value() || *this->shortest_wait > budget) {
     return NoSlot{"the shortest queue is longer than the caller can wait"};
@@ -92,11 +100,11 @@
 void SlotSearch::Restart(const EngineChooser& chooser,
                          const EngineStart& failed) {
   this->ResetSearch();
-  if (chooser.HasUntried(this->service, this->tried)) {
+  if (chooser.HasUntried(this->query, this->tried)) {
     return;
   }
   this->tried.clear();
-  if (chooser.OptionCount(this->service) > 1) {
+  if (chooser.OptionCount(this->query) > 1) {
     this->tried.push_back(failed);
   }
 }
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -29,6 +29,8 @@
 /// No engine can serve the request in time.
 struct NoSlot {
   const char* reason = "";
+  /// No replica that may take the request is known, so waiting is in vain.
+  bool no_replica = false;
 };
 
 using SearchStep = std::variant<AskGate, SendUngated, NoSlot>;
@@ -43,7 +45,11 @@
 class SlotSearch {
  public:
   SlotSearch(std::string service, std::string own_zone)
-      : service(std::move(service)), own_zone(std::move(own_zone)) {}
+      : query{std::move(service)}, own_zone(std::move(own_zone)) {}
+
+  /// From now on only replicas of `began` are considered: an event of it has
+  /// reached the caller.
+  void ContinueOnly(const ReplicaSoftware& began) { this->query.began = began; }
 
   /// Returns the next step; `budget` is how long the request may still queue.
   SearchStep Next(EngineChooser& chooser, std::chrono::milliseconds budget,
@@ -87,9 +93,11 @@
  private:
   /// Starts asking for a free slot again; keeps `tried`.
   void ResetSearch();
+  /// Why no process could be asked for a slot.
+  NoSlot NothingAsked(bool unowned_share_used) const;
   SearchStep QueueAtLeastBusy(std::chrono::milliseconds budget);
 
-  std::string service;
+  EngineQuery query;
   std::string own_zone;
   std::vector<EngineStart> tried;  ///< Asked or sent to; cleared once all were.
   std::optional<EngineOption> asked;       ///< Engine of the last gate asked.
--- a/src/placement/tests/admission_tests.cpp
+++ b/src/placement/tests/admission_tests.cpp
@@ -23,6 +23,17 @@
   }
 }
 
+// Load: replicas crash at the peak of a wave, and what ran there can go on only
+// at a few others, whose slots are taken.
+TEST_CASE("a stream that has begun waits for a slot after its target is over") {
+  RequestTiming timing{At(0), At(5000), milliseconds(300), At(2000)};
+  CHECK(WaitBudget(timing, At(2000)) == kMaxContinuationWait);
+  CHECK(WaitBudget(timing, At(2800)) == milliseconds(100));
+  CHECK(WaitBudget(timing, At(3000)) == milliseconds(0));
+  timing.deadline = At(2500);
+  CHECK(WaitBudget(timing, At(2000)) == milliseconds(500) - kMinRunTime);
+}
+
 // Load: a square wave with a peak of 2.8 s and a trough of 3.8 s; callers are
 // refused evenly over the peak. With retry delays of 0.3 to 1.3 s only two in
 // seven retry in the trough; more than two in five should.
--- a/src/placement/tests/enginechooser_tests.cpp
+++ b/src/placement/tests/enginechooser_tests.cpp
@@ -29,7 +29,7 @@
   for (int i = 0; i < 50; ++i) {
     chooser.Reported("e0", {8, 2}, At(0));
     chooser.Reported("e1", {2, 0}, At(0));
-    CHECK(chooser.Choose("llm", "z", {}, At(1))->address == "e1");
+    CHECK(chooser.Choose({"llm"}, "z", {}, At(1))->address == "e1");
   }
 }
 
@@ -40,7 +40,7 @@
   chooser.SetOptions("llm", Fleet(12));
   std::map<std::string, int> counts;
   for (int i = 0; i < 96; ++i) {
-    const auto option = chooser.Choose("llm", "z", {}, At(i));
+    const auto option = chooser.Choose({"llm"}, "z", {}, At(i));
     chooser.Started(option->address);
     ++counts[option->address];
   }
@@ -60,7 +60,7 @@
     chooser.Closed("e0", At(at));
     CHECK(chooser.BackoffUntil("e0") ==
           At(at) + Duration(EngineChooser::kFirstBackoff));
-    CHECK(chooser.Choose("llm", "z", {}, At(at + 1))->address == "e1");
+    CHECK(chooser.Choose({"llm"}, "z", {}, At(at + 1))->address == "e1");
   }
 }
 
@@ -75,9 +75,9 @@
     for (const EngineOption& option : options) {
       chooser.Reported(option.address, {3, 0}, At(0));
     }
-    CHECK(chooser.Choose("llm", "own", {}, At(0))->address == "e3");
+    CHECK(chooser.Choose({"llm"}, "own", {}, At(0))->address == "e3");
     chooser.Reported("e3", {5, 0}, At(0));
-    CHECK(chooser.Choose("llm", "own", {}, At(0))->address != "e3");
+    CHECK(chooser.Choose({"llm"}, "own", {}, At(0))->address != "e3");
   }
 }
 
@@ -85,7 +85,7 @@
   EngineChooser chooser(1);
   chooser.SetOptions("llm", Fleet(2));
   chooser.Failed("e0", At(0));
-  CHECK(chooser.Choose("llm", "z", {}, At(100))->address == "e1");
+  CHECK(chooser.Choose({"llm"}, "z", {}, At(100))->address == "e1");
   CHECK(chooser.BackoffUntil("e0") < At(500));
   SECTION("the backoff grows with consecutive failures up to a limit") {
     for (int i = 0; i < 10; ++i) {
@@ -98,9 +98,10 @@
   SECTION("it is still chosen if there is no other") {
     const EngineStart first{"e0", "id0"};
     const EngineStart second{"e1", "id1"};
-    CHECK(chooser.Choose("llm", "z", Starts{second}, At(100))->address == "e0");
-    CHECK_FALSE(
-        chooser.Choose("llm", "z", Starts{first, second}, At(100)).has_value());
+    CHECK(chooser.Choose({"llm"}, "z", Starts{second}, At(100))->address ==
+          "e0");
+    CHECK_FALSE(chooser.Choose({"llm"}, "z", Starts{first, second}, At(100))
+                    .has_value());
   }
 }
 
@@ -118,7 +119,7 @@
   }
   chooser.Reported("e0", {8, 9}, At(0));
   chooser.Reported("e1", {7, 0}, At(0));
-  REQUIRE(chooser.Choose("llm", "z", {}, At(1))->address == "e1");
+  REQUIRE(chooser.Choose({"llm"}, "z", {}, At(1))->address == "e1");
 
   SECTION("when the list reports a later start") {
     options[0].started_ms = kStart + 1;
@@ -128,7 +129,7 @@
     CHECK(restarts[0].now.started_ms == kStart + 1);
     CHECK(restarts[0].now.id == "id0");
     CHECK(chooser.BackoffUntil("e0") == Time{});
-    CHECK(chooser.Choose("llm", "z", {}, At(1))->address == "e0");
+    CHECK(chooser.Choose({"llm"}, "z", {}, At(1))->address == "e0");
   }
   SECTION(
       "when its gate reports a later start, which a stale list does not "
@@ -139,7 +140,7 @@
     CHECK(chooser.BackoffUntil("e0") == Time{});
     CHECK(chooser.SetOptions("llm", options).empty());
     CHECK_FALSE(chooser.ObserveStart("e0", kStart).has_value());
-    const auto chosen = chooser.Choose("llm", "z", {}, At(1));
+    const auto chosen = chooser.Choose({"llm"}, "z", {}, At(1));
     CHECK(chosen->address == "e0");
     CHECK(chosen->started_ms == kStart + 1);
   }
@@ -148,7 +149,7 @@
     options[0].started_ms = 0;
     REQUIRE(chooser.SetOptions("llm", options).size() == 1);
     CHECK(chooser.BackoffUntil("e0") == Time{});
-    CHECK(chooser.Choose("llm", "z", {}, At(1))->started_ms == 0);
+    CHECK(chooser.Choose({"llm"}, "z", {}, At(1))->started_ms == 0);
   }
   SECTION("but not when a start is reported for the first time, or none is") {
     CHECK_FALSE(chooser.ObserveStart("e1", kStart).has_value());
--- a/src/placement/tests/slotsearch_tests.cpp
+++ b/src/placement/tests/slotsearch_tests.cpp
@@ -279,4 +279,72 @@
   CHECK(std::holds_alternative<NoSlot>(search.Next(chooser, kBudget, At(0))));
 }
 
+// Guards against a stream that goes on at a replica of another software version
+// because those of its own are busy, were tried, or are gone.
+TEST_CASE("a stream that has begun looks only at replicas of its software") {
+  const ReplicaSoftware old{"llm", "v1"};
+  std::vector<EngineOption> options = Fleet(6);
+  for (std::size_t i = 0; i < options.size(); ++i) {
+    options[i].software = {"llm", i < 2 ? "v1" : "v2"};
+  }
+  EngineChooser chooser(1);
+  chooser.SetOptions("llm", options);
+  SlotSearch search("llm", "z");
+  search.ContinueOnly(old);
+  const auto asked = [&] {
+    return std::get<AskGate>(search.Next(chooser, kBudget, At(0))).engine;
+  };
+
+  SECTION("and queues at the least busy of them") {
+    const std::string first = asked().address;
+    search.Busy(milliseconds(90));
+    CHECK(asked().software == old);
+    search.Busy(milliseconds(40));
+    const auto queue = std::get<AskGate>(search.Next(chooser, kBudget, At(0)));
+    CHECK(queue.engine.software == old);
+    CHECK(queue.engine.address != first);
+    CHECK(queue.longest_wait == kBudget);
+  }
+  SECTION("again once all of them were tried") {
+    const EngineOption first = asked();
+    const EngineOption second = asked();
+    search.Restart(chooser, second.Start());
+    CHECK(asked().address == first.address);
+  }
+  SECTION("and has nowhere to go when none is left") {
+    options.erase(options.begin(), options.begin() + 2);
+    chooser.SetOptions("llm", options);
+    const auto none = std::get<NoSlot>(search.Next(chooser, kBudget, At(0)));
+    CHECK(none.no_replica);
+  }
+  SECTION("but waiting may help while they are busy") {
+    asked();
+    search.Busy(milliseconds(900));
+    asked();
+    search.Busy(milliseconds(900));
+    const auto none = std::get<NoSlot>(search.Next(chooser, kBudget, At(0)));
+    CHECK_FALSE(none.no_replica);
+  }
+  SECTION("nor at one whose software is unknown") {
+    options[0].software = {};
+    chooser.SetOptions("llm", options);
+    CHECK(asked().address == "e1");
+    SlotSearch unknown("llm", "z");
+    unknown.ContinueOnly({});
+    CHECK(std::get<NoSlot>(unknown.Next(chooser, kBudget, At(0))).no_replica);
+  }
+  // Guards against a replica that comes back upgraded under its id and address
+  // before the list says so.
+  SECTION("nor at one that has restarted since the list was read") {
+    for (EngineOption& option : options) {
+      option.started_ms = 1000;
+    }
+    chooser.SetOptions("llm", options);
+    chooser.ObserveStart("e0", 2000);
+    CHECK(asked().address == "e1");
+    CHECK(std::get<NoSlot>(search.Next(chooser, kBudget, At(0))).no_replica ==
+          false);
+  }
+}
+
 }  // namespace papayarack::placement
