An item that the gate preempted resumes only at the software that began it

The gate now drops the texts that it keeps when its upstream goes down, and an answer whose events bear different system_fingerprints is returned and begun anew instead of reported.

Open: an upstream that is replaced between two probes (250 ms) and sends no fingerprint is not noticed. An online answer is not concerned: an entry reconnects to the same run only.

--- a/src/gate/answerassembler.h
+++ b/src/gate/answerassembler.h
@@ -24,20 +24,29 @@
   /// Text received so far, with which a preempted run is resumed.
   const std::string& Text() const { return this->text; }
   std::size_t Tokens() const { return this->tokens; }
-  /// Initializes with the text that an earlier run of the same work received.
-  void StartFrom(std::string text, std::size_t tokens);
+  /// The upstream's `system_fingerprint`, which identifies its software; empty
+  /// if no event had one.
+  const std::string& Fingerprint() const { return this->fingerprint; }
+  /// Whether events of different fingerprints were received, so that the text
+  /// is of two software versions.
+  bool Mixed() const { return this->mixed; }
+  /// Initializes with what an earlier run of the same work received.
+  void StartFrom(const AnswerAssembler& earlier);
 
  private:
   bool AddEvent(std::string_view data);
+  void CheckFingerprint(const nlohmann::json& event);
 
   std::string pending;
   std::string text;
   std::string finish_reason;
+  std::string fingerprint;
   nlohmann::json first;
   nlohmann::json usage;
   std::size_t tokens = 0;
   bool chat = false;
   bool done = false;
+  bool mixed = false;
 };
 
 }  // namespace papayarack::gate
--- a/src/gate/internal/answerassembler.cpp
+++ b/src/gate/internal/answerassembler.cpp
@@ -1,7 +1,5 @@
 #include "gate/answerassembler.h"
 
-#include <utility>
-
 #include "global/resultcode.h"
 
 namespace papayarack::gate {
@@ -13,9 +11,21 @@
 
 }  // namespace
 
-void AnswerAssembler::StartFrom(std::string earlier, std::size_t count) {
-  this->text = std::move(earlier);
-  this->tokens = count;
+void AnswerAssembler::StartFrom(const AnswerAssembler& earlier) {
+  this->text = earlier.text;
+  this->tokens = earlier.tokens;
+  this->fingerprint = earlier.fingerprint;
+  this->mixed = earlier.mixed;
+}
+
+void AnswerAssembler::CheckFingerprint(const nlohmann::json& event) {
+  const auto member = event.find("system_fingerprint");
+  if (member == event.end() || !member->is_string()) {
+    return;
+  }
+  const std::string now = member->get<std::string>();
+  this->mixed |= !this->fingerprint.empty() && now != this->fingerprint;
+  this->fingerprint = now;
 }
 
 std::size_t AnswerAssembler::Add(std::string_view bytes) {
@@ -51,6 +61,7 @@
   if (this->first.is_null()) {
     this->first = event;
   }
+  this->CheckFingerprint(event);
   if (event.contains("usage") && event["usage"].is_object()) {
     this->usage = event["usage"];
   }
--- a/src/gate/internal/batchitemtracker.cpp
+++ b/src/gate/internal/batchitemtracker.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "global/logging.h"
+
 namespace papayarack::gate {
 namespace {
 
@@ -52,9 +54,9 @@
   return true;
 }
 
-UpstreamCall BatchItemTracker::MakeCall(WorkId id,
-                                        Duration read_timeout) const {
-  const Item& item = this->items.at(id);
+UpstreamCall BatchItemTracker::MakeCall(WorkId id, Duration read_timeout) {
+  Item& item = this->items.at(id);
+  DropObsoleteText(item);
   UpstreamCall call;
   call.id = id;
   call.request_id = fmt::format("{}-{}-{}", item.lease.key.job,
@@ -71,6 +73,25 @@
   return call;
 }
 
+void BatchItemTracker::DropTexts() {
+  for (auto& [id, item] : this->items) {
+    item.text_obsolete = true;
+  }
+}
+
+void BatchItemTracker::DropObsoleteText(Item& item) {
+  if (!item.text_obsolete && !item.answer.Mixed()) {
+    return;
+  }
+  Log(LogLevel::kInfo, "item_text_dropped",
+      {{"job", item.lease.key.job},
+       {"item", item.lease.key.item},
+       {"tokens", item.answer.Tokens()},
+       {"upstream_restarted", item.text_obsolete}});
+  item.answer = {};
+  item.text_obsolete = false;
+}
+
 void BatchItemTracker::OnHead(WorkId id, int status) {
   const auto found = this->items.find(id);
   if (found != this->items.end()) {
@@ -127,15 +148,19 @@
     return false;
   }
   Item& item = found->second;
-  if (end == UpstreamEnd::kComplete &&
-      (item.status != kHttpOk || item.answer.Whole())) {
+  if (item.answer.Mixed() &&
+      (!item.preempted || end == UpstreamEnd::kComplete)) {
+    this->Report(item, jobs::AttemptEnd::kReturned, {},
+                 "the upstream's software changed within the text");
+  } else if (end == UpstreamEnd::kComplete &&
+             (item.status != kHttpOk || item.answer.Whole())) {
     this->ReportAnswer(item);
   } else if (item.preempted) {
     item.preempted = false;
     item.status = 0;
     item.raw.clear();
     AnswerAssembler resumed;
-    resumed.StartFrom(item.answer.Text(), item.answer.Tokens());
+    resumed.StartFrom(item.answer);
     item.answer = std::move(resumed);
     this->kept_tokens += item.answer.Tokens();
     return true;
--- a/src/gate/internal/batchitemtracker.h
+++ b/src/gate/internal/batchitemtracker.h
@@ -29,7 +29,10 @@
   bool Contains(WorkId id) const { return this->items.count(id) > 0; }
   /// The call to the upstream; after a preemption it resumes from the received
   /// text.
-  UpstreamCall MakeCall(WorkId id, Duration read_timeout) const;
+  UpstreamCall MakeCall(WorkId id, Duration read_timeout);
+  /// The upstream went down, and may come back as another software version:
+  /// preempted items begin anew, as what two versions write does not fit.
+  void DropTexts();
   void OnHead(WorkId id, int status);
   /// Returns the number of tokens received.
   std::size_t OnBytes(WorkId id, std::string_view bytes);
@@ -61,7 +64,10 @@
     std::string raw;  ///< Body of an answer that is not an event stream.
     int status = 0;
     bool preempted = false;
+    bool text_obsolete = false;  ///< May be of another software version.
   };
+  /// Forgets a text that must not be continued.
+  static void DropObsoleteText(Item& item);
   void Report(const Item& item, jobs::AttemptEnd end, std::string line,
               std::string reason);
   void ReportAnswer(const Item& item);
--- a/src/gate/internal/gateserver.cpp
+++ b/src/gate/internal/gateserver.cpp
@@ -614,6 +614,9 @@
       this->upstream_up = probe.up;
       Log(LogLevel::kWarn, probe.up ? "upstream_up" : "upstream_down",
           {{"address", this->upstream_settings.address}});
+      if (!probe.up) {
+        this->batch_items.DropTexts();
+      }
       this->Execute(this->core.SetUpstreamUp(probe.up, MonotonicNow()));
     }
   }
--- a/src/gate/tests/answerassembler_tests.cpp
+++ b/src/gate/tests/answerassembler_tests.cpp
@@ -31,7 +31,9 @@
     CHECK_THROWS_AS(answer.Add("data: {broken\n\n"), ResultError);
   }
   SECTION("is continued from the text of an earlier run") {
-    answer.StartFrom("first ", 1);
+    AnswerAssembler earlier;
+    earlier.Add("data: {\"choices\":[{\"text\":\"first \"}]}\n\n");
+    answer.StartFrom(earlier);
     answer.Add(stream);
     CHECK(answer.Text() == "first in stock");
     CHECK(answer.Tokens() == 3);
