The decision on a stream taken up moves beside its origins; three corrections

A search whose gates were all closed or silent said that no replica was left, and its caller was told to begin anew at once: that is said only if none is listed. The relay's part of the decision moves to StreamOrigins.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -31,9 +31,6 @@
 /// Retry-After of a stream that cannot go on anywhere: its caller can begin
 /// anew at once.
 constexpr double kBeginAnewSeconds = 0.05;
-/// A stream is not taken up later than this many times the longest timeout of a
-/// route after it began: each attempt of its caller ends within one.
-constexpr int kMaxAttemptsOfCaller = 4;
 /// Margin of the time for which an origin is kept, for the way of the caller's
 /// last attempt.
 constexpr std::chrono::milliseconds kOriginMargin{2000};
@@ -52,16 +49,6 @@
   return head.headers.Get("Content-Type").starts_with("text/event-stream");
 }
 
-std::vector<std::string> ServicesOf(const routes::Route& route) {
-  std::vector<std::string> services;
-  for (const routes::WeightedService& target : route.targets) {
-    if (target.weight > 0) {
-      services.push_back(target.service);
-    }
-  }
-  return services;
-}
-
 std::int64_t MillisSince(Time start, Time now) {
   return start == Time{} ? -1 : (now - start).count() / 1000;
 }
@@ -187,28 +174,13 @@
   if (found == this->calls.end()) {
     return;
   }
-  const std::vector<std::string> services = ServicesOf(*found->second.route);
-  const origins::OriginEvidence evidence{
-      recorded, this->SoleSoftware(found->second, services)};
-  const origins::Continuation decision =
-      origins::DecideContinuation(evidence, services);
+  const Call& call = found->second;
+  const origins::Continuation decision = this->stream_origins.Decide(
+      recorded, *call.route, call.table->configuration());
   std::visit([this, id](const auto& next) { this->Perform(id, next); },
              decision);
 }
 
-ReplicaSoftware OnlineRelay::SoleSoftware(
-    const Call& call, std::span<const std::string> services) const {
-  if (services.size() != 1) {
-    return {};
-  }
-  std::chrono::milliseconds longest{0};
-  for (const routes::Route& route : call.table->configuration().routes) {
-    longest = std::max(longest, route.timeout);
-  }
-  return this->stream_origins.SoleSince(services.front(),
-                                        longest * kMaxAttemptsOfCaller);
-}
-
 void OnlineRelay::Perform(CallId id, const origins::ContinueWith& decision) {
   Call& call = this->calls.at(id);
   call.began = decision.software;
@@ -486,7 +458,7 @@
   const std::string& key = taken_up ? call.fields.resumes : call.fields.id;
   if (call.route->MayRepeat() && !key.empty()) {
     const Duration patience = call.fields.deadline.value_or(
-        call.route->timeout * kMaxAttemptsOfCaller);
+        call.route->timeout * StreamOrigins::kMaxAttemptsOfCaller);
     this->stream_origins.Began(key, *call.began, patience + kOriginMargin);
   }
   this->ForwardHead(call, *call.held_head);
--- a/src/nodes/internal/streamorigins.cpp
+++ b/src/nodes/internal/streamorigins.cpp
@@ -152,9 +152,33 @@
   ended.found(*result);
 }
 
-ReplicaSoftware StreamOrigins::SoleSince(const std::string& service,
-                                         Duration window) const {
-  return this->history.SoleSince(service, window, MonotonicNow());
+ReplicaSoftware StreamOrigins::SoleSoftware(
+    const std::vector<std::string>& services,
+    const routes::FleetConfiguration& configuration) const {
+  if (services.size() != 1) {
+    return {};
+  }
+  std::chrono::milliseconds longest{0};
+  for (const routes::Route& route : configuration.routes) {
+    if (route.kind == routes::RouteKind::kStreaming) {
+      longest = std::max(longest, route.timeout);
+    }
+  }
+  return this->history.SoleSince(
+      services.front(), longest * kMaxAttemptsOfCaller, MonotonicNow());
+}
+
+origins::Continuation StreamOrigins::Decide(
+    const ReplicaSoftware& recorded, const routes::Route& route,
+    const routes::FleetConfiguration& configuration) const {
+  std::vector<std::string> services;
+  for (const routes::WeightedService& target : route.targets) {
+    if (target.weight > 0) {
+      services.push_back(target.service);
+    }
+  }
+  return origins::DecideContinuation(
+      {recorded, this->SoleSoftware(services, configuration)}, services);
 }
 
 void StreamOrigins::Tick() {
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <random>
 #include <set>
-#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -22,7 +21,6 @@
 #include "nodes/dialect.h"
 #include "nodes/slotmessages.h"
 #include "nodes/streamorigins.h"
-#include "origins/continuation.h"
 #include "placement/enginechooser.h"
 #include "placement/slotsearch.h"
 #include "routes/routetable.h"
@@ -59,7 +57,7 @@
             Time arrived);
   /// The caller has disconnected. True when the exchange was this relay's.
   bool CallerGone(http::ExchangeId exchange);
-  /// Sets the time at which the platform's list was read, for the log.
+  /// Sets the time at which the platform's list was read, changed or not.
   void SetListSeen(Time seen);
   void SetFleet(const coordination::FleetKnowledge& fleet,
                 const routes::FleetConfiguration& configuration);
@@ -109,10 +107,6 @@
   static bool IsTakeUp(const CallFields& fields);
   void FindOrigin(CallId id);
   void OnOrigin(CallId id, const ReplicaSoftware& recorded);
-  /// The software that alone can have begun a stream of the route; unknown if
-  /// there may have been another.
-  ReplicaSoftware SoleSoftware(const Call& call,
-                               std::span<const std::string> services) const;
   void Perform(CallId id, const origins::ContinueWith& decision);
   void Perform(CallId id, const origins::OriginUnknown& decision);
   void Perform(CallId id, const origins::OriginNotOnRoute& decision);
--- a/src/nodes/streamorigins.h
+++ b/src/nodes/streamorigins.h
@@ -12,10 +12,12 @@
 
 #include "coordination/fleetwatch.h"
 #include "global/metrics.h"
+#include "origins/continuation.h"
 #include "origins/originhomes.h"
 #include "origins/originlookup.h"
 #include "origins/originstore.h"
 #include "origins/softwarehistory.h"
+#include "routes/fleetconfiguration.h"
 #include "transport/peerclient.h"
 
 namespace papayarack::nodes {
@@ -30,6 +32,10 @@
 /// Thread safety: none, the loop's thread.
 class StreamOrigins {
  public:
+  /// A stream is not taken up later than this many times the longest timeout of
+  /// a route after it began: each attempt of its caller ends within one.
+  static constexpr int kMaxAttemptsOfCaller = 4;
+
   /// Unknown software if no process that could be asked knows it.
   using Found = std::function<void(const ReplicaSoftware&)>;
   using LookupId = std::uint64_t;
@@ -52,8 +58,11 @@
   /// runs at most once. Returns the id to cancel with.
   LookupId Find(const std::string& request, Found found);
   void Cancel(LookupId id) { this->lookups.erase(id); }
-  /// The only software of `service` throughout the last `window`, or unknown.
-  ReplicaSoftware SoleSince(const std::string& service, Duration window) const;
+  /// Decides where a stream of `route` goes on that its caller takes up, given
+  /// what Find found. Precondition: `route` belongs to `configuration`.
+  origins::Continuation Decide(
+      const ReplicaSoftware& recorded, const routes::Route& route,
+      const routes::FleetConfiguration& configuration) const;
   /// Ends searches that are overdue. Call every few tens of milliseconds.
   void Tick();
 
@@ -68,6 +77,11 @@
   void Ask(LookupId id, const std::string& home, const std::string& request);
   void OnReply(LookupId id, const std::string& home, std::string_view bytes);
   void OnFailed(LookupId id, const std::string& home);
+  /// The software that alone can have begun a stream; unknown if there may have
+  /// been another.
+  ReplicaSoftware SoleSoftware(
+      const std::vector<std::string>& services,
+      const routes::FleetConfiguration& configuration) const;
   /// Calls back and erases the search if it is over.
   void Conclude(LookupId id);
 
--- a/src/placement/internal/slotsearch.cpp
+++ b/src/placement/internal/slotsearch.cpp
@@ -31,15 +31,19 @@
     unowned_share_used = true;
   }
   if (this->asks == 0) {
-    return this->NothingAsked(unowned_share_used);
+    return this->NothingAsked(chooser, unowned_share_used);
   }
   return this->QueueAtLeastBusy(budget);
 }
 
-NoSlot SlotSearch::NothingAsked(bool unowned_share_used) const {
+NoSlot SlotSearch::NothingAsked(const EngineChooser& chooser,
+                                bool unowned_share_used) const {
   if (unowned_share_used) {
     return {"its share of engines that nobody owns is in use"};
   }
+  if (chooser.OptionCount(this->query) > 0) {
+    return {"no gate asked gives slots"};
+  }
   return {this->query.began.has_value()
               ? "no replica of the version that began its text is left"
               : "no replica of the service is known",
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -94,7 +94,8 @@
   /// Starts asking for a free slot again; keeps `tried`.
   void ResetSearch();
   /// Why no process could be asked for a slot.
-  NoSlot NothingAsked(bool unowned_share_used) const;
+  NoSlot NothingAsked(const EngineChooser& chooser,
+                      bool unowned_share_used) const;
   SearchStep QueueAtLeastBusy(std::chrono::milliseconds budget);
 
   EngineQuery query;
--- a/src/placement/tests/slotsearch_tests.cpp
+++ b/src/placement/tests/slotsearch_tests.cpp
@@ -325,6 +325,16 @@
     const auto none = std::get<NoSlot>(search.Next(chooser, kBudget, At(0)));
     CHECK_FALSE(none.no_replica);
   }
+  // Guards against callers that begin anew at once although their replicas are
+  // there and may give slots again in a moment.
+  SECTION("and may find one later when no gate gives slots now") {
+    asked();
+    search.Closed();
+    asked();
+    search.Unanswered();
+    const auto none = std::get<NoSlot>(search.Next(chooser, kBudget, At(0)));
+    CHECK_FALSE(none.no_replica);
+  }
   SECTION("nor at one whose software is unknown") {
     options[0].software = {};
     chooser.SetOptions("llm", options);
