--- a/src/global/replicasoftware.h
+++ b/src/global/replicasoftware.h
@@ -1,9 +1,9 @@
 #ifndef PAPAYARACK_GLOBAL_REPLICASOFTWARE_H_
 #define PAPAYARACK_GLOBAL_REPLICASOFTWARE_H_
 
-#include <compare>
 #include <msgpack.hpp>
 #include <string>
+#include <tuple>
 
 namespace papayarack {
 
@@ -14,7 +14,11 @@
   std::string service;
   std::string version;  ///< Empty: unknown.
   MSGPACK_DEFINE(service, version)
-  auto operator<=>(const ReplicaSoftware&) const = default;
+  bool operator==(const ReplicaSoftware&) const = default;
+  bool operator<(const ReplicaSoftware& other) const {
+    return std::tie(this->service, this->version) <
+           std::tie(other.service, other.version);
+  }
 
   bool Known() const {
     return !this->service.empty() && !this->version.empty();
--- a/src/origins/tests/origins_tests.cpp
+++ b/src/origins/tests/origins_tests.cpp
@@ -25,6 +25,7 @@
 
 std::vector<HomeOption> Gates(int count, int zones) {
   std::vector<HomeOption> gates;
+  gates.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     gates.push_back({"10.0.0." + std::to_string(i) + ":7720",
                      "z" + std::to_string(i % zones)});
