Wording: what a newcomer would read twice in the mend

Reading the whole change again: an accessor of the answer's fingerprint had no caller; a gate logged item_text_dropped for items that had no text, and said that the upstream had restarted where it only went down; RunningSoftware called a restart an upgrade; KeepTextOnlyForItsSoftware is DropTextOfOtherSoftware. No change of behaviour but the log line.

--- a/src/gate/answerassembler.h
+++ b/src/gate/answerassembler.h
@@ -24,11 +24,8 @@
   /// Text received so far, with which a preempted run is resumed.
   const std::string& Text() const { return this->text; }
   std::size_t Tokens() const { return this->tokens; }
-  /// The upstream's `system_fingerprint`, which identifies its software; empty
-  /// if no event had one.
-  const std::string& Fingerprint() const { return this->fingerprint; }
-  /// Whether events of different fingerprints were received, so that the text
-  /// is of two software versions.
+  /// Whether events of different `system_fingerprint`s, which identify the
+  /// upstream's software, were received, so that the text is of two versions.
   bool Mixed() const { return this->mixed; }
   /// Initializes with what an earlier run of the same work received.
   void StartFrom(const AnswerAssembler& earlier);
--- a/src/gate/internal/batchitemtracker.cpp
+++ b/src/gate/internal/batchitemtracker.cpp
@@ -83,11 +83,13 @@
   if (!item.text_obsolete && !item.answer.Mixed()) {
     return;
   }
-  Log(LogLevel::kInfo, "item_text_dropped",
-      {{"job", item.lease.key.job},
-       {"item", item.lease.key.item},
-       {"tokens", item.answer.Tokens()},
-       {"upstream_restarted", item.text_obsolete}});
+  if (!item.answer.Text().empty()) {
+    Log(LogLevel::kInfo, "item_text_dropped",
+        {{"job", item.lease.key.job},
+         {"item", item.lease.key.item},
+         {"tokens", item.answer.Tokens()},
+         {"mixed", item.answer.Mixed()}});
+  }
   item.answer = {};
   item.text_obsolete = false;
 }
--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -143,7 +143,7 @@
   void UpdateEstimates(const Run& run);
   void StartNext();
   void Start(RunId id, Run& run);
-  void KeepTextOnlyForItsSoftware(Run& run) const;
+  void DropTextOfOtherSoftware(Run& run) const;
   void PreemptOne();
   void Pause(Run& run);
   void OnHead(RunId id, const http::HttpHead& head);
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -362,7 +362,7 @@
   call.headers.Set(call.identity.name, call.identity.value);
   ForwardFields fields;
   fields.engine_id = this->replica.id;
-  this->KeepTextOnlyForItsSoftware(run);
+  this->DropTextOfOtherSoftware(run);
   if (run.any_event) {
     fields.resume_after = run.last_event;
     Log(LogLevel::kInfo, "item_continued",
@@ -397,7 +397,7 @@
 
 /// What another software wrote does not fit what this replica would write, so
 /// the item begins anew here.
-void BatchRunner::KeepTextOnlyForItsSoftware(Run& run) const {
+void BatchRunner::DropTextOfOtherSoftware(Run& run) const {
   if (!run.any_event || this->replica.software.CanContinue(run.software)) {
     return;
   }
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -122,9 +122,9 @@
 }
 
 ReplicaSoftware EngineOwner::RunningSoftware() const {
-  const bool upgraded = this->listed_started_ms != 0 &&
-                        this->started_ms > this->listed_started_ms;
-  return upgraded ? ReplicaSoftware{} : this->listed_software;
+  const bool restarted = this->listed_started_ms != 0 &&
+                         this->started_ms > this->listed_started_ms;
+  return restarted ? ReplicaSoftware{} : this->listed_software;
 }
 
 /// Only a later start counts, as the list lags behind the engine's own reports.
