Logs that say whose body was not found, and why

A refused call about batches names its batch and item. The job group's leader logs each body that it does not give out with the reason: its batch is unknown or has no such item, it is listed, or its batch has ended.

--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -33,6 +33,18 @@
 constexpr const char* kReadPath = "/jobs/read";
 constexpr const char* kBodyPath = "/jobs/body";
 
+/// Why the state holds no body of an item.
+const char* MissingBodyReason(const BatchState& state, const ItemRef& ref) {
+  const BatchState::Batch* batch = state.Find(ref.batch);
+  if (batch == nullptr) {
+    return "its batch is unknown";
+  }
+  if (state.FindItem(ref) == nullptr) {
+    return "its batch has no such item";
+  }
+  return batch->ended ? "its batch has ended" : "it is listed";
+}
+
 }  // namespace
 
 BatchStore::BatchStore(asio::io_context& context, storage::FileSystem& files,
@@ -432,6 +444,11 @@
 std::size_t BatchStore::AnswerBody(StreamId stream, const ReadItemBody& query) {
   const ItemRef ref{query.batch, query.item};
   if (!this->batch_state.IsWaiting(ref)) {
+    Log(LogLevel::kInfo, "item_body_not_found",
+        {{"batch", ref.batch},
+         {"item", ref.item},
+         {"reason", MissingBodyReason(this->batch_state, ref)},
+         {"term", this->group->term()}});
     return this->Reply(stream, ResultCode::kNotFound);
   }
   return this->Reply(stream, ResultCode::kOk,
--- a/src/nodes/batchapi.h
+++ b/src/nodes/batchapi.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "batches/batchmessages.h"
 #include "http/httpserver.h"
 #include "nodes/dialect.h"
 #include "nodes/noderuntime.h"
@@ -31,9 +32,16 @@
   bool Empty() const { return this->job_calls.empty(); }
 
  private:
+  /// A call to the job group.
+  struct JobCall {
+    std::string path;
+    std::string body;
+    std::chrono::milliseconds time{};  ///< Timeout.
+    batches::ItemRef about;            ///< `item` is empty for a whole batch.
+  };
+
   void CallJobs(
-      http::ExchangeId exchange, const std::string& path, std::string body,
-      std::chrono::milliseconds time,
+      http::ExchangeId exchange, JobCall job,
       std::function<http::HttpResponse(const Result&, std::string)> answer);
 
   NodeRuntime& runtime;
--- a/src/nodes/internal/batchapi.cpp
+++ b/src/nodes/internal/batchapi.cpp
@@ -37,22 +37,23 @@
 }
 
 void BatchApi::CallJobs(
-    http::ExchangeId exchange, const std::string& path, std::string body,
-    std::chrono::milliseconds time,
+    http::ExchangeId exchange, JobCall job,
     std::function<http::HttpResponse(const Result&, std::string)> answer) {
   // The callback may run before `call` is assigned.
   const auto ended = std::make_shared<bool>(false);
   const std::uint64_t call = this->runtime.jobs->Call(
-      path, std::move(body), time,
-      std::min(time, kBatchAttemptTime + time - kBatchTime),
-      [this, exchange, ended, path, answer = std::move(answer)](
-          const Result& result, std::string reply) {
+      job.path, std::move(job.body), job.time,
+      std::min(job.time, kBatchAttemptTime + job.time - kBatchTime),
+      [this, exchange, ended, path = job.path, about = job.about,
+       answer = std::move(answer)](const Result& result, std::string reply) {
         *ended = true;
         this->job_calls.erase(exchange);
         const http::HttpResponse response = answer(result, std::move(reply));
         if (response.status >= kNotFoundStatus) {
           Log(LogLevel::kInfo, "batch_call_refused",
               {{"call", path},
+               {"batch", about.batch},
+               {"item", about.item},
                {"status", response.status},
                {"code", static_cast<int>(result.code)},
                {"text", result.text}});
@@ -78,10 +79,12 @@
   batch.host = route.host;
   batch.route_key = route.Key();
   batch.max_waiting_tokens = route.batch.max_waiting_tokens;
-  this->CallJobs(exchange, "/jobs/submit", EncodeMessage(batch), kBatchTime,
-                 [](const Result& result, const std::string&) {
-                   return EmptyResponse(HttpStatusOf(result.code, kAccepted));
-                 });
+  this->CallJobs(
+      exchange,
+      {"/jobs/submit", EncodeMessage(batch), kBatchTime, {batch.id, {}}},
+      [](const Result& result, const std::string&) {
+        return EmptyResponse(HttpStatusOf(result.code, kAccepted));
+      });
 }
 
 void BatchApi::Answer(http::ExchangeId exchange, const BatchCall& call) {
@@ -92,7 +95,11 @@
             const std::chrono::milliseconds time =
                 kBatchTime + std::chrono::milliseconds(read.query.wait_ms);
             this->CallJobs(
-                exchange, "/jobs/read", EncodeMessage(read.query), time,
+                exchange,
+                {"/jobs/read",
+                 EncodeMessage(read.query),
+                 time,
+                 {read.query.id, {}}},
                 [this](const Result& result, const std::string& body) {
                   if (!result.Ok()) {
                     return EmptyResponse(ReadStatusOf(result.code));
@@ -102,8 +109,11 @@
                 });
           },
           [&](const BatchBodyCall& read) {
-            this->CallJobs(exchange, "/jobs/body", EncodeMessage(read.query),
-                           kBatchTime,
+            this->CallJobs(exchange,
+                           {"/jobs/body",
+                            EncodeMessage(read.query),
+                            kBatchTime,
+                            {read.query.batch, read.query.item}},
                            [](const Result& result, std::string body) {
                              http::HttpResponse response =
                                  EmptyResponse(ReadStatusOf(result.code));
@@ -113,8 +123,12 @@
           },
           [&](const BatchEndCall& end) {
             this->CallJobs(
-                exchange, "/jobs/end", EncodeMessage(batches::EndBatch{end.id}),
-                kBatchTime, [](const Result& result, const std::string&) {
+                exchange,
+                {"/jobs/end",
+                 EncodeMessage(batches::EndBatch{end.id}),
+                 kBatchTime,
+                 {end.id, {}}},
+                [](const Result& result, const std::string&) {
                   return EmptyResponse(HttpStatusOf(result.code, kOk));
                 });
           }},
