The body of an item stays readable for a while after the item is listed

Callers that had read the list of a batch and then asked for the body of an item that was not in it got 404, for good, if the item's result was recorded between the two reads: the entry of the log that lists an item dropped its body. The caller finds the item nowhere.

A command of the log drops them, so all members keep the same.

--- a/src/batches/batchmessages.h
+++ b/src/batches/batchmessages.h
@@ -75,6 +75,13 @@
   MSGPACK_DEFINE(submitted_before_ms)
 };
 
+/// Drops the bodies of listed items up to the one at this position (see
+/// ListedBodies).
+struct DropListedBodies {
+  std::uint64_t last = 0;
+  MSGPACK_DEFINE(last)
+};
+
 /// One recorded result. Its position in the batch's results never changes.
 struct ItemResult {
   std::string id;
--- a/src/batches/batchstate.h
+++ b/src/batches/batchstate.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "batches/batchmessages.h"
+#include "batches/listedbodies.h"
 #include "batches/resulttexts.h"
 #include "global/resultcode.h"
 
@@ -19,8 +20,8 @@
 
 /// A command in the job group's log. New alternatives may only be added at the
 /// end.
-using BatchCommand =
-    std::variant<SubmitBatch, ReportOutcomes, EndBatch, ForgetBatches>;
+using BatchCommand = std::variant<SubmitBatch, ReportOutcomes, EndBatch,
+                                  ForgetBatches, DropListedBodies>;
 
 /// The answer to one command.
 struct BatchReply {
@@ -101,6 +102,10 @@
   /// Whether the item may run: accepted, without a result, and its batch not
   /// ended.
   bool IsWaiting(const ItemRef& ref) const;
+  /// Body of an item that may run or was listed lately; null if there is none.
+  /// Valid until the next command.
+  const std::string* BodyOf(const ItemRef& ref) const;
+  const ListedBodies& listed_bodies() const { return this->bodies; }
   /// Every item that may run, oldest batch first.
   std::vector<ItemRef> WaitingItems() const;
   /// Tokens of all items on one route that may run.
@@ -121,9 +126,10 @@
   BatchReply Execute(const ReportOutcomes& command);
   BatchReply Execute(const EndBatch& command);
   BatchReply Execute(const ForgetBatches& command);
+  BatchReply Execute(const DropListedBodies& command);
   static void CountFailure(Item& item, std::uint64_t run);
   void ApplyOutcome(const ItemOutcome& outcome);
-  void RecordResult(Batch& batch, Item& item, bool complete,
+  void RecordResult(const ItemRef& ref, Batch& batch, Item& item, bool complete,
                     const std::string& text);
   void RecountWaitingTokens();
   /// Offset of the first text that a batch refers to.
@@ -131,6 +137,7 @@
 
   std::unordered_map<std::string, Batch> all_batches;
   ResultTexts texts;
+  ListedBodies bodies;
   std::map<std::string, std::uint64_t> waiting_tokens;  ///< By route key.
   Changes changes;
 };
--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -26,6 +26,10 @@
   /// How long a batch stays readable after its submission, once it is finished.
   std::chrono::milliseconds retention{120000};
   std::uint64_t random_seed = 1;
+  /// Bodies of listed items are kept for one to two such intervals. A caller
+  /// that has read the list asks for the bodies within a few seconds, also if
+  /// it has to ask several times.
+  std::chrono::milliseconds body_drop_interval{10000};
 };
 
 /// One member of the job group: stores batches, leases items to gates and
@@ -158,6 +162,7 @@
   Time DueOf(const BatchState::Batch& batch, Time now) const;
   void GiveUpItemsOfRemovedRoutes();
   void ForgetOldBatches(Time now);
+  void DropOldBodies(Time now);
 
   storage::FileSystem& files;
   BatchStoreOptions options;
@@ -188,6 +193,9 @@
   consensus::Term led_term = 0;
   Time next_tasks{};
   Time next_forget{};
+  Time next_body_drop{};
+  /// Last body that was there at the previous check; zero: none.
+  ListedBodies::Position old_bodies = 0;
   bool giving_up = false;
   asio::steady_timer read_timer;
   asio::steady_timer timer;
--- a/src/batches/internal/batchstate.cpp
+++ b/src/batches/internal/batchstate.cpp
@@ -11,6 +11,14 @@
 namespace papayarack::batches {
 namespace {
 
+/// The state as in a snapshot. Snapshots of an earlier release have no bodies.
+struct SavedBatches {
+  std::unordered_map<std::string, BatchState::Batch> batches;
+  std::uint64_t texts_length = 0;
+  ListedBodies bodies;
+  MSGPACK_DEFINE(batches, texts_length, bodies)
+};
+
 /// The state with all result texts, for another member.
 struct ExportedBatches {
   std::string state;
@@ -92,10 +100,10 @@
   return ReplyWith(ResultCode::kOk);
 }
 
-void BatchState::RecordResult(Batch& batch, Item& item, bool complete,
-                              const std::string& text) {
+void BatchState::RecordResult(const ItemRef& ref, Batch& batch, Item& item,
+                              bool complete, const std::string& text) {
   item.has_result = true;
-  item.spec.body = {};
+  this->bodies.Add(ref, std::exchange(item.spec.body, {}));
   item.spec.headers.clear();
   item.failed_runs.clear();
   batch.results.push_back(
@@ -135,18 +143,19 @@
     return;
   }
   Item& item = batch.items[*position];
-  this->changes.items.push_back({outcome.batch, outcome.item});
+  const ItemRef ref{outcome.batch, outcome.item};
+  this->changes.items.push_back(ref);
   switch (outcome.End()) {
     case ItemEnd::kComplete:
-      this->RecordResult(batch, item, true, outcome.text);
+      this->RecordResult(ref, batch, item, true, outcome.text);
       break;
     case ItemEnd::kGivenUp:
-      this->RecordResult(batch, item, false, {});
+      this->RecordResult(ref, batch, item, false, {});
       break;
     case ItemEnd::kFailed:
       CountFailure(item, outcome.run);
       if (item.failures >= outcome.max_attempts) {
-        this->RecordResult(batch, item, false, {});
+        this->RecordResult(ref, batch, item, false, {});
       }
       break;
   }
@@ -176,6 +185,7 @@
       item.spec.headers.clear();
     }
   }
+  this->bodies.DropBatch(command.id);
   batch.ended = true;
   this->changes.batches.push_back(command.id);
   return ReplyWith(ResultCode::kOk);
@@ -190,6 +200,11 @@
   return ReplyWith(ResultCode::kOk);
 }
 
+BatchReply BatchState::Execute(const DropListedBodies& command) {
+  this->bodies.DropUpTo(command.last);
+  return ReplyWith(ResultCode::kOk);
+}
+
 std::uint64_t BatchState::FirstTextOffset() const {
   std::uint64_t first = this->texts.length();
   for (const auto& [id, batch] : this->all_batches) {
@@ -222,6 +237,11 @@
   return item != nullptr && !item->has_result && !batch->ended;
 }
 
+const std::string* BatchState::BodyOf(const ItemRef& ref) const {
+  return this->IsWaiting(ref) ? &this->FindItem(ref)->spec.body
+                              : this->bodies.Find(ref);
+}
+
 std::vector<ItemRef> BatchState::WaitingItems() const {
   std::vector<std::pair<std::int64_t, std::string>> order;
   for (const auto& [id, batch] : this->all_batches) {
@@ -270,20 +290,22 @@
 }
 
 std::string BatchState::Save() const {
-  const std::tuple<const decltype(this->all_batches)&, std::uint64_t> saved(
-      this->all_batches, this->texts.length());
+  // The fields of SavedBatches, without a copy.
+  const std::tuple<const decltype(this->all_batches)&, std::uint64_t,
+                   const ListedBodies&>
+      saved(this->all_batches, this->texts.length(), this->bodies);
   return EncodeMessage(saved);
 }
 
 void BatchState::Load(std::string_view bytes) {
-  auto [batches, texts_length] =
-      DecodeMessage<std::tuple<decltype(this->all_batches), std::uint64_t>>(
-          bytes);
-  this->all_batches = std::move(batches);
+  auto saved = DecodeMessage<SavedBatches>(bytes);
+  this->all_batches = std::move(saved.batches);
+  this->bodies = std::move(saved.bodies);
+  this->bodies.RestoreIndex();
   for (auto& [id, batch] : this->all_batches) {
     batch.IndexItems();
   }
-  this->texts.Open(texts_length);
+  this->texts.Open(saved.texts_length);
   this->RecountWaitingTokens();
 }
 
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -42,7 +42,7 @@
   if (state.FindItem(ref) == nullptr) {
     return "its batch has no such item";
   }
-  return batch->ended ? "its batch has ended" : "it is listed";
+  return batch->ended ? "its batch has ended" : "it was listed long ago";
 }
 
 }  // namespace
@@ -215,6 +215,7 @@
     this->members_changed(std::move(addresses), this->group->term());
     this->GiveUpItemsOfRemovedRoutes();
     this->ForgetOldBatches(now);
+    this->DropOldBodies(now);
   }
   this->AnswerReaders(now);
   this->AnswerPullers(now);
@@ -225,6 +226,8 @@
 void BatchStore::OnNewTerm(Time now) {
   this->led_term = this->group->term();
   this->giving_up = false;
+  this->next_body_drop = now + this->options.body_drop_interval;
+  this->old_bodies = 0;
   this->leases.Reset(now);
   for (const ItemRef& item : this->batch_state.WaitingItems()) {
     this->SyncLease(item, now);
@@ -443,7 +446,8 @@
 
 std::size_t BatchStore::AnswerBody(StreamId stream, const ReadItemBody& query) {
   const ItemRef ref{query.batch, query.item};
-  if (!this->batch_state.IsWaiting(ref)) {
+  const std::string* body = this->batch_state.BodyOf(ref);
+  if (body == nullptr) {
     Log(LogLevel::kInfo, "item_body_not_found",
         {{"batch", ref.batch},
          {"item", ref.item},
@@ -451,8 +455,7 @@
          {"term", this->group->term()}});
     return this->Reply(stream, ResultCode::kNotFound);
   }
-  return this->Reply(stream, ResultCode::kOk,
-                     this->batch_state.FindItem(ref)->spec.body);
+  return this->Reply(stream, ResultCode::kOk, *body);
 }
 
 void BatchStore::OnRead(StreamId stream, const std::string& body) {
@@ -781,4 +784,20 @@
   }
 }
 
+/// The bodies are part of the replicated state, so a command drops them. Times
+/// are those of this leader's monotonic clock.
+void BatchStore::DropOldBodies(Time now) {
+  if (now < this->next_body_drop) {
+    return;
+  }
+  this->next_body_drop = now + this->options.body_drop_interval;
+  const ListedBodies& bodies = this->batch_state.listed_bodies();
+  if (bodies.first() != 0 && bodies.first() <= this->old_bodies) {
+    this->group->Propose(
+        EncodeVariant(BatchCommand(DropListedBodies{this->old_bodies})),
+        [](const Result&, const std::string&) {});
+  }
+  this->old_bodies = bodies.last();
+}
+
 }  // namespace papayarack::batches
--- a/src/batches/tests/bodyreads_tests.cpp
+++ b/src/batches/tests/bodyreads_tests.cpp
@@ -106,4 +106,18 @@
   }
 }
 
+// Guards against bodies of listed items that are kept for ever.
+TEST_CASE("the body of a listed item is dropped after a while") {
+  BatchStoreOptions options;
+  options.body_drop_interval = milliseconds(200);
+  StorePair pair(options);
+  Caller caller(pair);
+  caller.Do("/jobs/submit", MakeBatch());
+  caller.Do("/jobs/report", Ended(kItem, ItemEnd::kComplete));
+  CHECK(caller.Body(kItem) == kBody);
+  pair.RunAll(3 * options.body_drop_interval);
+  CHECK(caller.Body(kItem) == std::nullopt);
+  CHECK(caller.Body(kOther) == kBody);
+}
+
 }  // namespace papayarack::batches
--- a/src/batches/tests/storemember.h
+++ b/src/batches/tests/storemember.h
@@ -40,10 +40,10 @@
     return "127.0.0.1:" + std::to_string(this->owned.port());
   }
 
-  void Start(const consensus::MemberList& founders) {
+  void Start(const consensus::MemberList& founders,
+             BatchStoreOptions options = {}) {
     consensus::CreateGroup(this->files, coordination::kJobGroup, founders);
     consensus::WriteIdentity(this->files, {this->id, "test"});
-    BatchStoreOptions options;
     options.member = this->id;
     options.address = this->Address();
     options.random_seed = this->id;
--- a/src/batches/tests/storepair.h
+++ b/src/batches/tests/storepair.h
@@ -21,14 +21,14 @@
 /// Two members, so that nothing is committed while one of them is paused.
 class StorePair {
  public:
-  StorePair() {
+  explicit StorePair(const BatchStoreOptions& options = {}) {
     this->members.emplace_back(1);
     this->members.emplace_back(2);
     const consensus::MemberList founders{
         {{1, this->members.front().Address(), true},
          {2, this->members.back().Address(), true}}};
     for (StoreMember& member : this->members) {
-      member.Start(founders);
+      member.Start(founders, options);
     }
     this->RunUntil([this] {
       return this->members.front().leads || this->members.back().leads;
