--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -13,6 +13,15 @@
 constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
 
+/// Whether a prompt, given as ID:TOKENS entries, has the part of that id.
+bool HasPart(std::string_view prompt, std::string_view part) {
+  if (part.empty()) {
+    return false;
+  }
+  const std::string all = fmt::format(",{}", prompt);
+  return all.find(fmt::format(",{}:", part)) != std::string::npos;
+}
+
 }  // namespace
 
 StandInEngine::StandInEngine(asio::io_context& context,
@@ -45,11 +54,43 @@
   this->down_time = down_for;
 }
 
+void StandInEngine::CrashOnPart(std::string part,
+                                std::chrono::milliseconds down_for,
+                                CrashKind kind) {
+  this->crash_part = std::move(part);
+  this->down_time = down_for;
+  this->crash_kind = kind;
+}
+
+std::size_t StandInEngine::RunsWithPart(std::string_view part) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->seen,
+      [part](const SeenRun& run) { return HasPart(run.prompt, part); }));
+}
+
 bool StandInEngine::RunsCrashingRequest() const {
   constexpr std::uint64_t kEventsBefore = 2;
   return std::ranges::any_of(this->running, [this](const auto& entry) {
     const Run& run = entry.second;
-    return run.path == this->crash_path && run.next > kEventsBefore;
+    const bool crashes =
+        run.path == this->crash_path ||
+        HasPart(this->seen.at(run.number).prompt, this->crash_part);
+    return crashes && run.next > kEventsBefore;
+  });
+}
+
+void StandInEngine::CrashOrderly() {
+  constexpr std::chrono::milliseconds kUntilRefusing{3};
+  for (const auto& [exchange, run] : this->running) {
+    this->server->Write(exchange, "id: 9");
+    this->server->EndStream(exchange);
+  }
+  this->running.clear();
+  this->restart.expires_after(kUntilRefusing);
+  this->restart.async_wait([this, alive = this->alive](std::error_code error) {
+    if (!error && *alive) {
+      this->Crash();
+    }
   });
 }
 
@@ -165,7 +206,8 @@
       http::ParseNumber(request.headers.Get("Last-Event-Id")).value_or(0) + 1;
   run.cut = this->options.cut_next > 0;
   this->options.cut_next -= run.cut ? 1 : 0;
-  this->seen.push_back({id, run.path, run.next, false});
+  this->seen.push_back({id, run.path, run.next, false,
+                        std::string(request.headers.Get("Prompt-Prefix"))});
   http::Headers headers = {{"Content-Type", "text/event-stream"},
                            {"Request-Id", id},
                            {"Response-Seal", "seal-" + id}};
@@ -196,7 +238,11 @@
       return;
     }
     if (this->RunsCrashingRequest()) {
-      this->Crash();
+      if (this->crash_kind == CrashKind::kOrderly) {
+        this->CrashOrderly();
+      } else {
+        this->Crash();
+      }
     }
     this->TrackOverload();
     std::vector<http::ExchangeId> ended;
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "coordination/coordinationmessages.h"
@@ -40,6 +41,13 @@
   std::string path;
   std::uint64_t from = 0;  ///< First event produced.
   bool whole = false;
+  std::string prompt = {};  ///< Parts of its prompt, as sent.
+};
+
+/// How the answers of a crashing engine end.
+enum class CrashKind : std::uint8_t {
+  kReset,    ///< With their connections, not in order.
+  kOrderly,  ///< Inside an event, in order; the port refuses a moment later.
 };
 
 /// Streams `id: n`, `data: PATH-n-VERSION`, resumes after Last-Event-Id, and
@@ -70,6 +78,11 @@
   /// From now on each run of `path` crashes the engine shortly after the run
   /// began, losing all runs; the engine restarts after `down_for`.
   void CrashOn(std::string path, std::chrono::milliseconds down_for);
+  /// The same for each run whose prompt has the part `part`.
+  void CrashOnPart(std::string part, std::chrono::milliseconds down_for,
+                   CrashKind kind = CrashKind::kReset);
+  /// Runs whose prompt has the part.
+  std::size_t RunsWithPart(std::string_view part) const;
   /// From now on each start gets a new id, as on a platform where the id is
   /// known only from the replica list.
   void ChangeIdAtStart() { this->changes_id = true; }
@@ -94,6 +107,7 @@
   };
   void Listen();
   void Crash();
+  void CrashOrderly();
   bool RunsCrashingRequest() const;
   void OnRequest(http::ExchangeId exchange, const http::HttpRequest& request);
   void Report(http::ExchangeId exchange);
@@ -112,6 +126,8 @@
   bool unresponsive = false;
   std::chrono::milliseconds report_delay{0};
   std::string crash_path;  ///< Empty: none.
+  std::string crash_part;  ///< Empty: none.
+  CrashKind crash_kind = CrashKind::kReset;
   std::chrono::milliseconds down_time{0};
   std::size_t crash_count = 0;
   bool changes_id = false;
