A replica's port is probed again while it may still be closing

A run broke with its replica, the one probe at once met the port a few milliseconds before it closed, and the crash was not counted. The port is now probed at 0, 40 and 150 ms; one refusal is a crash, an answer that does not come is none, as before. The unit test's new section failed before.

--- a/src/nodes/crashdetector.h
+++ b/src/nodes/crashdetector.h
@@ -1,6 +1,7 @@
 #ifndef PAPAYARACK_NODES_CRASHDETECTOR_H_
 #define PAPAYARACK_NODES_CRASHDETECTOR_H_
 
+#include <array>
 #include <asio.hpp>
 #include <chrono>
 #include <memory>
@@ -20,6 +21,11 @@
 /// requests must not run. Thread safety: none, the loop's thread.
 class CrashDetector {
  public:
+  /// When a replica's port is probed, after the run broke: a crashing replica
+  /// may accept connections for a few milliseconds more.
+  static constexpr std::array<std::chrono::milliseconds, 3> kProbeTimes = {
+      std::chrono::milliseconds(0), std::chrono::milliseconds(40),
+      std::chrono::milliseconds(150)};
   /// A probe must be answered within this time. Otherwise the replica may be
   /// unreachable rather than crashed, which is no evidence.
   static constexpr std::chrono::milliseconds kConnectTimeout{150};
@@ -47,6 +53,8 @@
 
  private:
   struct Probe;
+  void StartProbe(const std::shared_ptr<Probe>& probe);
+  void Connect(const std::shared_ptr<Probe>& probe);
   void OnConnectionRefused(const Probe& probe);
 
   asio::io_context& context;
--- a/src/nodes/internal/crashdetector.cpp
+++ b/src/nodes/internal/crashdetector.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "global/logging.h"
@@ -11,12 +12,12 @@
 
 using quarantine::Fingerprint;
 
-/// A connection attempt that only tests whether the port refuses it.
+/// Connection attempts that only test whether the port refuses them.
 struct CrashDetector::Probe {
   Probe(asio::io_context& context, const Fingerprint& request,
         std::string_view id, placement::EngineStart engine)
       : socket(context),
-        timer(context, kConnectTimeout),
+        timer(context),
         request(request),
         id(id),
         engine(std::move(engine)) {}
@@ -26,6 +27,8 @@
   Fingerprint request;
   std::string id;
   placement::EngineStart engine;
+  Time broke = MonotonicNow();
+  std::size_t attempts = 0;
 };
 
 CrashDetector::CrashDetector(asio::io_context& context,
@@ -55,12 +58,32 @@
   if (this->survivals.Has(request)) {
     return;
   }
-  const auto probe =
-      std::make_shared<Probe>(this->context, request, id, engine);
-  const Endpoint endpoint = ParseEndpoint(engine.address, "engine");
+  this->StartProbe(std::make_shared<Probe>(this->context, request, id, engine));
+}
+
+/// Waits for the time of the next attempt. The probe ends with the last one.
+void CrashDetector::StartProbe(const std::shared_ptr<Probe>& probe) {
+  if (probe->attempts == kProbeTimes.size()) {
+    return;
+  }
+  const Time due = probe->broke + kProbeTimes.at(probe->attempts);
+  ++probe->attempts;
+  probe->timer.expires_after(
+      std::max<Duration>(due - MonotonicNow(), Duration::zero()));
+  probe->timer.async_wait(
+      [this, probe, alive = this->alive](std::error_code error) {
+        if (!error && *alive) {
+          this->Connect(probe);
+        }
+      });
+}
+
+void CrashDetector::Connect(const std::shared_ptr<Probe>& probe) {
+  const Endpoint endpoint = ParseEndpoint(probe->engine.address, "engine");
+  probe->timer.expires_after(kConnectTimeout);
   probe->timer.async_wait([probe](std::error_code error) {
     if (!error) {
-      std::error_code ignored;  // The probe ends in any case.
+      std::error_code ignored;  // The attempt ends in any case.
       probe->socket.close(ignored);
     }
   });
@@ -68,8 +91,15 @@
       {asio::ip::make_address(endpoint.host), endpoint.port},
       [this, probe, alive = this->alive](std::error_code error) {
         probe->timer.cancel();
-        if (*alive && error == asio::error::connection_refused) {
+        std::error_code ignored;  // Only whether it connected matters.
+        probe->socket.close(ignored);
+        if (!*alive) {
+          return;
+        }
+        if (error == asio::error::connection_refused) {
           this->OnConnectionRefused(*probe);
+        } else if (!error) {
+          this->StartProbe(probe);
         }
       });
 }
--- a/src/nodes/tests/crashdetector_tests.cpp
+++ b/src/nodes/tests/crashdetector_tests.cpp
@@ -50,6 +50,20 @@
       CHECK_FALSE(watch.Quarantined(kRequest));
     }
   }
+  SECTION("a port that refuses only a moment later counts as a crash") {
+    for (std::uint64_t i = 0; i < kCrashes; ++i) {
+      asio::ip::tcp::acceptor open(context,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+      const std::string address =
+          "127.0.0.1:" + std::to_string(open.local_endpoint().port());
+      watch.ConnectionBroke(kRequest, "r", {address, "up", i});
+      context.run_for(milliseconds(10));
+      context.restart();
+      open.close();
+      pause();
+    }
+    CHECK(watch.Quarantined(kRequest));
+  }
   SECTION("no crash is counted while the replica still listens") {
     asio::ip::tcp::acceptor open(context,
                                  {asio::ip::make_address("127.0.0.1"), 0});
