An answer that a crash cuts inside an event is no survival

A request crashed replica after replica although three crashes put it in quarantine: an answer that ends in order is complete for the HTTP client, and the relay reported that a replica had survived the request before it looked whether the stream ended inside an event. That cleared the evidence and lifted the verdict. The relay now looks first, and reports the run as broken; only an answer of success counts as a survival.

--- a/src/nodes/crashdetector.h
+++ b/src/nodes/crashdetector.h
@@ -48,7 +48,7 @@
   void ConnectionBroke(const quarantine::Fingerprint& request,
                        std::string_view id,
                        const placement::EngineStart& engine);
-  /// A replica answered the request completely, whatever the status.
+  /// A replica answered the request completely, and with success.
   void Survived(const quarantine::Fingerprint& request);
 
  private:
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -530,9 +530,6 @@
                            : "the engine's connection broke");
     return;
   }
-  if (call.accepted) {
-    this->crash_detector.Survived(call.fingerprint);
-  }
   if (call.failed_status) {
     const bool ran = call.ran_at.count(call.engine.address) > 0;
     if (ran) {
@@ -543,9 +540,14 @@
     return;
   }
   if (call.is_events && call.splitter.HasPartialEvent()) {
+    this->crash_detector.ConnectionBroke(call.fingerprint, call.fields.id,
+                                         call.engine.Start());
     this->OnBroken(id, "the stream ended inside an event");
     return;
   }
+  if (IsSuccess(call.status)) {
+    this->crash_detector.Survived(call.fingerprint);
+  }
   this->chooser.Succeeded(call.engine.address);
   if (call.held_head.has_value()) {
     this->ForwardHead(call, *call.held_head);
--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -49,9 +49,11 @@
 }
 
 void StandInEngine::CrashOn(std::string path,
-                            std::chrono::milliseconds down_for) {
+                            std::chrono::milliseconds down_for,
+                            CrashKind kind) {
   this->crash_path = std::move(path);
   this->down_time = down_for;
+  this->crash_kind = kind;
 }
 
 void StandInEngine::CrashOnPart(std::string part,
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -77,7 +77,8 @@
   void Restart(std::uint64_t started_ms);
   /// From now on each run of `path` crashes the engine shortly after the run
   /// began, losing all runs; the engine restarts after `down_for`.
-  void CrashOn(std::string path, std::chrono::milliseconds down_for);
+  void CrashOn(std::string path, std::chrono::milliseconds down_for,
+               CrashKind kind = CrashKind::kReset);
   /// The same for each run whose prompt has the part `part`.
   void CrashOnPart(std::string part, std::chrono::milliseconds down_for,
                    CrashKind kind = CrashKind::kReset);
