--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -48,6 +48,12 @@
   using MembersChanged =
       std::function<void(std::vector<std::string> addresses, std::uint64_t)>;
 
+  /// Whether a condition applies to an item of a batch for `host` on replicas
+  /// of a service.
+  using ItemFilter =
+      std::function<bool(const std::string& host, const ItemSpec& item,
+                         const std::string& service)>;
+
   /// Starts the group if `files` holds its state. Throws
   /// ResultError(kStorageDamaged).
   BatchStore(asio::io_context& context, storage::FileSystem& files,
@@ -63,6 +69,9 @@
   /// the group.
   void OnFleet(const coordination::FleetKnowledge& fleet);
   void OnRoutes(routes::RouteTablePtr table);
+  /// Items for which `must_not_run` returns true are not leased to gates of
+  /// that service; empty: all may run. They stay accepted.
+  void SetQuarantine(ItemFilter must_not_run);
   void TransferLeadership();
 
  private:
@@ -146,6 +155,7 @@
   /// it.
   void SyncLeases(const std::string& batch, Time now);
   void SyncLease(const ItemRef& item, Time now);
+  void ReassignLeases();
   void OnNewTerm(Time now);
   /// Returns the size of the answer in bytes.
   std::size_t AnswerReader(StreamId stream, const Reader& reader);
@@ -174,6 +184,7 @@
   std::unique_ptr<replication::ReplicatedGroup> group;
   replication::GroupEnvironment environment;
   routes::RouteTablePtr table;
+  ItemFilter quarantine;
   std::vector<replication::Candidate> candidates;
   std::vector<std::string> leaving_addresses;
   std::map<StreamId, Reader> readers;  ///< Wait for results.
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -156,7 +156,19 @@
 }
 
 void BatchStore::OnRoutes(routes::RouteTablePtr newer) {
+  if (newer == this->table) {
+    return;
+  }
   this->table = std::move(newer);
+  this->ReassignLeases();
+}
+
+void BatchStore::SetQuarantine(ItemFilter must_not_run) {
+  this->quarantine = std::move(must_not_run);
+  this->ReassignLeases();
+}
+
+void BatchStore::ReassignLeases() {
   if (this->led_term != 0) {
     this->leases.Reassign(
         [this](const ItemRef& item) { return this->ServicesOf(item); });
@@ -678,7 +690,10 @@
   }
   std::set<std::string> services;
   for (const routes::WeightedService& target : route->targets) {
-    if (target.weight > 0) {
+    const bool quarantined =
+        this->quarantine &&
+        this->quarantine(batch->host, found->spec, target.service);
+    if (target.weight > 0 && !quarantined) {
       services.insert(target.service);
     }
   }
--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -81,18 +81,28 @@
   /// The sender, if a member, can apply ChangeConfiguration from the group's
   /// log.
   bool applies_changes = false;
-  /// Entry: crashes of replicas, and requests that a replica completed.
+  /// From entries of an earlier release: crashes of replicas, and requests that
+  /// a replica completed.
   std::vector<quarantine::CrashReport> crashes;
   std::vector<quarantine::Fingerprint> survived;
-  /// Entry: requests that an earlier leader quarantined.
+  /// Traits that an earlier leader quarantined.
   std::vector<quarantine::Fingerprint> quarantined;
   /// Revision of the sender's quarantine list; zero: it has none, or is of an
   /// earlier release.
   std::uint64_t quarantine_revision = 0;
+  /// Crashes of replicas, and traits of requests that replicas survived.
+  std::vector<quarantine::CrashObservation> observations;
+  std::vector<quarantine::SurvivalReport> survivals;
+  /// `crashes` and `survived` repeat those of whole requests, for a leader of
+  /// an earlier release.
+  bool reports_traits = false;
+  /// How long each of `quarantined` has been in quarantine; empty if unknown.
+  std::vector<std::uint32_t> quarantined_ages_ms;
   MSGPACK_DEFINE(self, config_version, term, nodes_revision, engines_revision,
                  takes_changes, fetching_from, fetching_version,
                  applies_changes, crashes, survived, quarantined,
-                 quarantine_revision)
+                 quarantine_revision, observations, survivals, reports_traits,
+                 quarantined_ages_ms)
 };
 
 struct WatchReply {
@@ -126,15 +136,17 @@
   bool hosts_known = false;         ///< Enough have reported to assign engines.
   std::uint64_t quarantine_revision = 0;
   bool has_quarantined = false;
-  /// For entries: quarantined requests, which crash replicas.
+  /// Quarantined traits of requests, which crash replicas.
   std::vector<quarantine::Fingerprint> quarantined;
+  /// As in WatchRequest.
+  std::vector<std::uint32_t> quarantined_ages_ms;
   MSGPACK_DEFINE(code, leader, members, term, config_version, config,
                  nodes_revision, has_nodes, nodes_settled, nodes,
                  engines_revision, has_engines, engines_age_ms, engines,
                  job_founders, leaving, nodes_partial, nodes_removed,
                  engines_partial, engines_removed, manifest, chunks, source,
                  entries, hosts_known, quarantine_revision, has_quarantined,
-                 quarantined)
+                 quarantined, quarantined_ages_ms)
 };
 
 /// Requests chunks of the configuration from any process.
--- a/src/coordination/fleetwatch.h
+++ b/src/coordination/fleetwatch.h
@@ -69,12 +69,14 @@
   void OnAnnounced(const AnnounceMembers& announced);
   /// Changes the report and sends it at once.
   void SetJobMembers(std::vector<std::string> members, std::uint64_t term);
-  /// Reports at once that a replica crashed while it ran `request`.
-  void ReportCrash(const quarantine::Fingerprint& request, std::string replica);
-  /// Reports at once that a replica completed `request`, which was suspected of
-  /// crashing replicas.
-  void ReportSurvival(const quarantine::Fingerprint& request);
-  /// The requests that the leader has quarantined.
+  /// Reports at once that `replica` crashed at `when`, as it began to answer a
+  /// request with these traits.
+  void ReportCrash(std::string replica,
+                   std::vector<quarantine::SuspectTrait> traits, Time when);
+  /// Reports that a replica ran a request with the trait, which is suspected of
+  /// crashing replicas, without a crash.
+  void ReportSurvival(const quarantine::Fingerprint& trait);
+  /// What the leader has quarantined.
   const CrashReports& crashes() const { return this->crash_reports; }
   /// Reports at once that this process is leaving and owns no engines.
   void SetAway();
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -438,7 +438,7 @@
   reply.term = this->group->term();
   this->AddConfiguration(watcher, reply);
   this->AddLists(watcher.request, reply);
-  this->quarantine.AddTo(watcher.request, reply);
+  this->quarantine.AddTo(watcher.request, reply, MonotonicNow());
   reply.hosts_known = this->nodes.HostsKnown(MonotonicNow());
   reply.entries =
       static_cast<std::uint32_t>(this->nodes.Count(NodeRole::kEntry));
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -200,7 +200,7 @@
     // earlier leader cannot be compared, even if it happens to be equal.
     this->engines_revision = 0;
   }
-  this->crash_reports.Answered(reply);
+  this->crash_reports.Answered(reply, MonotonicNow());
   this->term = reply.term;
   if (reply.has_nodes) {
     this->TakeNodes(reply);
@@ -320,15 +320,22 @@
   return true;
 }
 
-void FleetWatch::ReportCrash(const quarantine::Fingerprint& request,
-                             std::string replica) {
-  this->crash_reports.Crashed(request, std::move(replica), MonotonicNow());
+void FleetWatch::ReportCrash(std::string replica,
+                             std::vector<quarantine::SuspectTrait> traits,
+                             Time when) {
+  this->crash_reports.Crashed(std::move(replica), std::move(traits), when);
   this->ResendWatch();
 }
 
-void FleetWatch::ReportSurvival(const quarantine::Fingerprint& request) {
-  this->crash_reports.Survived(request, MonotonicNow());
-  this->ResendWatch();
+/// A survival that ends no quarantine goes with the next watch, within a
+/// second: after each crash, every part of the prompts that ran there survives
+/// soon.
+void FleetWatch::ReportSurvival(const quarantine::Fingerprint& trait) {
+  const bool ends_quarantine = this->crash_reports.Quarantined(trait);
+  this->crash_reports.Survived(trait, MonotonicNow());
+  if (ends_quarantine) {
+    this->ResendWatch();
+  }
 }
 
 void FleetWatch::SetAway() {
--- a/src/coordination/quarantinetracker.h
+++ b/src/coordination/quarantinetracker.h
@@ -2,6 +2,7 @@
 #define PAPAYARACK_COORDINATION_QUARANTINETRACKER_H_
 
 #include <cstdint>
+#include <string>
 
 #include "coordination/coordinationmessages.h"
 #include "global/timepoint.h"
@@ -9,24 +10,27 @@
 
 namespace papayarack::coordination {
 
-/// The leader's part of quarantining requests that crash replicas: counts the
-/// crashes that all entries report and sends the quarantined requests to
-/// entries. Thread safety: none.
+/// The leader's part of quarantining what crashes replicas: counts the crashes
+/// that all processes report and sends the quarantined traits to them. Thread
+/// safety: none.
 class QuarantineTracker {
  public:
   /// Resets the state for a new leader, which learns all from entries' reports.
   void BeginTerm();
   void OnReport(const WatchRequest& request, Time now);
-  /// Quarantines the requests whose reported crashes now require it.
+  /// Quarantines the traits whose reported crashes now require it.
   void Evaluate(Time now);
-  /// Whether the sender lacks the newest list. True for entries only, as other
-  /// processes send no callers' requests.
+  /// Whether the sender lacks the newest list.
   bool NeedsList(const WatchRequest& request) const;
-  /// Adds the list's revision, and for entries the list itself if the sender
-  /// lacks it or its last reply is of another term.
-  void AddTo(const WatchRequest& request, WatchReply& reply) const;
+  /// Adds the list's revision, and the list itself if the sender lacks it or
+  /// its last reply is of another term.
+  void AddTo(const WatchRequest& request, WatchReply& reply, Time now) const;
 
  private:
+  void OnEarlierRelease(const WatchRequest& request, Time now);
+  void OnSurvival(const quarantine::SurvivalReport& survival,
+                  const std::string& process, Time now);
+
   quarantine::CrashTracker crash_tracker;
 };
 
--- a/src/coordination/tests/quarantine_tests.cpp
+++ b/src/coordination/tests/quarantine_tests.cpp
@@ -21,13 +21,13 @@
     request.self.role = static_cast<std::uint8_t>(NodeRole::kEntry);
     request.term = this->term;
     this->reports.AddTo(request, At(ms));
-    this->told = request.crashes.size() + request.quarantined.size();
+    this->told = request.observations.size() + request.quarantined.size();
     leader.OnReport(request, At(ms));
     this->was_news = leader.NeedsList(request);
     WatchReply reply;
     reply.term = leads_term;
-    leader.AddTo(request, reply);
-    this->reports.Answered(reply);
+    leader.AddTo(request, reply, At(ms));
+    this->reports.Answered(reply, At(ms));
     this->term = leads_term;
     return reply;
   }
@@ -52,11 +52,11 @@
   for (Entry* entry : {&a, &b, &idle}) {
     entry->Ask(leader, 1, 0);
   }
-  a.reports.Crashed(kCulprit, "r1", At(100));
+  a.reports.Crashed("r1", {{kCulprit}}, At(100));
   a.Ask(leader, 1, 100);
-  b.reports.Crashed(kCulprit, "r2", At(200));
+  b.reports.Crashed("r2", {{kCulprit}}, At(200));
   b.Ask(leader, 1, 200);
-  a.reports.Crashed(kCulprit, "r3", At(300));
+  a.reports.Crashed("r3", {{kCulprit}}, At(300));
   a.Ask(leader, 1, 300);
 
   SECTION("and every entry gets the list, also one without crashes") {
@@ -92,14 +92,29 @@
     a.Ask(leader, 1, 501);
     CHECK_FALSE(a.reports.Quarantined(kCulprit));
   }
-  SECTION("and a gate does not get the list") {
+  SECTION("and a gate gets the list, as it runs items of batches") {
     WatchRequest request;
     request.self.role = static_cast<std::uint8_t>(NodeRole::kGate);
+    request.term = 1;
     request.quarantine_revision = 1;
-    CHECK_FALSE(leader.NeedsList(request));
+    CHECK(leader.NeedsList(request));
     WatchReply reply;
-    leader.AddTo(request, reply);
-    CHECK_FALSE(reply.has_quarantined);
+    reply.term = 1;
+    leader.AddTo(request, reply, At(400));
+    CHECK(reply.has_quarantined);
+    CHECK(reply.quarantined == std::vector<Fingerprint>{kCulprit});
+  }
+  SECTION("and crashes that an entry of an earlier release reports count") {
+    constexpr Fingerprint kOther{2, 2};
+    WatchRequest request;
+    request.self.role = static_cast<std::uint8_t>(NodeRole::kEntry);
+    for (const char* replica : {"r4", "r5", "r6"}) {
+      const auto age = static_cast<std::uint32_t>(100 * (replica[1] - '0'));
+      request.crashes.push_back({kOther, replica, age});
+    }
+    leader.OnReport(request, At(2000));
+    a.Ask(leader, 1, 2001);
+    CHECK(a.reports.Quarantined(kOther));
   }
   SECTION("and an entry of an earlier release is not answered early") {
     WatchRequest request;
@@ -108,4 +123,26 @@
   }
 }
 
+// Guards against a quarantine that ended long ago and comes back with an entry
+// that heard of no leader meanwhile.
+TEST_CASE("a new leader does not learn a quarantine that has ended") {
+  QuarantineTracker leader;
+  leader.BeginTerm();
+  Entry a;
+  a.Ask(leader, 1, 0);
+  for (int i = 0; i < 3; ++i) {
+    a.reports.Crashed("r" + std::to_string(i), {{kCulprit}}, At(100 * i));
+    a.Ask(leader, 1, 100 * i);
+  }
+  REQUIRE(a.reports.Quarantined(kCulprit));
+  constexpr int kHourMs = 3'600'000;
+  QuarantineTracker next;
+  next.BeginTerm();
+  a.Ask(next, 2, kHourMs);
+  a.Ask(next, 2, kHourMs + 1);
+  Entry other;
+  other.Ask(next, 2, kHourMs + 2);
+  CHECK_FALSE(other.reports.Quarantined(kCulprit));
+}
+
 }  // namespace papayarack::coordination
--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "coordination/groupclient.h"
 #include "http/eventsplitter.h"
 #include "http/httpclient.h"
+#include "nodes/crashdetector.h"
 #include "nodes/dialect.h"
 #include "routes/routetable.h"
 #include "slots/slotallocator.h"
@@ -33,6 +35,7 @@
 struct RunnerReplica {
   std::string id;  ///< Empty: none is known, so no items run.
   ReplicaSoftware software;
+  std::uint64_t started_ms = 0;  ///< As in coordination::EngineInstance.
 };
 
 /// Runs batch items on one engine in the slots that online work leaves free:
@@ -66,9 +69,12 @@
   /// would only delay results.
   static constexpr std::chrono::milliseconds kMaxReportBackoff{1600};
 
+  /// Precondition: the arguments outlive it. `crash_detector` may be null: then
+  /// crashes of the engine are not reported, and every item is run.
   BatchRunner(RunnerTarget target, const Dialect& dialect,
               http::HttpClient& engine, coordination::GroupClient& jobs,
-              slots::SlotAllocator& allocator);
+              slots::SlotAllocator& allocator,
+              CrashDetector* crash_detector = nullptr);
   ~BatchRunner();
   BatchRunner(const BatchRunner&) = delete;
   BatchRunner& operator=(const BatchRunner&) = delete;
@@ -114,6 +120,9 @@
     Time last_heard{};              ///< When its last byte came.
     Time not_before{};              ///< No start before this, after a failure.
     std::uint64_t first_event = 0;  ///< Of the current connection.
+    std::vector<quarantine::Trait> traits;
+    std::optional<Time> run_began;  ///< First byte on the current connection.
+    bool run_survived = false;      ///< Noted for the current connection.
     batches::ItemOutcome outcome;
   };
   using RunId = std::uint64_t;
@@ -144,6 +153,12 @@
   void StartNext();
   void Start(RunId id, Run& run);
   void DropTextOfOtherSoftware(Run& run) const;
+  /// Whether the item must not run, as it or a part of its prompt crashes
+  /// replicas.
+  bool IsQuarantined(const Run& run) const;
+  void ReturnQuarantined();
+  void NoteSurvival(Run& run);
+  void NoteBreak(const Run& run);
   void PreemptOne();
   void Pause(Run& run);
   void OnHead(RunId id, const http::HttpHead& head);
@@ -168,6 +183,7 @@
   http::HttpClient& engine;
   coordination::GroupClient& jobs;
   slots::SlotAllocator& allocator;
+  CrashDetector* crash_detector;
   routes::RouteTablePtr table;
   RunnerReplica replica;
   std::map<RunId, Run> runs;
--- a/src/nodes/dialect.h
+++ b/src/nodes/dialect.h
@@ -26,6 +26,8 @@
   /// Id of the caller's attempt that delivered the first event of the stream
   /// that this request resumes; empty if it does not say.
   std::string resumes = {};
+  /// Ids of the parts of its prompt, in order; empty if it does not say.
+  std::vector<std::string> prompt_parts = {};
 };
 
 /// Fields that an entry or gate adds to a request for an engine.
--- a/src/nodes/enginehost.h
+++ b/src/nodes/enginehost.h
@@ -6,8 +6,10 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "nodes/crashdetector.h"
 #include "nodes/engineowner.h"
 #include "nodes/fleetengines.h"
 #include "nodes/noderuntime.h"
@@ -51,7 +53,11 @@
   void ApplyHostList(Time now);
   void Tick();
 
+  CrashDetector& SharedCrashDetector();
+
   NodeRuntime& runtime;
+  /// Of batch items on all owned engines; made when the first is owned.
+  std::optional<CrashDetector> crash_detector;
   ByAddress engines;
   std::list<Entry> released;     ///< Grant no slots; their last runs end.
   std::uint64_t last_owner = 0;  ///< Number of the newest owner.
--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -33,8 +33,10 @@
 /// safety: none, the loop's thread.
 class EngineOwner {
  public:
-  /// Precondition: `runtime` watches the fleet and outlives the owner.
-  EngineOwner(NodeRuntime& runtime, OwnedEngine owned);
+  /// Precondition: `runtime` watches the fleet; both references outlive the
+  /// owner.
+  EngineOwner(NodeRuntime& runtime, CrashDetector& crash_detector,
+              OwnedEngine owned);
   ~EngineOwner();
   EngineOwner(const EngineOwner&) = delete;
   EngineOwner& operator=(const EngineOwner&) = delete;
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -6,6 +6,7 @@
 
 #include "global/hash.h"
 #include "global/logging.h"
+#include "nodes/itemtraits.h"
 
 namespace papayarack::nodes {
 namespace {
@@ -46,12 +47,14 @@
 BatchRunner::BatchRunner(RunnerTarget target, const Dialect& dialect,
                          http::HttpClient& engine,
                          coordination::GroupClient& jobs,
-                         slots::SlotAllocator& allocator)
+                         slots::SlotAllocator& allocator,
+                         CrashDetector* crash_detector)
     : target(std::move(target)),
       dialect(dialect),
       engine(engine),
       jobs(jobs),
       allocator(allocator),
+      crash_detector(crash_detector),
       events_per_item(kInitialEventsPerItem),
       ms_per_event(kInitialMsPerEvent) {}
 
@@ -114,6 +117,7 @@
 void BatchRunner::Tick() {
   const Time now = MonotonicNow();
   this->ReturnLongPaused(now);
+  this->ReturnQuarantined();
   this->Report();
   std::vector<RunId> silent;
   for (const auto& [id, run] : this->runs) {
@@ -281,6 +285,10 @@
   run.any_event = run.last_event > 0 || !run.text.empty();
   run.since = MonotonicNow();
   run.due = run.since + std::chrono::milliseconds(item.due_in_ms);
+  if (this->crash_detector != nullptr) {
+    run.traits =
+        TraitsOfItem(this->dialect, item.host, item.spec, this->target.service);
+  }
   run.item = std::move(item);
   this->runs.emplace(++this->last_run, std::move(run));
 }
@@ -330,7 +338,8 @@
     // Least slack first, late ones last.
     RunId best = 0;
     for (const auto& [id, run] : this->runs) {
-      const bool ready = run.phase == Phase::kPaused && now >= run.not_before;
+      const bool ready = run.phase == Phase::kPaused && now >= run.not_before &&
+                         !this->IsQuarantined(run);
       if (ready && (best == 0 || this->Urgency(run, now) <
                                      this->Urgency(this->runs.at(best), now))) {
         best = id;
@@ -352,7 +361,7 @@
   }
   http::HttpCall call;
   call.peer = ParseEndpoint(this->target.engine_address, "engine_address");
-  call.method = "POST";
+  call.method = kItemMethod;
   call.target = run.item.spec.path;
   call.headers.Add("Host", run.item.host);
   for (const batches::ItemHeader& header : run.item.spec.headers) {
@@ -382,6 +391,8 @@
   run.since = MonotonicNow();
   run.last_heard = run.since;
   run.first_event = run.last_event;
+  run.run_began.reset();
+  run.run_survived = false;
   run.splitter.Clear();
   this->allocator.StartBatch();
   http::HttpCallHandlers handlers;
@@ -428,7 +439,13 @@
     return;
   }
   Run& run = found->second;
-  run.last_heard = MonotonicNow();
+  const Time before = std::exchange(run.last_heard, MonotonicNow());
+  if (!run.run_began.has_value()) {
+    run.run_began = run.last_heard;
+  }
+  if (CrashDetector::IsSurvival(*run.run_began, before, run.last_heard)) {
+    this->NoteSurvival(run);
+  }
   run.splitter.Add(bytes);
   http::StreamEvent event;
   while (run.splitter.Next(event)) {
@@ -471,6 +488,7 @@
   const bool whole = end == http::HttpEnd::kComplete && run.status == 200 &&
                      !run.splitter.HasPartialEvent() && run.any_event;
   if (whole) {
+    this->NoteSurvival(run);
     this->Finish(id, run, batches::ItemEnd::kComplete);
   } else if (run.status == kItemImpossible) {
     this->Finish(id, run, batches::ItemEnd::kGivenUp);
@@ -483,6 +501,9 @@
          {"not_run", run.not_run},
          {"end", static_cast<int>(end)},
          {"last_event", run.last_event}});
+    if (end != http::HttpEnd::kNotSent) {
+      this->NoteBreak(run);
+    }
     run.phase = Phase::kPaused;
     run.since = MonotonicNow();
     run.not_before = run.since + kRetryDelay;
@@ -492,6 +513,43 @@
   this->Balance();
 }
 
+bool BatchRunner::IsQuarantined(const Run& run) const {
+  return this->crash_detector != nullptr &&
+         this->crash_detector->FindQuarantined(run.traits) != nullptr;
+}
+
+/// The job group's leader hands them out again once they may run.
+void BatchRunner::ReturnQuarantined() {
+  this->EraseRuns([this](Run& run) {
+    const bool returned =
+        run.phase == Phase::kPaused && this->IsQuarantined(run);
+    if (returned) {
+      Log(LogLevel::kInfo, "item_quarantined",
+          {{"request", run.item.spec.id}, {"batch", run.item.batch}});
+      this->ReturnItem(run);
+    }
+    return returned;
+  });
+}
+
+void BatchRunner::NoteSurvival(Run& run) {
+  if (this->crash_detector != nullptr &&
+      !std::exchange(run.run_survived, true)) {
+    this->crash_detector->Survived(run.traits);
+  }
+}
+
+void BatchRunner::NoteBreak(const Run& run) {
+  if (this->crash_detector != nullptr && !run.not_run) {
+    this->crash_detector->ConnectionBroke(
+        {run.item.spec.id,
+         run.traits,
+         {this->target.engine_address, this->replica.id,
+          this->replica.started_ms},
+         run.run_began});
+  }
+}
+
 void BatchRunner::Finish(RunId id, Run& run, batches::ItemEnd end) {
   const routes::Route* route = this->table->FindKey(run.item.route_key);
   run.phase = Phase::kReporting;
--- a/src/nodes/internal/crashdetector.cpp
+++ b/src/nodes/internal/crashdetector.cpp
@@ -1,6 +1,7 @@
 #include "nodes/crashdetector.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <utility>
@@ -10,24 +11,27 @@
 
 namespace papayarack::nodes {
 
+using quarantine::CrashObservation;
+using quarantine::CrashTracker;
 using quarantine::Fingerprint;
+using quarantine::SuspectTrait;
+using quarantine::Trait;
 
 /// Connection attempts that only test whether the port refuses them.
 struct CrashDetector::Probe {
-  Probe(asio::io_context& context, const Fingerprint& request,
-        std::string_view id, placement::EngineStart engine)
+  Probe(asio::io_context& context, const BrokenRun& run, Time broke)
       : socket(context),
         timer(context),
-        request(request),
-        id(id),
-        engine(std::move(engine)) {}
+        request(run.request),
+        engine(run.engine),
+        broke(broke) {}
 
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
-  Fingerprint request;
-  std::string id;
+  std::string request;
   placement::EngineStart engine;
-  Time broke = MonotonicNow();
+  std::vector<SuspectTrait> traits;
+  Time broke{};
   std::size_t attempts = 0;
 };
 
@@ -37,28 +41,41 @@
 
 CrashDetector::~CrashDetector() { *this->alive = false; }
 
-Fingerprint CrashDetector::Identify(const http::HttpRequest& request) {
-  return quarantine::FingerprintOf({request.method, request.headers.Get("Host"),
-                                    request.target, request.body});
-}
-
-bool CrashDetector::Quarantined(const Fingerprint& request) const {
-  if (this->watch.crashes().Quarantined(request)) {
+bool CrashDetector::Quarantined(const Fingerprint& trait) const {
+  if (this->watch.crashes().Quarantined(trait)) {
     return true;
   }
   const bool leader_heard =
       this->watch.knowledge().heard != Time{} &&
       MonotonicNow() - this->watch.knowledge().heard <= kMaxLeaderSilence;
-  return !leader_heard && this->local_crash_tracker.Quarantined(request);
+  return !leader_heard && this->local_crash_tracker.Quarantined(trait);
+}
+
+const Trait* CrashDetector::FindQuarantined(
+    std::span<const Trait> traits) const {
+  for (const Trait& trait : traits) {
+    if (this->Quarantined(trait.id)) {
+      return &trait;
+    }
+  }
+  return nullptr;
 }
 
-void CrashDetector::ConnectionBroke(const Fingerprint& request,
-                                    std::string_view id,
-                                    const placement::EngineStart& engine) {
-  if (this->survivals.Has(request)) {
+void CrashDetector::ConnectionBroke(const BrokenRun& run) {
+  const Time now = MonotonicNow();
+  if (run.began.has_value() && now - *run.began > CrashTracker::kCrashDelay) {
     return;
   }
-  this->StartProbe(std::make_shared<Probe>(this->context, request, id, engine));
+  const auto probe = std::make_shared<Probe>(this->context, run, now);
+  for (const Trait& trait : run.traits) {
+    SuspectTrait suspect{trait.id, trait.depth};
+    if (const auto survived = this->survivals.Find(trait.id)) {
+      suspect.survived_ms =
+          static_cast<std::uint32_t>((now - *survived).count() / 1000);
+    }
+    probe->traits.push_back(suspect);
+  }
+  this->StartProbe(probe);
 }
 
 /// Waits for the time of the next attempt. The probe ends with the last one.
@@ -106,24 +123,42 @@
 
 void CrashDetector::OnConnectionRefused(const Probe& probe) {
   const Time now = MonotonicNow();
-  const std::string replica =
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - probe.broke);
+  CrashObservation observation;
+  observation.replica =
       fmt::format("{}@{}@{}", probe.engine.id, probe.engine.address,
                   probe.engine.started_ms);
+  observation.age_ms = static_cast<std::uint32_t>(age.count());
+  observation.traits = probe.traits;
+  std::vector<std::string> names;
+  std::vector<std::int64_t> survived;
+  for (const SuspectTrait& trait : probe.traits) {
+    names.push_back(trait.id.ToString());
+    survived.push_back(trait.survived_ms == SuspectTrait::kNeverSurvived
+                           ? -1
+                           : trait.survived_ms);
+  }
   Log(LogLevel::kWarn, "replica_crashed_under_request",
-      {{"request", probe.id},
-       {"fingerprint", probe.request.ToString()},
-       {"replica", replica}});
-  this->local_crash_tracker.Crashed({probe.request, replica, 0}, now);
+      {{"request", probe.request},
+       {"fingerprints", fmt::format("{}", fmt::join(names, " "))},
+       {"survived_ms", fmt::format("{}", fmt::join(survived, " "))},
+       {"replica", observation.replica}});
+  this->local_crash_tracker.Crashed(observation, now);
   this->local_crash_tracker.Evaluate(now);
-  this->watch.ReportCrash(probe.request, replica);
+  this->watch.ReportCrash(std::move(observation.replica),
+                          std::move(observation.traits), probe.broke);
 }
 
-void CrashDetector::Survived(const Fingerprint& request) {
-  this->survivals.Add(request);
-  if (this->local_crash_tracker.IsSuspect(request) ||
-      this->watch.crashes().Quarantined(request)) {
-    this->local_crash_tracker.Survived(request, MonotonicNow());
-    this->watch.ReportSurvival(request);
+void CrashDetector::Survived(std::span<const Trait> traits) {
+  const Time now = MonotonicNow();
+  for (const Trait& trait : traits) {
+    this->survivals.Add(trait.id, now);
+    if (this->local_crash_tracker.IsSuspect(trait.id) ||
+        this->watch.crashes().Quarantined(trait.id)) {
+      this->local_crash_tracker.Survived(trait.id, now);
+      this->watch.ReportSurvival(trait.id);
+    }
   }
 }
 
--- a/src/nodes/internal/enginehost.cpp
+++ b/src/nodes/internal/enginehost.cpp
@@ -113,11 +113,19 @@
        {"beside", owned.same_vm},
        {"engines", this->engines.size() + 1},
        {"list_age_ms", this->runtime.watch->ListAgeMs()}});
-  auto owner = std::make_unique<EngineOwner>(this->runtime, std::move(owned));
+  auto owner = std::make_unique<EngineOwner>(
+      this->runtime, this->SharedCrashDetector(), std::move(owned));
   owner->OnFleet();
   this->engines[engine.address] = {std::move(owner), MonotonicNow()};
 }
 
+CrashDetector& EngineHost::SharedCrashDetector() {
+  if (!this->crash_detector.has_value()) {
+    this->crash_detector.emplace(this->runtime.context, *this->runtime.watch);
+  }
+  return *this->crash_detector;
+}
+
 void EngineHost::Release(ByAddress::iterator owned, const char* reason) {
   const Time now = MonotonicNow();
   Log(LogLevel::kInfo, "engine_released",
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -34,14 +34,16 @@
 
 }  // namespace
 
-EngineOwner::EngineOwner(NodeRuntime& runtime, OwnedEngine owned)
+EngineOwner::EngineOwner(NodeRuntime& runtime, CrashDetector& crash_detector,
+                         OwnedEngine owned)
     : runtime(runtime),
       owned(std::move(owned)),
       client(runtime.context),
       runner({this->owned.leaseholder,
               Hash64(this->owned.leaseholder, runtime.incarnation),
               this->owned.service, this->owned.address},
-             runtime.dialect, this->client, *runtime.jobs, this->allocator),
+             runtime.dialect, this->client, *runtime.jobs, this->allocator,
+             &crash_detector),
       foreign(this->owned.same_vm ? slots::ReportAge::kFresh
                                   : slots::ReportAge::kLate) {}
 
@@ -100,9 +102,10 @@
   const bool takes_work =
       up && knows_others && !this->leaving && !this->id.empty();
   this->allocator.SetOpen(takes_work);
-  this->runner.SetEngine(takes_work
-                             ? RunnerReplica{this->id, this->RunningSoftware()}
-                             : RunnerReplica{});
+  this->runner.SetEngine(
+      takes_work
+          ? RunnerReplica{this->id, this->RunningSoftware(), this->started_ms}
+          : RunnerReplica{});
   if (!up) {
     this->runner.ReturnAll();
   }
--- a/src/nodes/internal/noderuntime.cpp
+++ b/src/nodes/internal/noderuntime.cpp
@@ -197,8 +197,8 @@
 std::string NodeRuntime::QuarantineList() const {
   std::vector<std::string> names;
   if (this->watch != nullptr) {
-    for (const quarantine::Fingerprint& one : this->watch->crashes().all()) {
-      names.push_back(fmt::format("\"{}\"", one.ToString()));
+    for (const auto& [trait, since] : this->watch->crashes().all()) {
+      names.push_back(fmt::format("\"{}\"", trait.ToString()));
     }
   }
   return fmt::format("[{}]", fmt::join(names, ","));
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -117,12 +117,10 @@
   call.exchange = exchange;
   call.fields = this->dialect.read_call(request.headers);
   call.request = std::move(request);
-  call.fingerprint = CrashDetector::Identify(call.request);
   call.table = std::move(table);
   call.route = &route;
   std::uniform_real_distribution<double> draw(0, 1);
-  call.search.emplace(routes::PickService(route, draw(this->random)),
-                      this->own_zone);
+  this->SetService(call, routes::PickService(route, draw(this->random)));
   call.arrived = arrived;
   const auto bound =
       std::min(route.timeout, call.fields.deadline.value_or(route.timeout));
@@ -134,8 +132,10 @@
   this->by_exchange[exchange] = id;
   this->calls.emplace(id, std::move(call));
   this->metrics.Add("online_requests_total");
-  if (this->crash_detector.Quarantined(this->calls.at(id).fingerprint)) {
-    this->RefuseQuarantined(id);
+  const auto* culprit =
+      this->crash_detector.FindQuarantined(this->calls.at(id).traits);
+  if (culprit != nullptr) {
+    this->RefuseQuarantined(id, *culprit);
     return;
   }
   if (IsTakeUp(this->calls.at(id).fields)) {
@@ -145,6 +145,15 @@
   }
 }
 
+void OnlineRelay::SetService(Call& call, const std::string& service) const {
+  call.search.emplace(service, this->own_zone);
+  const http::HttpRequest& request = call.request;
+  call.traits =
+      quarantine::TraitsOf({request.method, request.headers.Get("Host"),
+                            request.target, request.body},
+                           service, call.fields.prompt_parts);
+}
+
 bool OnlineRelay::IsTakeUp(const CallFields& fields) {
   return !fields.resumes.empty() || fields.resume_after.value_or(0) > 0;
 }
@@ -184,8 +193,13 @@
 void OnlineRelay::Perform(CallId id, const origins::ContinueWith& decision) {
   Call& call = this->calls.at(id);
   call.began = decision.software;
-  call.search.emplace(decision.software.service, this->own_zone);
+  this->SetService(call, decision.software.service);
   call.search->ContinueOnly(decision.software);
+  const auto* culprit = this->crash_detector.FindQuarantined(call.traits);
+  if (culprit != nullptr) {
+    this->RefuseQuarantined(id, *culprit);
+    return;
+  }
   this->FindSlot(id);
 }
 
@@ -355,6 +369,8 @@
   call.sent = now;
   call.last_heard = now;
   call.accepted = false;
+  call.run_began.reset();
+  call.run_survived = false;
   call.splitter.Clear();
   http::HttpCall out;
   out.peer = ParseEndpoint(call.engine.address, "engine");
@@ -472,10 +488,16 @@
     return;
   }
   Call& call = found->second;
-  call.last_heard = MonotonicNow();
+  const Time before = std::exchange(call.last_heard, MonotonicNow());
   if (call.failed_status || (!call.head_sent && !call.held_head.has_value())) {
     return;
   }
+  if (!call.run_began.has_value()) {
+    call.run_began = call.last_heard;
+  }
+  if (CrashDetector::IsSurvival(*call.run_began, before, call.last_heard)) {
+    this->NoteSurvival(call);
+  }
   if (!call.is_events) {
     this->front->Write(call.exchange, bytes);
     return;
@@ -522,8 +544,8 @@
     return;
   }
   if (end != http::HttpEnd::kComplete) {
-    this->crash_detector.ConnectionBroke(call.fingerprint, call.fields.id,
-                                         call.engine.Start());
+    this->crash_detector.ConnectionBroke(
+        {call.fields.id, call.traits, call.engine.Start(), call.run_began});
     call.ran_at.insert(call.engine.address);
     this->OnBroken(id, end == http::HttpEnd::kMalformed
                            ? "the engine sent what is not an answer"
@@ -540,13 +562,13 @@
     return;
   }
   if (call.is_events && call.splitter.HasPartialEvent()) {
-    this->crash_detector.ConnectionBroke(call.fingerprint, call.fields.id,
-                                         call.engine.Start());
+    this->crash_detector.ConnectionBroke(
+        {call.fields.id, call.traits, call.engine.Start(), call.run_began});
     this->OnBroken(id, "the stream ended inside an event");
     return;
   }
   if (IsSuccess(call.status)) {
-    this->crash_detector.Survived(call.fingerprint);
+    this->NoteSurvival(call);
   }
   this->chooser.Succeeded(call.engine.address);
   if (call.held_head.has_value()) {
@@ -556,6 +578,12 @@
   this->Finish(id, "answered", call.status);
 }
 
+void OnlineRelay::NoteSurvival(Call& call) {
+  if (!std::exchange(call.run_survived, true)) {
+    this->crash_detector.Survived(call.traits);
+  }
+}
+
 void OnlineRelay::OnBroken(CallId id, const char* reason) {
   Call& call = this->calls.at(id);
   call.ran_at.insert(call.engine.address);
@@ -565,7 +593,7 @@
        {"engine", call.engine.id},
        {"version", call.engine.software.version},
        {"address", call.engine.address},
-       {"fingerprint", call.fingerprint.ToString()},
+       {"fingerprint", call.traits.front().id.ToString()},
        {"reason", reason},
        {"last_event", call.last_event},
        {"resumable", call.route->MayRepeat()}});
@@ -592,8 +620,9 @@
     this->Fail(id, kGatewayTimeout, "too little time left for another engine");
     return;
   }
-  if (this->crash_detector.Quarantined(call.fingerprint)) {
-    this->RefuseQuarantined(id);
+  const auto* culprit = this->crash_detector.FindQuarantined(call.traits);
+  if (culprit != nullptr) {
+    this->RefuseQuarantined(id, *culprit);
     return;
   }
   call.search->Restart(this->chooser, call.engine.Start());
@@ -624,12 +653,14 @@
 
 /// Refuses at once, with a long Retry-After: each run of the request ends a
 /// replica and everything that runs there.
-void OnlineRelay::RefuseQuarantined(CallId id) {
+void OnlineRelay::RefuseQuarantined(CallId id,
+                                    const quarantine::Trait& culprit) {
   Call& call = this->calls.at(id);
   constexpr const char* kReason = "it crashes the replicas that run it";
   Log(LogLevel::kInfo, "quarantined_request_refused",
       {{"request", call.fields.id},
-       {"fingerprint", call.fingerprint.ToString()},
+       {"fingerprint", culprit.id.ToString()},
+       {"part", culprit.depth != quarantine::kWholeRequestDepth},
        {"may_have_run", !call.ran_at.empty()}});
   if (!call.ran_at.empty()) {
     this->Fail(id, kBadGateway, kReason);
--- a/src/nodes/internal/storenode.cpp
+++ b/src/nodes/internal/storenode.cpp
@@ -1,5 +1,10 @@
 #include "nodes/storenode.h"
 
+#include <algorithm>
+#include <utility>
+
+#include "nodes/itemtraits.h"
+
 namespace papayarack::nodes {
 
 StoreNode::StoreNode(NodeRuntime& runtime)
@@ -20,10 +25,35 @@
   this->runtime.Watch([this](const coordination::FleetChange& change) {
     this->store.OnRoutes(this->runtime.table);
     this->store.OnFleet(this->runtime.watch->knowledge());
+    this->ApplyQuarantine();
     if (change.Any()) {
       this->host.OnFleet();
     }
   });
 }
 
+void StoreNode::ApplyQuarantine() {
+  std::set<quarantine::Fingerprint> known;
+  for (const auto& [trait, since] : this->runtime.watch->crashes().all()) {
+    known.insert(trait);
+  }
+  if (known == this->quarantined) {
+    return;
+  }
+  this->quarantined = std::move(known);
+  if (this->quarantined.empty()) {
+    this->store.SetQuarantine({});
+    return;
+  }
+  this->store.SetQuarantine([this](const std::string& host,
+                                   const batches::ItemSpec& item,
+                                   const std::string& service) {
+    const auto traits =
+        TraitsOfItem(this->runtime.dialect, host, item, service);
+    return std::ranges::any_of(traits, [this](const quarantine::Trait& trait) {
+      return this->quarantined.contains(trait.id);
+    });
+  });
+}
+
 }  // namespace papayarack::nodes
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -69,7 +69,7 @@
     http::ExchangeId exchange = 0;
     http::HttpRequest request;
     CallFields fields;
-    quarantine::Fingerprint fingerprint;
+    std::vector<quarantine::Trait> traits;
     routes::RouteTablePtr table;
     const routes::Route* route = nullptr;
     Time arrived{};
@@ -86,6 +86,8 @@
     bool head_sent = false;
     bool is_events = false;
     bool accepted = false;  ///< Not refused by the engine of this attempt.
+    std::optional<Time> run_began;  ///< First byte of this attempt's body.
+    bool run_survived = false;      ///< Noted for this attempt.
     bool failed_status = false;
     int status = 0;
     std::uint64_t last_event = 0;
@@ -138,7 +140,9 @@
   void RefuseContinuation(CallId id, const char* reason, const char* metric);
   /// Answers that the request did not run. Precondition: it did not.
   void RespondRefused(CallId id, const char* reason, double retry_after_s);
-  void RefuseQuarantined(CallId id);
+  void RefuseQuarantined(CallId id, const quarantine::Trait& culprit);
+  void SetService(Call& call, const std::string& service) const;
+  void NoteSurvival(Call& call);
   void Fail(CallId id, int status, const char* reason);
   void Finish(CallId id, const char* outcome, int status);
   void Sweep();
--- a/src/nodes/storenode.h
+++ b/src/nodes/storenode.h
@@ -1,6 +1,8 @@
 #ifndef PAPAYARACK_NODES_STORENODE_H_
 #define PAPAYARACK_NODES_STORENODE_H_
 
+#include <set>
+
 #include "batches/batchstore.h"
 #include "nodes/enginehost.h"
 #include "nodes/noderuntime.h"
@@ -24,9 +26,13 @@
   bool Drained() const { return this->host.Drained(); }
 
  private:
+  /// Keeps items from running that have a quarantined trait.
+  void ApplyQuarantine();
+
   NodeRuntime& runtime;
   batches::BatchStore store;
   EngineHost host;
+  std::set<quarantine::Fingerprint> quarantined;  ///< As last applied.
 };
 
 }  // namespace papayarack::nodes
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "nodes/batchrunner.h"
+#include "nodes/crashdetector.h"
+#include "nodes/itemtraits.h"
 #include "nodes/tests/batchfixtures.h"
 #include "transport/peerdispatch.h"
 #include "transport/peerserver.h"
@@ -594,4 +596,49 @@
   }
 }
 
+// Guards against items that are refused as culprits because their engine was
+// away each time that they were to run: they never reached it.
+TEST_CASE("an item that was not sent is no suspect in the end of its engine") {
+  asio::io_context context;
+  const std::string closed = [&context] {
+    asio::ip::tcp::acceptor port(context,
+                                 {asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(port.local_endpoint().port());
+  }();
+  Leader leader(context);
+  transport::PeerClient peers(context);
+  coordination::LeaderSearch job_search = SearchAmong(leader.Address());
+  coordination::GroupClient jobs(context, peers, job_search);
+  http::HttpClient client(context);
+  slots::SlotAllocator allocator;
+  Dialect dialect = MakeBatchDialect();
+  dialect.read_call = [](const http::Headers&) { return CallFields{}; };
+  coordination::FleetWatch fleet(context, peers, {}, {},
+                                 [](const coordination::FleetChange&) {});
+  CrashDetector crashes(context, fleet);
+  BatchRunner runner({"g", 1, "llm", closed}, dialect, client, jobs, allocator,
+                     &crashes);
+  allocator.SetSlots(1);
+  runner.SetRoutes(MakeBatchTable());
+  const batches::LeasedItem item = MakeItem("1", kAmpleTime);
+  leader.on_pull = [&](Leader::Pull& pull) {
+    if (leader.pulls.size() == 1) {
+      leader.Answer(pull, {{item}, {}});
+    }
+  };
+  constexpr int kStarts = 4;
+  constexpr milliseconds kBetweenStarts(1200);
+  for (int start = 0; start < kStarts; ++start) {
+    runner.SetEngine({"e" + std::to_string(start), {"llm", "v1"}});
+    const Time until = MonotonicNow() + kBetweenStarts;
+    while (MonotonicNow() < until) {
+      context.run_for(kTick);
+      context.restart();
+      runner.Tick();
+    }
+  }
+  const auto traits = TraitsOfItem(dialect, item.host, item.spec, "llm");
+  CHECK(crashes.FindQuarantined(traits) == nullptr);
+}
+
 }  // namespace papayarack::nodes
--- a/src/nodes/tests/crashdetector_tests.cpp
+++ b/src/nodes/tests/crashdetector_tests.cpp
@@ -1,6 +1,7 @@
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "coordination/fleetwatch.h"
 #include "nodes/crashdetector.h"
@@ -9,10 +10,10 @@
 namespace papayarack::nodes {
 namespace {
 
-using quarantine::Fingerprint;
+using quarantine::Trait;
 using std::chrono::milliseconds;
 
-constexpr Fingerprint kRequest{1, 1};
+const std::vector<Trait> kRequest = {{{1, 1}}};
 
 /// Returns ports that refuse connections, one after another.
 placement::EngineStart Gone(asio::io_context& context) {
@@ -40,14 +41,14 @@
 
   SECTION("a refused port counts as a crash, also without a leader") {
     for (int i = 0; i < kCrashes; ++i) {
-      CHECK_FALSE(watch.Quarantined(kRequest));
-      watch.ConnectionBroke(kRequest, "r", Gone(context));
+      CHECK(watch.FindQuarantined(kRequest) == nullptr);
+      watch.ConnectionBroke({"r", kRequest, Gone(context), {}});
       pause();
     }
-    CHECK(watch.Quarantined(kRequest));
+    CHECK(watch.FindQuarantined(kRequest) != nullptr);
     SECTION("a completed run lifts the quarantine") {
       watch.Survived(kRequest);
-      CHECK_FALSE(watch.Quarantined(kRequest));
+      CHECK(watch.FindQuarantined(kRequest) == nullptr);
     }
   }
   SECTION("a port that refuses only a moment later counts as a crash") {
@@ -56,13 +57,13 @@
                                    {asio::ip::make_address("127.0.0.1"), 0});
       const std::string address =
           "127.0.0.1:" + std::to_string(open.local_endpoint().port());
-      watch.ConnectionBroke(kRequest, "r", {address, "up", i});
+      watch.ConnectionBroke({"r", kRequest, {address, "up", i}, {}});
       context.run_for(milliseconds(10));
       context.restart();
       open.close();
       pause();
     }
-    CHECK(watch.Quarantined(kRequest));
+    CHECK(watch.FindQuarantined(kRequest) != nullptr);
   }
   SECTION("no crash is counted while the replica still listens") {
     asio::ip::tcp::acceptor open(context,
@@ -70,18 +71,42 @@
     const std::string address =
         "127.0.0.1:" + std::to_string(open.local_endpoint().port());
     for (std::uint64_t i = 0; i < kCrashes; ++i) {
-      watch.ConnectionBroke(kRequest, "r", {address, "up", i});
+      watch.ConnectionBroke({"r", kRequest, {address, "up", i}, {}});
       pause();
     }
-    CHECK_FALSE(watch.Quarantined(kRequest));
+    CHECK(watch.FindQuarantined(kRequest) == nullptr);
   }
   SECTION("a request that has completed before is not quarantined") {
     watch.Survived(kRequest);
     for (int i = 0; i < kCrashes; ++i) {
-      watch.ConnectionBroke(kRequest, "r", Gone(context));
+      watch.ConnectionBroke({"r", kRequest, Gone(context), {}});
       pause();
     }
-    CHECK_FALSE(watch.Quarantined(kRequest));
+    CHECK(watch.FindQuarantined(kRequest) == nullptr);
+  }
+}
+
+// Guards against taking for the cause of a crash what had been answered for
+// long.
+TEST_CASE("an entry knows which broken runs may have caused a crash") {
+  asio::io_context context;
+  transport::PeerClient peers(context);
+  coordination::FleetWatch fleet(context, peers, {}, {},
+                                 [](const coordination::FleetChange&) {});
+  CrashDetector watch(context, fleet);
+  const auto run_for = [&context](milliseconds time) {
+    context.run_for(time);
+    context.restart();
+  };
+  constexpr int kCrashes = 3;
+
+  SECTION("a replica that had answered for long did not crash because of it") {
+    for (int i = 0; i < kCrashes; ++i) {
+      watch.ConnectionBroke(
+          {"r", kRequest, Gone(context), MonotonicNow() - milliseconds(1100)});
+      run_for(milliseconds(70));
+    }
+    CHECK(watch.FindQuarantined(kRequest) == nullptr);
   }
 }
 
--- a/src/quarantine/crashtracker.h
+++ b/src/quarantine/crashtracker.h
@@ -6,15 +6,18 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
 #include "global/timepoint.h"
 #include "quarantine/fingerprint.h"
+#include "quarantine/traits.h"
 
 namespace papayarack::quarantine {
 
-/// Reports that a replica crashed while it ran `request`.
+/// Reports that a replica crashed while it ran `request`. From processes of an
+/// earlier release, which know no parts of prompts.
 struct CrashReport {
   Fingerprint request;
   std::string replica;       ///< Identifies one start of a replica.
@@ -22,96 +25,175 @@
   MSGPACK_DEFINE(request, replica, age_ms)
 };
 
-/// A request that is put in quarantine, and the evidence.
+/// A trait of a request that ran on a replica as that crashed.
+struct SuspectTrait {
+  static constexpr std::uint32_t kNeverSurvived = UINT32_MAX;
+
+  Fingerprint id;
+  std::uint8_t depth = kWholeRequestDepth;  ///< As in Trait.
+  /// Time from the latest survival that the reporter saw to the crash.
+  std::uint32_t survived_ms = kNeverSurvived;
+  MSGPACK_DEFINE(id, depth, survived_ms)
+};
+
+/// Reports that a replica crashed as it began to answer a request.
+struct CrashObservation {
+  std::string replica;       ///< Identifies one start of a replica.
+  std::uint32_t age_ms = 0;  ///< Time from the crash to the report.
+  std::vector<SuspectTrait> traits;
+  MSGPACK_DEFINE(replica, age_ms, traits)
+};
+
+/// Reports that a replica has run a request with this trait without a crash.
+struct SurvivalReport {
+  Fingerprint trait;
+  std::uint32_t age_ms = 0;
+  MSGPACK_DEFINE(trait, age_ms)
+};
+
+/// A trait that is put in quarantine, and the evidence.
 struct QuarantineDecision {
-  Fingerprint request;
-  std::vector<std::string> replicas;  ///< Crashed while they ran it.
-  /// Number of other requests that may have caused the same crashes.
+  Fingerprint trait;
+  std::uint8_t depth = kWholeRequestDepth;  ///< As in Trait.
+  std::vector<std::string> replicas;        ///< Crashed while they ran it.
+  /// Number of other traits that may have caused the same crashes.
   std::size_t rivals = 0;
 };
 
-/// Detects requests that crash the replicas that run them (queries of death).
+/// Age of a moment, in whole milliseconds. Thread safety: any thread.
+std::uint32_t AgeMs(Time when, Time now);
+
+/// The moment whose age is the entry `index` of `ages_ms`; now if there is
+/// none, as from a process of an earlier release. Thread safety: any thread.
+Time SinceAt(std::span<const std::uint32_t> ages_ms, std::size_t index,
+             Time now);
+
+/// Finds what crashes replicas: a request, or a part that many prompts share
+/// (queries of death).
 ///
-/// Load pattern: a caller repeats the same request at any entry; each run
-/// crashes a replica, which takes seconds to restart, and breaks off everything
-/// else that runs on it. Unstopped, this makes the service unavailable to all
-/// callers. Other requests must be spared: those that ran on the same replica
-/// are repeated too, and a wave of crashes unrelated to any request affects
-/// many at once. So
-/// - several replicas that crash at the same time count once: a query of death
-///   crashes them one after the other;
-/// - of requests that share their crashes the one with the most is quarantined,
-///   and its crashes count half for the others;
-/// - a request that a replica has completed is not counted any more.
+/// Load pattern: requests with the culprit come at any entry, each crashes a
+/// replica as that begins to answer, and breaks off everything else that runs
+/// there; it takes seconds to restart. Unstopped, this makes the service
+/// unavailable to all callers. Everything else must be spared: the sound
+/// requests that ran on the same replicas and are sent again; the other parts
+/// of the culprit's own prompts, above all the first one, which most prompts
+/// share; and whatever runs while replicas crash for another reason. So
+/// - a survival of a trait clears it of the crashes before it, not of later
+///   ones, as what was sound may become bad;
+/// - a trait that has never survived is decided on before those that have, and
+///   before first parts;
+/// - of traits that share their crashes the one with the most is quarantined,
+///   and of those with equally many the deepest, which the fewest requests
+///   share; the crashes that one culprit explains count as one for the others;
+/// - replicas that crash at the same time count once: a culprit crashes them
+///   one after the other.
 /// Does no I/O. Thread safety: none.
 class CrashTracker {
  public:
   static constexpr std::size_t kCrashThreshold = 3;
+  /// Crashes after which a trait that survived before them is quarantined, and
+  /// a first part that never did, once kSoundDelay has passed since the first
+  /// of them: when many replicas are down, nothing survives for a while.
+  static constexpr std::size_t kSoundCrashThreshold = 8;
+  static constexpr std::size_t kFirstPartCrashThreshold = 5;
+  static constexpr std::chrono::milliseconds kSoundDelay{3000};
+  /// A trait has at least this share of the crashes of any suspect that
+  /// survived before, except first parts. Otherwise it only ran beside what
+  /// caused them.
+  static constexpr std::size_t kMinShare = 3;  ///< One in so many.
   /// Crashes closer together than this count once. A replica streams the first
   /// event of a request after some 25 ms, and crashes later.
   static constexpr std::chrono::milliseconds kSameEventWindow{50};
-  /// How long two requests with the same crashes may both still run: the one
-  /// that causes them is retried and crashes another replica, on which the
-  /// other is unlikely to run as well.
+  /// How long two traits with the same crashes may both still run: the one that
+  /// causes them is sent again and crashes another replica, on which the other
+  /// is unlikely to run as well.
   static constexpr std::chrono::milliseconds kTieDelay{1000};
-  /// Crashes and quarantines are forgotten after this time.
+  /// A replica that crashes later than this after it began to answer a request
+  /// did not crash because of it; a run that lasts longer is a survival.
+  static constexpr std::chrono::milliseconds kCrashDelay{1000};
+  /// Crashes, survivals and quarantines are forgotten after this time.
   static constexpr std::chrono::minutes kRetention{10};
-  /// Beyond this the oldest crash is dropped. A crash lists the requests that
-  /// its replica ran, up to kMaxRequestsPerCrash.
+  /// Beyond this the oldest crash is dropped. A crash lists the traits of what
+  /// its replica ran, up to kMaxTraitsPerCrash.
   static constexpr std::size_t kMaxCrashes = 256;
-  static constexpr std::size_t kMaxRequestsPerCrash = 64;
+  static constexpr std::size_t kMaxTraitsPerCrash = 192;
   static constexpr std::size_t kMaxQuarantined = 256;
+  static constexpr std::size_t kMaxSurvivals = 4096;
 
   /// Called on a new leader, which rebuilds its state from the entries'
   /// reports.
   void Clear();
-  /// Idempotent per report.
-  void Crashed(const CrashReport& report, Time now);
-  /// A replica completed the request.
-  void Survived(const Fingerprint& request, Time now);
-  /// Records that another process knows the request as quarantined.
-  void Learn(const Fingerprint& request, Time now);
-  /// Quarantines the requests for which enough evidence is known and returns
+  /// Idempotent per observation.
+  void Crashed(const CrashObservation& observation, Time now);
+  /// A replica ran a request with the trait without a crash, at `when`.
+  void Survived(const Fingerprint& trait, Time when);
+  /// Records that another process knows the trait as quarantined since then.
+  void Learn(const Fingerprint& trait, Time since);
+  /// Quarantines the traits for which enough evidence is known and returns
   /// them. Call after reports and about every 100 ms.
   std::vector<QuarantineDecision> Evaluate(Time now);
 
-  bool Quarantined(const Fingerprint& request) const {
-    return this->quarantined.count(request) > 0;
+  bool Quarantined(const Fingerprint& trait) const {
+    return this->quarantined.count(trait) > 0;
   }
   /// Whether it is quarantined or any crash counts against it.
-  bool IsSuspect(const Fingerprint& request) const {
-    return this->Quarantined(request) || this->suspects.count(request) > 0;
+  bool IsSuspect(const Fingerprint& trait) const {
+    return this->Quarantined(trait) || this->suspects.count(trait) > 0;
+  }
+  /// The quarantined traits, and since when.
+  const std::map<Fingerprint, Time>& QuarantinedTraits() const {
+    return this->quarantined;
   }
-  std::vector<Fingerprint> QuarantinedRequests() const;
-  /// Changes whenever the set of quarantined requests does.
+  /// Changes whenever the set of quarantined traits does.
   std::uint64_t revision() const { return this->changes; }
 
  private:
   struct Crash {
     Time when{};
     std::set<Fingerprint> ran;
+    /// Traits among `ran` that are or were in quarantine.
+    std::set<Fingerprint> culprits;
   };
-  /// Evidence against a request.
+  struct Suspect {
+    std::uint8_t depth = kWholeRequestDepth;
+    std::set<std::string> replicas;  ///< Crashed since its last survival.
+  };
+  /// Evidence against a trait that is not in quarantine.
   struct Evidence {
+    Fingerprint trait;
+    std::uint8_t depth = kWholeRequestDepth;
     std::vector<std::string> replicas;
+    bool survived_before = false;
     std::size_t halves = 0;    ///< Counted crashes, in halves.
+    Time first{};              ///< Of the counted crashes.
     Time threshold_reached{};  ///< When the threshold was reached.
   };
   using Crashes = std::map<std::string, Crash>;
+  using Suspects = std::map<Fingerprint, Suspect>;
+
   void ForgetOld(Time now);
   Crashes::iterator Drop(Crashes::iterator crash);
-  bool ExplainedByOther(const Crash& crash, const Fingerprint& request) const;
-  Evidence EvidenceOf(const Fingerprint& request,
-                      const std::set<std::string>& replicas) const;
-  std::size_t CountRivals(const Fingerprint& request,
-                          const Evidence& evidence) const;
-  void AddToQuarantine(const Fingerprint& request, Time now);
-
-  Crashes crashes;  ///< By replica.
-  /// Requests not in quarantine: the replicas that crashed while they ran it.
-  std::map<Fingerprint, std::set<std::string>> suspects;
+  bool SurvivedBefore(const Fingerprint& trait) const {
+    return this->survivals.count(trait) > 0;
+  }
+  void RecordSurvival(const Fingerprint& trait, Time when);
+  Evidence EvidenceOf(const Fingerprint& trait, const Suspect& suspect) const;
+  /// All suspects that may have reached a threshold.
+  std::vector<Evidence> AllEvidence() const;
+  /// The traits to quarantine next; all the others are to be weighed anew
+  /// afterwards.
+  std::vector<QuarantineDecision> Decide(Time now) const;
+  /// Those with the most crashes, and of these the deepest; none while others
+  /// have as many and may still turn out to be sound.
+  static std::vector<QuarantineDecision> Strongest(
+      std::vector<Evidence> candidates, std::size_t rivals_outside, Time now);
+  void AddToQuarantine(const Fingerprint& trait, Time now);
+  void RemoveFromQuarantine(const Fingerprint& trait);
+
+  Crashes crashes;                          ///< By replica.
+  Suspects suspects;                        ///< Not in quarantine.
   std::map<Fingerprint, Time> quarantined;  ///< Time of quarantine.
-  std::map<Fingerprint, Time> survivors;
+  std::map<Fingerprint, Time> survivals;    ///< The latest of each trait.
   std::uint64_t changes = 0;
 };
 
--- a/src/quarantine/fingerprint.h
+++ b/src/quarantine/fingerprint.h
@@ -10,7 +10,7 @@
 namespace papayarack::quarantine {
 
 /// Identifies a request by its content, so that all attempts of a caller share
-/// it regardless of their id. A 128-bit XXH3 hash.
+/// it regardless of their id, or one part of prompts. A 128-bit XXH3 hash.
 struct Fingerprint {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
@@ -35,6 +35,10 @@
 /// Thread safety: any thread.
 Fingerprint FingerprintOf(const RequestContent& content);
 
+/// Identifies the part `part` of prompts that a service's replicas read. Never
+/// equal to that of a request. Thread safety: any thread.
+Fingerprint PartFingerprint(std::string_view service, std::string_view part);
+
 }  // namespace papayarack::quarantine
 
 #endif  // PAPAYARACK_QUARANTINE_FINGERPRINT_H_
--- a/src/quarantine/internal/crashtracker.cpp
+++ b/src/quarantine/internal/crashtracker.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/crashtracker.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
 #include <optional>
 #include <utility>
@@ -8,46 +9,81 @@
 namespace papayarack::quarantine {
 namespace {
 
-/// Weight of a crash in halves: whole, or half if a quarantined request
-/// explains it.
+/// Weight of a crash in halves: whole, or half if a quarantined trait explains
+/// it. What one culprit explains weighs as much as one whole crash at most.
 constexpr std::size_t kWholeCrash = 2;
 constexpr std::size_t kExplainedCrash = 1;
+constexpr std::size_t kMaxExplained = kWholeCrash;
 constexpr std::size_t kHalvesThreshold =
     CrashTracker::kCrashThreshold * kWholeCrash;
+constexpr std::size_t kSoundHalvesThreshold =
+    CrashTracker::kSoundCrashThreshold * kWholeCrash;
+constexpr std::size_t kFirstPartHalvesThreshold =
+    CrashTracker::kFirstPartCrashThreshold * kWholeCrash;
+constexpr std::uint8_t kFirstPartDepth = 0;
 
-template <typename Map>
-void DropOldestAbove(Map& map, std::size_t limit) {
-  while (map.size() > limit) {
-    map.erase(std::ranges::min_element(
-        map, {}, [](const auto& entry) { return entry.second; }));
+/// Drops the older half, so that the search for the oldest pays off.
+void DropOlderHalf(std::map<Fingerprint, Time>& times) {
+  std::vector<Time> sorted;
+  sorted.reserve(times.size());
+  for (const auto& [trait, when] : times) {
+    sorted.push_back(when);
   }
+  const auto middle =
+      sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+  std::ranges::nth_element(sorted, middle);
+  std::erase_if(times,
+                [middle](const auto& entry) { return entry.second < *middle; });
 }
 
 }  // namespace
 
+std::uint32_t AgeMs(Time when, Time now) {
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - when);
+  return static_cast<std::uint32_t>(age.count());
+}
+
+Time SinceAt(std::span<const std::uint32_t> ages_ms, std::size_t index,
+             Time now) {
+  const std::uint32_t age = index < ages_ms.size() ? ages_ms[index] : 0;
+  return now - std::chrono::milliseconds(age);
+}
+
 void CrashTracker::Clear() {
   this->crashes.clear();
   this->suspects.clear();
   this->quarantined.clear();
-  this->survivors.clear();
+  this->survivals.clear();
   ++this->changes;
 }
 
-void CrashTracker::Crashed(const CrashReport& report, Time now) {
-  if (this->survivors.count(report.request) > 0) {
-    return;
-  }
-  const Time when = now - std::chrono::milliseconds(report.age_ms);
-  const auto [crash, is_new] = this->crashes.try_emplace(report.replica);
+void CrashTracker::Crashed(const CrashObservation& observation, Time now) {
+  const Time when = now - std::chrono::milliseconds(observation.age_ms);
+  const auto [crash, is_new] = this->crashes.try_emplace(observation.replica);
   if (is_new) {
     crash->second.when = when;
   }
-  if (crash->second.ran.size() >= kMaxRequestsPerCrash) {
-    return;
-  }
-  crash->second.ran.insert(report.request);
-  if (!this->Quarantined(report.request)) {
-    this->suspects[report.request].insert(report.replica);
+  for (const SuspectTrait& trait : observation.traits) {
+    if (trait.survived_ms != SuspectTrait::kNeverSurvived) {
+      this->RecordSurvival(trait.id,
+                           when - std::chrono::milliseconds(trait.survived_ms));
+    }
+    const bool full = crash->second.ran.size() >= kMaxTraitsPerCrash;
+    if (full || !crash->second.ran.insert(trait.id).second) {
+      continue;
+    }
+    if (this->Quarantined(trait.id)) {
+      crash->second.culprits.insert(trait.id);
+      continue;
+    }
+    const auto survival = this->survivals.find(trait.id);
+    if (survival == this->survivals.end() ||
+        survival->second < crash->second.when) {
+      Suspect& suspect = this->suspects[trait.id];
+      suspect.depth = trait.depth;
+      suspect.replicas.insert(observation.replica);
+    }
   }
   if (this->crashes.size() > kMaxCrashes) {
     this->Drop(std::ranges::min_element(
@@ -57,37 +93,73 @@
 }
 
 CrashTracker::Crashes::iterator CrashTracker::Drop(Crashes::iterator crash) {
-  for (const Fingerprint& request : crash->second.ran) {
-    const auto suspect = this->suspects.find(request);
-    if (suspect != this->suspects.end()) {
-      suspect->second.erase(crash->first);
+  for (const Fingerprint& trait : crash->second.ran) {
+    const auto suspect = this->suspects.find(trait);
+    if (suspect == this->suspects.end()) {
+      continue;
+    }
+    suspect->second.replicas.erase(crash->first);
+    if (suspect->second.replicas.empty()) {
+      this->suspects.erase(suspect);
     }
   }
-  std::erase_if(this->suspects,
-                [](const auto& suspect) { return suspect.second.empty(); });
   return this->crashes.erase(crash);
 }
 
-void CrashTracker::Survived(const Fingerprint& request, Time now) {
-  this->survivors[request] = now;
-  DropOldestAbove(this->survivors, kMaxCrashes);
-  this->suspects.erase(request);
-  for (auto& [replica, crash] : this->crashes) {
-    crash.ran.erase(request);
+void CrashTracker::RecordSurvival(const Fingerprint& trait, Time when) {
+  const auto [survival, is_new] = this->survivals.try_emplace(trait, when);
+  survival->second = std::max(survival->second, when);
+  if (is_new && this->survivals.size() > kMaxSurvivals) {
+    DropOlderHalf(this->survivals);
+  }
+  const auto suspect = this->suspects.find(trait);
+  if (suspect == this->suspects.end()) {
+    return;
+  }
+  std::erase_if(suspect->second.replicas, [&](const std::string& replica) {
+    return this->crashes.at(replica).when <= when;
+  });
+  if (suspect->second.replicas.empty()) {
+    this->suspects.erase(suspect);
   }
-  this->changes += this->quarantined.erase(request);
 }
 
-void CrashTracker::Learn(const Fingerprint& request, Time now) {
-  if (!this->Quarantined(request) && this->survivors.count(request) == 0) {
-    this->AddToQuarantine(request, now);
+void CrashTracker::Survived(const Fingerprint& trait, Time when) {
+  this->RecordSurvival(trait, when);
+  const auto verdict = this->quarantined.find(trait);
+  if (verdict != this->quarantined.end() && when > verdict->second) {
+    this->RemoveFromQuarantine(trait);
+  }
+}
+
+void CrashTracker::Learn(const Fingerprint& trait, Time since) {
+  if (!this->Quarantined(trait)) {
+    this->AddToQuarantine(trait, since);
+  }
+}
+
+void CrashTracker::AddToQuarantine(const Fingerprint& trait, Time since) {
+  this->suspects.erase(trait);
+  this->quarantined[trait] = since;
+  for (auto& [replica, crash] : this->crashes) {
+    if (crash.ran.contains(trait)) {
+      crash.culprits.insert(trait);
+    }
+  }
+  ++this->changes;
+  if (this->quarantined.size() > kMaxQuarantined) {
+    const Fingerprint oldest =
+        std::ranges::min_element(this->quarantined, {}, [](const auto& entry) {
+          return entry.second;
+        })->first;
+    this->RemoveFromQuarantine(oldest);
   }
 }
 
-void CrashTracker::AddToQuarantine(const Fingerprint& request, Time now) {
-  this->suspects.erase(request);
-  this->quarantined[request] = now;
-  DropOldestAbove(this->quarantined, kMaxQuarantined);
+/// What it explained stays explained: the crashes are no evidence against what
+/// ran beside it.
+void CrashTracker::RemoveFromQuarantine(const Fingerprint& trait) {
+  this->quarantined.erase(trait);
   ++this->changes;
 }
 
@@ -96,39 +168,49 @@
   for (auto crash = this->crashes.begin(); crash != this->crashes.end();) {
     crash = old(crash->second.when) ? this->Drop(crash) : std::next(crash);
   }
-  std::erase_if(this->survivors,
+  std::erase_if(this->survivals,
                 [&](const auto& entry) { return old(entry.second); });
-  this->changes += std::erase_if(
-      this->quarantined, [&](const auto& entry) { return old(entry.second); });
-}
-
-bool CrashTracker::ExplainedByOther(const Crash& crash,
-                                    const Fingerprint& request) const {
-  return std::ranges::any_of(crash.ran, [&](const Fingerprint& other) {
-    return other != request && this->Quarantined(other);
-  });
+  std::vector<Fingerprint> ended;
+  for (const auto& [trait, since] : this->quarantined) {
+    if (old(since)) {
+      ended.push_back(trait);
+    }
+  }
+  for (const Fingerprint& trait : ended) {
+    this->RemoveFromQuarantine(trait);
+  }
 }
 
-CrashTracker::Evidence CrashTracker::EvidenceOf(
-    const Fingerprint& request, const std::set<std::string>& replicas) const {
+CrashTracker::Evidence CrashTracker::EvidenceOf(const Fingerprint& trait,
+                                                const Suspect& suspect) const {
   std::vector<std::pair<Time, std::string>> in_order;
-  in_order.reserve(replicas.size());
-  for (const std::string& replica : replicas) {
+  in_order.reserve(suspect.replicas.size());
+  for (const std::string& replica : suspect.replicas) {
     in_order.emplace_back(this->crashes.at(replica).when, replica);
   }
   std::ranges::sort(in_order);
   Evidence found;
+  found.trait = trait;
+  found.depth = suspect.depth;
+  found.survived_before = this->SurvivedBefore(trait);
+  found.first = in_order.front().first;
   std::optional<Time> counted;
-  for (const auto& [when, replica] : in_order) {
-    found.replicas.push_back(replica);
+  std::map<Fingerprint, std::size_t> explained;  // By culprit, in halves.
+  for (auto& [when, replica] : in_order) {
+    const std::set<Fingerprint>& culprits = this->crashes.at(replica).culprits;
+    found.replicas.push_back(std::move(replica));
     if (counted.has_value() && when - *counted < kSameEventWindow) {
       continue;
     }
     counted = when;
+    std::size_t weight = kWholeCrash;
+    if (!culprits.empty()) {
+      std::size_t& used = explained[*culprits.begin()];
+      weight = std::min(kExplainedCrash, kMaxExplained - used);
+      used += weight;
+    }
     const bool was_reached = found.halves >= kHalvesThreshold;
-    found.halves += this->ExplainedByOther(this->crashes.at(replica), request)
-                        ? kExplainedCrash
-                        : kWholeCrash;
+    found.halves += weight;
     if (!was_reached && found.halves >= kHalvesThreshold) {
       found.threshold_reached = when;
     }
@@ -136,49 +218,86 @@
   return found;
 }
 
-std::size_t CrashTracker::CountRivals(const Fingerprint& request,
-                                      const Evidence& evidence) const {
-  std::set<Fingerprint> beside;
-  for (const std::string& replica : evidence.replicas) {
-    const std::set<Fingerprint>& ran = this->crashes.at(replica).ran;
-    beside.insert(ran.begin(), ran.end());
+std::vector<CrashTracker::Evidence> CrashTracker::AllEvidence() const {
+  std::vector<Evidence> all;
+  for (const auto& [trait, suspect] : this->suspects) {
+    if (suspect.replicas.size() >= kCrashThreshold) {
+      all.push_back(this->EvidenceOf(trait, suspect));
+    }
   }
-  return static_cast<std::size_t>(
-      std::ranges::count_if(beside, [&](const Fingerprint& other) {
-        const auto suspect = this->suspects.find(other);
-        return other != request && suspect != this->suspects.end() &&
-               this->EvidenceOf(other, suspect->second).halves >=
-                   evidence.halves;
-      }));
+  return all;
 }
 
-std::vector<QuarantineDecision> CrashTracker::Evaluate(Time now) {
-  this->ForgetOld(now);
-  std::vector<QuarantineDecision> due;
-  for (const auto& [request, replicas] : this->suspects) {
-    if (replicas.size() < kCrashThreshold) {
-      continue;
+std::vector<QuarantineDecision> CrashTracker::Strongest(
+    std::vector<Evidence> candidates, std::size_t rivals_outside, Time now) {
+  if (candidates.empty()) {
+    return {};
+  }
+  const auto most = std::ranges::max(candidates, {}, &Evidence::halves).halves;
+  std::erase_if(candidates, [most](const Evidence& evidence) {
+    return evidence.halves < most;
+  });
+  const std::size_t rivals = candidates.size() - 1 + rivals_outside;
+  if (rivals > 0) {
+    std::erase_if(candidates, [now](const Evidence& evidence) {
+      return now - evidence.threshold_reached < kTieDelay;
+    });
+  }
+  if (candidates.empty()) {
+    return {};
+  }
+  const auto deepest = std::ranges::max(candidates, {}, &Evidence::depth).depth;
+  std::vector<QuarantineDecision> decisions;
+  for (Evidence& evidence : candidates) {
+    if (evidence.depth == deepest) {
+      decisions.push_back({evidence.trait, evidence.depth,
+                           std::move(evidence.replicas), rivals});
     }
-    Evidence evidence = this->EvidenceOf(request, replicas);
-    if (evidence.halves < kHalvesThreshold) {
-      continue;
+  }
+  return decisions;
+}
+
+std::vector<QuarantineDecision> CrashTracker::Decide(Time now) const {
+  std::vector<Evidence> fresh;
+  std::vector<Evidence> sound;  // First parts, and what survived before.
+  std::size_t most_of_sound = 0;
+  for (Evidence& evidence : this->AllEvidence()) {
+    const bool first_part = evidence.depth == kFirstPartDepth;
+    if (evidence.survived_before && !first_part) {
+      most_of_sound = std::max(most_of_sound, evidence.halves);
     }
-    const std::size_t rivals = this->CountRivals(request, evidence);
-    if (rivals == 0 || now - evidence.threshold_reached >= kTieDelay) {
-      due.push_back({request, std::move(evidence.replicas), rivals});
+    if (evidence.survived_before || first_part) {
+      sound.push_back(std::move(evidence));
+    } else {
+      fresh.push_back(std::move(evidence));
     }
   }
-  for (const QuarantineDecision& decision : due) {
-    this->AddToQuarantine(decision.request, now);
+  std::erase_if(fresh, [most_of_sound](const Evidence& evidence) {
+    return evidence.halves < kHalvesThreshold ||
+           kMinShare * evidence.halves < most_of_sound;
+  });
+  if (!fresh.empty()) {
+    const auto most = std::ranges::max(fresh, {}, &Evidence::halves).halves;
+    const std::size_t rivals_outside = most_of_sound >= most ? 1 : 0;
+    return Strongest(std::move(fresh), rivals_outside, now);
   }
-  return due;
+  std::erase_if(sound, [now](const Evidence& evidence) {
+    const std::size_t threshold = evidence.survived_before
+                                      ? kSoundHalvesThreshold
+                                      : kFirstPartHalvesThreshold;
+    return evidence.halves < threshold || now - evidence.first < kSoundDelay;
+  });
+  return Strongest(std::move(sound), 0, now);
 }
 
-std::vector<Fingerprint> CrashTracker::QuarantinedRequests() const {
-  std::vector<Fingerprint> all;
-  all.reserve(this->quarantined.size());
-  for (const auto& [request, since] : this->quarantined) {
-    all.push_back(request);
+std::vector<QuarantineDecision> CrashTracker::Evaluate(Time now) {
+  this->ForgetOld(now);
+  std::vector<QuarantineDecision> all;
+  for (auto due = this->Decide(now); !due.empty(); due = this->Decide(now)) {
+    for (QuarantineDecision& decision : due) {
+      this->AddToQuarantine(decision.trait, now);
+      all.push_back(std::move(decision));
+    }
   }
   return all;
 }
--- a/src/quarantine/recentsurvivals.h
+++ b/src/quarantine/recentsurvivals.h
@@ -2,30 +2,38 @@
 #define PAPAYARACK_QUARANTINE_RECENTSURVIVALS_H_
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <vector>
 
+#include "global/timepoint.h"
 #include "quarantine/fingerprint.h"
 
 namespace papayarack::quarantine {
 
-/// Requests that a replica has recently completed, which shows that they do not
-/// crash every replica that runs them. A direct-mapped cache of constant size
-/// (16 KB); eviction only means that a request is no longer known to be
-/// harmless. Thread safety: none.
+/// When replicas have lately run requests with a trait without a crash, which
+/// shows that the trait does not crash every replica. A set-associative cache
+/// of constant size (192 KB); eviction only means that a trait is no longer
+/// known to be harmless. Thread safety: none.
 class RecentSurvivals {
  public:
-  void Add(const Fingerprint& request) { this->EntryOf(request) = request; }
-  bool Has(const Fingerprint& request) const {
-    return this->entries[request.low % kEntries] == request;
-  }
+  void Add(const Fingerprint& trait, Time when);
+  /// The latest survival, if known.
+  std::optional<Time> Find(const Fingerprint& trait) const;
 
  private:
-  static constexpr std::size_t kEntries = 1024;
-  Fingerprint& EntryOf(const Fingerprint& request) {
-    return this->entries[request.low % kEntries];
+  struct Entry {
+    Fingerprint trait;
+    Time when{};
+  };
+  static constexpr std::size_t kSets = 2048;
+  static constexpr std::size_t kWays = 4;
+
+  static std::size_t FirstOf(const Fingerprint& trait) {
+    return (trait.low % kSets) * kWays;
   }
 
-  std::vector<Fingerprint> entries = std::vector<Fingerprint>(kEntries);
+  std::vector<Entry> entries = std::vector<Entry>(kSets * kWays);
 };
 
 }  // namespace papayarack::quarantine
--- a/src/quarantine/tests/crashtracker_tests.cpp
+++ b/src/quarantine/tests/crashtracker_tests.cpp
@@ -26,7 +26,7 @@
 
 bool Contains(const std::vector<QuarantineDecision>& decisions,
               const Fingerprint& request) {
-  return std::ranges::find(decisions, request, &QuarantineDecision::request) !=
+  return std::ranges::find(decisions, request, &QuarantineDecision::trait) !=
          decisions.end();
 }
 
@@ -34,7 +34,7 @@
 void Crash(CrashTracker& tracker, const std::string& replica, Time now,
            const std::vector<Fingerprint>& ran) {
   for (const Fingerprint& request : ran) {
-    tracker.Crashed({request, replica, 0}, now);
+    tracker.Crashed({replica, 0, {{request}}}, now);
   }
 }
 
@@ -78,9 +78,9 @@
   }
   SECTION("by late reports that arrive all at once") {
     CrashTracker next;
-    next.Crashed({kCulprit, "a", 900}, At(1000));
-    next.Crashed({kCulprit, "b", 800}, At(1000));
-    next.Crashed({kCulprit, "c", 700}, At(1000));
+    next.Crashed({"a", 900, {{kCulprit}}}, At(1000));
+    next.Crashed({"b", 800, {{kCulprit}}}, At(1000));
+    next.Crashed({"c", 700, {{kCulprit}}}, At(1000));
     CHECK(Contains(next.Evaluate(At(1000)), kCulprit));
   }
 }
@@ -139,9 +139,9 @@
     // Each other request is retried once, on the next replica.
     for (std::uint64_t other = i * kOthers; other < (i + 2) * kOthers;
          ++other) {
-      tracker.Crashed({{other, kOthers}, replica, 0}, At(kCrashMs.at(i)));
+      tracker.Crashed({replica, 0, {{{other, kOthers}}}}, At(kCrashMs.at(i)));
     }
-    tracker.Crashed({kCulprit, replica, 0}, At(kCrashMs.at(i)));
+    tracker.Crashed({replica, 0, {{kCulprit}}}, At(kCrashMs.at(i)));
     decisions += tracker.Evaluate(At(kCrashMs.at(i))).size();
     needed += tracker.Quarantined(kCulprit) ? 0 : 1;
   }
@@ -170,7 +170,7 @@
     Crash(tracker, fmt::format("r{}", i), At(100 * i), {request});
     tracker.Evaluate(At(100 * i));
   }
-  CHECK(tracker.QuarantinedRequests().size() <= CrashTracker::kMaxQuarantined);
+  CHECK(tracker.QuarantinedTraits().size() <= CrashTracker::kMaxQuarantined);
   CHECK(tracker.Quarantined({7, (kMany - 1) / 3 - 1}));
   CHECK_FALSE(tracker.Quarantined({7, 0}));
 }
@@ -181,17 +181,17 @@
   CHECK(rc::check("in any order of reports", [] {
     CrashTracker tracker;
     const int crashes = *rc::gen::inRange(3, 12);
-    std::vector<std::pair<int, CrashReport>> reports;
+    std::vector<std::pair<int, CrashObservation>> reports;
     std::map<std::uint64_t, int> crashes_by_request;
     for (int i = 0; i < crashes; ++i) {
       const std::string replica = fmt::format("r{}", i);
-      reports.push_back({i * 100, {kCulprit, replica, 0}});
+      reports.push_back({i * 100, {replica, 0, {{kCulprit}}}});
       // Each other request runs on a crashing replica twice at most.
       const auto beside = *rc::gen::container<std::set<std::uint64_t>>(
           7, rc::gen::inRange<std::uint64_t>(100, 140));
       for (const std::uint64_t other : beside) {
         if (++crashes_by_request[other] <= 2) {
-          reports.push_back({i * 100, {{other, other}, replica, 0}});
+          reports.push_back({i * 100, {replica, 0, {{{other, other}}}}});
         }
       }
     }
@@ -199,14 +199,238 @@
     std::shuffle(reports.begin(), reports.end(), order);
     const int end = crashes * 100;
     for (const auto& [ms, report] : reports) {
-      CrashReport late = report;
+      CrashObservation late = report;
       late.age_ms = static_cast<std::uint32_t>(end - ms);
       tracker.Crashed(late, At(end));
       tracker.Evaluate(At(end));
     }
     RC_ASSERT(tracker.Quarantined(kCulprit));
-    RC_ASSERT(tracker.QuarantinedRequests().size() == 1U);
+    RC_ASSERT(tracker.QuarantinedTraits().size() == 1U);
   }));
 }
 
+namespace {
+
+/// The part of prompts that crashes replicas, and one that most prompts share.
+constexpr Fingerprint kBadPart{9, 1};
+constexpr Fingerprint kFirstPart{9, 2};
+constexpr std::uint8_t kFirst = 0;
+constexpr std::uint8_t kSecond = 1;
+
+SuspectTrait Whole(std::uint64_t number) { return {{number, 77}}; }
+
+SuspectTrait SoundFirst(std::uint32_t survived_ms) {
+  return {kFirstPart, kFirst, survived_ms};
+}
+
+}  // namespace
+
+// Guards against a part of prompts that crashes replica after replica in
+// requests of which no two are alike.
+TEST_CASE("a part of prompts that crashes its replicas is quarantined") {
+  CrashTracker tracker;
+  const auto crash = [&tracker](int number, const SuspectTrait& first) {
+    tracker.Crashed({fmt::format("r{}", number),
+                     0,
+                     {Whole(static_cast<std::uint64_t>(number)), first,
+                      SuspectTrait{kBadPart, kSecond}}},
+                    At(100 * number));
+    return tracker.Evaluate(At(100 * number));
+  };
+  SECTION("and the part that all prompts share is not") {
+    SECTION("when that has survived before") {
+      crash(0, SoundFirst(500));
+      crash(1, SoundFirst(600));
+      const auto decisions = crash(2, SoundFirst(700));
+      REQUIRE(decisions.size() == 1);
+      CHECK(decisions.front().trait == kBadPart);
+      CHECK(decisions.front().depth == kSecond);
+      CHECK(decisions.front().rivals == 0);
+    }
+    SECTION("when nothing is known of it") {
+      crash(0, {kFirstPart, kFirst});
+      crash(1, {kFirstPart, kFirst});
+      const auto decisions = crash(2, {kFirstPart, kFirst});
+      REQUIRE(decisions.size() == 1);
+      CHECK(decisions.front().trait == kBadPart);
+    }
+    CHECK(tracker.Evaluate(At(20000)).empty());
+    CHECK_FALSE(tracker.Quarantined(kFirstPart));
+  }
+  SECTION("also when it is the first part") {
+    for (int i = 0; i < 5; ++i) {
+      tracker.Crashed(
+          {fmt::format("r{}", i),
+           0,
+           {Whole(static_cast<std::uint64_t>(i)), {kBadPart, kFirst}}},
+          At(100 * i));
+    }
+    CHECK(tracker.Evaluate(At(2900)).empty());
+    CHECK(Contains(tracker.Evaluate(At(0) + CrashTracker::kSoundDelay),
+                   kBadPart));
+  }
+  SECTION("also when one request with it is repeated first") {
+    for (int i = 0; i < 3; ++i) {
+      tracker.Crashed({fmt::format("a{}", i),
+                       0,
+                       {Whole(5), SoundFirst(500), {kBadPart, kSecond}}},
+                      At(100 * i));
+    }
+    tracker.Evaluate(At(200) + CrashTracker::kTieDelay);
+    CHECK(tracker.Quarantined(Whole(5).id));
+    crash(13, SoundFirst(2000));
+    CHECK(Contains(crash(14, SoundFirst(2100)), kBadPart));
+  }
+  SECTION("beside another such part") {
+    constexpr Fingerprint kOtherBad{9, 3};
+    for (int i = 0; i < 6; ++i) {
+      const Fingerprint& bad = i % 2 == 0 ? kBadPart : kOtherBad;
+      tracker.Crashed({fmt::format("r{}", i),
+                       0,
+                       {Whole(static_cast<std::uint64_t>(i)), SoundFirst(900),
+                        SuspectTrait{bad, kSecond}}},
+                      At(100 * i));
+      tracker.Evaluate(At(100 * i));
+    }
+    CHECK(tracker.Quarantined(kBadPart));
+    CHECK(tracker.Quarantined(kOtherBad));
+    CHECK_FALSE(tracker.Quarantined(kFirstPart));
+  }
+}
+
+// Guards against quarantining what is sound, and against sparing for ever what
+// was sound once.
+TEST_CASE("a survival clears a trait of the crashes before it only") {
+  CrashTracker tracker;
+  const auto crash = [&tracker](int number) {
+    tracker.Crashed({fmt::format("r{}", number), 0, {{kBadPart, kSecond, 100}}},
+                    At(100 * number));
+  };
+  SECTION("three crashes after a survival are not enough") {
+    for (int i = 0; i < 3; ++i) {
+      crash(i);
+    }
+    CHECK(tracker.Evaluate(At(200)).empty());
+    CHECK(tracker.Evaluate(At(9000)).empty());
+  }
+  SECTION("many without a survival between are, after a while") {
+    for (int i = 0; i < static_cast<int>(CrashTracker::kSoundCrashThreshold);
+         ++i) {
+      tracker.Crashed(
+          {fmt::format("r{}", i),
+           0,
+           {{kBadPart, kSecond, static_cast<std::uint32_t>(100 * i + 50)}}},
+          At(100 * i));
+    }
+    CHECK(tracker.Evaluate(At(800)).empty());
+    CHECK(Contains(tracker.Evaluate(At(0) + CrashTracker::kSoundDelay),
+                   kBadPart));
+  }
+  SECTION("a survival between them starts the count anew") {
+    for (int i = 0; i < 40; ++i) {
+      crash(i);
+      if (i % 5 == 4) {
+        tracker.Survived(kBadPart, At(100 * i + 50));
+      }
+      CHECK(tracker.Evaluate(At(100 * i + 60)).empty());
+    }
+  }
+  SECTION("a late report of an early survival lifts nothing") {
+    for (int i = 0; i < 3; ++i) {
+      tracker.Crashed({fmt::format("r{}", i), 0, {{kBadPart, kSecond}}},
+                      At(100 * i));
+    }
+    REQUIRE(Contains(tracker.Evaluate(At(200)), kBadPart));
+    tracker.Survived(kBadPart, At(-100));
+    CHECK(tracker.Quarantined(kBadPart));
+    tracker.Survived(kBadPart, At(300));
+    CHECK_FALSE(tracker.Quarantined(kBadPart));
+  }
+}
+
+// Guards against refusing every prompt of a route because it shares its first
+// part with two culprits, before that part has survived anywhere.
+TEST_CASE("two bad parts do not condemn the first part of their prompts") {
+  constexpr Fingerprint kOtherBad{9, 3};
+  CrashTracker tracker;
+  for (int i = 0; i < 6; ++i) {
+    const Fingerprint& bad = i % 2 == 0 ? kBadPart : kOtherBad;
+    tracker.Crashed({fmt::format("r{}", i),
+                     0,
+                     {Whole(static_cast<std::uint64_t>(i)),
+                      {kFirstPart, kFirst},
+                      {bad, kSecond}}},
+                    At(100 * i));
+    tracker.Evaluate(At(100 * i));
+  }
+  tracker.Evaluate(At(500) + CrashTracker::kTieDelay);
+  CHECK_FALSE(tracker.Quarantined(kFirstPart));
+  CHECK(tracker.Quarantined(kBadPart));
+}
+
+// Guards against a part that turned bad and is never found, because each
+// request with it is found first and explains its crashes.
+TEST_CASE("a part that was sound is found behind requests that are repeated") {
+  CrashTracker tracker;
+  tracker.Survived(kBadPart, At(-60000));
+  tracker.Survived(kFirstPart, At(-500));
+  int crashes = 0;
+  for (std::uint64_t request = 0; request < 20; ++request) {
+    for (int run = 0; run < 3; ++run) {
+      const Time now = At(200 * crashes);
+      tracker.Crashed(
+          {fmt::format("r{}", crashes),
+           0,
+           {Whole(request), {kFirstPart, kFirst}, {kBadPart, kSecond}}},
+          now);
+      ++crashes;
+      tracker.Evaluate(now);
+      tracker.Survived(kFirstPart, now + milliseconds(100));
+    }
+  }
+  CHECK(tracker.Quarantined(kBadPart));
+}
+
+// Guards against refusing a sound request that was broken off three times
+// beside a part that was sound until now.
+TEST_CASE("a sound request beside a part that turned bad goes on") {
+  CrashTracker tracker;
+  tracker.Survived(kBadPart, At(-60000));
+  constexpr std::uint64_t kSound = 500;
+  for (int i = 0; i < 3; ++i) {
+    tracker.Crashed({fmt::format("r{}", i),
+                     0,
+                     {Whole(static_cast<std::uint64_t>(i)),
+                      {kBadPart, kSecond},
+                      Whole(kSound)}},
+                    At(100 * i));
+    tracker.Evaluate(At(100 * i));
+  }
+  CHECK_FALSE(tracker.Quarantined(Whole(kSound).id));
+}
+
+// Guards against blaming what ran beside a culprit once that is let go.
+TEST_CASE("the end of a quarantine condemns nothing else") {
+  CrashTracker tracker;
+  constexpr Fingerprint kRare{9, 4};
+  for (int i = 0; i < 6; ++i) {
+    CrashObservation crash{fmt::format("r{}", i),
+                           0,
+                           {Whole(static_cast<std::uint64_t>(i)),
+                            SuspectTrait{kBadPart, kSecond}}};
+    if (i >= 2) {
+      crash.traits.push_back({kRare, kSecond});
+    }
+    tracker.Crashed(crash, At(100 * i));
+    tracker.Evaluate(At(100 * i));
+  }
+  REQUIRE(tracker.Quarantined(kBadPart));
+  REQUIRE_FALSE(tracker.Quarantined(kRare));
+  tracker.Survived(kBadPart, At(60000));
+  REQUIRE_FALSE(tracker.Quarantined(kBadPart));
+  tracker.Evaluate(At(60100));
+  tracker.Evaluate(At(62000));
+  CHECK_FALSE(tracker.Quarantined(kRare));
+}
+
 }  // namespace papayarack::quarantine
