Survival times stay within their bound also when many are equal

Cause: when the bound is reached, those older than the middle one are dropped; if the older half has the same time, none is, and the map grows with each trait and is sorted for each. Change: drops half also of equal ones. Test: 10,000 traits that survive at the same time; before, none of them was forgotten (0 >= 5904 failed), now it passes, with the other tests of the module.

--- a/src/quarantine/internal/crashtracker.cpp
+++ b/src/quarantine/internal/crashtracker.cpp
@@ -22,7 +22,8 @@
     CrashTracker::kFirstPartCrashThreshold * kWholeCrash;
 constexpr std::uint8_t kFirstPartDepth = 0;
 
-/// Drops the older half, so that the search for the oldest pays off.
+/// Drops the older half, so that the search for the oldest pays off. Of those
+/// at the middle, any.
 void DropOlderHalf(std::map<Fingerprint, Time>& times) {
   std::vector<Time> sorted;
   sorted.reserve(times.size());
@@ -32,8 +33,12 @@
   const auto middle =
       sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
   std::ranges::nth_element(sorted, middle);
-  std::erase_if(times,
-                [middle](const auto& entry) { return entry.second < *middle; });
+  std::size_t left = sorted.size() / 2;
+  std::erase_if(times, [middle = *middle, &left](const auto& entry) {
+    const bool drops = left > 0 && entry.second <= middle;
+    left -= drops ? 1 : 0;
+    return drops;
+  });
 }
 
 }  // namespace
--- a/src/quarantine/tests/partmodel_tests.cpp
+++ b/src/quarantine/tests/partmodel_tests.cpp
@@ -731,6 +731,24 @@
     CHECK(is_known(kMany - CrashTracker::kMaxSurvivals / 2, now));
     CHECK_FALSE(is_known(kMany - CrashTracker::kMaxSurvivals - 1, now));
   }
+  SECTION("when much survives at the same time") {
+    for (std::uint64_t i = 0; i < kMany; ++i) {
+      tracker.Survived(Id(Kind::kMiddle, i), kStart);
+    }
+    // Three crashes put all the others in quarantine.
+    constexpr std::uint64_t kPerCrash = CrashTracker::kMaxTraitsPerCrash;
+    for (std::uint64_t i = 0; i < kMany; ++i) {
+      for (std::uint64_t crash = 0; crash < 3; ++crash) {
+        tracker.Crashed({fmt::format("r{}.{}", i / kPerCrash, crash),
+                         static_cast<std::uint32_t>(300 - 100 * crash),
+                         {{Id(Kind::kMiddle, i), kMiddle}}},
+                        kStart + seconds(1));
+      }
+    }
+    const auto unknown =
+        tracker.Evaluate(kStart + seconds(1) + CrashTracker::kTieDelay);
+    CHECK(unknown.size() >= kMany - CrashTracker::kMaxSurvivals);
+  }
 }
 
 // As above, at length; run by hand.
