Crashes that go through all replicas in a second do not count singly against what was sound

Cause: a trait that survived before is quarantined after 8 crashes without a survival between, 3 s after the first. Change: for such traits crashes closer than 100 ms count once; 50 ms stays for the others.

--- a/src/quarantine/crashtracker.h
+++ b/src/quarantine/crashtracker.h
@@ -104,6 +104,9 @@
   /// Crashes closer together than this count once. A replica streams the first
   /// event of a request after some 25 ms, and crashes later.
   static constexpr std::chrono::milliseconds kSameEventWindow{50};
+  /// The same for a trait that survived before: trouble that goes through all
+  /// replicas leaves no time for a survival between, and is not its fault.
+  static constexpr std::chrono::milliseconds kSoundEventWindow{100};
   /// How long two traits with the same crashes may both still run: the one that
   /// causes them is sent again and crashes another replica, on which the other
   /// is unlikely to run as well.
--- a/src/quarantine/internal/crashtracker.cpp
+++ b/src/quarantine/internal/crashtracker.cpp
@@ -199,12 +199,14 @@
   found.depth = suspect.depth;
   found.survived_before = this->SurvivedBefore(trait);
   found.first = in_order.front().first;
+  const auto same_event =
+      found.survived_before ? kSoundEventWindow : kSameEventWindow;
   std::optional<Time> counted;
   std::map<Fingerprint, std::size_t> explained;  // By culprit, in halves.
   for (auto& [when, replica] : in_order) {
     const std::set<Fingerprint>& culprits = this->crashes.at(replica).culprits;
     found.replicas.push_back(std::move(replica));
-    if (counted.has_value() && when - *counted < kSameEventWindow) {
+    if (counted.has_value() && when - *counted < same_event) {
       continue;
     }
     counted = when;
--- a/src/quarantine/tests/partmodel_tests.cpp
+++ b/src/quarantine/tests/partmodel_tests.cpp
@@ -700,6 +700,13 @@
   PlayAll(SeedsFrom(1, kFewSeeds));
 }
 
+// Guards against refusing most requests after crashes went through all replicas
+// so fast that nothing could survive between.
+TEST_CASE("fast crashes of all replicas leave the shared part alone") {
+  Play("fast waves", {1260, 1433},
+       [](std::uint64_t seed) { return Waves(seed, 1); });
+}
+
 // Guards against memory use that grows without bound.
 TEST_CASE("the tracker keeps a bounded number of suspects and survivals") {
   constexpr std::uint64_t kMany = 10000;
