A first part that never survived is weighed apart from the parts behind it

A first part without a survival now keeps those from being taken that have less than half of its crashes, and is taken itself after five crashes and 2 s, if nothing that shares it explains them.

--- a/src/quarantine/crashtracker.h
+++ b/src/quarantine/crashtracker.h
@@ -91,16 +91,20 @@
 class CrashTracker {
  public:
   static constexpr std::size_t kCrashThreshold = 3;
-  /// Crashes after which a trait that survived before them is quarantined, and
-  /// a first part that never did, once kSoundDelay has passed since the first
-  /// of them: when many replicas are down, nothing survives for a while.
+  /// Crashes after which a trait that survived before them is quarantined, once
+  /// kSoundDelay has passed since the first of them: when many replicas are
+  /// down, nothing survives for a while.
   static constexpr std::size_t kSoundCrashThreshold = 8;
-  static constexpr std::size_t kFirstPartCrashThreshold = 5;
   static constexpr std::chrono::milliseconds kSoundDelay{3000};
-  /// A trait has at least this share of the crashes of any suspect that
-  /// survived before, except first parts. Otherwise it only ran beside what
-  /// caused them.
-  static constexpr std::size_t kMinShare = 3;  ///< One in so many.
+  /// The same for a first part that never survived. Several culprits may share
+  /// it.
+  static constexpr std::size_t kFirstPartCrashThreshold = 5;
+  static constexpr std::chrono::milliseconds kFirstPartDelay{2000};
+  /// A trait that never survived has at least one in so many of the crashes of
+  /// any other suspect that survived before, and of any first part that did
+  /// not. Otherwise it only ran beside what caused them.
+  static constexpr std::size_t kMinShareOfSound = 3;
+  static constexpr std::size_t kMinShareOfFirst = 2;
   /// Crashes closer together than this count once. A replica streams the first
   /// event of a request after some 25 ms, and crashes later.
   static constexpr std::chrono::milliseconds kSameEventWindow{50};
--- a/src/quarantine/internal/crashtracker.cpp
+++ b/src/quarantine/internal/crashtracker.cpp
@@ -266,35 +266,40 @@
 
 std::vector<QuarantineDecision> CrashTracker::Decide(Time now) const {
   std::vector<Evidence> fresh;
-  std::vector<Evidence> sound;  // First parts, and what survived before.
-  std::size_t most_of_sound = 0;
+  std::vector<Evidence> others;
+  std::size_t most_of_sound = 0;  // Without first parts.
+  std::size_t most_of_first = 0;  // Of those that never survived.
   for (Evidence& evidence : this->AllEvidence()) {
     const bool first_part = evidence.depth == kFirstPartDepth;
-    if (evidence.survived_before && !first_part) {
-      most_of_sound = std::max(most_of_sound, evidence.halves);
-    }
-    if (evidence.survived_before || first_part) {
-      sound.push_back(std::move(evidence));
-    } else {
+    if (!evidence.survived_before && !first_part) {
       fresh.push_back(std::move(evidence));
+      continue;
+    }
+    if (!first_part) {
+      most_of_sound = std::max(most_of_sound, evidence.halves);
+    } else if (!evidence.survived_before) {
+      most_of_first = std::max(most_of_first, evidence.halves);
     }
+    others.push_back(std::move(evidence));
   }
-  std::erase_if(fresh, [most_of_sound](const Evidence& evidence) {
+  std::erase_if(fresh, [&](const Evidence& evidence) {
     return evidence.halves < kHalvesThreshold ||
-           kMinShare * evidence.halves < most_of_sound;
+           kMinShareOfSound * evidence.halves < most_of_sound ||
+           kMinShareOfFirst * evidence.halves < most_of_first;
   });
   if (!fresh.empty()) {
     const auto most = std::ranges::max(fresh, {}, &Evidence::halves).halves;
-    const std::size_t rivals_outside = most_of_sound >= most ? 1 : 0;
-    return Strongest(std::move(fresh), rivals_outside, now);
+    const bool rival = std::max(most_of_sound, most_of_first) >= most;
+    return Strongest(std::move(fresh), rival ? 1 : 0, now);
   }
-  std::erase_if(sound, [now](const Evidence& evidence) {
-    const std::size_t threshold = evidence.survived_before
-                                      ? kSoundHalvesThreshold
-                                      : kFirstPartHalvesThreshold;
-    return evidence.halves < threshold || now - evidence.first < kSoundDelay;
+  std::erase_if(others, [now](const Evidence& evidence) {
+    return evidence.survived_before
+               ? evidence.halves < kSoundHalvesThreshold ||
+                     now - evidence.first < kSoundDelay
+               : evidence.halves < kFirstPartHalvesThreshold ||
+                     now - evidence.first < kFirstPartDelay;
   });
-  return Strongest(std::move(sound), 0, now);
+  return Strongest(std::move(others), 0, now);
 }
 
 std::vector<QuarantineDecision> CrashTracker::Evaluate(Time now) {
