--- a/src/batches/batchmessages.h
+++ b/src/batches/batchmessages.h
@@ -75,13 +75,6 @@
   MSGPACK_DEFINE(submitted_before_ms)
 };
 
-/// Drops the bodies of listed items up to the one at this position (see
-/// ListedBodies).
-struct DropListedBodies {
-  std::uint64_t last = 0;
-  MSGPACK_DEFINE(last)
-};
-
 /// One recorded result. Its position in the batch's results never changes.
 struct ItemResult {
   std::string id;
@@ -118,6 +111,11 @@
            std::tie(other.batch, other.item);
   }
 };
+/// Drops the bodies of listed items up to this one (see ListedBodies).
+struct DropListedBodies {
+  ItemRef last;
+  MSGPACK_DEFINE(last)
+};
 /// Output that a run has produced so far, for the engine that continues it.
 struct PartialText {
   std::string text;
--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -205,8 +205,8 @@
   Time next_tasks{};
   Time next_forget{};
   Time next_body_drop{};
-  /// Last body that was there at the previous check; zero: none.
-  ListedBodies::Position old_bodies = 0;
+  /// Item of the newest body at the previous check; empty ids: none.
+  ItemRef last_old_body;
   bool giving_up = false;
   asio::steady_timer read_timer;
   asio::steady_timer timer;
--- a/src/batches/internal/listedbodies.cpp
+++ b/src/batches/internal/listedbodies.cpp
@@ -37,9 +37,14 @@
   }
 }
 
-void ListedBodies::DropUpTo(Position last) {
+void ListedBodies::DropUpTo(const ItemRef& last) {
+  const auto found = this->positions.find(last);
+  if (found == this->positions.end()) {
+    return;
+  }
+  const Position position = found->second;
   while (!this->by_position.empty() &&
-         this->by_position.begin()->first <= last) {
+         this->by_position.begin()->first <= position) {
     this->Drop(this->by_position.begin());
   }
 }
--- a/src/batches/listedbodies.h
+++ b/src/batches/listedbodies.h
@@ -22,21 +22,19 @@
   /// Counted for each body besides its bytes.
   static constexpr std::size_t kEntryBytes = 256;
 
-  /// Position of a body in the order in which they were added, from 1 on.
-  using Position = std::uint64_t;
-
   void Add(const ItemRef& item, std::string body);
   /// The item's body; null if it is not kept. Valid until the next change.
   const std::string* Find(const ItemRef& item) const;
   /// Drops the bodies of a batch.
   void DropBatch(const std::string& batch);
-  /// Drops all bodies up to and including `last`.
-  void DropUpTo(Position last);
-  /// Position of the body that was added last; zero before the first.
-  Position last() const { return this->last_position; }
-  /// Position of the oldest body that is kept; zero if there is none.
-  Position first() const {
-    return this->by_position.empty() ? 0 : this->by_position.begin()->first;
+  /// Drops all bodies up to and including that of `last`; none if that is not
+  /// kept. Named by its item, as members that started from snapshots of an
+  /// earlier release, which have no bodies, count positions from another start.
+  void DropUpTo(const ItemRef& last);
+  /// The item whose body was added last; empty ids if none is kept.
+  ItemRef last() const {
+    return this->by_position.empty() ? ItemRef{}
+                                     : this->by_position.rbegin()->second.item;
   }
   std::size_t Bytes() const { return this->bytes; }
   /// Restores what MSGPACK_DEFINE does not hold. Call after decoding.
@@ -49,6 +47,8 @@
   };
 
  private:
+  /// Order in which bodies were added, on this member.
+  using Position = std::uint64_t;
   using ByPosition = std::map<Position, Kept>;
 
   void Drop(ByPosition::iterator kept);
--- a/src/batches/tests/listedbodies_tests.cpp
+++ b/src/batches/tests/listedbodies_tests.cpp
@@ -51,11 +51,15 @@
     bodies.Add({"c", "0"}, std::string(ListedBodies::kMaxBytes + 1, 'b'));
     CHECK(bodies.Bytes() == 0);
   }
-  SECTION("and dropped up to a position") {
-    bodies.DropUpTo(bodies.last() - 1);
-    CHECK(bodies.first() == bodies.last());
-    bodies.DropUpTo(bodies.last());
-    CHECK(bodies.first() == 0);
+  SECTION("and dropped up to that of an item") {
+    const ItemRef last{"b", std::to_string(kMany - 1)};
+    bodies.DropUpTo({"b", "0"});
+    CHECK(bodies.Bytes() > kBodyBytes);
+    bodies.DropUpTo({"b", std::to_string(kMany - 2)});
+    CHECK(bodies.Bytes() < 2 * kBodyBytes);
+    CHECK(bodies.last() == last);
+    bodies.DropUpTo(last);
+    CHECK(bodies.Find(last) == nullptr);
     CHECK(bodies.Bytes() == 0);
   }
   SECTION("and dropped with their batch") {
@@ -108,4 +112,44 @@
   }
 }
 
+// Guards against a member that restarts from a snapshot of an earlier release
+// and then drops other bodies than the leader, as it counts from another start.
+TEST_CASE("members that were updated at different times drop the same bodies") {
+  storage::MemoryFileSystem leader_files;
+  storage::MemoryFileSystem follower_files;
+  BatchState leader(leader_files);
+  SubmitBatch batch;
+  batch.id = kItem.batch;
+  batch.host = "h";
+  batch.route_key = "h/r/";
+  constexpr int kItems = 6;
+  for (int i = 0; i < kItems; ++i) {
+    batch.items.push_back({std::to_string(i), "/r/1", {}, "body", 100});
+  }
+  leader.Apply(EncodeVariant(BatchCommand(batch)));
+  const auto report = [](int item) {
+    return EncodeVariant(BatchCommand(ReportOutcomes{
+        {{kItem.batch, std::to_string(item),
+          static_cast<std::uint8_t>(ItemEnd::kGivenUp), "", 3}}}));
+  };
+  for (int i = 0; i < 3; ++i) {
+    leader.Apply(report(i));
+  }
+  const std::tuple<const std::unordered_map<std::string, BatchState::Batch>&,
+                   std::uint64_t>
+      earlier(leader.batches(), 0);
+  BatchState follower(follower_files);
+  follower.Load(EncodeMessage(earlier));
+  const auto apply_both = [&](const std::string& command) {
+    leader.Apply(command);
+    follower.Apply(command);
+  };
+  apply_both(report(3));
+  const DropListedBodies drop{leader.listed_bodies().last()};
+  apply_both(report(4));
+  apply_both(EncodeVariant(BatchCommand(drop)));
+  REQUIRE(leader.BodyOf({kItem.batch, "4"}) != nullptr);
+  CHECK(follower.BodyOf({kItem.batch, "4"}) != nullptr);
+}
+
 }  // namespace papayarack::batches
