The body of a batch that is accepted again stays when the earlier one goes

A batch may be accepted again under an id that was forgotten. Dropping the body of the first item of that name erased the place of the second, and a restart brought it back, so members differed. Only a body's own place is erased now, and a forgotten batch takes its bodies with it. The new case failed before.

--- a/src/batches/internal/batchstate.cpp
+++ b/src/batches/internal/batchstate.cpp
@@ -192,9 +192,14 @@
 }
 
 BatchReply BatchState::Execute(const ForgetBatches& command) {
-  std::erase_if(this->all_batches, [&command](const auto& entry) {
-    return entry.second.submitted_ms < command.submitted_before_ms &&
-           !entry.second.Open();
+  std::erase_if(this->all_batches, [this, &command](const auto& entry) {
+    const bool forgotten =
+        entry.second.submitted_ms < command.submitted_before_ms &&
+        !entry.second.Open();
+    if (forgotten) {
+      this->bodies.DropBatch(entry.first);
+    }
+    return forgotten;
   });
   this->texts.DropBefore(this->FirstTextOffset());
   return ReplyWith(ResultCode::kOk);
--- a/src/batches/internal/listedbodies.cpp
+++ b/src/batches/internal/listedbodies.cpp
@@ -51,7 +51,10 @@
 
 void ListedBodies::Drop(ByPosition::iterator kept) {
   this->bytes -= CostOf(kept->second);
-  this->positions.erase(kept->second.item);
+  const auto position = this->positions.find(kept->second.item);
+  if (position != this->positions.end() && position->second == kept->first) {
+    this->positions.erase(position);
+  }
   this->by_position.erase(kept);
 }
 
--- a/src/batches/tests/listedbodies_tests.cpp
+++ b/src/batches/tests/listedbodies_tests.cpp
@@ -152,4 +152,18 @@
   CHECK(follower.BodyOf({kItem.batch, "4"}) != nullptr);
 }
 
+// Guards against a body that is lost with that of an earlier batch of the same
+// name.
+TEST_CASE(
+    "a batch that is accepted again after it was forgotten keeps bodies") {
+  ListedBodies bodies;
+  const ItemRef between{"c", "0"};
+  bodies.Add(kItem, "first");
+  bodies.Add(between, "other");
+  bodies.Add(kItem, "second");
+  bodies.DropUpTo(between);
+  REQUIRE(bodies.Find(kItem) != nullptr);
+  CHECK(*bodies.Find(kItem) == "second");
+}
+
 }  // namespace papayarack::batches
