Tests of items that a store must not lease

An item that SetQuarantine names is not leased while others of its batch are; it stays accepted, counts as waiting, gives out its body, and is leased once the filter is lifted. A holder is not told to stop it; once returned it waits. A new leader applies the filter before its first lease.

--- a/src/batches/tests/storemember.h
+++ b/src/batches/tests/storemember.h
@@ -67,6 +67,10 @@
   void SetRoutes(routes::RouteTablePtr table) {
     this->store->OnRoutes(std::move(table));
   }
+  void SetQuarantine(BatchStore::ItemFilter must_not_run) {
+    this->store->SetQuarantine(std::move(must_not_run));
+  }
+  void TransferLeadership() { this->store->TransferLeadership(); }
 
   void Run(std::chrono::milliseconds time) {
     this->context.run_for(time);
