--- a/src/batches/tests/quarantineditems_tests.cpp
+++ b/src/batches/tests/quarantineditems_tests.cpp
@@ -155,4 +155,29 @@
   }
 }
 
+// Guards against a leader that is busy with the traits of all its items at each
+// of the many updates from the coordination group.
+TEST_CASE("routes that did not change cost no look at the items") {
+  StorePair pair;
+  const routes::RouteTablePtr table = MakeBatchTable();
+  for (StoreMember& member : pair.Members()) {
+    member.SetRoutes(table);
+  }
+  StoreMember& leader = pair.Leader();
+  Gate gate(pair, leader);
+  REQUIRE(gate.Ask("/jobs/submit", MakeBatch(kBatch)).code == 0);
+  pair.RunAll(kObserved);
+  std::size_t looks = 0;
+  leader.SetQuarantine(
+      [&looks](const std::string&, const ItemSpec&, const std::string&) {
+        ++looks;
+        return false;
+      });
+  CHECK(looks == 2);
+  leader.SetRoutes(table);
+  CHECK(looks == 2);
+  leader.SetRoutes(MakeBatchTable());
+  CHECK(looks == 4);
+}
+
 }  // namespace papayarack::batches
