--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -155,9 +155,10 @@
   this->StartGroup();
 }
 
+/// Called at each answer of the coordination group, mostly with the same table.
 void BatchStore::OnRoutes(routes::RouteTablePtr newer) {
   if (newer == this->table) {
-    return;
+    return;  // Spares a look at every item.
   }
   this->table = std::move(newer);
   this->ReassignLeases();
@@ -239,7 +240,7 @@
   this->led_term = this->group->term();
   this->giving_up = false;
   this->next_body_drop = now + this->options.body_drop_interval;
-  this->last_old_body = {};
+  this->old_bodies = 0;
   this->leases.Reset(now);
   for (const ItemRef& item : this->batch_state.WaitingItems()) {
     this->SyncLease(item, now);
@@ -807,12 +808,12 @@
   }
   this->next_body_drop = now + this->options.body_drop_interval;
   const ListedBodies& bodies = this->batch_state.listed_bodies();
-  if (bodies.Find(this->last_old_body) != nullptr) {
+  if (bodies.first() != 0 && bodies.first() <= this->old_bodies) {
     this->group->Propose(
-        EncodeVariant(BatchCommand(DropListedBodies{this->last_old_body})),
+        EncodeVariant(BatchCommand(DropListedBodies{this->old_bodies})),
         [](const Result&, const std::string&) {});
   }
-  this->last_old_body = bodies.last();
+  this->old_bodies = bodies.last();
 }
 
 }  // namespace papayarack::batches
