Tests of quarantined items at a gate, and of items that were not sent (fail)

A gate that holds a quarantined item returns it at once, so that a leader that has no list yet leases it again: 16 leases of one item in 2 s. An item sent to a port that refuses it is reported as the cause of a crash: after four to eight replicas it is quarantined itself.

--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
@@ -29,16 +30,28 @@
 /// An engine that answers each item with one event.
 class Engine {
  public:
-  explicit Engine(asio::io_context& context)
-      : server(context, {"127.0.0.1", 0}, {}, this->Handlers()) {}
+  explicit Engine(asio::io_context& context) : context(context) {
+    this->Start();
+    this->port = this->server->port();
+  }
 
   std::string Address() const {
-    return "127.0.0.1:" + std::to_string(this->server.port());
+    return "127.0.0.1:" + std::to_string(this->port);
+  }
+
+  /// Breaks off all answers and refuses connections.
+  void Crash() { this->server.reset(); }
+  /// Starts, again at the same port.
+  void Start() {
+    this->server = std::make_unique<http::HttpServer>(
+        this->context, Endpoint{"127.0.0.1", this->port},
+        http::HttpServerLimits{}, this->Handlers());
   }
 
   std::string text = "made";  ///< Text of the event.
   bool ends = true;           ///< Whether the answer ends after it.
   std::size_t asked = 0;
+  std::vector<std::string> paths;  ///< Of all requests.
 
  private:
   http::HttpServerHandlers Handlers() {
@@ -46,19 +59,22 @@
     handlers.on_request = [this](http::ExchangeId exchange,
                                  const http::HttpRequest& request) {
       ++this->asked;
-      this->server.BeginStream(
+      this->paths.emplace_back(request.Path());
+      this->server->BeginStream(
           exchange, 200,
           http::Headers{{"Id", std::string(request.headers.Get("Id"))}});
-      this->server.Write(exchange, "id: 1\ndata: " + this->text + "\n\n");
+      this->server->Write(exchange, "id: 1\ndata: " + this->text + "\n\n");
       if (this->ends) {
-        this->server.EndStream(exchange);
+        this->server->EndStream(exchange);
       }
     };
     handlers.on_gone = [](http::ExchangeId) {};
     return handlers;
   }
 
-  http::HttpServer server;
+  asio::io_context& context;
+  std::uint16_t port = 0;
+  std::unique_ptr<http::HttpServer> server;
 };
 
 /// Stand-in for the job group's leader; the test gives the answers.
@@ -167,6 +183,13 @@
   return item;
 }
 
+/// An item whose prompt has a part besides its own.
+batches::LeasedItem WithPart(batches::LeasedItem item,
+                             const std::string& part) {
+  item.spec.headers = {{"Parts", part}};
+  return item;
+}
+
 coordination::LeaderSearch SearchAmong(const std::string& member) {
   coordination::LeaderSearch search;
   search.SetMembers({member});
@@ -194,6 +217,24 @@
   void RunFor(milliseconds time) {
     this->RunUntil([] { return false; }, time);
   }
+  /// Puts the part in quarantine.
+  void Quarantine(const std::string& part) {
+    constexpr std::uint64_t kCrashes = 3;
+    const std::vector<std::string> parts = {part, "last"};
+    const std::vector<quarantine::Trait> traits = {
+        quarantine::TraitsOf({"", "", "", ""}, "llm", parts).back()};
+    for (std::uint64_t i = 0; i < kCrashes; ++i) {
+      asio::ip::tcp::acceptor closed(this->context,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+      const std::string address =
+          "127.0.0.1:" + std::to_string(closed.local_endpoint().port());
+      closed.close();
+      this->crash_detector.ConnectionBroke(
+          {"r", traits, {address, "gone", i}, {}});
+      this->RunFor(milliseconds(70));
+    }
+    REQUIRE(this->crash_detector.FindQuarantined(traits) != nullptr);
+  }
   /// Fills `count` slots with online requests.
   void Occupy(std::uint32_t count) {
     for (std::uint32_t i = 0; i < count; ++i) {
@@ -219,11 +260,16 @@
   slots::SlotAllocator allocator;
   Dialect dialect = MakeBatchDialect();
   slots::TicketId last_ticket = 0;
+  coordination::FleetWatch fleet{
+      this->context, this->peers, {}, {}, [](const coordination::FleetChange&) {
+      }};
+  CrashDetector crash_detector{this->context, this->fleet};
   BatchRunner runner{{"g", 1, "llm", this->engine.Address()},
                      this->dialect,
                      this->client,
                      this->jobs,
-                     this->allocator};
+                     this->allocator,
+                     &this->crash_detector};
 };
 
 }  // namespace
@@ -596,49 +642,83 @@
   }
 }
 
-// Guards against items that are refused as culprits because their engine was
-// away each time that they were to run: they never reached it.
-TEST_CASE("an item that was not sent is no suspect in the end of its engine") {
-  asio::io_context context;
-  const std::string closed = [&context] {
-    asio::ip::tcp::acceptor port(context,
-                                 {asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(port.local_endpoint().port());
-  }();
-  Leader leader(context);
-  transport::PeerClient peers(context);
-  coordination::LeaderSearch job_search = SearchAmong(leader.Address());
-  coordination::GroupClient jobs(context, peers, job_search);
-  http::HttpClient client(context);
-  slots::SlotAllocator allocator;
-  Dialect dialect = MakeBatchDialect();
-  dialect.read_call = [](const http::Headers&) { return CallFields{}; };
-  coordination::FleetWatch fleet(context, peers, {}, {},
-                                 [](const coordination::FleetChange&) {});
-  CrashDetector crashes(context, fleet);
-  BatchRunner runner({"g", 1, "llm", closed}, dialect, client, jobs, allocator,
-                     &crashes);
-  allocator.SetSlots(1);
-  runner.SetRoutes(MakeBatchTable());
-  const batches::LeasedItem item = MakeItem("1", kAmpleTime);
-  leader.on_pull = [&](Leader::Pull& pull) {
-    if (leader.pulls.size() == 1) {
-      leader.Answer(pull, {{item}, {}});
+// Guards against a gate that runs an item on which replicas are known to crash,
+// and against one that takes it and returns it many times a second while the
+// leader does not know of the quarantine.
+TEST_CASE("a gate returns a quarantined item instead of running it") {
+  constexpr milliseconds kObserved{2000};
+  constexpr std::size_t kMaxLeases = 5;
+  RunnerFixture fixture(4);
+  std::size_t leases = 0;
+  std::size_t returns = 0;
+  const auto bad = WithPart(MakeItem("bad", kAmpleTime), "p");
+  const auto sound = WithPart(MakeItem("sound", kAmpleTime), "q");
+  bool leasing = false;
+  bool sound_leased = false;
+  fixture.leader.on_pull = [&](Leader::Pull& pull) {
+    batches::PulledItems items;
+    returns += pull.asked.returned.size();
+    const bool holds_bad =
+        std::ranges::find(pull.asked.holding, batches::ItemRef{"b", "bad"}) !=
+        pull.asked.holding.end();
+    if (leasing && !holds_bad && pull.asked.room > 0) {
+      items.items.push_back(bad);
+      ++leases;
+      if (!std::exchange(sound_leased, true)) {
+        items.items.push_back(sound);
+      }
+    }
+    const bool returns_any = !pull.asked.returned.empty();
+    if (!items.items.empty() || returns_any) {
+      fixture.leader.Answer(pull, items);
     }
   };
-  constexpr int kStarts = 4;
-  constexpr milliseconds kBetweenStarts(1200);
-  for (int start = 0; start < kStarts; ++start) {
-    runner.SetEngine({"e" + std::to_string(start), {"llm", "v1"}});
-    const Time until = MonotonicNow() + kBetweenStarts;
-    while (MonotonicNow() < until) {
-      context.run_for(kTick);
-      context.restart();
-      runner.Tick();
+
+  SECTION("and does not take it again and again") {
+    fixture.Quarantine("p");
+    leasing = true;
+    fixture.RunFor(kObserved);
+    CHECK(fixture.engine.paths == std::vector<std::string>{"/r/sound"});
+    CHECK(returns > 0);
+    CHECK(leases <= kMaxLeases);
+  }
+  SECTION("but lets one that runs already go on to its end") {
+    fixture.engine.ends = false;
+    leasing = true;
+    REQUIRE(fixture.RunUntil([&] { return fixture.engine.asked == 2; }));
+    fixture.Quarantine("p");
+    CHECK(fixture.runner.HeldCount() == 2);
+    CHECK(returns == 0);
+    SECTION("and does not begin it again after its run broke") {
+      fixture.engine.Crash();
+      fixture.RunFor(milliseconds(100));
+      fixture.engine.Start();
+      fixture.engine.paths.clear();
+      REQUIRE(fixture.RunUntil([&] { return returns > 0; }));
+      fixture.RunFor(milliseconds(300));
+      CHECK(std::ranges::count(fixture.engine.paths, "/r/bad") == 0);
+    }
+  }
+}
+
+// Guards against taking for the cause of a crash an item that waited while its
+// replica was down: it is sent again and again to a port that refuses it.
+TEST_CASE("an item that was not sent is not blamed for a crash") {
+  constexpr int kReplicas = 8;
+  RunnerFixture fixture(1);
+  const auto item = WithPart(MakeItem("1", kAmpleTime), "p");
+  fixture.leader.on_pull = [&](Leader::Pull& pull) {
+    if (fixture.leader.pulls.size() == 1) {
+      fixture.leader.Answer(pull, {{item}, {}});
     }
+  };
+  fixture.engine.Crash();
+  for (int i = 0; i < kReplicas; ++i) {
+    fixture.runner.SetEngine({"e" + std::to_string(i), {"llm", "v1"}});
+    fixture.RunFor(milliseconds(400));
   }
-  const auto traits = TraitsOfItem(dialect, item.host, item.spec, "llm");
-  CHECK(crashes.FindQuarantined(traits) == nullptr);
+  CHECK(fixture.crash_detector.FindQuarantined(TraitsOfItem(
+            fixture.dialect, item.host, item.spec, "llm")) == nullptr);
 }
 
 }  // namespace papayarack::nodes
