--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -721,4 +721,32 @@
             fixture.dialect, item.host, item.spec, "llm")) == nullptr);
 }
 
+// Guards against missing crashes of a replica that restarts under the same id:
+// all of them counted as one.
+TEST_CASE("each start of a replica that crashes under an item counts") {
+  constexpr std::uint64_t kMaxCrashes = 8;
+  RunnerFixture fixture(1);
+  fixture.engine.ends = false;
+  const auto item = WithPart(MakeItem("1", kAmpleTime), "p");
+  fixture.leader.on_pull = [&](Leader::Pull& pull) {
+    if (fixture.leader.pulls.size() == 1) {
+      fixture.leader.Answer(pull, {{item}, {}});
+    }
+  };
+  const auto traits =
+      TraitsOfItem(fixture.dialect, item.host, item.spec, "llm");
+  const auto found = [&] {
+    return fixture.crash_detector.FindQuarantined(traits) != nullptr;
+  };
+  for (std::uint64_t i = 1; i <= kMaxCrashes && !found(); ++i) {
+    fixture.runner.SetEngine({"e", {"llm", std::to_string(i)}, i});
+    REQUIRE(fixture.RunUntil([&] { return fixture.engine.asked == i; }));
+    fixture.RunFor(milliseconds(100));
+    fixture.engine.Crash();
+    fixture.RunFor(milliseconds(500));
+    fixture.engine.Start();
+  }
+  CHECK(found());
+}
+
 }  // namespace papayarack::nodes
