One part is blamed before the several requests that share it

Of traits with equally many crashes the deepest were quarantined, after the second's wait for a tie. With batch items these are all the items that ran, bad and sound, and the part went free. Where three or more requests tie with a single part at the next depth, that part is taken.

--- a/src/quarantine/crashtracker.h
+++ b/src/quarantine/crashtracker.h
@@ -84,7 +84,8 @@
 ///   before first parts;
 /// - of traits that share their crashes the one with the most is quarantined,
 ///   and of those with equally many the deepest, which the fewest requests
-///   share; the crashes that one culprit explains count as one for the others;
+///   share, unless these are several requests with one part in common; the
+///   crashes that one culprit explains count as one for the others;
 /// - replicas that crash at the same time count once: a culprit crashes them
 ///   one after the other.
 /// Does no I/O. Thread safety: none.
@@ -190,6 +191,8 @@
   /// The traits to quarantine next; all the others are to be weighed anew
   /// afterwards.
   std::vector<QuarantineDecision> Decide(Time now) const;
+  /// Depth of those to quarantine, of traits with equally many crashes.
+  static std::uint8_t DecisiveDepth(const std::vector<Evidence>& tied);
   /// Those with the most crashes, and of these the deepest; none while others
   /// have as many and may still turn out to be sound.
   static std::vector<QuarantineDecision> Strongest(
--- a/src/quarantine/internal/crashtracker.cpp
+++ b/src/quarantine/internal/crashtracker.cpp
@@ -235,6 +235,29 @@
   return all;
 }
 
+/// The deepest, which the fewest requests share. But where several requests tie
+/// with a single part at the next depth, one culprit is likelier than several.
+std::uint8_t CrashTracker::DecisiveDepth(const std::vector<Evidence>& tied) {
+  constexpr std::size_t kMinRequests = 3;
+  const auto at = [&tied](std::uint8_t depth) {
+    return static_cast<std::size_t>(
+        std::ranges::count(tied, depth, &Evidence::depth));
+  };
+  std::optional<std::uint8_t> deepest_part;
+  for (const Evidence& evidence : tied) {
+    if (evidence.depth != kWholeRequestDepth) {
+      deepest_part = std::max(deepest_part.value_or(0), evidence.depth);
+    }
+  }
+  const std::size_t requests = at(kWholeRequestDepth);
+  const bool is_shared = deepest_part.has_value() && at(*deepest_part) == 1 &&
+                         requests >= kMinRequests;
+  if (requests > 0 && !is_shared) {
+    return kWholeRequestDepth;
+  }
+  return deepest_part.value_or(kWholeRequestDepth);
+}
+
 std::vector<QuarantineDecision> CrashTracker::Strongest(
     std::vector<Evidence> candidates, std::size_t rivals_outside, Time now) {
   if (candidates.empty()) {
@@ -253,10 +276,10 @@
   if (candidates.empty()) {
     return {};
   }
-  const auto deepest = std::ranges::max(candidates, {}, &Evidence::depth).depth;
+  const std::uint8_t depth = DecisiveDepth(candidates);
   std::vector<QuarantineDecision> decisions;
   for (Evidence& evidence : candidates) {
-    if (evidence.depth == deepest) {
+    if (evidence.depth == depth) {
       decisions.push_back({evidence.trait, evidence.depth,
                            std::move(evidence.replicas), rivals});
     }
