Tests of responses that their server cuts or never gives (fail)

Three faults, 5 failures in http_tests: a response that its client reads slowly is cut (close asked for, server leaving, idle timeout lowered by new limits); a response with unsent bytes does not count as open, so that a process may end before it is sent; a client that was told that its connection stays open sends its next request while the server leaves, and the server reads and discards it.

--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -139,6 +139,47 @@
   }
 };
 
+/// A server whose requests the test answers; `open` is the last one.
+struct HeldServer {
+  explicit HeldServer(asio::io_context& context) {
+    HttpServerHandlers handlers;
+    handlers.on_request = [this](ExchangeId exchange, const HttpRequest&) {
+      this->open = exchange;
+    };
+    handlers.on_gone = [](ExchangeId) {};
+    this->server =
+        std::make_unique<HttpServer>(context, kAnyPort, limits, handlers);
+  }
+  HttpServerLimits limits;
+  std::unique_ptr<HttpServer> server;
+  ExchangeId open = 0;
+};
+
+/// Reads a response of `whole` bytes only after `pause`; false if it is cut.
+bool ReadAfterPause(asio::io_context& context, tcp::socket& socket,
+                    std::chrono::milliseconds pause, std::size_t whole) {
+  context.run_for(pause);
+  context.restart();
+  std::size_t received = 0;
+  bool ended = false;
+  std::vector<char> chunk(64U << 10U);
+  std::function<void()> read = [&] {
+    socket.async_read_some(asio::buffer(chunk),
+                           [&](std::error_code error, std::size_t length) {
+                             received += length;
+                             ended = static_cast<bool>(error);
+                             if (!ended) {
+                               read();
+                             }
+                           });
+  };
+  read();
+  RunUntil(context, [&] { return ended || received >= whole; });
+  socket.close();
+  RunUntil(context, [&] { return ended; });
+  return received >= whole;
+}
+
 }  // namespace
 
 TEST_CASE("the server accepts requests regardless of how they are split") {
@@ -232,6 +273,84 @@
   }
 }
 
+// Guards against a response that is cut because its client reads it slowly: the
+// time to wait for the client's close runs while bytes are still unsent.
+TEST_CASE("a large response to a slow reader arrives whole") {
+  constexpr std::size_t kLarge = 32U << 20U;
+  asio::io_context context;
+  HeldServer held(context);
+  tcp::socket socket(context);
+  socket.connect({asio::ip::make_address("127.0.0.1"), held.server->port()});
+  std::string request = "GET / HTTP/1.1\r\nHost: h\r\n";
+  SECTION("which asked to close the connection") {
+    request += "Connection: close\r\n";
+  }
+  SECTION("while the server leaves") { held.server->BeginLeave(); }
+  SECTION("when idle connections are closed sooner by new limits") {
+    held.limits.idle_timeout = std::chrono::milliseconds(500);
+    held.server->SetLimits(held.limits);
+  }
+  asio::write(socket, asio::buffer(request + "\r\n"));
+  REQUIRE(RunUntil(context, [&] { return held.open != 0; }));
+  HttpResponse response;
+  response.body.assign(kLarge, 'x');
+  held.server->Respond(held.open, response);
+  CHECK(
+      ReadAfterPause(context, socket, std::chrono::milliseconds(1600), kLarge));
+}
+
+// Guards against a process that ends, having drained, before it has sent a
+// response whose last bytes wait for a slow client.
+TEST_CASE("a request counts as open until its response is sent") {
+  asio::io_context context;
+  HeldServer held(context);
+  tcp::socket socket(context);
+  socket.connect({asio::ip::make_address("127.0.0.1"), held.server->port()});
+  asio::write(
+      socket,
+      asio::buffer(std::string_view("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  REQUIRE(RunUntil(context, [&] { return held.open != 0; }));
+  HttpResponse response;
+  response.body.assign(32U << 20U, 'x');
+  held.server->Respond(held.open, response);
+  context.run_for(std::chrono::milliseconds(50));
+  context.restart();
+  CHECK(held.server->OpenExchanges() == 1);
+  std::vector<char> all(response.body.size());
+  asio::async_read(socket, asio::buffer(all),
+                   [](std::error_code, std::size_t) {});
+  CHECK(RunUntil(context, [&] { return held.server->OpenExchanges() == 0; }));
+}
+
+// Guards against a request that is read and never answered: its client was told
+// that the connection stays open, and the server leaves meanwhile.
+TEST_CASE("a kept connection serves its next request while the server leaves") {
+  asio::io_context context;
+  HeldServer held(context);
+  RawCaller caller(context, held.server->port());
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(context, [&] { return held.open != 0; }));
+  const ExchangeId first = held.open;
+  held.server->BeginStream(first, 200, {});
+  held.server->Write(first, "part");
+  REQUIRE(RunUntil(context, [&] {
+    return caller.received.find("part") != std::string::npos;
+  }));
+  REQUIRE(caller.received.find("Keep-Alive: timeout=") != std::string::npos);
+  held.server->BeginLeave();
+  held.server->EndStream(first);
+  caller.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(
+      RunUntil(context, [&] { return held.open != first || caller.ended; }));
+  REQUIRE(held.open != first);
+  HttpResponse response;
+  response.body = "second";
+  held.server->Respond(held.open, response);
+  CHECK(RunUntil(context, [&] { return caller.ended; }));
+  CHECK(caller.received.ends_with("second"));
+  CHECK(caller.received.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("the client reports how a call ended") {
   asio::io_context context;
   HttpClient client(context);
