A response is not cut while its client still reads it

Cause: the wait for the client's close began when a response was queued, not when it was sent, so that after 1 s a response with "Connection: close" (each one of a server that leaves) was cut; the same after the idle timeout on kept connections, at once when new limits lowered it. Change: the waits begin at the last byte that the client took; a client that takes nothing for 15 s is closed.

--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <unordered_map>
@@ -25,6 +26,10 @@
 /// How long to wait for a refused client to close the connection: closing with
 /// unread bytes resets it, and the client would not receive the response.
 constexpr std::chrono::milliseconds kLinger{1000};
+/// How long a client may take nothing of a response that is complete but not
+/// sent; independent of the limits, which may change meanwhile.
+constexpr std::chrono::milliseconds kWriteStall{15000};
+constexpr std::size_t kWriteChunk = 64U << 10U;
 
 }  // namespace
 
@@ -66,7 +71,12 @@
     bool chunked = false;
     bool keep_alive = false;
     bool close_after_write = false;
-    Time since{};  ///< Start of the wait that a timeout limits.
+    Time since{};         ///< Start of the wait that a timeout limits.
+    Time last_written{};  ///< When the client last took bytes.
+
+    bool AllSent() const {
+      return !this->write_under_way && this->outgoing.empty();
+    }
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -245,6 +255,10 @@
     connection->writing = std::exchange(connection->outgoing, {});
     asio::async_write(
         connection->socket, asio::buffer(connection->writing),
+        [connection](std::error_code error, std::size_t) {
+          connection->last_written = MonotonicNow();
+          return error ? 0 : kWriteChunk;
+        },
         [this, connection, alive = this->alive](std::error_code error,
                                                 std::size_t) {
           if (!*alive) {
@@ -261,8 +275,8 @@
   }
 
   void ShutdownAfterWrites(const ConnectionPtr& connection) {
-    if (connection->close_after_write && !connection->write_under_way &&
-        connection->outgoing.empty() && connection->socket.is_open()) {
+    if (connection->close_after_write && connection->AllSent() &&
+        connection->socket.is_open()) {
       std::error_code ignored;
       connection->socket.shutdown(asio::ip::tcp::socket::shutdown_send,
                                   ignored);
@@ -340,10 +354,15 @@
     });
   }
 
-  bool Expired(const Connection& connection, Duration waited) const {
+  bool Expired(const Connection& connection, Time now) const {
     if (connection.phase == Phase::kServing) {
       return false;
     }
+    if (!connection.AllSent()) {
+      return now - connection.last_written > kWriteStall;
+    }
+    const Duration waited =
+        now - std::max(connection.since, connection.last_written);
     if (connection.phase == Phase::kLingering) {
       return waited > kLinger;
     }
@@ -360,7 +379,7 @@
     const Time now = MonotonicNow();
     std::vector<ConnectionId> expired;
     for (const auto& [id, connection] : this->connections) {
-      if (this->Expired(*connection, now - connection->since)) {
+      if (this->Expired(*connection, now)) {
         expired.push_back(id);
       }
     }
