A response that is not yet sent counts as an open request

Cause: an exchange ended when its response was queued, so an entry that leaves was drained, and ended, with bytes of responses still unsent. Change: connections with unsent bytes of a complete response count too; the end of the grace time still bounds the wait.

--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -93,7 +93,8 @@
   void BeginLeave();
   /// Accepts no further connections; open ones continue.
   void StopAccepting();
-  /// Number of requests being answered.
+  /// Number of requests being answered, with those whose response is complete
+  /// but not sent.
   std::size_t OpenExchanges() const;
   std::uint16_t port() const;
 
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -504,7 +504,13 @@
 }
 
 std::size_t HttpServer::OpenExchanges() const {
-  return this->impl->exchanges.size();
+  const auto unsent =
+      std::ranges::count_if(this->impl->connections, [](const auto& entry) {
+        const Impl::Connection& connection = *entry.second;
+        return connection.phase != Impl::Phase::kServing &&
+               !connection.AllSent();
+      });
+  return this->impl->exchanges.size() + static_cast<std::size_t>(unsent);
 }
 
 std::uint16_t HttpServer::port() const {
