A leaving server answers a request that it let a client send

Cause: a stream whose head said Keep-Alive was followed by the end of its connection if the server began to leave meanwhile; the next request of that client was read and discarded.

--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -87,8 +87,9 @@
   std::size_t Unsent(ExchangeId exchange) const;
 
   void SetLimits(const HttpServerLimits& limits);
-  /// Closes idle connections, and every other connection after its response.
-  /// New connections are still accepted, as the load balancer notices the
+  /// Closes idle connections, and every other connection after its response,
+  /// or after a time without a request if the response announced that it is
+  /// kept. New connections are still accepted, as the load balancer notices the
   /// shutdown late.
   void BeginLeave();
   /// Accepts no further connections; open ones continue.
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -70,6 +70,7 @@
     ExchangeId exchange = 0;
     bool chunked = false;
     bool keep_alive = false;
+    bool head_begun = false;  ///< The head says whether it is kept alive.
     bool close_after_write = false;
     Time since{};         ///< Start of the wait that a timeout limits.
     Time last_written{};  ///< When the client last took bytes.
@@ -212,6 +213,7 @@
   void Deliver(ConnectionId id, const ConnectionPtr& connection) {
     connection->phase = Phase::kServing;
     connection->keep_alive = connection->parser.KeepAlive() && !this->leaving;
+    connection->head_begun = false;
     connection->exchange = ++this->last_exchange;
     this->exchanges[connection->exchange] = id;
     HttpRequest request;
@@ -444,6 +446,7 @@
   // The head is sent with the first bytes of the body: one write instead of
   // two.
   connection->outgoing += head;
+  connection->head_begun = true;
 }
 
 void HttpServer::Write(ExchangeId exchange, std::string_view bytes) {
@@ -494,7 +497,9 @@
 void HttpServer::BeginLeave() {
   this->impl->leaving = true;
   for (auto& [id, connection] : this->impl->connections) {
-    connection->keep_alive = false;
+    // A client that was told that its connection is kept may send the next
+    // request at once, which is answered.
+    connection->keep_alive = connection->keep_alive && connection->head_begun;
   }
 }
 
