A loop that stood still counts as no silence of an engine

Cause: the relay's check runs 25 ms after the last one, or right after whatever kept the loop; what engines sent meanwhile is then still unread beyond the first reads, and calls count as silent (0.7 or 0.9 s, gates sooner). All streams of an entry were begun anew at once; those that found no slot were cut. Change: a check that comes 100 ms late or more adds its delay to the time of the last sign of life of each call, and leaves out one check, so that what arrived is read first; never two in a row, as deadlines hold.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -14,6 +14,8 @@
 
 /// Interval of checking timeouts.
 constexpr std::chrono::milliseconds kSweep{25};
+/// A check later than this means that the loop stood still.
+constexpr std::chrono::milliseconds kStoodStill{100};
 /// A repeatable request is sent to another engine after a silence this long:
 /// many times what an engine with a free slot takes to its first event.
 constexpr std::chrono::milliseconds kMaxFirstEventSilence{700};
@@ -255,6 +257,7 @@
   const std::uint64_t attempt = ++call.attempt;
   call.phase = Phase::kAsking;
   call.sent = MonotonicNow();
+  call.last_heard = call.sent;
   AcquireSlot ask;
   ask.request = call.fields.id;
   ask.engine_id = call.engine.id;
@@ -772,23 +775,46 @@
 }
 
 void OnlineRelay::Sweep() {
+  const Time due = MonotonicNow() + kSweep;
   this->sweep.expires_after(kSweep);
-  this->sweep.async_wait([this, alive = this->alive](std::error_code error) {
-    if (error || !*alive) {
-      return;
-    }
-    this->stream_origins.Tick();
-    const Time now = MonotonicNow();
-    std::vector<CallId> ids;
-    ids.reserve(this->calls.size());
-    for (const auto& [id, call] : this->calls) {
-      ids.push_back(id);
-    }
-    for (const CallId id : ids) {
-      this->Check(id, now);
-    }
-    this->Sweep();
-  });
+  this->sweep.async_wait(
+      [this, due, alive = this->alive](std::error_code error) {
+        if (error || !*alive) {
+          return;
+        }
+        this->stream_origins.Tick();
+        const Time now = MonotonicNow();
+        const bool stood_still = now - due > kStoodStill;
+        if (stood_still) {
+          this->ExcuseSilence(now - due, now);
+        }
+        // What arrived meanwhile is read first, but two checks in a row are not
+        // left out: deadlines hold on a loop that is always late.
+        if (!stood_still || std::exchange(this->check_left_out, true)) {
+          this->check_left_out = false;
+          this->CheckAll(now);
+        }
+        this->Sweep();
+      });
+}
+
+/// While the loop stood still, nobody was listening: that time is no silence of
+/// an engine or a gate.
+void OnlineRelay::ExcuseSilence(Duration time, Time now) {
+  for (auto& [id, call] : this->calls) {
+    call.last_heard = std::min<Time>(call.last_heard + time, now);
+  }
+}
+
+void OnlineRelay::CheckAll(Time now) {
+  std::vector<CallId> ids;
+  ids.reserve(this->calls.size());
+  for (const auto& [id, call] : this->calls) {
+    ids.push_back(id);
+  }
+  for (const CallId id : ids) {
+    this->Check(id, now);
+  }
 }
 
 void OnlineRelay::Check(CallId id, Time now) {
@@ -806,7 +832,7 @@
     return;
   }
   if (call.phase != Phase::kRunning) {
-    if (call.slot != 0 && call.search->AskTimedOut(now - call.sent)) {
+    if (call.slot != 0 && call.search->AskTimedOut(now - call.last_heard)) {
       this->peers.Cancel(call.slot);
       this->OnAskFailed(id, call.attempt);
     }
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -146,6 +146,8 @@
   void Fail(CallId id, int status, const char* reason);
   void Finish(CallId id, const char* outcome, int status);
   void Sweep();
+  void ExcuseSilence(Duration time, Time now);
+  void CheckAll(Time now);
   void Check(CallId id, Time now);
   std::chrono::milliseconds WaitBudget(const Call& call) const;
   double RetryAfterSeconds(const Call& call);
@@ -166,6 +168,7 @@
   CallId last_call = 0;
   Time engines_seen{};
   asio::steady_timer sweep;
+  bool check_left_out = false;  ///< The last one, as the loop stood still.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
