--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -351,6 +351,45 @@
   CHECK(caller.received.find("Connection: close") != std::string::npos);
 }
 
+// Guards against new clients that are turned away while connections that nobody
+// uses hold all places, and against closing one with a request under way.
+TEST_CASE("at the limit of connections the longest idle one makes room") {
+  asio::io_context context;
+  HttpServerLimits limits;
+  limits.max_connections = 3;
+  EchoServer echo(context, limits);
+  const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  RawCaller begun(context, echo.server->port());
+  RawCaller idle(context, echo.server->port());
+  RawCaller used(context, echo.server->port());
+  begun.Send(request.substr(0, 10));
+  idle.Send(request);
+  used.Send(request);
+  REQUIRE(RunUntil(context, [&] { return echo.requests == 2; }));
+  SECTION("not one that was used a moment ago") {
+    RawCaller late(context, echo.server->port());
+    CHECK(RunUntil(context, [&] { return late.ended; }));
+    CHECK_FALSE(idle.ended);
+    CHECK_FALSE(used.ended);
+  }
+  SECTION("one after the other, and never one with a request under way") {
+    context.run_for(std::chrono::milliseconds(1200));
+    context.restart();
+    used.Send(request);
+    REQUIRE(RunUntil(context, [&] { return echo.requests == 3; }));
+    RawCaller late(context, echo.server->port());
+    late.Send(request);
+    CHECK(RunUntil(context, [&] { return echo.requests == 4; }));
+    CHECK(RunUntil(context, [&] { return idle.ended; }));
+    CHECK_FALSE(used.ended);
+    RawCaller too_late(context, echo.server->port());
+    CHECK(RunUntil(context, [&] { return too_late.ended; }));
+    CHECK_FALSE(begun.ended);
+    begun.Send(request.substr(10));
+    CHECK(RunUntil(context, [&] { return echo.requests == 5; }));
+  }
+}
+
 TEST_CASE("the client reports how a call ended") {
   asio::io_context context;
   HttpClient client(context);
