A full server closes its longest idle connection for a new one

Cause: at max_connections each new connection was closed unread, while kept connections that nobody used held all places for up to the idle timeout. Change: the connection that has waited longest for a request, at least 1 s, makes room, if nothing of a request has arrived on it, read or unread.

--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <asio.hpp>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -30,6 +31,9 @@
 /// sent; independent of the limits, which may change meanwhile.
 constexpr std::chrono::milliseconds kWriteStall{15000};
 constexpr std::size_t kWriteChunk = 64U << 10U;
+/// Connections idle for less time make no room for others: a new one is about
+/// to send its request.
+constexpr std::chrono::milliseconds kMinIdle{1000};
 
 }  // namespace
 
@@ -78,6 +82,14 @@
     bool AllSent() const {
       return !this->write_under_way && this->outgoing.empty();
     }
+    /// For how long it has waited for a request; zero unless it does.
+    Duration Idle(Time now) const {
+      const bool waits = this->phase == Phase::kReading &&
+                         !this->parser.Started() && this->unparsed.empty() &&
+                         this->AllSent();
+      return waits ? now - std::max(this->since, this->last_written)
+                   : Duration::zero();
+    }
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -102,17 +114,43 @@
   }
 
   void Accept() {
-    this->acceptor.async_accept([this, alive = this->alive](
-                                    std::error_code error,
+    this->acceptor.async_accept(
+        [this, alive = this->alive](std::error_code error,
                                     asio::ip::tcp::socket socket) {
-      if (!*alive || !this->acceptor.is_open()) {
-        return;
-      }
-      if (!error && this->connections.size() < this->limits.max_connections) {
-        this->AddConnection(std::move(socket));
+          if (!*alive || !this->acceptor.is_open()) {
+            return;
+          }
+          if (!error && this->HasRoom()) {
+            this->AddConnection(std::move(socket));
+          }
+          this->Accept();
+        });
+  }
+
+  bool HasRoom() {
+    if (this->connections.size() >= this->limits.max_connections) {
+      this->DropLongestIdle();
+    }
+    return this->connections.size() < this->limits.max_connections;
+  }
+
+  /// Makes room for a client that has a request, unless all others may have
+  /// one: nothing of a request must have arrived, read or unread.
+  void DropLongestIdle() {
+    const Time now = MonotonicNow();
+    Duration longest = kMinIdle;
+    std::optional<ConnectionId> idle;
+    for (const auto& [id, connection] : this->connections) {
+      const Duration waited = connection->Idle(now);
+      std::error_code ignored;
+      if (waited > longest && connection->socket.available(ignored) == 0) {
+        longest = waited;
+        idle = id;
       }
-      this->Accept();
-    });
+    }
+    if (idle.has_value()) {
+      this->Drop(*idle);
+    }
   }
 
   void AddConnection(asio::ip::tcp::socket socket) {
