A full server closes several idle connections at once

Change: one in 64 of the places is freed by one search, and a search that found none is not repeated for 20 ms.

--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -46,8 +46,8 @@
   std::chrono::milliseconds header_timeout{3000};  ///< From the first byte.
   std::chrono::milliseconds body_timeout{10000};  ///< From the end of the head.
   std::chrono::milliseconds idle_timeout{15000};  ///< Between two requests.
-  /// Beyond it the connection that has been idle longest is closed, if one has
-  /// been for a second, otherwise the new one.
+  /// Beyond it the connections that have been idle longest are closed, if any
+  /// has been for a second, otherwise the new one.
   std::size_t max_connections = 3000;
 };
 
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -5,9 +5,10 @@
 #include <algorithm>
 #include <array>
 #include <asio.hpp>
-#include <optional>
+#include <functional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "global/listen.h"
 #include "global/timepoint.h"
@@ -34,6 +35,10 @@
 /// Connections idle for less time make no room for others: a new one is about
 /// to send its request.
 constexpr std::chrono::milliseconds kMinIdle{1000};
+/// One of so many connections is closed at once to make room.
+constexpr std::size_t kIdleParts = 64;
+/// Pause after a search for idle connections that found none.
+constexpr std::chrono::milliseconds kSearchPause{20};
 
 }  // namespace
 
@@ -128,28 +133,41 @@
   }
 
   bool HasRoom() {
-    if (this->connections.size() >= this->limits.max_connections) {
-      this->DropLongestIdle();
+    const auto full = [this] {
+      return this->connections.size() >= this->limits.max_connections;
+    };
+    const Time now = MonotonicNow();
+    if (full() && now >= this->next_search) {
+      this->DropLongestIdle(now);
+      if (full()) {
+        this->next_search = now + kSearchPause;
+      }
     }
-    return this->connections.size() < this->limits.max_connections;
+    return !full();
   }
 
-  /// Makes room for a client that has a request, unless all others may have
-  /// one: nothing of a request must have arrived, read or unread.
-  void DropLongestIdle() {
-    const Time now = MonotonicNow();
-    Duration longest = kMinIdle;
-    std::optional<ConnectionId> idle;
+  /// Makes room for clients that have a request, unless all others may have
+  /// one: nothing of a request must have arrived, read or unread. Drops several
+  /// at once, as the search takes long.
+  void DropLongestIdle(Time now) {
+    std::vector<std::pair<Duration, ConnectionId>> idle;
     for (const auto& [id, connection] : this->connections) {
       const Duration waited = connection->Idle(now);
-      std::error_code ignored;
-      if (waited > longest && connection->socket.available(ignored) == 0) {
-        longest = waited;
-        idle = id;
+      if (waited > kMinIdle) {
+        idle.emplace_back(waited, id);
       }
     }
-    if (idle.has_value()) {
-      this->Drop(*idle);
+    const std::size_t count =
+        std::min(idle.size(), this->limits.max_connections / kIdleParts + 1);
+    std::ranges::partial_sort(idle,
+                              idle.begin() + static_cast<std::ptrdiff_t>(count),
+                              std::greater<>());
+    idle.resize(count);
+    for (const auto& [waited, id] : idle) {
+      std::error_code ignored;
+      if (this->connections.at(id)->socket.available(ignored) == 0) {
+        this->Drop(id);
+      }
     }
   }
 
@@ -445,6 +463,7 @@
   ConnectionId last_connection = 0;
   ExchangeId last_exchange = 0;
   bool leaving = false;
+  Time next_search{};  ///< For idle connections.
   /// False after destruction, for completion handlers still queued on the loop.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
