What a culprit ran beside is told apart after half a second, and by its share

Traits of runs that had been answered for up to a second were suspects in each crash; a culprit crashes its replica as that begins to write.

--- a/src/quarantine/crashtracker.h
+++ b/src/quarantine/crashtracker.h
@@ -101,11 +101,13 @@
   /// it.
   static constexpr std::size_t kFirstPartCrashThreshold = 5;
   static constexpr std::chrono::milliseconds kFirstPartDelay{2000};
-  /// A trait that never survived has at least one in so many of the crashes of
-  /// any other suspect that survived before, and of any first part that did
-  /// not. Otherwise it only ran beside what caused them.
-  static constexpr std::size_t kMinShareOfSound = 3;
-  static constexpr std::size_t kMinShareOfFirst = 2;
+  /// A trait that never survived has at least this share of the crashes of any
+  /// other suspect that survived before, and of any first part that did not,
+  /// and more of one whose threshold and delay are reached. Otherwise it only
+  /// ran beside what caused them.
+  static constexpr double kMinShareOfSound = 1.0 / 3;
+  static constexpr double kMinShareOfFirst = 1.0 / 2;
+  static constexpr double kMinShareOfRipe = 3.0 / 4;
   /// Crashes closer together than this count once. A replica streams the first
   /// event of a request after some 25 ms, and crashes later.
   static constexpr std::chrono::milliseconds kSameEventWindow{50};
@@ -118,7 +120,7 @@
   static constexpr std::chrono::milliseconds kTieDelay{1000};
   /// A replica that crashes later than this after it began to answer a request
   /// did not crash because of it; a run that lasts longer is a survival.
-  static constexpr std::chrono::milliseconds kCrashDelay{1000};
+  static constexpr std::chrono::milliseconds kCrashDelay{500};
   /// Crashes, survivals and quarantines are forgotten after this time.
   static constexpr std::chrono::minutes kRetention{10};
   /// Beyond this the oldest crash is dropped. A crash lists the traits of what
@@ -191,6 +193,9 @@
   /// The traits to quarantine next; all the others are to be weighed anew
   /// afterwards.
   std::vector<QuarantineDecision> Decide(Time now) const;
+  /// Whether a first part, or a trait that survived before, has reached its
+  /// threshold and delay.
+  static bool Ripe(const Evidence& evidence, Time now);
   /// Depth of those to quarantine, of traits with equally many crashes.
   static std::uint8_t DecisiveDepth(const std::vector<Evidence>& tied);
   /// Those with the most crashes, and of these the deepest; none while others
--- a/src/quarantine/internal/crashtracker.cpp
+++ b/src/quarantine/internal/crashtracker.cpp
@@ -22,6 +22,10 @@
     CrashTracker::kFirstPartCrashThreshold * kWholeCrash;
 constexpr std::uint8_t kFirstPartDepth = 0;
 
+bool IsBelow(std::size_t halves, double share, std::size_t most) {
+  return static_cast<double>(halves) < share * static_cast<double>(most);
+}
+
 /// Drops the older half, so that the search for the oldest pays off. Of those
 /// at the middle, any.
 void DropOlderHalf(std::map<Fingerprint, Time>& times) {
@@ -287,11 +291,20 @@
   return decisions;
 }
 
+bool CrashTracker::Ripe(const Evidence& evidence, Time now) {
+  const Duration age = now - evidence.first;
+  return evidence.survived_before
+             ? evidence.halves >= kSoundHalvesThreshold && age >= kSoundDelay
+             : evidence.halves >= kFirstPartHalvesThreshold &&
+                   age >= kFirstPartDelay;
+}
+
 std::vector<QuarantineDecision> CrashTracker::Decide(Time now) const {
   std::vector<Evidence> fresh;
   std::vector<Evidence> others;
   std::size_t most_of_sound = 0;  // Without first parts.
   std::size_t most_of_first = 0;  // Of those that never survived.
+  std::size_t most_of_ripe = 0;   // Of these.
   for (Evidence& evidence : this->AllEvidence()) {
     const bool first_part = evidence.depth == kFirstPartDepth;
     if (!evidence.survived_before && !first_part) {
@@ -302,26 +315,24 @@
       most_of_sound = std::max(most_of_sound, evidence.halves);
     } else if (!evidence.survived_before) {
       most_of_first = std::max(most_of_first, evidence.halves);
+      most_of_ripe =
+          std::max(most_of_ripe, Ripe(evidence, now) ? evidence.halves : 0);
     }
     others.push_back(std::move(evidence));
   }
   std::erase_if(fresh, [&](const Evidence& evidence) {
     return evidence.halves < kHalvesThreshold ||
-           kMinShareOfSound * evidence.halves < most_of_sound ||
-           kMinShareOfFirst * evidence.halves < most_of_first;
+           IsBelow(evidence.halves, kMinShareOfSound, most_of_sound) ||
+           IsBelow(evidence.halves, kMinShareOfFirst, most_of_first) ||
+           IsBelow(evidence.halves, kMinShareOfRipe, most_of_ripe);
   });
   if (!fresh.empty()) {
     const auto most = std::ranges::max(fresh, {}, &Evidence::halves).halves;
     const bool rival = std::max(most_of_sound, most_of_first) >= most;
     return Strongest(std::move(fresh), rival ? 1 : 0, now);
   }
-  std::erase_if(others, [now](const Evidence& evidence) {
-    return evidence.survived_before
-               ? evidence.halves < kSoundHalvesThreshold ||
-                     now - evidence.first < kSoundDelay
-               : evidence.halves < kFirstPartHalvesThreshold ||
-                     now - evidence.first < kFirstPartDelay;
-  });
+  std::erase_if(
+      others, [now](const Evidence& evidence) { return !Ripe(evidence, now); });
   return Strongest(std::move(others), 0, now);
 }
 
--- a/src/quarantine/tests/partmodel_tests.cpp
+++ b/src/quarantine/tests/partmodel_tests.cpp
@@ -710,6 +710,16 @@
        [](std::uint64_t seed) { return Waves(seed, 1); });
 }
 
+// Guards against refusing most requests because the reports on the bad part of
+// their crashes are late, and nothing has survived yet.
+TEST_CASE("the shared part is spared before much has survived") {
+  Play("late reports", {11344}, [](std::uint64_t seed) {
+    return Culprits(seed, SomeCalm(seed), false);
+  });
+  Play("early waves", {11685, 12979},
+       [](std::uint64_t seed) { return Waves(seed, 3); });
+}
+
 // Guards against memory use that grows without bound.
 TEST_CASE("the tracker keeps a bounded number of suspects and survivals") {
   constexpr std::uint64_t kMany = 10000;
