--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -155,10 +155,9 @@
   this->StartGroup();
 }
 
-/// Called at each answer of the coordination group, mostly with the same table.
 void BatchStore::OnRoutes(routes::RouteTablePtr newer) {
   if (newer == this->table) {
-    return;  // Spares a look at every item.
+    return;
   }
   this->table = std::move(newer);
   this->ReassignLeases();
@@ -240,7 +239,7 @@
   this->led_term = this->group->term();
   this->giving_up = false;
   this->next_body_drop = now + this->options.body_drop_interval;
-  this->old_bodies = 0;
+  this->last_old_body = {};
   this->leases.Reset(now);
   for (const ItemRef& item : this->batch_state.WaitingItems()) {
     this->SyncLease(item, now);
@@ -808,12 +807,12 @@
   }
   this->next_body_drop = now + this->options.body_drop_interval;
   const ListedBodies& bodies = this->batch_state.listed_bodies();
-  if (bodies.first() != 0 && bodies.first() <= this->old_bodies) {
+  if (bodies.Find(this->last_old_body) != nullptr) {
     this->group->Propose(
-        EncodeVariant(BatchCommand(DropListedBodies{this->old_bodies})),
+        EncodeVariant(BatchCommand(DropListedBodies{this->last_old_body})),
         [](const Result&, const std::string&) {});
   }
-  this->old_bodies = bodies.last();
+  this->last_old_body = bodies.last();
 }
 
 }  // namespace papayarack::batches
--- a/src/nodes/tests/crashdetector_tests.cpp
+++ b/src/nodes/tests/crashdetector_tests.cpp
@@ -103,7 +103,8 @@
   SECTION("a replica that had answered for long did not crash because of it") {
     for (int i = 0; i < kCrashes; ++i) {
       watch.ConnectionBroke(
-          {"r", kRequest, Gone(context), MonotonicNow() - 2 * quarantine::CrashTracker::kCrashDelay});
+          {"r", kRequest, Gone(context),
+           MonotonicNow() - 2 * quarantine::CrashTracker::kCrashDelay});
       run_for(milliseconds(70));
     }
     CHECK(watch.FindQuarantined(kRequest) == nullptr);
