--- a/src/quarantine/crashtracker.h
+++ b/src/quarantine/crashtracker.h
@@ -107,7 +107,7 @@
   /// ran beside what caused them.
   static constexpr double kMinShareOfSound = 1.0 / 3;
   static constexpr double kMinShareOfFirst = 1.0 / 2;
-  static constexpr double kMinShareOfRipe = 3.0 / 4;
+  static constexpr double kMinShareOfConclusive = 3.0 / 4;
   /// Crashes closer together than this count once. A replica streams the first
   /// event of a request after some 25 ms, and crashes later.
   static constexpr std::chrono::milliseconds kSameEventWindow{50};
@@ -195,7 +195,7 @@
   std::vector<QuarantineDecision> Decide(Time now) const;
   /// Whether a first part, or a trait that survived before, has reached its
   /// threshold and delay.
-  static bool Ripe(const Evidence& evidence, Time now);
+  static bool Conclusive(const Evidence& evidence, Time now);
   /// Depth of those to quarantine, of traits with equally many crashes.
   static std::uint8_t DecisiveDepth(const std::vector<Evidence>& tied);
   /// Those with the most crashes, and of these the deepest; none while others
--- a/src/quarantine/internal/crashtracker.cpp
+++ b/src/quarantine/internal/crashtracker.cpp
@@ -291,7 +291,7 @@
   return decisions;
 }
 
-bool CrashTracker::Ripe(const Evidence& evidence, Time now) {
+bool CrashTracker::Conclusive(const Evidence& evidence, Time now) {
   const Duration age = now - evidence.first;
   return evidence.survived_before
              ? evidence.halves >= kSoundHalvesThreshold && age >= kSoundDelay
@@ -302,9 +302,9 @@
 std::vector<QuarantineDecision> CrashTracker::Decide(Time now) const {
   std::vector<Evidence> fresh;
   std::vector<Evidence> others;
-  std::size_t most_of_sound = 0;  // Without first parts.
-  std::size_t most_of_first = 0;  // Of those that never survived.
-  std::size_t most_of_ripe = 0;   // Of these.
+  std::size_t most_of_sound = 0;       // Without first parts.
+  std::size_t most_of_first = 0;       // Of those that never survived.
+  std::size_t most_of_conclusive = 0;  // Of these.
   for (Evidence& evidence : this->AllEvidence()) {
     const bool first_part = evidence.depth == kFirstPartDepth;
     if (!evidence.survived_before && !first_part) {
@@ -315,8 +315,8 @@
       most_of_sound = std::max(most_of_sound, evidence.halves);
     } else if (!evidence.survived_before) {
       most_of_first = std::max(most_of_first, evidence.halves);
-      most_of_ripe =
-          std::max(most_of_ripe, Ripe(evidence, now) ? evidence.halves : 0);
+      most_of_conclusive = std::max(
+          most_of_conclusive, Conclusive(evidence, now) ? evidence.halves : 0);
     }
     others.push_back(std::move(evidence));
   }
@@ -324,15 +324,16 @@
     return evidence.halves < kHalvesThreshold ||
            IsBelow(evidence.halves, kMinShareOfSound, most_of_sound) ||
            IsBelow(evidence.halves, kMinShareOfFirst, most_of_first) ||
-           IsBelow(evidence.halves, kMinShareOfRipe, most_of_ripe);
+           IsBelow(evidence.halves, kMinShareOfConclusive, most_of_conclusive);
   });
   if (!fresh.empty()) {
     const auto most = std::ranges::max(fresh, {}, &Evidence::halves).halves;
     const bool rival = std::max(most_of_sound, most_of_first) >= most;
     return Strongest(std::move(fresh), rival ? 1 : 0, now);
   }
-  std::erase_if(
-      others, [now](const Evidence& evidence) { return !Ripe(evidence, now); });
+  std::erase_if(others, [now](const Evidence& evidence) {
+    return !Conclusive(evidence, now);
+  });
   return Strongest(std::move(others), 0, now);
 }
 
