--- a/src/quarantine/tests/crashtracker_tests.cpp
+++ b/src/quarantine/tests/crashtracker_tests.cpp
@@ -438,8 +438,8 @@
 // Guards against blaming each of many batch items alone that share a culprit:
 // they crash all replicas at once, wait, and do so again together.
 TEST_CASE("the part shared by requests that crash together is quarantined") {
-  constexpr int kReplicas = 6;
-  constexpr int kPerReplica = 2;
+  constexpr std::uint64_t kReplicas = 6;
+  constexpr std::uint64_t kPerReplica = 2;
   constexpr int kRounds = 4;
   constexpr milliseconds kRound{1100};
   const Fingerprint first_part{8, 8};
@@ -447,10 +447,9 @@
   tracker.Survived(first_part, At(-1000));
   for (int round = 0; round < kRounds; ++round) {
     const Time now = kStart + round * kRound;
-    for (int replica = 0; replica < kReplicas; ++replica) {
-      for (int i = 0; i < kPerReplica; ++i) {
-        const auto number =
-            static_cast<std::uint64_t>(kPerReplica * replica + i);
+    for (std::uint64_t replica = 0; replica < kReplicas; ++replica) {
+      for (std::uint64_t i = 0; i < kPerReplica; ++i) {
+        const std::uint64_t number = kPerReplica * replica + i;
         tracker.Crashed({fmt::format("{}@{}", replica, round),
                          0,
                          {{{100 + number, 0}, kWholeRequestDepth},
