--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -81,8 +81,9 @@
   /// The sender, if a member, can apply ChangeConfiguration from the group's
   /// log.
   bool applies_changes = false;
-  /// From entries of an earlier release: crashes of replicas, and requests that
-  /// a replica completed.
+  /// The form of an earlier release: crashes of replicas under a whole request,
+  /// and traits that a replica survived. A leader reads them only if
+  /// `reports_traits` is false.
   std::vector<quarantine::CrashReport> crashes;
   std::vector<quarantine::Fingerprint> survived;
   /// Traits that an earlier leader quarantined.
@@ -93,8 +94,8 @@
   /// Crashes of replicas, and traits of requests that replicas survived.
   std::vector<quarantine::CrashObservation> observations;
   std::vector<quarantine::SurvivalReport> survivals;
-  /// `crashes` and `survived` repeat those of whole requests, for a leader of
-  /// an earlier release.
+  /// The sender fills `observations` and `survivals`, and repeats them in
+  /// `crashes` and `survived` for a leader of an earlier release.
   bool reports_traits = false;
   /// How long each of `quarantined` has been in quarantine; empty if unknown.
   std::vector<std::uint32_t> quarantined_ages_ms;
--- a/src/quarantine/crashtracker.h
+++ b/src/quarantine/crashtracker.h
@@ -101,10 +101,10 @@
   /// it.
   static constexpr std::size_t kFirstPartCrashThreshold = 5;
   static constexpr std::chrono::milliseconds kFirstPartDelay{2000};
-  /// A trait that never survived has at least this share of the crashes of any
-  /// other suspect that survived before, and of any first part that did not,
-  /// and more of one whose threshold and delay are reached. Otherwise it only
-  /// ran beside what caused them.
+  /// A trait that never survived is quarantined only if it has at least this
+  /// share of the crashes of each other suspect: one that survived before, a
+  /// first part that did not, and such a part whose threshold and delay are
+  /// reached. With fewer it only ran beside what caused them.
   static constexpr double kMinShareOfSound = 1.0 / 3;
   static constexpr double kMinShareOfFirst = 1.0 / 2;
   static constexpr double kMinShareOfConclusive = 3.0 / 4;
