Limits: a reserve of credit in the group's log outlives a restart

Callers far below their organisation's limit were answered 429 for two seconds after all processes had started again, as a new leader knew nothing of what was left. The leader now keeps a reserve of each bucket that it hands out only once a lower one is committed; a new leader starts with it. Times are counted by the contact with a quorum, so that two leaders never fill a bucket for the same time. A request given back after its credit ended does not bring it back. A 429 names the turn of its caller.

--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -2,6 +2,7 @@
 #define PAPAYARACK_COORDINATION_COORDINATIONMESSAGES_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -101,11 +102,13 @@
   std::vector<std::uint32_t> quarantined_ages_ms;
   /// The sender needs a confirmation of what it holds now, without a change.
   bool wants_confirmation = false;
+  /// The sender, if a member, can apply SetCreditReserves from the group's log.
+  bool applies_reserves = false;
   MSGPACK_DEFINE(self, config_version, term, nodes_revision, engines_revision,
                  takes_changes, fetching_from, fetching_version,
                  applies_changes, crashes, survived, quarantined,
                  quarantine_revision, observations, survivals, reports_traits,
-                 quarantined_ages_ms, wants_confirmation)
+                 quarantined_ages_ms, wants_confirmation, applies_reserves)
 };
 
 struct WatchReply {
@@ -207,6 +210,14 @@
   std::string name;
   MSGPACK_DEFINE(name)
 };
+/// Requests by name of organisation.
+using CreditReserveMap = std::map<std::string, std::uint32_t>;
+/// Sets the credit that the leader keeps of each organisation named, and will
+/// not hand out before a lower one is committed; zero removes it.
+struct SetCreditReserves {
+  CreditReserveMap reserves;
+  MSGPACK_DEFINE(reserves)
+};
 struct ReadQuery {
   std::string store;  ///< Name of the store whose state is read.
   MSGPACK_DEFINE(store)
--- a/src/coordination/coordinationstate.h
+++ b/src/coordination/coordinationstate.h
@@ -12,12 +12,13 @@
 
 /// The commands in the coordination group's log. New alternatives are only
 /// added at the end, as the index is stored.
-using CoordinationCommand = std::variant<SubmitConfiguration, FoundJobGroup,
-                                         EmptyStore, ChangeConfiguration>;
+using CoordinationCommand =
+    std::variant<SubmitConfiguration, FoundJobGroup, EmptyStore,
+                 ChangeConfiguration, SetCreditReserves>;
 
 /// The durable state of the coordination group: the configuration in force, the
-/// founders of the job group, and the stores being emptied. Thread safety:
-/// none.
+/// founders of the job group, the stores being emptied, and the credit reserves
+/// of organisations. Thread safety: none.
 class CoordinationState {
  public:
   /// Applies one committed command. A malformed one changes nothing.
@@ -35,6 +36,11 @@
     return this->data.job_founders;
   }
   const std::set<std::string>& leaving() const { return this->data.leaving; }
+  const CreditReserveMap& credit_reserves() const {
+    return this->data.credit_reserves;
+  }
+  /// Whether reserves were ever set.
+  bool keeps_reserves() const { return this->data.keeps_reserves; }
 
  private:
   struct Data {
@@ -42,12 +48,16 @@
     std::string text;
     consensus::MemberList job_founders;
     std::set<std::string> leaving;
-    MSGPACK_DEFINE(version, text, job_founders, leaving)
+    CreditReserveMap credit_reserves;
+    bool keeps_reserves = false;
+    MSGPACK_DEFINE(version, text, job_founders, leaving, credit_reserves,
+                   keeps_reserves)
   };
   void Do(const SubmitConfiguration& command);
   void Do(const FoundJobGroup& command);
   void Do(const EmptyStore& command);
   void Do(const ChangeConfiguration& command);
+  void Do(const SetCreditReserves& command);
 
   Data data;
 };
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -16,6 +16,7 @@
 #include "coordination/groupenvironment.h"
 #include "coordination/nodetable.h"
 #include "coordination/quarantinetracker.h"
+#include "coordination/reserverecord.h"
 #include "coordination/submissions.h"
 #include "coordination/transferplan.h"
 #include "replication/replicatedgroup.h"
@@ -76,6 +77,7 @@
   std::optional<Time> QuorumContact() const {
     return this->group->QuorumContact();
   }
+  ReserveRecord& reserves() { return *this->reserve_record; }
 
  private:
   struct Watcher {
@@ -129,6 +131,7 @@
   NodeTable nodes;
   std::unique_ptr<replication::ReplicatedGroup> group;
   std::unique_ptr<Submissions> submissions;
+  std::unique_ptr<ReserveRecord> reserve_record;
   std::map<StreamId, Watcher> watchers;
   ConfigurationHistory config_history;
   QuarantineTracker quarantine;
--- a/src/coordination/internal/coordinationstate.cpp
+++ b/src/coordination/internal/coordinationstate.cpp
@@ -49,6 +49,17 @@
   this->data.leaving.insert(command.name);
 }
 
+void CoordinationState::Do(const SetCreditReserves& command) {
+  this->data.keeps_reserves = true;
+  for (const auto& [organisation, amount] : command.reserves) {
+    if (amount == 0) {
+      this->data.credit_reserves.erase(organisation);
+    } else {
+      this->data.credit_reserves[organisation] = amount;
+    }
+  }
+}
+
 std::string CoordinationState::Save() const {
   return EncodeMessage(this->data);
 }
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -87,6 +87,8 @@
       *this->group, this->state, options.address,
       [this](StreamId stream, ResultCode code) { this->Reply(stream, code); },
       [this] { this->AnswerWatchers(MonotonicNow()); });
+  this->reserve_record = std::make_unique<ReserveRecord>(
+      *this->group, this->state, options.address);
   this->Register(dispatch);
   this->Tick();
 }
@@ -192,6 +194,7 @@
   this->nodes.Clear(now);
   this->plan.Clear();
   this->submissions->BeginTerm(now);
+  this->reserve_record->BeginTerm();
   this->quarantine.BeginTerm();
   this->founding = false;
 }
@@ -472,6 +475,7 @@
     this->nodes.Take(request.self, now);
     this->plan.OnReport(this->TransferReportOf(request), now);
     this->submissions->OnReport(request, now);
+    this->reserve_record->OnReport(request);
     this->quarantine.OnReport(request, now);
   }
   this->watchers[stream] = {
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -109,6 +109,7 @@
   this->requested_engines_revision = this->engines_revision;
   request.takes_changes = true;
   request.applies_changes = true;
+  request.applies_reserves = true;
   request.fetching_from = this->fetch.source();
   request.fetching_version = this->fetch.version();
   this->crash_reports.AddTo(request, MonotonicNow());
--- a/src/nodes/callerquotas.h
+++ b/src/nodes/callerquotas.h
@@ -52,8 +52,9 @@
   /// Calls `done`, maybe at once.
   void Admit(http::ExchangeId exchange, const std::string& organisation,
              Done done);
-  /// A request that was admitted did not run after all.
-  void GiveBack(const std::string& organisation);
+  /// A request that was admitted, and arrived at `arrived`, did not run after
+  /// all.
+  void GiveBack(const std::string& organisation, Time arrived);
   /// Removes a waiting request whose caller is gone. False if there is none.
   bool Remove(http::ExchangeId exchange);
 
--- a/src/nodes/internal/callerquotas.cpp
+++ b/src/nodes/internal/callerquotas.cpp
@@ -84,8 +84,8 @@
       admission);
 }
 
-void CallerQuotas::GiveBack(const std::string& organisation) {
-  this->book.GiveBack(organisation, MonotonicNow());
+void CallerQuotas::GiveBack(const std::string& organisation, Time arrived) {
+  this->book.GiveBack(organisation, arrived, MonotonicNow());
 }
 
 bool CallerQuotas::Remove(http::ExchangeId exchange) {
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -51,8 +51,8 @@
   this->quotas = std::make_unique<CallerQuotas>(
       runtime.context, *runtime.coordination, runtime.options,
       runtime.incarnation, runtime.metrics);
-  this->relay->SetNotRun([this](const std::string& organisation) {
-    this->quotas->GiveBack(organisation);
+  this->relay->SetNotRun([this](const std::string& organisation, Time arrived) {
+    this->quotas->GiveBack(organisation, arrived);
   });
   this->ListenReady();
   this->operators = std::make_unique<OperatorApi>(this->runtime);
@@ -87,7 +87,7 @@
       });
   this->quota_server = std::make_unique<QuotaServer>(
       *this->coordinator, this->runtime.server, this->runtime.dispatch,
-      this->runtime.options.quota_tolerance);
+      this->runtime.options.quota_tolerance, this->runtime.metrics);
 }
 
 /// Spaces the list reads of the leader by the number of pages: at a fixed
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -745,7 +745,7 @@
   const bool may_have_run =
       !call.ran_at.empty() || call.phase == Phase::kRunning;
   if (!may_have_run && call.organisation != nullptr && this->not_run) {
-    this->not_run(call.organisation->name);
+    this->not_run(call.organisation->name, call.arrived);
   }
   this->ReleaseEngine(call);
   this->stream_origins.Cancel(call.origin_lookup);
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -63,11 +63,11 @@
   /// Handles a request, which no longer holds the caller's key.
   void Take(http::ExchangeId exchange, http::HttpRequest request,
             RoutedCall routed);
-  /// Sets what is called with the organisation of a request that ended without
-  /// being run.
-  void SetNotRun(std::function<void(const std::string& organisation)> report) {
-    this->not_run = std::move(report);
-  }
+  /// Called with the organisation and the arrival of a request that ended
+  /// without being run.
+  using NotRun =
+      std::function<void(const std::string& organisation, Time arrived)>;
+  void SetNotRun(NotRun report) { this->not_run = std::move(report); }
   /// Ends the requests whose answer has not begun, as the process must end.
   void AnswerOpen();
   /// The caller has disconnected. True when the exchange was this relay's.
@@ -184,7 +184,7 @@
   std::unordered_map<http::ExchangeId, CallId> by_exchange;
   CallId last_call = 0;
   Time engines_seen{};
-  std::function<void(const std::string&)> not_run;
+  NotRun not_run;
   asio::steady_timer sweep;
   bool check_left_out = false;  ///< The last one, as the loop stood still.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/quotas/creditbook.h
+++ b/src/quotas/creditbook.h
@@ -44,8 +44,9 @@
   Admission Admit(const std::string& organisation, Time now);
   /// The same for a request that waited for an answer.
   Admission AdmitWaiting(const std::string& organisation, Time now);
-  /// The request did not run after all. Precondition: it was admitted.
-  void GiveBack(const std::string& organisation, Time now);
+  /// A request that arrived at `arrived` did not run after all. Precondition:
+  /// it was admitted.
+  void GiveBack(const std::string& organisation, Time arrived, Time now);
   /// Whether to send a report now. Ask again in a few milliseconds if not.
   bool ReportDue(Time now) const;
   /// The report to send; no other one may be under way.
@@ -64,6 +65,8 @@
     Time counted{};           ///< When `demand` was last changed.
     std::uint32_t unmet = 0;  ///< Requests that wait for credit.
     Time none_before{};       ///< No credit is to be had until then.
+    Duration per_request{};   ///< Time in which one request's credit comes.
+    Time last_turn{};         ///< Told to the caller refused last.
     Time next_top_up{};       ///< No credit in advance is asked for until then.
     std::chrono::milliseconds report_within{0};  ///< As in CreditGrant.
   };
@@ -71,6 +74,9 @@
   bool Valid(Time now) const {
     return now < this->valid_since + kCreditValidity;
   }
+  /// When a caller that is refused now should return: credit for one request
+  /// comes at a time, first for those that were refused before.
+  static std::chrono::milliseconds NextTurn(Account& account, Time now);
   static void CountArrival(Account& account, Time now);
   /// `demand` as of account.counted, after that time without arrivals.
   static double Faded(double demand, double seconds, const Account& account,
@@ -80,13 +86,14 @@
   static bool WantsMore(const Account& account, Time now);
   static bool HasNews(const Account& account);
   void GiveUp(Account& account, std::int64_t credit) const;
-  void EndCredit();
+  void EndCredit(Time now);
 
   std::string entry;
   std::uint64_t incarnation;
   QuotaTolerance tolerance;
   std::map<std::string, Account> accounts;  ///< By organisation.
   Time valid_since{};  ///< When the last answered report was sent.
+  Time ended{};        ///< When credit last ended.
   Time sent{};         ///< When the last report was sent.
   Time next_attempt{};
   bool under_way = false;
--- a/src/quotas/internal/creditbook.cpp
+++ b/src/quotas/internal/creditbook.cpp
@@ -9,7 +9,7 @@
 
 /// Credit is held for this time of an organisation's requests at this entry:
 /// longer than an election.
-constexpr double kHeldSeconds = 2;
+constexpr double kHeldSeconds = 1.5;
 /// More is asked for when less than this share of it is left.
 constexpr double kLowShare = 0.5;
 /// Credit beyond what is wanted by more than this is given up.
@@ -28,6 +28,9 @@
 constexpr std::chrono::milliseconds kTopUpPause{500};
 constexpr std::chrono::milliseconds kKeepInterval{1000};
 constexpr std::chrono::milliseconds kRetryInterval{100};
+/// Callers that are refused are told to return within this time. Those that
+/// come after so many others learn then whether there is credit.
+constexpr std::chrono::milliseconds kMaxTurn{1500};
 
 }  // namespace
 
@@ -99,7 +102,8 @@
       std::clamp<std::int64_t>(credit, 0, account.report.Credit()));
 }
 
-void CreditBook::EndCredit() {
+void CreditBook::EndCredit(Time now) {
+  this->ended = now;
   for (auto& [organisation, account] : this->accounts) {
     this->GiveUp(account, account.report.Credit());
   }
@@ -121,32 +125,41 @@
   }
   Account& account = found->second;
   if (!this->Valid(now)) {
-    this->EndCredit();
+    this->EndCredit(now);
   }
   if (account.report.Credit() > 0) {
     ++account.report.used;
     return Admitted{};
   }
   if (now < account.none_before) {
-    return OverLimit{std::chrono::ceil<std::chrono::milliseconds>(
-        account.none_before - now)};
+    return OverLimit{NextTurn(account, now)};
   }
   ++account.unmet;
   return AwaitCredit{};
 }
 
-/// Credit that has ended meanwhile must not come back.
-void CreditBook::GiveBack(const std::string& organisation, Time now) {
+/// Credit that has ended since the request arrived must not come back, also if
+/// the book holds valid credit again: the leader counts it as used.
+void CreditBook::GiveBack(const std::string& organisation, Time arrived,
+                          Time now) {
   const auto found = this->accounts.find(organisation);
   if (found == this->accounts.end()) {
     return;
   }
   --found->second.report.used;
-  if (!this->Valid(now)) {
+  if (!this->Valid(now) || arrived < this->ended) {
     this->GiveUp(found->second, 1);
   }
 }
 
+std::chrono::milliseconds CreditBook::NextTurn(Account& account, Time now) {
+  account.last_turn = std::max(account.last_turn + account.per_request,
+                               std::max<Time>(account.none_before, now));
+  const Time latest = now + kMaxTurn;
+  account.last_turn = std::min<Time>(account.last_turn, latest);
+  return std::chrono::ceil<std::chrono::milliseconds>(account.last_turn - now);
+}
+
 bool CreditBook::ReportDue(Time now) const {
   if (this->under_way || now < this->next_attempt) {
     return false;
@@ -166,7 +179,7 @@
 
 ReportCredit CreditBook::MakeReport(Time now) {
   if (!this->Valid(now)) {
-    this->EndCredit();
+    this->EndCredit(now);
   }
   ReportCredit message{this->entry, this->incarnation, {}};
   for (auto& [organisation, account] : this->accounts) {
@@ -214,7 +227,8 @@
       account.next_top_up = now + kTopUpPause;
     }
     if (grant.wait_ms > 0) {
-      account.none_before = now + std::chrono::milliseconds(grant.wait_ms);
+      account.per_request = std::chrono::milliseconds(grant.wait_ms);
+      account.none_before = now + account.per_request;
     }
   }
 }
--- a/src/quotas/internal/quotaauthority.cpp
+++ b/src/quotas/internal/quotaauthority.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 #include <iterator>
+#include <utility>
 
 namespace papayarack::quotas {
 namespace {
@@ -18,20 +19,55 @@
 constexpr std::chrono::milliseconds kMaxReportTime{1000};
 /// Requests a second; a lower rate is treated as this one.
 constexpr double kMinRate = 1e-3;
-/// Margin for the way of a report, whose sending the entry counts from.
-constexpr std::chrono::milliseconds kSilenceMargin{200};
+/// Margin for the way of a report, whose sending the entry counts from, and for
+/// the age of the contact that times are counted by.
+constexpr std::chrono::milliseconds kSilenceMargin =
+    std::chrono::milliseconds{200} + kMaxContactAge;
+
+/// Share of a bucket that becomes its reserve. A bucket that empties needs a
+/// number of commits that grows with its logarithm only.
+constexpr double kReservedShare = 0.7;
+/// Upper bound of a reserve, as a share of the credit that is kept back for
+/// requests that wait: up to there it takes nothing from what entries hold in
+/// advance.
+constexpr double kMaxShareOfKeptBack = 0.9;
+/// A lower reserve is committed before it stops a grant: as soon as less than
+/// this share of the bucket, and this many requests, are left above it.
+constexpr double kLowShare = 0.25;
+constexpr double kLowRequests = 2;
+/// A higher reserve is committed once it gains this share of a full bucket, and
+/// this many requests.
+constexpr double kRaiseShare = 0.1;
+constexpr double kRaiseRequests = 2;
+constexpr std::chrono::milliseconds kRaiseInterval{1000};
 
 }  // namespace
 
-void QuotaAuthority::BeginTerm(Time now) {
+void QuotaAuthority::BeginTerm(Time now, CreditReserves reserves) {
   this->term_began = now;
   this->entries.clear();
+  this->committed = std::move(reserves);
+  this->proposed.reset();
   for (auto& [organisation, bucket] : this->buckets) {
     bucket.holders.clear();
     bucket.held = 0;
     bucket.adopted = 0;
-    bucket.tokens = bucket.bounds.restart;
-    bucket.filled = now;
+    this->Start(organisation, bucket, now);
+  }
+}
+
+void QuotaAuthority::Start(const std::string& organisation, Bucket& bucket,
+                           Time now) const {
+  bucket.tokens = bucket.bounds.restart;
+  bucket.floor = 0;
+  bucket.taken_over = 0;
+  bucket.filled = now;
+  const auto reserve = this->committed.find(organisation);
+  if (reserve != this->committed.end()) {
+    bucket.floor = reserve->second;
+    bucket.taken_over =
+        std::min<double>(reserve->second, bucket.bounds.standing);
+    bucket.tokens = bucket.taken_over;
   }
 }
 
@@ -46,15 +82,15 @@
       continue;
     }
     const QuotaFloat bounds = FloatOf(limit, this->tolerance);
-    if (added) {
-      bucket.tokens = bounds.restart;
-      bucket.filled = now;
-    } else {
+    if (!added) {
       this->Fill(bucket, now);
       bucket.tokens += std::max(0.0, bounds.standing - bucket.bounds.standing);
     }
     bucket.limit = limit;
     bucket.bounds = bounds;
+    if (added) {
+      this->Start(organisation, bucket, now);
+    }
     this->Fill(bucket, now);
   }
 }
@@ -64,7 +100,8 @@
   const double bound = this->Settled(now)
                            ? bucket.bounds.standing
                            : std::min(bucket.bounds.standing,
-                                      bucket.adopted + bucket.bounds.settling);
+                                      bucket.adopted + bucket.taken_over +
+                                          bucket.bounds.settling);
   const double room = std::max(0.0, bound - bucket.held);
   bucket.tokens = std::min(
       room, bucket.tokens + seconds * bucket.limit.requests_per_second);
@@ -101,7 +138,9 @@
   Holder& holder = bucket.holders.at(entry);
   const std::uint64_t before = holder.last.allowed;
   Grant(bucket, holder, report);
-  holder.starved = report.needed > 0 && holder.last.allowed == before;
+  // Credit that a reserve holds back is there once a lower one is committed.
+  holder.starved =
+      report.needed > 0 && holder.last.allowed == before && bucket.tokens < 1;
   CreditGrant grant;
   grant.organisation = report.organisation;
   grant.allowed = holder.last.allowed;
@@ -178,14 +217,85 @@
   };
   const auto needed = static_cast<double>(report.needed);
   const auto wanted = static_cast<double>(report.wanted);
-  const double at_once = std::min(share_of(bucket.tokens), needed);
-  const double spare = bucket.tokens - at_once - bucket.bounds.reserve;
+  const double above_floor = bucket.tokens - bucket.floor;
+  const double at_once = std::min(share_of(above_floor), needed);
+  const double spare =
+      bucket.tokens - at_once - std::max(bucket.floor, bucket.bounds.reserve);
   const double granted = at_once + std::min(share_of(spare), wanted);
   bucket.tokens -= granted;
   bucket.held += granted;
   holder.last.allowed += static_cast<std::uint64_t>(granted);
 }
 
+std::optional<std::uint32_t> QuotaAuthority::NextReserve(const Bucket& bucket,
+                                                         bool may_raise) const {
+  const double wanted =
+      std::floor(std::min(std::max(0.0, bucket.tokens) * kReservedShare,
+                          kMaxShareOfKeptBack * bucket.bounds.reserve));
+  const double above_floor = bucket.tokens - bucket.floor;
+  const bool is_low =
+      above_floor < std::max(kLowRequests, kLowShare * bucket.tokens);
+  const double gain = wanted - bucket.floor;
+  const bool gains_enough =
+      gain >= std::max(kRaiseRequests, kRaiseShare * bucket.bounds.standing);
+  if ((is_low && wanted < bucket.floor) || (may_raise && gains_enough)) {
+    return static_cast<std::uint32_t>(wanted);
+  }
+  return std::nullopt;
+}
+
+/// A lower reserve is in force once it is committed, a higher one from when it
+/// is proposed: whichever of the two a later leader finds, the bucket holds it.
+std::optional<CreditReserves> QuotaAuthority::ProposeReserves(Time now) {
+  if (this->proposed.has_value()) {
+    return std::nullopt;
+  }
+  const bool may_raise = now >= this->next_raise;
+  CreditReserves changed;
+  for (auto& [organisation, bucket] : this->buckets) {
+    this->Fill(bucket, now);
+    const auto next = this->NextReserve(bucket, may_raise);
+    if (next.has_value()) {
+      changed[organisation] = *next;
+      bucket.floor = std::max<double>(bucket.floor, *next);
+    }
+  }
+  for (const auto& [organisation, amount] : this->committed) {
+    if (!this->buckets.contains(organisation)) {
+      changed[organisation] = 0;
+    }
+  }
+  if (changed.empty()) {
+    return std::nullopt;
+  }
+  if (may_raise) {
+    this->next_raise = now + kRaiseInterval;
+  }
+  this->proposed = changed;
+  return changed;
+}
+
+/// If it is not known whether the proposal was committed, every reserve stays
+/// at the higher of both amounts.
+void QuotaAuthority::ReservesProposed(bool is_committed) {
+  const CreditReserves changed =
+      std::exchange(this->proposed, std::nullopt).value_or(CreditReserves{});
+  if (!is_committed) {
+    return;
+  }
+  for (const auto& [organisation, amount] : changed) {
+    const auto bucket = this->buckets.find(organisation);
+    if (bucket != this->buckets.end()) {
+      bucket->second.floor = amount;
+    }
+    if (amount == 0) {
+      this->committed.erase(organisation);
+    } else {
+      this->committed[organisation] = amount;
+    }
+  }
+}
+
 /// Credit that can no longer be reported counts as used.
 void QuotaAuthority::WriteOff(const std::string& entry, Time now) {
   for (auto& [organisation, bucket] : this->buckets) {
--- a/src/quotas/internal/quotalimits.cpp
+++ b/src/quotas/internal/quotalimits.cpp
@@ -5,10 +5,10 @@
 namespace papayarack::quotas {
 
 QuotaFloat FloatOf(const QuotaLimit& limit, const QuotaTolerance& tolerance) {
-  constexpr double kStandingShare = 0.5;
-  constexpr double kRestartShare = 0.06;
-  constexpr double kSettlingShare = 0.2;
-  constexpr double kReserveShare = 0.2;
+  constexpr double kStandingShare = 0.6;
+  constexpr double kRestartShare = 0.04;
+  constexpr double kSettlingShare = 0.15;
+  constexpr double kReserveShare = 0.3;
   constexpr double kFewest = 1;  // Where nothing may be exceeded.
   const double window = ToSeconds(tolerance.window);
   const double slack =
--- a/src/quotas/quotaauthority.h
+++ b/src/quotas/quotaauthority.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "global/timepoint.h"
@@ -24,16 +25,23 @@
 /// that and the rate.
 ///
 /// A new leader knows nothing of what its predecessor handed out. Until that
-/// has ended, it treats it as held, hands out only what the rate brings and
-/// QuotaFloat::restart, and adopts the credit that entries report. Does no I/O.
-/// Thread safety: none.
+/// has ended, it treats it as held and adopts the credit that entries report.
+/// Its buckets start with what is certainly left: the committed reserve, which
+/// no leader hands out before a lower one is committed. Without a reserve they
+/// start with QuotaFloat::restart.
+///
+/// Every time passed in is one at which this member certainly led, so that two
+/// leaders never fill a bucket for the same time: that of its latest contact
+/// with a quorum. Does no I/O. Thread safety: none.
 class QuotaAuthority {
  public:
   explicit QuotaAuthority(const QuotaTolerance& tolerance)
       : tolerance(tolerance) {}
 
-  /// Called when this member becomes leader.
-  void BeginTerm(Time now);
+  /// Called when this member becomes leader, with the reserves that the group
+  /// has committed. Precondition: they include all that earlier leaders
+  /// committed.
+  void BeginTerm(Time now, CreditReserves committed = {});
   /// A lower limit takes credit back from the bucket at once, a higher one adds
   /// to it at once.
   void SetLimits(const QuotaLimits& limits, Time now);
@@ -45,6 +53,15 @@
   /// second or so.
   void ForgetSilent(Time now);
 
+  /// Reserves to commit now, if some should change; amounts of zero remove
+  /// them. Ask again after reports were taken. None while an earlier proposal
+  /// is under way.
+  std::optional<CreditReserves> ProposeReserves(Time now);
+  /// The proposal was committed, or it is not known whether it was.
+  void ReservesProposed(bool committed);
+  /// Credit kept as reserve, over all organisations, and their number.
+  std::size_t ReservedOrganisations() const { return this->committed.size(); }
+
  private:
   struct Holder {
     CreditReport last;     ///< With what was granted since.
@@ -57,6 +74,9 @@
     Time filled{};
     double held = 0;     ///< Credit of all holders.
     double adopted = 0;  ///< Part of `held` from before this term.
+    /// Part of `tokens` that is not handed out: at least what is committed.
+    double floor = 0;
+    double taken_over = 0;  ///< The committed reserve when the term began.
     std::map<std::string, Holder> holders;  ///< By entry.
   };
   struct Entry {
@@ -65,9 +85,14 @@
   };
 
   bool Settled(Time now) const {
-    return now >= this->term_began + kCreditValidity;
+    return now >= this->term_began + kCreditValidity + kMaxContactAge;
   }
   void Fill(Bucket& bucket, Time now) const;
+  /// Starts an organisation's bucket in this term.
+  void Start(const std::string& organisation, Bucket& bucket, Time now) const;
+  /// The reserve that the bucket should have, if it should change.
+  std::optional<std::uint32_t> NextReserve(const Bucket& bucket,
+                                           bool may_raise) const;
   CreditGrant TakeOne(Bucket& bucket, const std::string& entry,
                       const CreditReport& report, Time now);
   void Adopt(Bucket& bucket, const std::string& entry,
@@ -83,6 +108,9 @@
   Time term_began{};
   std::map<std::string, Bucket> buckets;  ///< By organisation.
   std::map<std::string, Entry> entries;   ///< By name.
+  CreditReserves committed;
+  std::optional<CreditReserves> proposed;  ///< On its way through the log.
+  Time next_raise{};
 };
 
 }  // namespace papayarack::quotas
--- a/src/quotas/quotalimits.h
+++ b/src/quotas/quotalimits.h
@@ -2,6 +2,7 @@
 #define PAPAYARACK_QUOTAS_QUOTALIMITS_H_
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -27,6 +28,11 @@
 /// Limits by name of organisation; those without a limit are left out.
 using QuotaLimits = std::map<std::string, QuotaLimit>;
 
+/// Requests that an organisation's bucket still held when they were committed,
+/// by name of organisation. No leader hands them out before a lower number is
+/// committed.
+using CreditReserves = std::map<std::string, std::uint32_t>;
+
 /// Requests that may be admitted without waiting for the rate, by all processes
 /// together. Whatever is admitted in a window is the rate times the window and
 /// these, so they are the burst and a part of the tolerance.
@@ -36,9 +42,9 @@
   /// hold in advance may lie at the wrong ones, and fills again only once they
   /// report its use.
   double reserve = 0;
-  /// What a new leader hands out at once, as it does not know what others
-  /// handed out. Left out of `standing`, so that as many changes of leader as
-  /// fit into one window do.
+  /// What a new leader hands out at once where no reserve is committed, as it
+  /// does not know what others handed out. Left out of `standing`, so that as
+  /// many changes of leader as fit into one window do.
   double restart = 0;
   /// What entries may hold from a new leader, beside what they held before.
   double settling = 0;
