--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -83,6 +83,11 @@
     this->table = std::move(table);
   }
   void SetEngine(RunnerReplica now) { this->replica = std::move(now); }
+  /// Sets what is called when another replica than the one set refuses an item
+  /// and names itself.
+  void SetOtherReplica(std::function<void(const std::string& id)> report) {
+    this->other_replica = std::move(report);
+  }
   /// The engine process has restarted. Resumes all runs at once instead of
   /// after kMaxSilence without data; a run that was already sent to the new
   /// process has to read its prompt again.
@@ -191,6 +196,7 @@
   CrashDetector* crash_detector;
   routes::RouteTablePtr table;
   RunnerReplica replica;
+  std::function<void(const std::string&)> other_replica;
   std::map<RunId, Run> runs;
   RunId last_run = 0;
   std::uint64_t pull_call = 0;
--- a/src/nodes/dialect.h
+++ b/src/nodes/dialect.h
@@ -49,6 +49,8 @@
   bool not_run = false;  ///< The engine states that the request did not run.
   bool sealed = false;   ///< Has the header of a complete engine answer.
   std::optional<EngineLoad> load;
+  /// Id of the replica that answered; empty if it does not say.
+  std::string engine_id = {};
 };
 
 /// Batch calls other than submission.
--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -86,6 +86,9 @@
   void UpdateAvailability();
   void ApplyListing(const coordination::EngineInstance& listed);
   void LearnStart(std::uint64_t started_ms);
+  void LearnId(const std::string& other);
+  /// Id of the replica that runs now, which the list may not show yet.
+  const std::string& RunningId() const;
   void OnEngineRestart();
   /// Unknown after a restart that the list does not show yet: the replica may
   /// have been upgraded under its id.
@@ -98,7 +101,8 @@
   BatchRunner runner;
   std::map<transport::StreamId, Ticket> tickets;
   PendingAcquireQueue pending;
-  std::string id;                       ///< Empty while it takes no new work.
+  std::string id;           ///< Empty while it takes no new work.
+  std::string unlisted_id;  ///< Of a replica that started since; or empty.
   ReplicaSoftware listed_software;      ///< Of the replica `id`.
   std::uint64_t listed_started_ms = 0;  ///< Its start; zero: not listed.
   std::string last_id;                  ///< The last one that was not empty.
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -449,9 +449,15 @@
   if (found == this->runs.end()) {
     return;
   }
+  const EngineHead engine = this->dialect.read_engine_head(head);
   found->second.status = head.status;
-  found->second.not_run = this->dialect.read_engine_head(head).not_run;
+  found->second.not_run = engine.not_run;
   found->second.last_heard = MonotonicNow();
+  const bool other = engine.not_run && !engine.engine_id.empty() &&
+                     engine.engine_id != this->replica.id;
+  if (other && this->other_replica) {
+    this->other_replica(engine.engine_id);
+  }
 }
 
 void BatchRunner::OnBody(RunId id, std::string_view bytes) {
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -45,7 +45,12 @@
              runtime.dialect, this->client, *runtime.jobs, this->allocator,
              &crash_detector),
       foreign(this->owned.same_vm ? slots::ReportAge::kFresh
-                                  : slots::ReportAge::kLate) {}
+                                  : slots::ReportAge::kLate) {
+  if (this->owned.same_vm) {
+    this->runner.SetOtherReplica(
+        [this](const std::string& other) { this->LearnId(other); });
+  }
+}
 
 EngineOwner::~EngineOwner() {
   if (this->report_call.has_value()) {
@@ -70,6 +75,7 @@
          {"before", this->id},
          {"draining", found != nullptr && found->draining}});
     this->id = id;
+    this->unlisted_id.clear();
   }
   this->allocator.SetSlots(present ? found->slots : 0);
   this->runner.SetRoutes(this->runtime.table);
@@ -102,10 +108,10 @@
   const bool takes_work =
       up && knows_others && !this->leaving && !this->id.empty();
   this->allocator.SetOpen(takes_work);
-  this->runner.SetEngine(
-      takes_work
-          ? RunnerReplica{this->id, this->RunningSoftware(), this->started_ms}
-          : RunnerReplica{});
+  this->runner.SetEngine(takes_work ? RunnerReplica{this->RunningId(),
+                                                    this->RunningSoftware(),
+                                                    this->started_ms}
+                                    : RunnerReplica{});
   if (!up) {
     this->runner.ReturnAll();
   }
@@ -124,9 +130,28 @@
   this->LearnStart(listed.started_ms);
 }
 
+const std::string& EngineOwner::RunningId() const {
+  return this->unlisted_id.empty() ? this->id : this->unlisted_id;
+}
+
+/// The replica on this VM refused an item that names the listed one. It is of
+/// the same service, which this process's settings name.
+void EngineOwner::LearnId(const std::string& other) {
+  if (this->id.empty() || other == this->RunningId()) {
+    return;
+  }
+  Log(LogLevel::kInfo, "engine_id_learned",
+      {{"engine", other},
+       {"listed", this->id},
+       {"address", this->owned.address}});
+  this->unlisted_id = other == this->id ? std::string() : other;
+  this->UpdateAvailability();
+}
+
 ReplicaSoftware EngineOwner::RunningSoftware() const {
-  const bool restarted = this->listed_started_ms != 0 &&
-                         this->started_ms > this->listed_started_ms;
+  const bool restarted = !this->unlisted_id.empty() ||
+                         (this->listed_started_ms != 0 &&
+                          this->started_ms > this->listed_started_ms);
   return restarted ? ReplicaSoftware{} : this->listed_software;
 }
 
@@ -204,6 +229,7 @@
   reply.expected_wait_ms =
       static_cast<std::uint32_t>(this->allocator.ExpectedWait().count() / 1000);
   reply.engine_started_ms = this->started_ms;
+  reply.service = this->owned.same_vm ? this->owned.service : std::string();
   Log(LogLevel::kInfo, "slot_answered",
       {{"request", ticket.request},
        {"verdict", NameOf(verdict)},
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -149,6 +149,7 @@
 }
 
 void OnlineRelay::SetService(Call& call, const std::string& service) const {
+  call.service = service;
   call.search.emplace(service, this->own_zone);
   const http::HttpRequest& request = call.request;
   call.traits =
@@ -312,6 +313,8 @@
   const bool fits =
       !call.began.has_value() || call.engine.software.CanContinue(*call.began);
   if (reply.Verdict() == SlotVerdict::kGranted && fits) {
+    call.service_confirmed =
+        !reply.service.empty() && reply.service == call.service;
     this->Send(id);
     return;
   }
@@ -374,6 +377,7 @@
   call.sent = now;
   call.last_heard = now;
   call.accepted = false;
+  call.other_replica.clear();
   call.run_began.reset();
   call.run_survived = false;
   call.splitter.Clear();
@@ -389,7 +393,7 @@
   ForwardFields fields;
   fields.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(
       call.deadline - now);
-  fields.engine_id = call.engine.id;
+  fields.engine_id = call.engine.RunningId();
   if (call.organisation != nullptr) {
     fields.organisation = call.organisation->name;
   }
@@ -434,6 +438,9 @@
   if (engine.not_run) {
     // Handled in OnEnd; the body is ignored.
     call.failed_status = true;
+    if (engine.engine_id != call.engine.RunningId()) {
+      call.other_replica = engine.engine_id;
+    }
     return;
   }
   call.accepted = true;
@@ -564,7 +571,7 @@
     const bool ran = call.ran_at.count(call.engine.address) > 0;
     if (ran) {
       this->OnBroken(id, "the engine failed the request");
-    } else {
+    } else if (!this->SendToOtherReplica(id)) {
       this->Retry(id);
     }
     return;
@@ -586,6 +593,33 @@
   this->Finish(id, "answered", call.status);
 }
 
+/// After a restart of many replicas the list shows their former ids for a
+/// second, in which every request would be refused by each replica it is sent
+/// to. An address can belong to another service by then, so only the gate
+/// beside the replica can tell that it may be used.
+bool OnlineRelay::SendToOtherReplica(CallId id) {
+  Call& call = this->calls.at(id);
+  const bool too_late = MonotonicNow() + placement::kMinRunTime > call.deadline;
+  // What has begun goes on at known software only.
+  if (call.other_replica.empty() || !call.service_confirmed || call.slot == 0 ||
+      call.began.has_value() || call.sends >= kMaxSends || too_late) {
+    return false;
+  }
+  Log(LogLevel::kInfo, "engine_id_learned",
+      {{"engine", call.other_replica},
+       {"listed", call.engine.id},
+       {"address", call.engine.address},
+       {"request", call.fields.id}});
+  this->metrics.Add("engine_ids_learned_total");
+  this->chooser.ObserveId(call.engine.address, call.other_replica);
+  this->chooser.Ended(call.engine.address);
+  call.engine.unlisted_id = call.other_replica;
+  call.engine.software = {};
+  call.failed_status = false;
+  this->Send(id);
+  return true;
+}
+
 void OnlineRelay::NoteSurvival(Call& call) {
   if (!std::exchange(call.run_survived, true)) {
     this->crash_detector.Survived(call.traits);
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -92,6 +92,7 @@
     Time deadline{};
     Phase phase = Phase::kAsking;
     placement::EngineOption engine;
+    std::string service;
     std::optional<placement::SlotSearch> search;  ///< Set by Take.
     std::set<std::string> ran_at;  ///< Addresses where it may have run.
     transport::CallId slot = 0;
@@ -102,6 +103,11 @@
     bool head_sent = false;
     bool is_events = false;
     bool accepted = false;  ///< Not refused by the engine of this attempt.
+    /// The gate that granted the slot is on the engine's VM and serves the
+    /// request's service, so any replica that starts there does.
+    bool service_confirmed = false;
+    /// Id of the replica that refused this attempt as not meant for it.
+    std::string other_replica;
     std::optional<Time> run_began;  ///< First byte of this attempt's body.
     bool run_survived = false;      ///< Noted for this attempt.
     bool failed_status = false;
@@ -136,6 +142,9 @@
   void OnSlotReply(CallId id, std::uint64_t attempt, const std::string& bytes);
   void OnAskFailed(CallId id, std::uint64_t attempt);
   void Send(CallId id);
+  /// Sends again, with the same slot, to the replica that runs at the address
+  /// now. False if it may not be sent there.
+  bool SendToOtherReplica(CallId id);
   void OnHead(CallId id, std::uint64_t attempt, const http::HttpHead& head);
   void ForwardHead(Call& call, const http::HttpHead& head);
   /// Called as the first event of an attempt is about to be forwarded: fixes
--- a/src/nodes/slotmessages.h
+++ b/src/nodes/slotmessages.h
@@ -38,8 +38,11 @@
   std::uint32_t expected_wait_ms = 0;
   /// As in coordination::EngineInstance; a gate knows it before the list does.
   std::uint64_t engine_started_ms = 0;
+  /// Service of the replica on the gate's VM, as the gate's settings name it,
+  /// so that it holds for whichever replica starts there; empty: not known.
+  std::string service = {};
   MSGPACK_DEFINE(verdict, online, waiting, batch, slots, expected_wait_ms,
-                 engine_started_ms)
+                 engine_started_ms, service)
 
   SlotVerdict Verdict() const {
     return static_cast<SlotVerdict>(this->verdict);
--- a/src/placement/enginechooser.h
+++ b/src/placement/enginechooser.h
@@ -31,6 +31,14 @@
   /// not respond.
   bool hosted = false;
   ReplicaSoftware software = {};  ///< Of the replica `id`.
+  /// Id of a replica that has started there since and that the list does not
+  /// show yet; empty if none is known.
+  std::string unlisted_id = {};
+
+  /// Id of the replica that runs there now, as far as is known.
+  const std::string& RunningId() const {
+    return this->unlisted_id.empty() ? this->id : this->unlisted_id;
+  }
 
   EngineStart Start() const {
     return {this->address, this->id, this->started_ms};
@@ -75,6 +83,9 @@
   /// Returns the restart if it is one, as SetOptions does.
   std::optional<EngineRestart> ObserveStart(const std::string& address,
                                             std::uint64_t started_ms);
+  /// The replica now at `address` names itself `id`. It may be used until the
+  /// list shows another id. Precondition: it is of the option's service.
+  void ObserveId(const std::string& address, const std::string& id);
   /// The best option whose current start is not in `tried`; nothing if none is
   /// left.
   std::optional<EngineOption> Choose(const EngineQuery& query,
@@ -119,6 +130,7 @@
  private:
   struct EngineState {
     std::string id;                ///< Empty until it is an option.
+    std::string unlisted_id;       ///< As in EngineOption.
     std::uint64_t started_ms = 0;  ///< See EngineStart.
     std::uint32_t own = 0;         ///< This entry's current requests.
     std::uint32_t own_at_report = 0;
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -38,6 +38,7 @@
   const bool other_replica = !state.id.empty() && state.id != reported_start.id;
   if (other_replica) {
     state.started_ms = 0;
+    state.unlisted_id.clear();
   }
   state.id = reported_start.id;
   const bool restarted =
@@ -63,6 +64,18 @@
   return this->ApplyStart({address, found->second.id, started_ms});
 }
 
+void EngineChooser::ObserveId(const std::string& address,
+                              const std::string& id) {
+  const auto found = this->states.find(address);
+  if (found == this->states.end() || found->second.id.empty()) {
+    return;  // No longer an option.
+  }
+  EngineState& state = found->second;
+  state.unlisted_id = id == state.id ? std::string() : id;
+  state.failures = 0;
+  state.backoff_until = {};
+}
+
 std::vector<EngineRestart> EngineChooser::SetOptions(
     const std::string& service, std::vector<EngineOption> list) {
   std::vector<EngineRestart> restarts;
@@ -95,9 +108,12 @@
 }
 
 ReplicaSoftware EngineChooser::SoftwareOf(const EngineOption& option) const {
+  const auto found = this->states.find(option.address);
+  const bool other =
+      found != this->states.end() && !found->second.unlisted_id.empty();
   const bool restarted = option.started_ms != 0 &&
                          this->StartOf(option).started_ms > option.started_ms;
-  return restarted ? ReplicaSoftware{} : option.software;
+  return restarted || other ? ReplicaSoftware{} : option.software;
 }
 
 bool EngineChooser::HasUntried(const EngineQuery& query,
@@ -155,6 +171,7 @@
   EngineOption chosen = *best;
   chosen.started_ms = this->StartOf(*best).started_ms;
   chosen.software = this->SoftwareOf(*best);
+  chosen.unlisted_id = this->states[chosen.address].unlisted_id;
   if (this->states[chosen.address].unowned_until > now) {
     chosen.gate.clear();
   }
