Requests go to a replica that started anew before the list shows its id

After a restart of many replicas the list shows their former ids for a second, and each request was refused by every replica it was sent to (203 refusals after one power loss). A 421 names the replica that answers.

--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -142,6 +142,7 @@
   http::HttpResponse response;
   response.status = status;
   response.headers.Add("Not-Executed", "1");
+  response.headers.Add("Instance-Id", this->options.id);
   this->server->Respond(exchange, response);
 }
 
