--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -307,7 +307,8 @@
   if (placement::LearnStart(call.engine.started_ms, reply.engine_started_ms)) {
     call.engine.software = {};  // It may have been upgraded under its id.
   }
-  this->chooser.Reported(call.engine.address, {reply.online, reply.waiting},
+  this->chooser.Reported(call.engine.address,
+                         {reply.online, reply.waiting, reply.batch},
                          MonotonicNow());
   const bool fits =
       !call.began.has_value() || call.engine.software.CanContinue(*call.began);
--- a/src/placement/enginechooser.h
+++ b/src/placement/enginechooser.h
@@ -53,6 +53,7 @@
 struct ReportedLoad {
   std::uint32_t online = 0;
   std::uint32_t waiting = 0;
+  std::uint32_t batch = 0;  ///< Slots held by batch items.
 };
 
 /// Chooses the engine where an entry asks for a slot first. The gate decides,
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -17,6 +17,10 @@
 /// zones. With a cost of all slots of an engine, entries would ask all engines
 /// of their zone first and be refused if the load of the zones differs.
 constexpr double kOtherZonePenalty = 1;
+/// Cost of a slot that a batch item holds, in slots: an online request can have
+/// it, but the item then stops and runs again, so a free slot elsewhere is
+/// better.
+constexpr double kBatchSlotCost = 0.5;
 /// Cost of an engine in backoff: chosen only if all others are in backoff too.
 constexpr double kBackoffPenalty = 1000;
 
@@ -117,8 +121,9 @@
   const double report_weight = 1 / (1 + age / ToSeconds(kReportHalfLife));
   const double since =
       static_cast<double>(state.own) - static_cast<double>(state.own_at_report);
-  const double reported =
-      state.load.online + state.load.waiting + std::max(0.0, since);
+  const double reported = state.load.online + state.load.waiting +
+                          kBatchSlotCost * state.load.batch +
+                          std::max(0.0, since);
   // Without a fresh report, the entry's own use estimates that of the others.
   const double estimate = state.own + 1.0;
   const double used = reported * report_weight + estimate * (1 - report_weight);
