Leases by how long an item takes at the gate that asks

One estimate for the fleet leases items to whichever gate pulls first, so items run at replicas that are more than twice as slow and are late there. A gate states the time that a whole item takes there; a slow one gets only what is in time there, or nowhere, and is answered after the others. Not measured yet.

--- a/src/batches/batchmessages.h
+++ b/src/batches/batchmessages.h
@@ -159,7 +159,9 @@
   std::uint32_t room = 0;
   std::vector<ItemRef> holding;
   std::vector<ReturnedItem> returned;
-  MSGPACK_DEFINE(gate, incarnation, service, room, holding, returned)
+  /// Time that a whole item takes at the gate now; zero: not known.
+  std::uint32_t run_ms = 0;
+  MSGPACK_DEFINE(gate, incarnation, service, room, holding, returned, run_ms)
 };
 struct PulledItems {
   std::vector<LeasedItem> items;
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -698,6 +698,8 @@
   }
   this->leases.Renew(puller.pull.gate, puller.pull.incarnation,
                      puller.pull.holding, now);
+  this->leases.SetRunTime(puller.pull.gate,
+                          std::chrono::milliseconds(puller.pull.run_ms));
   for (const ReturnedItem& returned : puller.pull.returned) {
     this->leases.Return(puller.pull.gate, returned);
   }
@@ -783,14 +785,19 @@
          });
 }
 
+/// Slow gates come last: what they get may be late there.
 void BatchStore::AnswerPullers(Time now) {
   const std::set<ItemRef> removed = this->leases.TakeRemoved();
-  for (auto waiting = this->pullers.begin(); waiting != this->pullers.end();) {
-    const Puller& puller = waiting->second;
-    const bool answered = (now >= puller.until ||
-                           this->ShouldAnswer(puller.pull, removed, now)) &&
-                          this->AnswerPuller(waiting->first, puller, now);
-    waiting = answered ? this->pullers.erase(waiting) : std::next(waiting);
+  for (const bool slow : {false, true}) {
+    for (auto waiting = this->pullers.begin();
+         waiting != this->pullers.end();) {
+      const Puller& puller = waiting->second;
+      const bool answered = this->leases.IsSlow(puller.pull.gate) == slow &&
+                            (now >= puller.until ||
+                             this->ShouldAnswer(puller.pull, removed, now)) &&
+                            this->AnswerPuller(waiting->first, puller, now);
+      waiting = answered ? this->pullers.erase(waiting) : std::next(waiting);
+    }
   }
 }
 
--- a/src/batches/internal/leasescheduler.cpp
+++ b/src/batches/internal/leasescheduler.cpp
@@ -21,6 +21,7 @@
   this->held_by_gate.clear();
   this->removed.clear();
   this->gates.clear();
+  this->speeds.Clear();
   this->settled = now + kSettleTime;
 }
 
@@ -155,16 +156,15 @@
 
 std::vector<ItemRef> LeaseScheduler::FirstWaiting(const std::string& service,
                                                   std::size_t max_count,
-                                                  Time earliest_end,
-                                                  bool in_time) const {
+                                                  Time earliest,
+                                                  Time latest) const {
   std::vector<QueueKey> keys;
   for (const auto& [id, queue] : this->queues) {
     if (!queue.Serves(service)) {
       continue;
     }
-    const auto split = queue.waiting.lower_bound({earliest_end, 0, {}});
-    auto next = in_time ? split : queue.waiting.begin();
-    const auto end = in_time ? queue.waiting.end() : split;
+    auto next = queue.waiting.lower_bound({earliest, 0, {}});
+    const auto end = queue.waiting.lower_bound({latest, 0, {}});
     for (std::size_t i = 0; i < max_count && next != end; ++i, ++next) {
       keys.push_back(*next);
     }
@@ -190,13 +190,19 @@
   if (trial.has_value()) {
     taken.push_back(*trial);
   }
-  const Time earliest_end = now + this->run_estimate;
+  // What cannot be in time here but elsewhere is left to faster gates, which
+  // take it first when they have room.
+  const Time ends_elsewhere = now + this->run_estimate;
+  const Time ends_here =
+      now + Duration(static_cast<std::int64_t>(
+                static_cast<double>(this->run_estimate.count()) *
+                this->speeds.FactorOf(gate)));
   std::ranges::move(
-      this->FirstWaiting(service, room - taken.size(), earliest_end, true),
-      std::back_inserter(taken));
-  std::ranges::move(
-      this->FirstWaiting(service, room - taken.size(), earliest_end, false),
+      this->FirstWaiting(service, room - taken.size(), ends_here, Time::max()),
       std::back_inserter(taken));
+  std::ranges::move(this->FirstWaiting(service, room - taken.size(),
+                                       Time::min(), ends_elsewhere),
+                    std::back_inserter(taken));
   for (const ItemRef& item : taken) {
     this->Lease(item, gate, now);
   }
@@ -345,6 +351,7 @@
   }
   for (const std::string& name : silent) {
     this->gates.erase(name);
+    this->speeds.Forget(name);
     this->RequeueAllOf(name, {});
   }
 }
--- a/src/batches/leasescheduler.h
+++ b/src/batches/leasescheduler.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "batches/batchmessages.h"
+#include "batches/gatespeeds.h"
 #include "global/timepoint.h"
 #include "quarantine/fingerprint.h"
 
@@ -91,8 +92,18 @@
              const std::vector<ItemRef>& holding, Time now);
   /// Returns an item from a gate, with the output of its run.
   void Return(const std::string& gate, const ReturnedItem& returned);
+  /// The gate states the time that a whole item takes there now; zero: not
+  /// known.
+  void SetRunTime(const std::string& gate, std::chrono::milliseconds run_time) {
+    this->speeds.Report(gate, run_time);
+  }
+  /// Whether items should go to other gates first.
+  bool IsSlow(const std::string& gate) const {
+    return this->speeds.IsSlow(gate);
+  }
   /// Leases up to `room` items to a gate of `service`: one as a trial if it may
-  /// be tried now, then those that can still finish in time, then others.
+  /// be tried now, then those that can still finish in time there, then others.
+  /// A slow gate gets no item that is in time at the others only.
   std::vector<ItemRef> Take(const std::string& gate, const std::string& service,
                             std::size_t room, Time now);
   /// Whether a waiting item may run on replicas of `service` now.
@@ -164,11 +175,11 @@
   /// quarantined traits, as each of several could be the cause.
   std::optional<ItemRef> NextTrial(const std::string& service, Time now) const;
   void MoveTo(QueueId queue, const ItemRef& item, Entry& entry);
-  /// The first `max_count` items that `service` may run, by due time: with
-  /// `in_time` those due at `earliest_end` or later, else those due before.
+  /// The first `max_count` items that `service` may run, by due time: those due
+  /// at `earliest` or later and before `latest`.
   std::vector<ItemRef> FirstWaiting(const std::string& service,
-                                    std::size_t max_count, Time earliest_end,
-                                    bool in_time) const;
+                                    std::size_t max_count, Time earliest,
+                                    Time latest) const;
   static QueueKey QueueKeyOf(const ItemRef& item, const Entry& entry) {
     return {entry.due, entry.arrival, item};
   }
@@ -191,6 +202,7 @@
   std::map<std::string, std::set<ItemRef>> held_by_gate;  ///< By gate.
   std::set<ItemRef> removed;
   std::map<std::string, Gate> gates;
+  GateSpeeds speeds;
   std::uint64_t last_arrival = 0;
   Time settled{};
   Duration run_estimate = kInitialRunEstimate;
--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -152,7 +152,11 @@
   /// Slack, but late runs sort after all others.
   Duration Urgency(const Run& run, Time now) const;
   bool Late(const Run& run) const;
+  /// Time that a whole item takes here; zero before any has run.
+  std::chrono::milliseconds WholeRunTime() const;
   void UpdateEstimates(const Run& run);
+  /// Learns from a run that has ended or is preempted how long an event takes.
+  void UpdateSpeed(const Run& run);
   void StartNext();
   void Start(RunId id, Run& run);
   void DropTextOfOtherSoftware(Run& run) const;
@@ -197,6 +201,7 @@
   std::uint32_t pulled_room = 0;
   double events_per_item;
   double ms_per_event;
+  bool speed_known = false;  ///< `ms_per_event` was measured.
   Time next_pull{};
   Time pulled_at{};
   std::chrono::milliseconds answer_time = kAnswerTime;
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -102,11 +102,23 @@
   this->events_per_item +=
       kEstimateWeight *
       (static_cast<double>(run.last_event) - this->events_per_item);
+}
+
+std::chrono::milliseconds BatchRunner::WholeRunTime() const {
+  return std::chrono::milliseconds(
+      this->speed_known ? static_cast<std::int64_t>(this->events_per_item *
+                                                    this->ms_per_event)
+                        : 0);
+}
+
+void BatchRunner::UpdateSpeed(const Run& run) {
   const auto made = static_cast<double>(run.last_event - run.first_event);
   constexpr double kMinEvents = 20;
   if (made >= kMinEvents) {
-    const double ms = ToSeconds(run.last_heard - run.since) * 1000;
-    this->ms_per_event += kEstimateWeight * (ms / made - this->ms_per_event);
+    const double ms = ToSeconds(run.last_heard - run.since) * 1000 / made;
+    const double weight = this->speed_known ? kEstimateWeight : 1;
+    this->ms_per_event += weight * (ms - this->ms_per_event);
+    this->speed_known = true;
   }
 }
 
@@ -207,6 +219,7 @@
   pull.room = this->pulled_room;
   pull.holding = this->HeldItems();
   pull.returned = this->returning;
+  pull.run_ms = static_cast<std::uint32_t>(this->WholeRunTime().count());
   this->pull_call = this->jobs.Call(
       "/jobs/pull", EncodeMessage(pull), kPullTime, kPullAttemptTime,
       [this, alive = this->alive](const Result& result,
@@ -338,6 +351,7 @@
   }
   this->engine.Cancel(run.call);
   run.call = 0;
+  this->UpdateSpeed(run);
   BeginPause(run);
   this->allocator.EndBatch();
 }
@@ -573,6 +587,7 @@
        {"run", id}});
   if (end == batches::ItemEnd::kComplete) {
     this->UpdateEstimates(run);
+    this->UpdateSpeed(run);
     run.outcome.text = std::move(run.text);
   }
   this->allocator.EndBatch();
