Limits that are removed, added or lowered keep their bounds

An entry forgot its counts with a removed limit. The entry now keeps the counts of removed limits, 1,024 at most.

A member that started again with an earlier release still counted as able to apply reserves within the term.

--- a/src/coordination/internal/reserverecord.cpp
+++ b/src/coordination/internal/reserverecord.cpp
@@ -17,6 +17,8 @@
 void ReserveRecord::OnReport(const WatchRequest& report) {
   if (report.applies_reserves) {
     this->able_members.insert(report.self.address);
+  } else {
+    this->able_members.erase(report.self.address);
   }
 }
 
--- a/src/quotas/creditbook.h
+++ b/src/quotas/creditbook.h
@@ -39,8 +39,14 @@
   CreditBook(std::string entry, std::uint64_t incarnation,
              const QuotaTolerance& tolerance);
 
-  /// Of a lowered limit's credit, a part in proportion is kept.
-  void SetLimits(const QuotaLimits& limits);
+  /// Removed limits whose counts are kept: some changes of the configuration.
+  static constexpr std::size_t kMaxRemoved = 1024;
+
+  /// Of a lowered limit's credit, a part in proportion is kept. Counts of a
+  /// removed limit are kept, as the leader may not have heard of the removal
+  /// when the limit is set again.
+  void SetLimits(const QuotaLimits& limits, Time now);
+  std::size_t RemovedLimits() const { return this->removed.size(); }
   Admission Admit(const std::string& organisation, Time now);
   /// The same for a request that waited for an answer.
   Admission AdmitWaiting(const std::string& organisation, Time now);
@@ -58,6 +64,7 @@
  private:
   struct Account {
     QuotaLimit limit;
+    Time limited_since{};
     CreditReport report;      ///< Current, but for what it asks.
     CreditReport last_sent;   ///< As in the last report that was answered.
     double demand = 0;        ///< Requests a second, a moving average.
@@ -86,12 +93,16 @@
   static bool WantsMore(const Account& account, Time now);
   static bool HasNews(const Account& account);
   void GiveUp(Account& account, std::int64_t credit) const;
+  void RemoveLimit(const std::string& organisation, Account& account);
+  void AddLimit(const std::string& organisation, Account& account, Time now);
   void EndCredit(Time now);
 
   std::string entry;
   std::uint64_t incarnation;
   QuotaTolerance tolerance;
   std::map<std::string, Account> accounts;  ///< By organisation.
+  /// Counts of removed limits, by organisation; no credit is left of them.
+  std::map<std::string, CreditReport> removed;
   Time valid_since{};  ///< When the last answered report was sent.
   Time ended{};        ///< When credit last ended.
   Time sent{};         ///< When the last report was sent.
--- a/src/quotas/internal/creditbook.cpp
+++ b/src/quotas/internal/creditbook.cpp
@@ -38,7 +38,12 @@
                        const QuotaTolerance& tolerance)
     : entry(std::move(entry)), incarnation(incarnation), tolerance(tolerance) {}
 
-void CreditBook::SetLimits(const QuotaLimits& limits) {
+void CreditBook::SetLimits(const QuotaLimits& limits, Time now) {
+  for (auto& [organisation, account] : this->accounts) {
+    if (!limits.contains(organisation)) {
+      this->RemoveLimit(organisation, account);
+    }
+  }
   std::erase_if(this->accounts, [&limits](const auto& entry) {
     return !limits.contains(entry.first);
   });
@@ -46,7 +51,7 @@
     const auto [found, added] = this->accounts.try_emplace(organisation);
     Account& account = found->second;
     if (added) {
-      account.report.organisation = organisation;
+      this->AddLimit(organisation, account, now);
     } else if (account.limit != limit) {
       const double kept = FloatOf(limit, this->tolerance).standing /
                           FloatOf(account.limit, this->tolerance).standing;
@@ -59,6 +64,27 @@
     }
     account.limit = limit;
   }
+  if (this->removed.size() > kMaxRemoved) {
+    // The leader starts counting anew for a new incarnation.
+    ++this->incarnation;
+    this->removed.clear();
+  }
+}
+
+void CreditBook::RemoveLimit(const std::string& organisation,
+                             Account& account) {
+  this->GiveUp(account, account.report.Credit());
+  this->removed[organisation] = account.report;
+}
+
+void CreditBook::AddLimit(const std::string& organisation, Account& account,
+                          Time now) {
+  const auto counts = this->removed.extract(organisation);
+  if (!counts.empty()) {
+    account.report = counts.mapped();
+  }
+  account.report.organisation = organisation;
+  account.limited_since = now;
 }
 
 double CreditBook::Faded(double demand, double seconds, const Account& account,
@@ -139,11 +165,12 @@
 }
 
 /// Credit that has ended since the request arrived must not come back, also if
-/// the book holds valid credit again: the leader counts it as used.
+/// the book holds valid credit again: the leader counts it as used. A request
+/// from before the limit was set took none.
 void CreditBook::GiveBack(const std::string& organisation, Time arrived,
                           Time now) {
   const auto found = this->accounts.find(organisation);
-  if (found == this->accounts.end()) {
+  if (found == this->accounts.end() || arrived <= found->second.limited_since) {
     return;
   }
   --found->second.report.used;
@@ -210,8 +237,9 @@
   this->valid_since = this->sent;
   for (const CreditGrant& grant : reply.grants) {
     const auto found = this->accounts.find(grant.organisation);
-    if (found == this->accounts.end()) {
-      continue;
+    if (found == this->accounts.end() ||
+        this->sent <= found->second.limited_since) {
+      continue;  // Counts from before the limit was set.
     }
     Account& account = found->second;
     const auto spent = account.report.used +
--- a/src/quotas/internal/quotaauthority.cpp
+++ b/src/quotas/internal/quotaauthority.cpp
@@ -65,13 +65,31 @@
   const auto reserve = this->committed.find(organisation);
   if (reserve != this->committed.end()) {
     bucket.floor = reserve->second;
-    bucket.taken_over =
-        std::min<double>(reserve->second, bucket.bounds.standing);
+    // A larger one is of a higher limit, of which entries may hold the rest.
+    bucket.taken_over = std::min<double>(
+        reserve->second, kMaxShareOfKeptBack * bucket.bounds.reserve);
     bucket.tokens = bucket.taken_over;
   }
 }
 
+bool QuotaAuthority::NothingRanUnder(const std::string& organisation,
+                                     Time now) const {
+  const auto removed_at = this->removed.find(organisation);
+  const bool was_removed = removed_at != this->removed.end() &&
+                           now < removed_at->second + this->CreditPast();
+  return now >= this->term_began + this->CreditPast() && !was_removed &&
+         !this->committed.contains(organisation);
+}
+
 void QuotaAuthority::SetLimits(const QuotaLimits& limits, Time now) {
+  std::erase_if(this->removed, [this, now](const auto& entry) {
+    return now >= entry.second + this->CreditPast();
+  });
+  for (const auto& [organisation, bucket] : this->buckets) {
+    if (!limits.contains(organisation)) {
+      this->removed[organisation] = now;
+    }
+  }
   std::erase_if(this->buckets, [&limits](const auto& entry) {
     return !limits.contains(entry.first);
   });
@@ -90,6 +108,9 @@
     bucket.bounds = bounds;
     if (added) {
       this->Start(organisation, bucket, now);
+      if (this->NothingRanUnder(organisation, now)) {
+        bucket.tokens = bounds.standing;
+      }
     }
     this->Fill(bucket, now);
   }
--- a/src/quotas/quotaauthority.h
+++ b/src/quotas/quotaauthority.h
@@ -43,7 +43,8 @@
   /// committed.
   void BeginTerm(Time now, CreditReserves committed = {});
   /// A lower limit takes credit back from the bucket at once, a higher one adds
-  /// to it at once.
+  /// to it at once. The limit of an organisation that had none is there in full
+  /// once nothing that ran under an earlier one lies within a window.
   void SetLimits(const QuotaLimits& limits, Time now);
   /// Takes an entry's report and grants what it wants, as far as there is
   /// credit. Idempotent per report. Precondition: this member leads, by a
@@ -87,6 +88,14 @@
   bool Settled(Time now) const {
     return now >= this->term_began + kCreditValidity + kMaxContactAge;
   }
+  /// Time after which credit has ended, and its use lies in no window that is
+  /// still open.
+  Duration CreditPast() const {
+    return kCreditValidity + kMaxContactAge + this->tolerance.window;
+  }
+  /// Whether nobody has used credit of the organisation lately, by what is
+  /// known in this term.
+  bool NothingRanUnder(const std::string& organisation, Time now) const;
   void Fill(Bucket& bucket, Time now) const;
   /// Starts an organisation's bucket in this term.
   void Start(const std::string& organisation, Bucket& bucket, Time now) const;
@@ -108,6 +117,7 @@
   Time term_began{};
   std::map<std::string, Bucket> buckets;  ///< By organisation.
   std::map<std::string, Entry> entries;   ///< By name.
+  std::map<std::string, Time> removed;    ///< Limits removed lately, and when.
   CreditReserves committed;
   std::optional<CreditReserves> proposed;  ///< On its way through the log.
   Time next_raise{};
--- a/src/quotas/tests/creditbook_tests.cpp
+++ b/src/quotas/tests/creditbook_tests.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <string>
 #include <vector>
 
 #include "quotas/creditbook.h"
@@ -27,7 +28,7 @@
   }
   void SetLimit(const QuotaLimit& limit) {
     this->authority.SetLimits({{kName, limit}}, this->now);
-    this->book.SetLimits({{kName, limit}});
+    this->book.SetLimits({{kName, limit}}, this->now);
   }
   void Exchange() {
     const ReportCredit report = this->book.MakeReport(this->now);
@@ -148,4 +149,63 @@
   }
 }
 
+TEST_CASE("a limit that goes and comes back brings no credit of its own") {
+  Fixture fixture({10, 20});
+  const auto admitted = [&fixture] {
+    int count = 0;
+    for (int round = 0; round < 50; ++round) {
+      fixture.Exchange();
+      while (Runs(fixture.Admit())) {
+        ++count;
+      }
+    }
+    return count;
+  };
+
+  // Such requests hold no credit: each one given back would bring one more.
+  SECTION("requests admitted before there was a limit give nothing back") {
+    fixture.Exchange();
+    const Time arrived = fixture.now;
+    fixture.book.SetLimits({}, fixture.now);
+    REQUIRE(Runs(fixture.Admit()));
+    fixture.now += milliseconds(10);
+    fixture.book.SetLimits({{kName, {10, 20}}}, fixture.now);
+    for (int request = 0; request < 100; ++request) {
+      fixture.book.GiveBack(kName, arrived, fixture.now);
+    }
+    CHECK_FALSE(Runs(fixture.Admit()));
+  }
+  // Versions of a configuration may be skipped by the leader. It still counts
+  // from the entry's start, so an entry that counts anew would get as credit
+  // what it has used.
+  SECTION("what was used stays used if the leader has missed the change") {
+    REQUIRE(admitted() > 20);
+    fixture.book.SetLimits({}, fixture.now);
+    fixture.book.SetLimits({{kName, {10, 20}}}, fixture.now);
+    CHECK(admitted() == 0);
+  }
+  SECTION("also if the change comes while a report is being answered") {
+    REQUIRE(Waits(fixture.Admit()));
+    fixture.Exchange();
+    REQUIRE(Runs(fixture.Admit()));
+    const ReportCredit report = fixture.book.MakeReport(fixture.now);
+    const CreditReply reply = fixture.authority.Take(report, fixture.now);
+    fixture.book.SetLimits({}, fixture.now);
+    fixture.book.SetLimits({{kName, {10, 20}}}, fixture.now);
+    fixture.book.Answered(reply, fixture.now);
+    CHECK_FALSE(Runs(fixture.Admit()));
+  }
+  // Names come from the configuration, so they may change without end.
+  SECTION("counts of removed limits are kept for a bounded number of names") {
+    const std::size_t names = CreditBook::kMaxRemoved + 10;
+    const std::uint64_t before =
+        fixture.book.MakeReport(fixture.now).incarnation;
+    for (std::size_t name = 0; name < names; ++name) {
+      fixture.book.SetLimits({{std::to_string(name), {10, 20}}}, fixture.now);
+    }
+    CHECK(fixture.book.RemovedLimits() <= CreditBook::kMaxRemoved);
+    CHECK(fixture.book.MakeReport(fixture.now).incarnation != before);
+  }
+}
+
 }  // namespace papayarack::quotas
--- a/src/quotas/tests/quotaauthority_tests.cpp
+++ b/src/quotas/tests/quotaauthority_tests.cpp
@@ -205,4 +205,59 @@
   }
 }
 
+// The caller's first requests would be refused far below the limit otherwise,
+// as the bucket of a limit that a new leader finds is almost empty.
+TEST_CASE("a limit that is set while a leader leads is there in full at once") {
+  constexpr QuotaLimit kLimit{10, 20};
+  const QuotaTolerance tolerance;
+  QuotaAuthority authority(tolerance);
+  authority.BeginTerm(At(0));
+  authority.SetLimits({{"bolt", kLimit}}, At(0));
+  Entry entry{"e1"};
+  const auto standing =
+      static_cast<std::int64_t>(FloatOf(kLimit, tolerance).standing);
+
+  SECTION("once nothing from before the term lies within a window") {
+    authority.SetLimits({{"bolt", kLimit}, {kName, kLimit}}, At(20000));
+    CHECK(Drain(authority, entry, At(20000)) == standing);
+    SECTION("not again if it is removed and set within a window") {
+      authority.SetLimits({{"bolt", kLimit}}, At(20010));
+      authority.SetLimits({{"bolt", kLimit}, {kName, kLimit}}, At(20020));
+      CHECK(Drain(authority, entry, At(20020)) < standing / 2);
+    }
+    SECTION("again after that") {
+      authority.SetLimits({{"bolt", kLimit}}, At(20010));
+      entry = {"e1", 2};
+      authority.SetLimits({{"bolt", kLimit}, {kName, kLimit}}, At(40000));
+      CHECK(Drain(authority, entry, At(40000)) == standing);
+    }
+  }
+  SECTION("not at the start of a term: others may have handed it out") {
+    authority.SetLimits({{"bolt", kLimit}, {kName, kLimit}}, At(1000));
+    CHECK(Drain(authority, entry, At(1000)) < standing / 2);
+  }
+}
+
+// A leader that finds a reserve from before the limit was lowered would hand
+// out the whole new limit beside what entries still hold.
+TEST_CASE("a reserve from a higher limit does not fill the bucket of a lower") {
+  constexpr QuotaLimit kLowered{10, 20};
+  const QuotaTolerance tolerance;
+  const QuotaFloat bounds = FloatOf(kLowered, tolerance);
+  QuotaAuthority authority(tolerance);
+  authority.SetLimits({{kName, kLowered}}, At(0));
+  authority.BeginTerm(At(0), {{kName, 1000}});
+  REQUIRE(authority.ProposeReserves(At(0)).has_value());
+  authority.ReservesProposed(true);
+  Entry entry{"e1"};
+  std::int64_t granted = 0;
+  for (int round = 0; round < 20; ++round) {
+    granted += Drain(authority, entry, At(0));
+    if (authority.ProposeReserves(At(0)).has_value()) {
+      authority.ReservesProposed(true);
+    }
+  }
+  CHECK(static_cast<double>(granted) <= bounds.reserve);
+}
+
 }  // namespace papayarack::quotas
--- a/src/quotas/tests/quotareplay_tests.cpp
+++ b/src/quotas/tests/quotareplay_tests.cpp
@@ -223,7 +223,7 @@
     std::vector<CreditBook> books;
     for (int e = 0; e < kEntries; ++e) {
       books.emplace_back("e" + std::to_string(e), incarnation, this->tolerance);
-      books.back().SetLimits(this->limits);
+      books.back().SetLimits(this->limits, this->now);
     }
     return books;
   }
--- a/src/quotas/tests/quotasmodel_tests.cpp
+++ b/src/quotas/tests/quotasmodel_tests.cpp
@@ -116,7 +116,7 @@
     started.unsent.clear();
     started.book = std::make_unique<CreditBook>(
         this->NameOf(entry), started.incarnation, this->tolerance);
-    started.book->SetLimits({{kName, this->limit}});
+    started.book->SetLimits({{kName, this->limit}}, this->now);
   }
   /// The leader loses its quorum; it grants for kMaxContactAge at most.
   void Depose() {
