Reserves outlast a late configuration; removed limits end waits

A new leader that had not loaded the configuration proposed to remove every reserve when the first entry reported, so that after a restart of all processes buckets could start almost empty. It now proposes nothing before limits are set. A request that waited for credit when its limit was removed was never woken up, as no report was due any more, and was rejected after 150 ms; it runs now.

--- a/src/nodes/callerquotas.h
+++ b/src/nodes/callerquotas.h
@@ -70,6 +70,8 @@
   void ReportIfDue();
   void OnAnswer(const Result& result, const std::string& body);
   void SettleWaiting();
+  /// Ends the wait of requests whose organisation has no limit any more.
+  void AdmitUnlimited(const quotas::QuotaLimits& limits);
   void EndExpired();
 
   coordination::GroupClient& leader;
--- a/src/nodes/internal/callerquotas.cpp
+++ b/src/nodes/internal/callerquotas.cpp
@@ -42,7 +42,8 @@
 
 void CallerQuotas::SetLimits(const routes::FleetConfiguration& configuration) {
   const quotas::QuotaLimits limits = LimitsOf(configuration);
-  this->book.SetLimits(limits);
+  this->book.SetLimits(limits, MonotonicNow());
+  this->AdmitUnlimited(limits);
   const bool had_limits = std::exchange(this->has_limits, !limits.empty());
   if (this->has_limits && !had_limits) {
     this->Tick();
@@ -143,6 +144,17 @@
   }
 }
 
+/// No further answer of the leader concerns these requests.
+void CallerQuotas::AdmitUnlimited(const quotas::QuotaLimits& limits) {
+  for (Waiting& one : std::exchange(this->waiting, {})) {
+    if (limits.contains(one.organisation)) {
+      this->waiting.push_back(std::move(one));
+    } else {
+      one.done(quotas::Admitted{});
+    }
+  }
+}
+
 void CallerQuotas::EndExpired() {
   const Time now = MonotonicNow();
   while (!this->waiting.empty() && now >= this->waiting.front().until) {
--- a/src/quotas/internal/quotaauthority.cpp
+++ b/src/quotas/internal/quotaauthority.cpp
@@ -268,7 +268,9 @@
 /// A lower reserve is in force once it is committed, a higher one from when it
 /// is proposed: whichever of the two a later leader finds, the bucket holds it.
 std::optional<CreditReserves> QuotaAuthority::ProposeReserves(Time now) {
-  if (this->proposed.has_value()) {
+  // Without limits it is not known which reserves to remove: the configuration
+  // may not have been loaded yet.
+  if (this->proposed.has_value() || this->buckets.empty()) {
     return std::nullopt;
   }
   const bool may_raise = now >= this->next_raise;
--- a/src/quotas/quotaauthority.h
+++ b/src/quotas/quotaauthority.h
@@ -56,7 +56,7 @@
 
   /// Reserves to commit now, if some should change; amounts of zero remove
   /// them. Ask again after reports were taken. None while an earlier proposal
-  /// is under way.
+  /// is under way, or before limits are set.
   std::optional<CreditReserves> ProposeReserves(Time now);
   /// The proposal was committed, or it is not known whether it was.
   void ReservesProposed(bool committed);
--- a/src/quotas/tests/quotaauthority_tests.cpp
+++ b/src/quotas/tests/quotaauthority_tests.cpp
@@ -260,4 +260,21 @@
   CHECK(static_cast<double>(granted) <= bounds.reserve);
 }
 
+// After a restart of all processes an entry may report before the leader has
+// loaded the configuration. The reserves are what is left for that moment.
+TEST_CASE("reserves outlast a leader that does not know the limits yet") {
+  constexpr QuotaLimit kLimit{10, 20};
+  const QuotaTolerance tolerance;
+  QuotaAuthority authority(tolerance);
+  authority.BeginTerm(At(0), {{kName, 8}});
+  Entry entry{"e1"};
+  CHECK(entry.Ask(authority, 1, At(0)) == 0);
+  CHECK_FALSE(authority.ProposeReserves(At(0)).has_value());
+  authority.SetLimits({{kName, kLimit}}, At(100));
+  CHECK(authority.ReservedOrganisations() == 1);
+  REQUIRE(authority.ProposeReserves(At(100)).has_value());
+  authority.ReservesProposed(true);
+  CHECK(entry.Ask(authority, 1, At(100)) == 1);
+}
+
 }  // namespace papayarack::quotas
