--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -65,9 +65,16 @@
  private:
   struct Ticket {
     std::string request;
+    std::string organisation;
+    int priority = 0;
     Time asked{};
     std::uint32_t wait_ms = 0;  ///< Maximum useful wait from then on.
+    /// Its place in the queue went to another organisation.
+    bool displaced = false;
   };
+  static Ticket TicketOf(const AcquireSlot& ask, Time asked);
+  /// Answers those whose place in the queue went to another organisation.
+  void AnswerDisplaced();
   /// Grants, queues or refuses a slot request made at `asked`.
   void Decide(transport::StreamId stream, const AcquireSlot& ask, Time asked);
   void Answer(transport::StreamId stream, const Ticket& ticket,
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -1,5 +1,7 @@
 #include "nodes/engineowner.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -186,8 +188,7 @@
   if (!this->AwaitsFirstReport()) {
     this->Decide(stream, ask, now);
   } else if (!this->pending.Offer(stream, ask, now)) {
-    this->Answer(stream, {ask.request, now, ask.wait_ms},
-                 SlotVerdict::kNotOwner);
+    this->Answer(stream, TicketOf(ask, now), SlotVerdict::kNotOwner);
   }
 }
 
@@ -195,20 +196,23 @@
                          Time asked) {
   const Time now = MonotonicNow();
   const bool other_engine = this->id.empty() || ask.engine_id != this->id;
-  const Ticket ticket{ask.request, asked, ask.wait_ms};
+  const Ticket ticket = TicketOf(ask, asked);
   if (other_engine || !this->allocator.Open()) {
     this->Answer(stream, ticket, SlotVerdict::kClosed);
     return;
   }
   this->tickets[stream] = ticket;
   const slots::SlotRequest request{
-      stream, ask.priority, asked + std::chrono::milliseconds(ask.wait_ms)};
+      stream, ask.priority, asked + std::chrono::milliseconds(ask.wait_ms),
+      ask.organisation};
   switch (this->allocator.Acquire(request, now)) {
     case slots::SlotAnswer::kGranted:
       this->Answer(stream, ticket, SlotVerdict::kGranted);
       this->runner.Balance();
       break;
     case slots::SlotAnswer::kQueued:
+      this->runtime.metrics.Add("slots_queued_total");
+      this->AnswerDisplaced();
       break;
     case slots::SlotAnswer::kRefused:
       this->tickets.erase(stream);
@@ -217,6 +221,21 @@
   }
 }
 
+void EngineOwner::AnswerDisplaced() {
+  for (const slots::TicketId stream : this->allocator.TakeDisplaced()) {
+    auto displaced = this->tickets.extract(stream);
+    if (!displaced.empty()) {
+      this->runtime.metrics.Add("slots_displaced_total");
+      displaced.mapped().displaced = true;
+      this->Answer(stream, displaced.mapped(), SlotVerdict::kBusy);
+    }
+  }
+}
+
+EngineOwner::Ticket EngineOwner::TicketOf(const AcquireSlot& ask, Time asked) {
+  return {ask.request, ask.organisation, ask.priority, asked, ask.wait_ms};
+}
+
 void EngineOwner::Answer(transport::StreamId stream, const Ticket& ticket,
                          SlotVerdict verdict) {
   const slots::SlotLoad load = this->allocator.Load();
@@ -226,13 +245,16 @@
   reply.waiting = load.waiting;
   reply.batch = load.batch;
   reply.slots = load.slots;
-  reply.expected_wait_ms =
-      static_cast<std::uint32_t>(this->allocator.ExpectedWait().count() / 1000);
+  const Duration wait = this->allocator.ExpectedWait(
+      ticket.organisation, ticket.priority, MonotonicNow());
+  reply.expected_wait_ms = static_cast<std::uint32_t>(wait.count() / 1000);
   reply.engine_started_ms = this->started_ms;
   reply.service = this->owned.same_vm ? this->owned.service : std::string();
   Log(LogLevel::kInfo, "slot_answered",
       {{"request", ticket.request},
+       {"organisation", ticket.organisation},
        {"verdict", NameOf(verdict)},
+       {"displaced", ticket.displaced},
        {"engine", this->id},
        {"online", load.online},
        {"waiting", load.waiting},
@@ -241,6 +263,7 @@
        {"waited_ms", (MonotonicNow() - ticket.asked).count() / 1000},
        {"could_wait_ms", ticket.wait_ms},
        {"expected_wait_ms", reply.expected_wait_ms}});
+  this->runtime.metrics.Add(fmt::format("slots_{}_total", NameOf(verdict)));
   this->runtime.server->Send(stream, EncodeMessage(reply));
   if (verdict != SlotVerdict::kGranted) {
     this->runtime.server->Finish(stream);
@@ -263,8 +286,7 @@
 void EngineOwner::ProcessPending(Time now) {
   if (this->AwaitsFirstReport()) {
     for (const PendingAcquire& late : this->pending.TakeExpired(now)) {
-      this->Answer(late.stream,
-                   {late.ask.request, late.asked, late.ask.wait_ms},
+      this->Answer(late.stream, TicketOf(late.ask, late.asked),
                    SlotVerdict::kNotOwner);
     }
     return;
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -268,6 +268,9 @@
       call.organisation != nullptr ? call.organisation->priority : 0,
       call.route->priority, call.began.has_value());
   ask.wait_ms = wait_ms;
+  if (call.organisation != nullptr) {
+    ask.organisation = call.organisation->name;
+  }
   transport::CallHandlers handlers;
   handlers.on_message = [this, id, attempt,
                          alive = this->alive](const std::string& bytes) {
--- a/src/nodes/slotmessages.h
+++ b/src/nodes/slotmessages.h
@@ -19,7 +19,11 @@
   std::uint32_t wait_ms = 0;  ///< Maximum useful wait from now.
   /// One process may own several engines; earlier versions leave it empty.
   std::string engine_address;
-  MSGPACK_DEFINE(request, engine_id, priority, wait_ms, engine_address)
+  /// Shares the slots with others of its priority; empty: the caller has none,
+  /// or the entry is of an earlier release.
+  std::string organisation = {};
+  MSGPACK_DEFINE(request, engine_id, priority, wait_ms, engine_address,
+                 organisation)
 };
 
 enum class SlotVerdict : std::uint8_t {
--- a/src/slots/slotallocator.h
+++ b/src/slots/slotallocator.h
@@ -5,9 +5,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "global/timepoint.h"
+#include "slots/organisationusage.h"
 
 namespace papayarack::slots {
 
@@ -19,6 +22,8 @@
   TicketId ticket = 0;
   int priority = 0;     ///< Lower is more urgent, from zero.
   Time latest_start{};  ///< The caller cannot use a slot after this.
+  /// Empty: the caller names none, or the entry is of an earlier release.
+  std::string organisation = {};
 };
 
 enum class SlotAnswer { kGranted, kQueued, kRefused };
@@ -44,9 +49,22 @@
 ///
 /// The queue is bounded by time, not by length: a request that would not get a
 /// slot before its latest start is refused at once, while its caller can still
-/// retry. Thread safety: none.
+/// retry.
+///
+/// Organisations of equal priority share the queue by max-min fairness: the
+/// next slot goes to the one that uses the least. Otherwise one that sends
+/// seven times its usual load takes the slots of all others, as whoever sends
+/// most is most often the oldest in the queue. No slot is left idle for this.
+/// Thread safety: none.
 class SlotAllocator {
  public:
+  /// About one wave of load with its trough: the time over which slots are
+  /// shared.
+  static constexpr std::chrono::milliseconds kUsageRetention{6000};
+
+  explicit SlotAllocator(Duration usage_retention = kUsageRetention)
+      : usage(usage_retention) {}
+
   /// Initial estimate of the time for which an online request holds a slot.
   static constexpr std::chrono::milliseconds kInitialHoldEstimate{700};
 
@@ -60,14 +78,19 @@
   void SetOpen(bool open) { this->open = open; }
   bool Open() const { return this->open; }
 
+  /// A request that is queued may take the place of another organisation's, see
+  /// TakeDisplaced.
   SlotAnswer Acquire(const SlotRequest& request, Time now);
   /// The request ended, or stopped waiting.
   void Release(TicketId ticket, Time now);
   /// Grants free slots to queued requests and returns those, the most urgent
-  /// and then the oldest first.
+  /// first, of these the organisation that uses least, then the oldest.
   std::vector<TicketId> TakeGranted(Time now);
   /// Removes and returns queued requests that can no longer start in time.
   std::vector<TicketId> TakeExpired(Time now);
+  /// Returns requests that left the full queue as an organisation that uses
+  /// less took their place.
+  std::vector<TicketId> TakeDisplaced();
 
   /// Slots that batch items may take now.
   std::uint32_t FreeBatchSlots() const;
@@ -77,8 +100,11 @@
   std::uint32_t BatchToPreempt() const;
 
   SlotLoad Load() const;
-  /// Estimated wait of a new request for a slot.
-  Duration ExpectedWait() const;
+  /// Estimated wait of a new request of the organisation for a slot.
+  Duration ExpectedWait(std::string_view organisation, int priority,
+                        Time now) const;
+  /// Number of organisations that state is kept for.
+  std::size_t KnownOrganisations() const { return this->usage.Known(); }
   Duration HoldEstimate() const { return this->hold_estimate; }
 
  private:
@@ -86,7 +112,25 @@
     SlotRequest request;
     std::uint64_t order = 0;
   };
-  std::map<TicketId, Waiting>::iterator MostUrgent();
+  struct Running {
+    Time started{};
+    std::string organisation;
+  };
+  using Queue = std::map<TicketId, Waiting>;
+
+  Queue::iterator MostUrgent(Time now);
+  void Grant(const SlotRequest& request, Time now);
+  /// Number of queued requests that get a slot before a new one.
+  std::size_t Ahead(std::string_view organisation, int priority,
+                    Time now) const;
+  /// Use of the organisation at which a new request would get a slot.
+  double TurnOfNew(std::string_view organisation, int priority, Time now) const;
+  Duration WaitBehind(std::size_t ahead) const;
+  /// Makes room for a request where the queue is full.
+  void Displace(const SlotRequest& by, Time now);
+  /// The queued request of the same priority that is served last; end() if the
+  /// new one would be.
+  Queue::iterator ServedLast(const SlotRequest& by, Time now);
   /// Slots that are not held by foreign runs.
   std::size_t Usable() const {
     return this->slots - std::min(this->slots, this->foreign);
@@ -96,8 +140,10 @@
   std::uint32_t foreign = 0;
   bool open = true;
   std::uint32_t batch = 0;
-  std::map<TicketId, Time> running;  ///< Start time by request.
-  std::map<TicketId, Waiting> queue;
+  std::map<TicketId, Running> running;
+  Queue queue;
+  std::vector<TicketId> displaced;
+  OrganisationUsage usage;
   std::uint64_t last_order = 0;
   Duration hold_estimate = kInitialHoldEstimate;
 };
