A full queue displaces only what can no longer be in time

A newcomer took a place from a request that could have waited longer, and at a moment when a slot was already free.

--- a/src/slots/internal/slotallocator.cpp
+++ b/src/slots/internal/slotallocator.cpp
@@ -88,11 +88,15 @@
 }
 
 void SlotAllocator::Displace(const SlotRequest& by, Time now) {
-  if (now + this->WaitBehind(this->queue.size()) <= by.latest_start) {
-    return;  // The queue is not full.
+  const Time last_start = now + this->WaitBehind(this->queue.size());
+  const bool full =
+      this->running.size() >= this->Usable() && last_start > by.latest_start;
+  if (!full) {
+    return;
   }
   const auto last = this->ServedLast(by, now);
-  if (last != this->queue.end()) {
+  if (last != this->queue.end() &&
+      last_start > last->second.request.latest_start) {
     this->displaced.push_back(last->first);
     this->queue.erase(last);
   }
--- a/src/slots/tests/sharedslots_tests.cpp
+++ b/src/slots/tests/sharedslots_tests.cpp
@@ -231,6 +231,21 @@
           SlotAnswer::kQueued);
     CHECK(allocator.TakeDisplaced().empty());
   }
+  SECTION("one that can wait longer keeps its place") {
+    allocator.Release(11, At(0));
+    REQUIRE(allocator.Acquire(MakeRequest(13, "large", 900), At(0)) ==
+            SlotAnswer::kQueued);
+    CHECK(allocator.Acquire(MakeRequest(20, "small"), At(0)) ==
+          SlotAnswer::kQueued);
+    CHECK(allocator.TakeDisplaced().empty());
+  }
+  SECTION("a request that asks for an immediate slot takes no place") {
+    CHECK(allocator.Acquire(MakeRequest(20, "small", 0), At(0)) ==
+          SlotAnswer::kRefused);
+    allocator.Release(1, At(10));
+    allocator.Acquire(MakeRequest(21, "small", 10), At(10));
+    CHECK(allocator.TakeDisplaced().empty());
+  }
   SECTION("priority goes before fairness") {
     CHECK(allocator.Acquire(MakeRequest(20, "small", 900, 1), At(0)) ==
           SlotAnswer::kQueued);
