Rejected callers of organisations return by the learned schedule

OnlineRelay asks ReturnSchedule for callers that name an organisation and whom a gate told that its slots are taken; all others keep the former delay.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -32,7 +32,7 @@
     quarantine::CrashTracker::kRetention;
 /// Retry-After of a stream that cannot go on anywhere: its caller can begin
 /// anew at once.
-constexpr double kBeginAnewSeconds = 0.05;
+constexpr std::chrono::milliseconds kBeginAnewDelay{50};
 /// Margin of the time for which an origin is kept, for the way of the caller's
 /// last attempt.
 constexpr std::chrono::milliseconds kOriginMargin{2000};
@@ -319,6 +319,9 @@
   if (reply.Verdict() == SlotVerdict::kGranted && fits) {
     call.service_confirmed =
         !reply.service.empty() && reply.service == call.service;
+    if (call.organisation != nullptr) {
+      this->return_schedule.Served(MonotonicNow());
+    }
     this->Send(id);
     return;
   }
@@ -689,12 +692,21 @@
   }
 }
 
-double OnlineRelay::RetryAfterSeconds(const Call& call) {
+/// Learned times are used where callers name organisations, and where gates
+/// said that their slots are taken: what has another cause tells nothing about
+/// slots.
+placement::ReturnTime OnlineRelay::ReturnOf(const Call& call) {
   std::uniform_real_distribution<double> draw(0, 1);
-  return std::chrono::duration<double>(
-             placement::RetryAfter(call.search->ShortestWait(),
-                                   draw(this->random)))
-      .count();
+  const std::chrono::milliseconds usual =
+      placement::RetryAfter(call.search->ShortestWait(), draw(this->random));
+  if (call.organisation == nullptr ||
+      !call.search->ShortestWait().has_value()) {
+    return {usual};
+  }
+  const Time now = MonotonicNow();
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+      call.deadline - now);
+  return this->return_schedule.Rejected(usual, remaining, now);
 }
 
 /// Refuses at once, with a long Retry-After: each run of the request ends a
@@ -728,7 +740,7 @@
     this->Fail(id, kBadGateway, reason);
     return;
   }
-  this->RespondRefused(id, reason, this->RetryAfterSeconds(call));
+  this->RespondRefused(id, reason, this->ReturnOf(call));
 }
 
 void OnlineRelay::RefuseContinuation(CallId id, const char* reason,
@@ -739,15 +751,16 @@
     this->Fail(id, kBadGateway, reason);
     return;
   }
-  this->RespondRefused(id, reason, kBeginAnewSeconds);
+  this->RespondRefused(id, reason, {kBeginAnewDelay});
 }
 
 void OnlineRelay::RespondRefused(CallId id, const char* reason,
-                                 double retry_after_s) {
+                                 const placement::ReturnTime& back) {
   Call& call = this->calls.at(id);
   http::HttpResponse response;
   response.status = kServiceUnavailable;
-  response.headers.Add("Retry-After", fmt::format("{:.2f}", retry_after_s));
+  const double delay_s = ToSeconds(back.delay);
+  response.headers.Add("Retry-After", fmt::format("{:.2f}", delay_s));
   response.body = reason;
   this->front->Respond(call.exchange, response);
   Log(LogLevel::kInfo, "request_refused",
@@ -756,7 +769,14 @@
        {"asked", call.search->Asks()},
        {"expected_wait_ms",
         call.search->ShortestWait().value_or(kUnknownWait).count()},
-       {"budget_ms", this->WaitBudget(call).count()}});
+       {"budget_ms", this->WaitBudget(call).count()},
+       {"retry_after_ms", back.delay.count()},
+       {"return_learned", back.learned},
+       {"returning_at_once", back.at_once}});
+  this->metrics.Observe("online_retry_after_seconds", delay_s);
+  if (back.learned) {
+    this->metrics.Add("online_returns_learned_total");
+  }
   this->Finish(id, "refused", response.status);
 }
 
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -23,6 +23,7 @@
 #include "nodes/slotmessages.h"
 #include "nodes/streamorigins.h"
 #include "placement/enginechooser.h"
+#include "placement/returnschedule.h"
 #include "placement/slotsearch.h"
 #include "routes/routetable.h"
 #include "transport/peerclient.h"
@@ -164,7 +165,8 @@
   /// anew and need not wait for that.
   void RefuseContinuation(CallId id, const char* reason, const char* metric);
   /// Answers that the request did not run. Precondition: it did not.
-  void RespondRefused(CallId id, const char* reason, double retry_after_s);
+  void RespondRefused(CallId id, const char* reason,
+                      const placement::ReturnTime& back);
   void RefuseQuarantined(CallId id, const quarantine::Trait& culprit);
   void SetService(Call& call, const std::string& service) const;
   void NoteSurvival(Call& call);
@@ -176,7 +178,8 @@
   void CheckAll(Time now);
   void Check(CallId id, Time now);
   std::chrono::milliseconds WaitBudget(const Call& call) const;
-  double RetryAfterSeconds(const Call& call);
+  /// When a caller that found no slot is to return.
+  placement::ReturnTime ReturnOf(const Call& call);
 
   http::HttpServer*& front;
   transport::PeerClient& peers;
@@ -187,6 +190,7 @@
   http::HttpClient engines;
   CrashDetector crash_detector;
   placement::EngineChooser chooser;
+  placement::ReturnSchedule return_schedule;
   StreamOrigins stream_origins;
   std::mt19937_64 random;
   std::unordered_map<CallId, Call> calls;
--- a/src/nodes/tests/nodes_tests.cpp
+++ b/src/nodes/tests/nodes_tests.cpp
@@ -23,8 +23,34 @@
   MSGPACK_DEFINE(verdict, online, waiting, batch, slots, expected_wait_ms)
 };
 
+/// AcquireSlot of versions without organisations.
+struct FormerAsk {
+  std::string request;
+  std::string engine_id;
+  std::int32_t priority = 0;
+  std::uint32_t wait_ms = 0;
+  std::string engine_address;
+  MSGPACK_DEFINE(request, engine_id, priority, wait_ms, engine_address)
+};
+
 }  // namespace
 
+// Guards against entries and gates of two versions that do not understand each
+// other: an ask without organisation counts as that of a caller without one.
+TEST_CASE("asks for a slot are compatible between versions") {
+  const FormerAsk former{"r", "engine", 3, 120, "10.0.0.1:80"};
+  const auto ask = DecodeMessage<AcquireSlot>(EncodeMessage(former));
+  CHECK(ask.wait_ms == 120);
+  CHECK(ask.organisation.empty());
+  AcquireSlot named;
+  named.engine_address = "10.0.0.2:80";
+  named.organisation = "acme";
+  const auto older = DecodeMessage<FormerAsk>(EncodeMessage(named));
+  CHECK(older.engine_address == "10.0.0.2:80");
+  CHECK(DecodeMessage<AcquireSlot>(EncodeMessage(named)).organisation ==
+        "acme");
+}
+
 TEST_CASE("a slot's verdict is encoded and decoded") {
   SlotReply reply;
   reply.verdict = static_cast<std::uint8_t>(SlotVerdict::kBusy);
