Return times at entries that get less than ten slots a second

The room of a tenth of a second was below one there, so the schedule never found a time after the peak. Room is now summed over steps, and the rate is learned from all steps of a peak, not only from those with a rejection.

--- a/src/placement/internal/returnschedule.cpp
+++ b/src/placement/internal/returnschedule.cpp
@@ -49,29 +49,29 @@
   return counts.step == step ? counts.returning : 0;
 }
 
-/// Learns from the complete steps since the last call; after a long pause only
-/// from those that are still kept.
+/// Learns from the steps of which is known whether they belong to a peak; after
+/// a long pause only from those that are still kept.
 void ReturnSchedule::LearnUntil(Step now) {
   constexpr Step kLearnable = static_cast<Step>(kSteps) / 2;
+  const Step end = now - kQuiet / kStep;
   const Step first = std::max(this->learned_until, now - kLearnable);
-  for (Step step = first; step < now; ++step) {
+  for (Step step = first; step < end; ++step) {
     this->LearnFrom(this->At(step));
   }
-  this->learned_until = std::max(this->learned_until, now);
+  this->learned_until = std::max(this->learned_until, end);
 }
 
 void ReturnSchedule::LearnFrom(const Counts& counts) {
-  if (counts.rejected > 0) {
-    ++this->full_steps;
-    const double weight =
-        std::max(kStepWeight, 1.0 / static_cast<double>(this->full_steps));
-    Average(this->served_per_step, counts.served, weight);
-    return;
-  }
-  const bool in_peak = counts.step <= StepOf(this->last_rejected + kQuiet);
+  const bool in_peak = counts.step >= StepOf(this->peak_began) &&
+                       counts.step <= StepOf(this->last_rejected);
   if (!in_peak) {
     Average(this->calm_per_step, counts.served, kStepWeight);
+    return;
   }
+  ++this->full_steps;
+  const double weight =
+      std::max(kStepWeight, 1.0 / static_cast<double>(this->full_steps));
+  Average(this->served_per_step, counts.served, weight);
 }
 
 void ReturnSchedule::Served(Time now) {
@@ -106,8 +106,12 @@
     return std::nullopt;  // This peak lasts longer than others: end unknown.
   }
   const double room = this->served_per_step - this->calm_per_step;
+  // At a small entry a slot comes free less often than once a step.
+  const double most = std::max(1.0, room);
+  double available = 0;
   for (Step step = end; step <= last; ++step) {
-    if (this->ReturningAt(step) + 1 <= room) {
+    available = std::min(available + room, most) - this->ReturningAt(step);
+    if (available >= 1) {
       return step;
     }
   }
--- a/src/placement/tests/returnschedule_tests.cpp
+++ b/src/placement/tests/returnschedule_tests.cpp
@@ -150,6 +150,23 @@
     CHECK(late.delay >= milliseconds(900));
     CHECK(late.at_once <= 2);
   }
+  SECTION("leads past the end of a peak at a small entry, too") {
+    const auto peak = [&schedule](std::int64_t begin, std::int64_t end) {
+      for (std::int64_t ms = begin; ms < end; ms += 200) {
+        schedule.Served(At(ms));
+        schedule.Rejected(milliseconds(1300), kDeadline, At(ms));
+      }
+    };
+    peak(0, 2100);
+    peak(5000, 7100);
+    peak(10000, 11500);
+    const ReturnTime late =
+        schedule.Rejected(milliseconds(900), kDeadline, At(11500));
+    CHECK(*schedule.ServedPerSecond() == Approx(5).epsilon(0.15));
+    CHECK(late.learned);
+    CHECK(late.at_once == 1);
+    CHECK(late.delay >= milliseconds(500));
+  }
   SECTION("survives a pause of hours") {
     for (std::int64_t ms = 0; ms < 2000; ms += 50) {
       schedule.Rejected(milliseconds(1300), kDeadline, At(ms));
