Replicas are chosen by speed too, and requests leave a zone by a policy

Replicas of one service differ in speed by 2.4, yet a choice counted slots only. A new module estimates the slowness of a replica from what gates state, from own streams and from the pace that the replica reports; the chooser multiplies the work at a replica, the request's own included, by it. Where replicas are even the choice stays the same, draw by draw.

The constant penalty of another zone becomes a policy: lower while the own zone is full and others are not, with the price of bytes added, and a bound on the share. Nothing feeds or sets either yet.

--- a/src/placement/enginechooser.h
+++ b/src/placement/enginechooser.h
@@ -12,6 +12,9 @@
 #include "global/replicasoftware.h"
 #include "global/timepoint.h"
 #include "placement/enginestart.h"
+#include "placement/zonepolicy.h"
+#include "speeds/fleetspeeds.h"
+#include "speeds/replicaspeed.h"
 
 namespace papayarack::placement {
 
@@ -50,6 +53,7 @@
   std::string service;
   /// The software that began the request's text, which only it may continue.
   std::optional<ReplicaSoftware> began = {};
+  speeds::SpeedObjectives objectives = {};  ///< Of its route.
 
   /// Thread safety: any thread.
   bool Admits(const ReplicaSoftware& software) const {
@@ -70,11 +74,16 @@
 /// Load pattern: each of a few entries sees a part of one wave. Reports of
 /// gates become stale, so they are blended with the requests that the entry has
 /// sent since; random noise of less than a slot keeps entries with the same
-/// reports from all choosing the same engine after a change. Thread safety:
-/// none.
+/// reports from all choosing the same engine after a change.
+///
+/// Replicas of one service can differ in speed. A request goes where the work
+/// in slots, including its own, times the replica's slowness is least, and to a
+/// replica that would miss its route's objectives only if others are full.
+/// Thread safety: none.
 class EngineChooser {
  public:
-  explicit EngineChooser(std::uint64_t seed) : random(seed) {}
+  explicit EngineChooser(std::uint64_t seed, const ZoneSettings& zones = {})
+      : random(seed), zones(zones) {}
 
   /// Replaces the options. State is kept for replicas that remain, and reset
   /// for those that restarted. Returns the restarted replicas.
@@ -100,6 +109,29 @@
   void Started(const std::string& address);
   void Ended(const std::string& address);
   void Reported(const std::string& address, const ReportedLoad& load, Time now);
+  /// The gate of the replica of `service` at `address` states its speed.
+  void LearnSpeed(const std::string& service, const std::string& address,
+                  const speeds::SpeedStatement& statement, Time now);
+  /// A stream of this entry ended completely, after `bytes` in both directions.
+  void LearnStream(const std::string& service, const std::string& address,
+                   const speeds::StreamTimes& times, std::uint64_t bytes,
+                   Time now);
+  /// The replica reports its pace, see speeds::ReplicaSpeed::Paced.
+  void LearnPace(const std::string& address, std::uint32_t percent, Time now);
+  /// A request of `service` is sent, to another zone or not.
+  void CountZone(const std::string& service, bool other_zone, Time now);
+  /// How requests of the service leave the zone; null if it has no replicas.
+  const ZonePolicy* ZoneOf(const std::string& service) const;
+  /// See speeds::ReplicaSpeed::Slowness; 1 for unknown replicas.
+  double SlownessOf(const std::string& service, const std::string& address,
+                    Time now) const;
+  /// The lasting slowness of a replica if it has become slow, or is no longer,
+  /// since the last call; at most once in kSpeedNoteInterval for each replica.
+  std::optional<speeds::LastingSlowness> NoteSpeed(const std::string& service,
+                                                   const std::string& address,
+                                                   Time now);
+  /// Replicas that NoteSpeed last returned as slow.
+  std::size_t SlowReplicas() const;
   /// A response was received completely.
   void Succeeded(const std::string& address);
   /// The engine or its gate failed a request: backs off, doubling with each
@@ -127,6 +159,7 @@
   /// before the host is asked again: an ask without a response costs its caller
   /// up to SlotSearch::kAskTimeout.
   static constexpr std::chrono::milliseconds kUnownedFor{600};
+  static constexpr std::chrono::seconds kSpeedNoteInterval{30};
 
  private:
   struct EngineState {
@@ -140,18 +173,39 @@
     std::uint32_t failures = 0;  ///< Consecutive.
     Time backoff_until{};
     Time unowned_until{};
+    speeds::ReplicaSpeed speed;
+    bool noted_slow = false;  ///< See NoteSpeed.
+    Time speed_noted{};
+  };
+  /// The replicas of one service.
+  struct ServiceState {
+    std::vector<EngineOption> options;
+    speeds::FleetSpeeds speeds;
+    ZonePolicy zone;
   };
   std::optional<EngineRestart> ApplyStart(const EngineStart& reported_start);
   EngineStart StartOf(const EngineOption& option) const;
   /// Unknown after a restart that the list does not show yet: the replica may
   /// have been upgraded under its id.
   ReplicaSoftware SoftwareOf(const EngineOption& option) const;
-  double CostOf(const EngineOption& option, const std::string& own_zone,
+  /// Slots in use at the engine, and the weight of its last report.
+  struct Usage {
+    double used = 0;
+    double reported = 0;
+    double report_weight = 0;
+  };
+  static Usage UsageOf(const EngineState& state, Time now);
+  double CostOf(const EngineOption& option, const EngineQuery& query,
+                const std::string& own_zone, const ServiceState& service,
                 Time now);
+  ServiceState& ServiceOf(const std::string& service);
+  /// Updates the zone policy from the replicas that are not backed off.
+  void UpdateZone(ServiceState& service, const std::string& own_zone, Time now);
 
-  std::map<std::string, std::vector<EngineOption>> options;  ///< By service.
-  std::map<std::string, EngineState> states;                 ///< By address.
+  std::map<std::string, ServiceState> services;
+  std::map<std::string, EngineState> states;  ///< By address.
   std::mt19937_64 random;
+  ZoneSettings zones;
 };
 
 }  // namespace papayarack::placement
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -12,15 +12,13 @@
 constexpr std::chrono::milliseconds kReportHalfLife{250};
 /// Width of the random noise, in slots.
 constexpr double kNoiseWidth = 0.8;
-/// Cost of an engine in another zone, in slots. Above the noise, so that among
-/// equally busy engines a local one is chosen, which saves traffic between
-/// zones. With a cost of all slots of an engine, entries would ask all engines
-/// of their zone first and be refused if the load of the zones differs.
-constexpr double kOtherZonePenalty = 1;
 /// Cost of a slot that a batch item holds, in slots: an online request can have
 /// it, but the item then stops and runs again, so a free slot elsewhere is
 /// better.
 constexpr double kBatchSlotCost = 0.5;
+/// Cost of an engine where the request would miss its objectives: as much as
+/// that of all slots, so that it is chosen only if all others are full.
+constexpr double kMissPenalty = 1;
 /// Cost of an engine in backoff: chosen only if all others are in backoff too.
 constexpr double kBackoffPenalty = 1000;
 
@@ -55,6 +53,7 @@
   state.reported = {};
   state.failures = 0;
   state.backoff_until = {};
+  state.speed = {};
   return EngineRestart{before,
                        {reported_start.address, state.id, state.started_ms}};
 }
@@ -78,6 +77,7 @@
   state.unlisted_id = id == state.id ? std::string() : id;
   state.failures = 0;
   state.backoff_until = {};
+  state.speed = {};
 }
 
 std::vector<EngineRestart> EngineChooser::SetOptions(
@@ -88,10 +88,10 @@
       restarts.push_back(std::move(*restart));
     }
   }
-  this->options[service] = std::move(list);
+  this->ServiceOf(service).options = std::move(list);
   std::set<std::string> present;
-  for (const auto& [name, entries] : this->options) {
-    for (const EngineOption& option : entries) {
+  for (const auto& [name, entry] : this->services) {
+    for (const EngineOption& option : entry.options) {
       present.insert(option.address);
     }
   }
@@ -122,49 +122,102 @@
 
 bool EngineChooser::HasUntried(const EngineQuery& query,
                                std::span<const EngineStart> tried) const {
-  const auto found = this->options.find(query.service);
-  return found != this->options.end() &&
-         std::ranges::any_of(found->second, [&](const EngineOption& option) {
-           return query.Admits(this->SoftwareOf(option)) &&
-                  !Contains(tried, this->StartOf(option));
-         });
+  const auto found = this->services.find(query.service);
+  return found != this->services.end() &&
+         std::ranges::any_of(found->second.options,
+                             [&](const EngineOption& option) {
+                               return query.Admits(this->SoftwareOf(option)) &&
+                                      !Contains(tried, this->StartOf(option));
+                             });
 }
 
-double EngineChooser::CostOf(const EngineOption& option,
-                             const std::string& own_zone, Time now) {
-  const EngineState& state = this->states[option.address];
+EngineChooser::Usage EngineChooser::UsageOf(const EngineState& state,
+                                            Time now) {
   const double age = ToSeconds(now - state.reported);
-  const double report_weight = 1 / (1 + age / ToSeconds(kReportHalfLife));
+  Usage usage;
+  usage.report_weight = 1 / (1 + age / ToSeconds(kReportHalfLife));
   const double since =
       static_cast<double>(state.own) - static_cast<double>(state.own_at_report);
-  const double reported = state.load.online + state.load.waiting +
-                          kBatchSlotCost * state.load.batch +
-                          std::max(0.0, since);
+  usage.reported = state.load.online + state.load.waiting +
+                   kBatchSlotCost * state.load.batch + std::max(0.0, since);
   // Without a fresh report, the entry's own use estimates that of the others.
   const double estimate = state.own + 1.0;
-  const double used = reported * report_weight + estimate * (1 - report_weight);
+  usage.used = usage.reported * usage.report_weight +
+               estimate * (1 - usage.report_weight);
+  return usage;
+}
+
+double EngineChooser::CostOf(const EngineOption& option,
+                             const EngineQuery& query,
+                             const std::string& own_zone,
+                             const ServiceState& service, Time now) {
+  const EngineState& state = this->states[option.address];
+  const double used = UsageOf(state, now).used;
   std::uniform_real_distribution<double> noise(0, kNoiseWidth);
   const double slots = std::max<std::uint32_t>(1, option.slots);
-  return (used + noise(this->random)) / slots +
-         (option.zone != own_zone ? kOtherZonePenalty / slots : 0) +
-         (state.backoff_until > now ? kBackoffPenalty : 0);
+  double cost = (used + noise(this->random)) / slots +
+                (option.zone != own_zone ? service.zone.Penalty(slots) : 0) +
+                (state.backoff_until > now ? kBackoffPenalty : 0);
+  if (state.speed.IsOrdinary(service.speeds)) {
+    return cost;
+  }
+  const double slowness = state.speed.Slowness(service.speeds, now);
+  cost += (slowness - 1) * (used + 1) / slots;
+  const bool misses =
+      state.speed.MissesObjectives(query.objectives, service.speeds, now);
+  return cost + (misses ? kMissPenalty : 0);
+}
+
+EngineChooser::ServiceState& EngineChooser::ServiceOf(
+    const std::string& service) {
+  const auto [found, added] = this->services.try_emplace(service);
+  if (added) {
+    found->second.zone = ZonePolicy(this->zones);
+  }
+  return found->second;
+}
+
+void EngineChooser::UpdateZone(ServiceState& service,
+                               const std::string& own_zone, Time now) {
+  ZoneLoads loads;
+  for (const EngineOption& option : service.options) {
+    const EngineState& state = this->states[option.address];
+    if (state.backoff_until > now) {
+      continue;
+    }
+    const Usage usage = UsageOf(state, now);
+    ZoneLoad& load = option.zone == own_zone ? loads.own : loads.others;
+    load.used += usage.reported * usage.report_weight;
+    load.known += option.slots * usage.report_weight;
+    load.slots += option.slots;
+    ++load.usable;
+  }
+  service.zone.Update(loads, now);
 }
 
 std::optional<EngineOption> EngineChooser::Choose(
     const EngineQuery& query, const std::string& own_zone,
     std::span<const EngineStart> tried, Time now) {
-  const auto found = this->options.find(query.service);
-  if (found == this->options.end()) {
+  const auto found = this->services.find(query.service);
+  if (found == this->services.end()) {
     return std::nullopt;
   }
+  ServiceState& service = found->second;
+  if (service.zone.Due(now)) {
+    this->UpdateZone(service, own_zone, now);
+  }
+  // A stream that has begun goes on anywhere: its caller loses it otherwise.
+  const bool own_zone_only =
+      !service.zone.MayLeave() && !query.began.has_value();
   const EngineOption* best = nullptr;
   double best_cost = 0;
-  for (const EngineOption& option : found->second) {
+  for (const EngineOption& option : service.options) {
     if (!query.Admits(this->SoftwareOf(option)) ||
-        Contains(tried, this->StartOf(option))) {
+        Contains(tried, this->StartOf(option)) ||
+        (own_zone_only && option.zone != own_zone)) {
       continue;
     }
-    const double cost = this->CostOf(option, own_zone, now);
+    const double cost = this->CostOf(option, query, own_zone, service, now);
     if (best == nullptr || cost < best_cost) {
       best = &option;
       best_cost = cost;
@@ -201,6 +254,79 @@
   state.own_at_report = state.own;
 }
 
+void EngineChooser::LearnSpeed(const std::string& service,
+                               const std::string& address,
+                               const speeds::SpeedStatement& statement,
+                               Time now) {
+  this->states[address].speed.Stated(statement, this->ServiceOf(service).speeds,
+                                     now);
+}
+
+void EngineChooser::LearnStream(const std::string& service,
+                                const std::string& address,
+                                const speeds::StreamTimes& times,
+                                std::uint64_t bytes, Time now) {
+  ServiceState& fleet = this->ServiceOf(service);
+  fleet.zone.Moved(bytes);
+  this->states[address].speed.Streamed(times, fleet.speeds, now);
+}
+
+void EngineChooser::LearnPace(const std::string& address, std::uint32_t percent,
+                              Time now) {
+  this->states[address].speed.Paced(percent, now);
+}
+
+void EngineChooser::CountZone(const std::string& service, bool other_zone,
+                              Time now) {
+  this->ServiceOf(service).zone.Sent(other_zone, now);
+}
+
+const ZonePolicy* EngineChooser::ZoneOf(const std::string& service) const {
+  const auto found = this->services.find(service);
+  return found != this->services.end() ? &found->second.zone : nullptr;
+}
+
+double EngineChooser::SlownessOf(const std::string& service,
+                                 const std::string& address, Time now) const {
+  const auto fleet = this->services.find(service);
+  const auto replica = this->states.find(address);
+  return fleet != this->services.end() && replica != this->states.end()
+             ? replica->second.speed.Slowness(fleet->second.speeds, now)
+             : 1;
+}
+
+std::optional<speeds::LastingSlowness> EngineChooser::NoteSpeed(
+    const std::string& service, const std::string& address, Time now) {
+  const auto fleet = this->services.find(service);
+  const auto found = this->states.find(address);
+  if (fleet == this->services.end() || found == this->states.end()) {
+    return std::nullopt;
+  }
+  EngineState& state = found->second;
+  const bool early = state.speed_noted != Time{} &&
+                     now - state.speed_noted < Duration(kSpeedNoteInterval);
+  if (early) {
+    return std::nullopt;
+  }
+  const auto lasting = state.speed.Lasting(fleet->second.speeds, now);
+  // Two limits, so that a replica near one of them is not noted again and
+  // again.
+  const bool slow =
+      lasting.factor >= (state.noted_slow ? speeds::ReplicaSpeed::kEven
+                                          : speeds::ReplicaSpeed::kFull);
+  if (slow == state.noted_slow) {
+    return std::nullopt;
+  }
+  state.noted_slow = slow;
+  state.speed_noted = now;
+  return lasting;
+}
+
+std::size_t EngineChooser::SlowReplicas() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->states, [](const auto& entry) { return entry.second.noted_slow; }));
+}
+
 void EngineChooser::Succeeded(const std::string& address) {
   EngineState& state = this->states[address];
   state.failures = 0;
@@ -229,8 +355,8 @@
 /// Prevents each request from spending seconds asking lost hosts one after the
 /// other although their engines are idle.
 void EngineChooser::HostTimedOut(const std::string& host, Time now) {
-  for (const auto& [service, list] : this->options) {
-    for (const EngineOption& option : list) {
+  for (const auto& [name, service] : this->services) {
+    for (const EngineOption& option : service.options) {
       if (option.hosted && option.gate == host) {
         this->NotOwned(option.address, now);
       }
@@ -244,12 +370,12 @@
 }
 
 std::size_t EngineChooser::OptionCount(const EngineQuery& query) const {
-  const auto found = this->options.find(query.service);
-  if (found == this->options.end()) {
+  const auto found = this->services.find(query.service);
+  if (found == this->services.end()) {
     return 0;
   }
   return static_cast<std::size_t>(std::ranges::count_if(
-      found->second, [this, &query](const EngineOption& option) {
+      found->second.options, [this, &query](const EngineOption& option) {
         return query.Admits(this->SoftwareOf(option));
       }));
 }
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -44,8 +44,10 @@
 /// at once otherwise. Thread safety: none.
 class SlotSearch {
  public:
-  SlotSearch(std::string service, std::string own_zone)
-      : query{std::move(service)}, own_zone(std::move(own_zone)) {}
+  SlotSearch(std::string service, std::string own_zone,
+             const speeds::SpeedObjectives& objectives = {})
+      : query{std::move(service), std::nullopt, objectives},
+        own_zone(std::move(own_zone)) {}
 
   /// From now on only replicas of `began` are considered: an event of it has
   /// reached the caller.
