The load header of a replica may have a fourth figure

A header of four figures was ignored as a whole. The fourth, how long work takes on the machine at the moment in percent of the usual time, is read into EngineLoad; one that is missing or absurd leaves the counts valid. Settings Zones.ByteCost and Zones.MaxShare are read with their ranges checked.

--- a/src/nodes/dialect.h
+++ b/src/nodes/dialect.h
@@ -44,6 +44,9 @@
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
   std::uint64_t started_ms = 0;  ///< As in coordination::EngineInstance.
+  /// How long work takes on its machine at the moment, in percent of the usual
+  /// time; zero: not known.
+  std::uint32_t pace = 0;
 };
 struct EngineHead {
   bool not_run = false;  ///< The engine states that the request did not run.
--- a/src/nodes/nodeoptions.h
+++ b/src/nodes/nodeoptions.h
@@ -10,6 +10,7 @@
 #include "coordination/coordinationmessages.h"
 #include "global/settings.h"
 #include "organisations/keytrust.h"
+#include "placement/zonepolicy.h"
 #include "quotas/quotalimits.h"
 
 namespace papayarack::nodes {
@@ -41,6 +42,7 @@
   std::chrono::milliseconds batch_keep{120000};
   organisations::RevocationBound revocation;
   quotas::QuotaTolerance quota_tolerance;
+  placement::ZoneSettings zones;          ///< Entry: traffic to other zones.
   std::chrono::milliseconds drain{3000};  ///< Draining replicas: no new work
                                           ///< after this.
 };
