A slow replica with free slots goes before fast ones that are nearly full

With the slowness in full, fast replicas fill while slow ones have free slots. It now makes a replica look three quarters occupied at most. The first choice of a request no longer copies the start of each replica.

--- a/bench/corebench.cpp
+++ b/bench/corebench.cpp
@@ -16,6 +16,7 @@
 #include "gate/gatecore.h"
 #include "gate/gateprotocol.h"
 #include "global/variantcodec.h"
+#include "placement/enginechooser.h"
 #include "placement/enginehosts.h"
 #include "statemachine/statemachine.h"
 #include "storage/memoryfilesystem.h"
@@ -101,6 +102,53 @@
   return rows;
 }
 
+constexpr std::size_t kBenchZones = 3;
+
+std::vector<placement::EngineOption> MakeOptions(std::size_t count) {
+  std::vector<placement::EngineOption> options(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string number = std::to_string(i);
+    options[i].address = "10.0." + number + ":8080";
+    options[i].id = "i-" + number;
+    options[i].gate = "10.9." + number + ":7720";
+    options[i].zone = "zone-" + std::to_string(i % kBenchZones);
+    options[i].slots = 8;
+  }
+  return options;
+}
+
+/// Time of a choice of an entry with `slow` of every four replicas slow, and of
+/// the whole of what it learns with a reply.
+nlohmann::json ChooserCosts() {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const std::size_t count : {38U, 360U, 5000U}) {
+    for (const std::size_t slow : {0U, 1U}) {
+      placement::EngineChooser chooser(1);
+      const auto options = MakeOptions(count);
+      chooser.SetOptions("counter", options);
+      const Time start(std::chrono::seconds(100));
+      const auto learn = [&](std::size_t i) {
+        const std::string& address = options[i % count].address;
+        const auto hold =
+            std::chrono::milliseconds(i % count % 4 < slow ? 1200 : 500);
+        chooser.Reported(address, {3, 0, 2}, start);
+        chooser.LearnSpeed("counter", address, {hold, Duration(0), 100}, start);
+      };
+      for (std::size_t i = 0; i < count * 2; ++i) {
+        learn(i);
+      }
+      const double nanos = NanosEach(400000 / count + 20, [&](std::size_t i) {
+        chooser.Choose({"counter"}, "zone-1", {}, start + Duration(i * 100));
+      });
+      rows.push_back({{"replicas", count},
+                      {"slow_of_four", slow},
+                      {"choose_ns", nanos},
+                      {"learn_ns", NanosEach(20000, learn)}});
+    }
+  }
+  return rows;
+}
+
 nlohmann::json GateCosts() {
   nlohmann::json rows = nlohmann::json::array();
   for (const std::uint32_t running : {8U, 32U, 64U}) {
@@ -295,6 +343,7 @@
   const nlohmann::json result = {
       {"router", RouterCosts()},
       {"gate", GateCosts()},
+      {"chooser", ChooserCosts()},
       {"items", ItemCosts()},
       {"documents", DocumentCosts()},
       {"heartbeats", HeartbeatCosts()},
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -19,6 +19,10 @@
 /// Cost of an engine where the request would miss its objectives: as much as
 /// that of all slots, so that it is chosen only if all others are full.
 constexpr double kMissPenalty = 1;
+/// Slowness makes an engine look at most this occupied: one with free slots
+/// serves a request sooner than a fast one that is nearly full, where asks find
+/// no slot and requests are rejected while slow slots are idle.
+constexpr double kSlowOccupancy = 0.75;
 /// Cost of an engine in backoff: chosen only if all others are in backoff too.
 constexpr double kBackoffPenalty = 1000;
 
@@ -162,7 +166,8 @@
     return cost;
   }
   const double slowness = state.speed.Slowness(service.speeds, now);
-  cost += (slowness - 1) * (used + 1) / slots;
+  const double room = std::max(0.0, kSlowOccupancy - used / slots);
+  cost += std::min((slowness - 1) * (used + 1) / slots, room);
   const bool misses =
       state.speed.MissesObjectives(query.objectives, service.speeds, now);
   return cost + (misses ? kMissPenalty : 0);
@@ -213,7 +218,7 @@
   double best_cost = 0;
   for (const EngineOption& option : service.options) {
     if (!query.Admits(this->SoftwareOf(option)) ||
-        Contains(tried, this->StartOf(option)) ||
+        (!tried.empty() && Contains(tried, this->StartOf(option))) ||
         (own_zone_only && option.zone != own_zone)) {
       continue;
     }
