Gates state how long a stream holds a slot, and entries learn from it

SlotReply has the mean hold time, its age and the replica's pace as new last fields. Entries pass these on, with the times of their own streams and the load header of each response, and count what leaves the zone.

--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -15,6 +15,7 @@
 #include "slots/enginehealth.h"
 #include "slots/foreignruns.h"
 #include "slots/slotallocator.h"
+#include "speeds/gatespeed.h"
 
 namespace papayarack::nodes {
 
@@ -67,9 +68,12 @@
     std::string request;
     Time asked{};
     std::uint32_t wait_ms = 0;  ///< Maximum useful wait from then on.
+    std::optional<Time> granted = {};
   };
   /// Grants, queues or refuses a slot request made at `asked`.
   void Decide(transport::StreamId stream, const AcquireSlot& ask, Time asked);
+  /// Answers a ticket that remains, and notes when it got its slot.
+  void Grant(transport::StreamId stream, Ticket& ticket);
   void Answer(transport::StreamId stream, const Ticket& ticket,
               SlotVerdict verdict);
   /// Whether the engine could take work but its free slots are still unknown.
@@ -112,6 +116,7 @@
   slots::EngineHealth health;
   bool engine_up = true;  ///< As last logged.
   slots::ForeignRuns foreign;
+  speeds::GateSpeed speed;
   LogThrottle report_problems;
   bool leaving = false;
 };
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -1,6 +1,7 @@
 #include "nodes/engineowner.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "global/hash.h"
@@ -32,6 +33,14 @@
   return "unknown";
 }
 
+std::uint32_t WireMillis(Duration time) {
+  constexpr std::int64_t kMax = std::numeric_limits<std::uint32_t>::max();
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time);
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(millis.count(), 0, kMax));
+}
+
 }  // namespace
 
 EngineOwner::EngineOwner(NodeRuntime& runtime, CrashDetector& crash_detector,
@@ -177,6 +186,7 @@
   this->UpdateAvailability();
   this->foreign.Forget();
   this->allocator.SetForeign(0);
+  this->speed.Reset();
   this->client.CloseIdle(ParseEndpoint(this->owned.address, "engine_address"));
   this->runner.EngineRestarted();
 }
@@ -205,7 +215,7 @@
       stream, ask.priority, asked + std::chrono::milliseconds(ask.wait_ms)};
   switch (this->allocator.Acquire(request, now)) {
     case slots::SlotAnswer::kGranted:
-      this->Answer(stream, ticket, SlotVerdict::kGranted);
+      this->Grant(stream, this->tickets[stream]);
       this->runner.Balance();
       break;
     case slots::SlotAnswer::kQueued:
@@ -217,6 +227,11 @@
   }
 }
 
+void EngineOwner::Grant(transport::StreamId stream, Ticket& ticket) {
+  ticket.granted = MonotonicNow();
+  this->Answer(stream, ticket, SlotVerdict::kGranted);
+}
+
 void EngineOwner::Answer(transport::StreamId stream, const Ticket& ticket,
                          SlotVerdict verdict) {
   const slots::SlotLoad load = this->allocator.Load();
@@ -230,6 +245,10 @@
       static_cast<std::uint32_t>(this->allocator.ExpectedWait().count() / 1000);
   reply.engine_started_ms = this->started_ms;
   reply.service = this->owned.same_vm ? this->owned.service : std::string();
+  const speeds::SpeedStatement stated = this->speed.Statement(MonotonicNow());
+  reply.hold_ms = WireMillis(stated.hold);
+  reply.hold_age_ms = WireMillis(stated.hold_age);
+  reply.pace = stated.pace;
   Log(LogLevel::kInfo, "slot_answered",
       {{"request", ticket.request},
        {"verdict", NameOf(verdict)},
@@ -240,7 +259,9 @@
        {"slots", load.slots},
        {"waited_ms", (MonotonicNow() - ticket.asked).count() / 1000},
        {"could_wait_ms", ticket.wait_ms},
-       {"expected_wait_ms", reply.expected_wait_ms}});
+       {"expected_wait_ms", reply.expected_wait_ms},
+       {"hold_ms", reply.hold_ms},
+       {"pace", reply.pace}});
   this->runtime.server->Send(stream, EncodeMessage(reply));
   if (verdict != SlotVerdict::kGranted) {
     this->runtime.server->Finish(stream);
@@ -251,10 +272,14 @@
   if (this->pending.Remove(stream)) {
     return true;
   }
-  if (this->tickets.erase(stream) == 0) {
+  const auto ended = this->tickets.extract(stream);
+  if (ended.empty()) {
     return false;
   }
   const Time now = MonotonicNow();
+  if (const auto granted = ended.mapped().granted) {
+    this->speed.Held(now - *granted, now);
+  }
   this->allocator.Release(stream, now);
   this->ProcessQueues(now);
   return true;
@@ -289,7 +314,7 @@
   for (const slots::TicketId stream : this->allocator.TakeGranted(now)) {
     const auto granted = this->tickets.find(stream);
     if (granted != this->tickets.end()) {
-      this->Answer(stream, granted->second, SlotVerdict::kGranted);
+      this->Grant(stream, granted->second);
     }
   }
   this->runner.Balance();
@@ -331,7 +356,10 @@
   call.target = this->runtime.dialect.report_target;
   const auto body = std::make_shared<std::string>();
   http::HttpCallHandlers handlers;
-  handlers.on_head = [](const http::HttpHead&) {};
+  handlers.on_head = [this](const http::HttpHead& head) {
+    const auto load = this->runtime.dialect.read_engine_head(head).load;
+    this->speed.Paced(load.value_or(EngineLoad{}).pace, MonotonicNow());
+  };
   handlers.on_body = [body](std::string_view bytes) { body->append(bytes); };
   handlers.on_end = [this, body](http::HttpEnd end) {
     this->report_call.reset();
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -46,7 +46,8 @@
   this->relay = std::make_unique<OnlineRelay>(
       runtime.context, this->front, *runtime.peers, *runtime.watch,
       runtime.dialect, runtime.metrics,
-      RelayLocation{runtime.options.name, runtime.options.zone},
+      RelayLocation{runtime.options.name, runtime.options.zone,
+                    runtime.options.zones},
       runtime.incarnation);
   this->quotas = std::make_unique<CallerQuotas>(
       runtime.context, *runtime.coordination, runtime.options,
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -70,7 +70,7 @@
       own_zone(std::move(place.zone)),
       engines(context),
       crash_detector(context, watch),
-      chooser(seed),
+      chooser(seed, place.zones),
       stream_origins(peers, metrics),
       random(seed + 1),
       sweep(context) {
@@ -150,7 +150,10 @@
 
 void OnlineRelay::SetService(Call& call, const std::string& service) const {
   call.service = service;
-  call.search.emplace(service, this->own_zone);
+  call.search.emplace(
+      service, this->own_zone,
+      speeds::SpeedObjectives{call.route->target_latency,
+                              call.route->target_gap, call.route->timeout});
   const http::HttpRequest& request = call.request;
   call.traits =
       quarantine::TraitsOf({request.method, request.headers.Get("Host"),
@@ -311,6 +314,7 @@
   this->chooser.Reported(call.engine.address,
                          {reply.online, reply.waiting, reply.batch},
                          MonotonicNow());
+  this->LearnSpeed(call, reply);
   const bool fits =
       !call.began.has_value() || call.engine.software.CanContinue(*call.began);
   if (reply.Verdict() == SlotVerdict::kGranted && fits) {
@@ -382,6 +386,9 @@
   call.run_began.reset();
   call.run_survived = false;
   call.splitter.Clear();
+  call.run_events = 0;
+  call.run_first_event = {};
+  call.run_bytes = call.request.body.size();
   http::HttpCall out;
   out.peer = ParseEndpoint(call.engine.address, "engine");
   out.method = call.request.method;
@@ -423,6 +430,7 @@
     this->OnEnd(id, attempt, end);
   };
   this->chooser.Started(call.engine.address);
+  this->CountZone(call);
   call.engine_call = this->engines.Call(std::move(out), std::move(handlers));
 }
 
@@ -444,6 +452,9 @@
     }
     return;
   }
+  this->chooser.LearnPace(call.engine.address,
+                          engine.load.value_or(EngineLoad{}).pace,
+                          call.last_heard);
   call.accepted = true;
   call.ran_at.insert(call.engine.address);
   const bool success = IsSuccess(head.status);
@@ -505,6 +516,7 @@
   }
   Call& call = found->second;
   const Time before = std::exchange(call.last_heard, MonotonicNow());
+  call.run_bytes += bytes.size();
   if (call.failed_status || (!call.head_sent && !call.held_head.has_value())) {
     return;
   }
@@ -535,6 +547,9 @@
       }
       call.last_event = *event.id;
       call.any_event = true;
+      if (++call.run_events == 1) {
+        call.run_first_event = call.last_heard;
+      }
       if (call.first_event == Time{}) {
         call.first_event = call.last_heard;
       }
@@ -587,6 +602,7 @@
     this->NoteSurvival(call);
   }
   this->chooser.Succeeded(call.engine.address);
+  this->LearnStream(call);
   if (call.held_head.has_value()) {
     this->ForwardHead(call, *call.held_head);
   }
@@ -594,6 +610,65 @@
   this->Finish(id, "answered", call.status);
 }
 
+void OnlineRelay::LearnSpeed(const Call& call, const SlotReply& reply) {
+  const speeds::SpeedStatement statement{
+      std::chrono::milliseconds(reply.hold_ms),
+      std::chrono::milliseconds(reply.hold_age_ms), reply.pace};
+  this->chooser.LearnSpeed(call.service, call.engine.address, statement,
+                           MonotonicNow());
+  this->LogSpeed(call.service, call.engine.address);
+}
+
+/// A stream of a few events says little of the time between two.
+void OnlineRelay::LearnStream(const Call& call) {
+  constexpr std::uint64_t kMinEvents = 5;
+  if (!call.is_events || call.run_events < kMinEvents) {
+    return;
+  }
+  const Duration all = call.last_heard - call.run_first_event;
+  const speeds::StreamTimes times{
+      call.run_first_event - call.sent,
+      all / static_cast<std::int64_t>(call.run_events - 1)};
+  this->chooser.LearnStream(call.service, call.engine.address, times,
+                            call.run_bytes, call.last_heard);
+  this->LogSpeed(call.service, call.engine.address);
+}
+
+void OnlineRelay::LogSpeed(const std::string& service,
+                           const std::string& address) {
+  const auto change = this->chooser.NoteSpeed(service, address, MonotonicNow());
+  if (!change.has_value()) {
+    return;
+  }
+  Log(LogLevel::kInfo, "replica_speed_changed",
+      {{"service", service},
+       {"address", address},
+       {"slowness", change->factor},
+       {"source", NameOf(change->source)},
+       {"age_ms", change->age.count() / 1000}});
+  this->metrics.Set("slow_replicas",
+                    static_cast<double>(this->chooser.SlowReplicas()));
+}
+
+void OnlineRelay::CountZone(const Call& call) {
+  const bool other_zone = call.engine.zone != this->own_zone;
+  const Time now = MonotonicNow();
+  this->chooser.CountZone(call.service, other_zone, now);
+  const placement::ZonePolicy* policy = this->chooser.ZoneOf(call.service);
+  const char* reason = NameOf(policy->Reason());
+  if (other_zone) {
+    this->metrics.Add(
+        fmt::format(R"(online_other_zone_total{{reason="{}"}})", reason));
+  }
+  if (this->zone_changes.Due(fmt::format("{} {}", call.service, reason), now)) {
+    Log(LogLevel::kInfo, "zone_policy",
+        {{"service", call.service},
+         {"zone", this->own_zone},
+         {"reason", reason},
+         {"other_zone_share", policy->Share()}});
+  }
+}
+
 /// After a restart of many replicas the list shows their former ids for a
 /// second, in which every request would be refused by each replica it is sent
 /// to. An address can belong to another service by then, so only the gate
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -20,6 +20,7 @@
 #include "http/httpserver.h"
 #include "nodes/crashdetector.h"
 #include "nodes/dialect.h"
+#include "nodes/logthrottle.h"
 #include "nodes/slotmessages.h"
 #include "nodes/streamorigins.h"
 #include "placement/enginechooser.h"
@@ -33,6 +34,7 @@
 struct RelayLocation {
   std::string name;
   std::string zone;
+  placement::ZoneSettings zones = {};  ///< Traffic to other zones.
 };
 
 /// An online request's route, its caller and when it arrived.
@@ -115,6 +117,11 @@
     std::uint64_t last_event = 0;
     bool any_event = false;
     Time first_event{};
+    /// Events of this attempt, when the first one came, and the bytes sent to
+    /// and received from the replica.
+    std::uint64_t run_events = 0;
+    Time run_first_event{};
+    std::uint64_t run_bytes = 0;
     /// Of the first event that the caller got, in this or an earlier attempt.
     std::optional<ReplicaSoftware> began;
     std::optional<Time> broken_at;  ///< When a stream that had begun broke.
@@ -158,6 +165,13 @@
   void OnBroken(CallId id, const char* reason);
   void Retry(CallId id);
   void ReleaseEngine(Call& call);
+  /// Passes the speed that a gate states on to the chooser.
+  void LearnSpeed(const Call& call, const SlotReply& reply);
+  /// The same for the times of a stream that ended completely.
+  void LearnStream(const Call& call);
+  void LogSpeed(const std::string& service, const std::string& address);
+  /// Counts a request that is sent, and logs why requests leave the zone.
+  void CountZone(const Call& call);
   void OnRestart(const placement::EngineRestart& restart);
   void Refuse(CallId id, const char* reason);
   /// Refuses a stream that cannot go on anywhere, so its caller has to begin
@@ -194,6 +208,7 @@
   CallId last_call = 0;
   Time engines_seen{};
   NotRun not_run;
+  LogThrottle zone_changes;
   asio::steady_timer sweep;
   bool check_left_out = false;  ///< The last one, as the loop stood still.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/nodes/slotmessages.h
+++ b/src/nodes/slotmessages.h
@@ -41,8 +41,14 @@
   /// Service of the replica on the gate's VM, as the gate's settings name it,
   /// so that it holds for whichever replica starts there; empty: not known.
   std::string service = {};
+  /// How long a stream holds a slot there on average; zero: not known.
+  std::uint32_t hold_ms = 0;
+  /// Since the end of the last stream that `hold_ms` covers.
+  std::uint32_t hold_age_ms = 0;
+  /// As in EngineLoad.
+  std::uint32_t pace = 0;
   MSGPACK_DEFINE(verdict, online, waiting, batch, slots, expected_wait_ms,
-                 engine_started_ms, service)
+                 engine_started_ms, service, hold_ms, hold_age_ms, pace)
 
   SlotVerdict Verdict() const {
     return static_cast<SlotVerdict>(this->verdict);
--- a/src/nodes/tests/nodes_tests.cpp
+++ b/src/nodes/tests/nodes_tests.cpp
@@ -62,6 +62,9 @@
   const auto read = DecodeMessage<SlotReply>(EncodeMessage(former));
   CHECK(read.expected_wait_ms == 88);
   CHECK(read.engine_started_ms == 0);
+  CHECK(read.hold_ms == 0);
+  CHECK(read.hold_age_ms == 0);
+  CHECK(read.pace == 0);
   SlotReply reply;
   reply.expected_wait_ms = 89;
   reply.engine_started_ms = 1700000000123;
@@ -69,6 +72,13 @@
         89);
   CHECK(DecodeMessage<SlotReply>(EncodeMessage(reply)).engine_started_ms ==
         1700000000123);
+  reply.hold_ms = 1200;
+  reply.hold_age_ms = 30;
+  reply.pace = 250;
+  const auto speed = DecodeMessage<SlotReply>(EncodeMessage(reply));
+  CHECK(speed.hold_ms == 1200);
+  CHECK(speed.hold_age_ms == 30);
+  CHECK(speed.pace == 250);
 }
 
 namespace {
