--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -15,6 +15,7 @@
 #include "slots/enginehealth.h"
 #include "slots/foreignruns.h"
 #include "slots/slotallocator.h"
+#include "speeds/gatespeed.h"
 
 namespace papayarack::nodes {
 
@@ -71,12 +72,15 @@
     std::uint32_t wait_ms = 0;  ///< Maximum useful wait from then on.
     /// Its place in the queue went to another organisation.
     bool displaced = false;
+    std::optional<Time> granted = {};
   };
   static Ticket TicketOf(const AcquireSlot& ask, Time asked);
   /// Answers those whose place in the queue went to another organisation.
   void AnswerDisplaced();
   /// Grants, queues or refuses a slot request made at `asked`.
   void Decide(transport::StreamId stream, const AcquireSlot& ask, Time asked);
+  /// Answers a ticket that remains, and notes when it got its slot.
+  void Grant(transport::StreamId stream, Ticket& ticket);
   void Answer(transport::StreamId stream, const Ticket& ticket,
               SlotVerdict verdict);
   /// Whether the engine could take work but its free slots are still unknown.
@@ -119,6 +123,7 @@
   slots::EngineHealth health;
   bool engine_up = true;  ///< As last logged.
   slots::ForeignRuns foreign;
+  speeds::GateSpeed speed;
   LogThrottle report_problems;
   bool leaving = false;
 };
