Bound the bytes of responses that have no end

A replica that sent bytes after a refusal or a failure, or a stream without events, kept its request until the deadline, as each byte counted as a sign of life; reports and list pages were collected without a bound, and so were batch streams without events. Responses are now bounded in bytes, and the rest of a refusal or failure in time; the request is then tried elsewhere.

--- a/src/http/eventsplitter.h
+++ b/src/http/eventsplitter.h
@@ -13,28 +13,28 @@
   std::string_view raw;  ///< As on the wire, including its blank line.
   std::optional<std::uint64_t> id;
   std::string data;  ///< Its data lines, joined by line feeds.
+
+  /// False for blank lines and comments, which carry nothing.
+  bool IsEvent() const { return this->id.has_value() || !this->data.empty(); }
 };
 
 /// Splits an event stream into complete events. An engine may stop in the
-/// middle of an event; an incomplete event is never returned. Thread safety:
-/// none.
+/// middle of an event; an incomplete event is never returned. The length of an
+/// event is not bounded here. Thread safety: none.
 class EventSplitter {
  public:
-  /// Maximum length of an event; longer data is not an event stream.
-  static constexpr std::size_t kMaxEvent = 1U << 20U;
-
   void Add(std::string_view bytes) { this->pending.append(bytes); }
   /// Extracts the next complete event; its `raw` is valid until the next call
   /// of any method. False when more bytes are needed.
   bool Next(StreamEvent& event);
-  bool TooLong() const { return this->pending.size() > kMaxEvent; }
   /// True when bytes of an incomplete event are buffered.
   bool HasPartialEvent() const { return this->pending.size() > this->taken; }
   void Clear();
 
  private:
   std::string pending;
-  std::size_t taken = 0;  ///< Bytes of the event returned last.
+  std::size_t taken = 0;    ///< Bytes of the event returned last.
+  std::size_t scanned = 0;  ///< Bytes of `pending` without an event's end.
 };
 
 }  // namespace papayarack::http
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -33,6 +34,9 @@
   /// Whether a pooled connection may be used. The peer may already have closed
   /// it, so the outcome of a failure on one is unknown.
   bool reuse = true;
+  /// A response with a longer body ends as kMalformed, so that a faulty peer
+  /// cannot fill the memory of a caller that collects the body.
+  std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Status and header fields of a response.
@@ -43,10 +47,11 @@
 
 /// How a call ended.
 enum class HttpEnd {
-  kComplete,   ///< The complete response arrived.
-  kNotSent,    ///< No byte of the request was sent: it did not run.
-  kBroken,     ///< The connection ended or was reset; the request may have run.
-  kMalformed,  ///< The response is malformed; the request may have run.
+  kComplete,  ///< The complete response arrived.
+  kNotSent,   ///< No byte of the request was sent: it did not run.
+  kBroken,    ///< The connection ended or was reset; the request may have run.
+  /// The response is malformed or exceeds a limit; the request may have run.
+  kMalformed,
 };
 
 /// Called on the event loop, in this order; they must not block. on_end is
@@ -63,6 +68,9 @@
   std::chrono::milliseconds max_idle{3000};
   std::size_t max_idle_per_peer = 16;
   std::size_t max_head_bytes = 32U << 10U;
+  /// Bytes read for one call before its response begins: interim responses and
+  /// a response to an earlier call. More is no HTTP, so the call is malformed.
+  std::size_t max_skipped_bytes = 1U << 20U;
 };
 
 /// An event-driven HTTP/1.1 client with pooled connections. Thread safety:
@@ -81,6 +89,12 @@
   /// Cancels a call by closing its connection, which notifies the peer. No
   /// handler is called any more.
   void Cancel(HttpCallId call);
+  /// Stops reading the response, so that TCP slows down the peer. At most one
+  /// read that is in progress is still passed on. An end of the connection is
+  /// noticed only after Resume. Ignored when the call has ended.
+  void Pause(HttpCallId call);
+  /// Continues reading; ignored when the call has ended or is not paused.
+  void Resume(HttpCallId call);
   /// Closes the idle connections to `peer`, for a peer that is known to have
   /// restarted. Otherwise the next request would be sent on a connection that
   /// the peer no longer knows and break without a response; it might have run,
--- a/src/http/internal/eventsplitter.cpp
+++ b/src/http/internal/eventsplitter.cpp
@@ -1,5 +1,7 @@
 #include "http/eventsplitter.h"
 
+#include <algorithm>
+
 #include "http/headers.h"
 
 namespace papayarack::http {
@@ -26,9 +28,9 @@
 }
 
 /// Length of the first event including its blank line; npos when it is
-/// incomplete.
-std::size_t EventEnd(std::string_view text) {
-  for (std::size_t at = text.find('\n'); at != std::string_view::npos;
+/// incomplete. `from`: where to begin the search.
+std::size_t EventEnd(std::string_view text, std::size_t from) {
+  for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
        at = text.find('\n', at + 1)) {
     const std::string_view rest = text.substr(at + 1);
     if (rest.starts_with('\n')) {
@@ -44,12 +46,19 @@
 }  // namespace
 
 bool EventSplitter::Next(StreamEvent& event) {
+  // A blank line may be split after its first two bytes, "\n\r".
+  constexpr std::size_t kOverlap = 2;
   this->pending.erase(0, this->taken);
   this->taken = 0;
-  const std::size_t end = EventEnd(this->pending);
+  const std::size_t end = EventEnd(this->pending, this->scanned);
   if (end == std::string_view::npos) {
+    // Scanning every byte once keeps data without an event from costing time
+    // that grows with the square of its length.
+    this->scanned =
+        this->pending.size() - std::min(this->pending.size(), kOverlap);
     return false;
   }
+  this->scanned = 0;
   this->taken = end;
   const std::string_view whole = this->pending;
   event.raw = whole.substr(0, end);
@@ -73,6 +82,7 @@
 void EventSplitter::Clear() {
   this->pending.clear();
   this->taken = 0;
+  this->scanned = 0;
 }
 
 }  // namespace papayarack::http
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -64,13 +64,18 @@
     bool connected = false;
     bool sent_any = false;
     bool skipping = false;  ///< Skipping a response to another call.
-    Time since{};           ///< Start of connecting, or of being idle.
+    bool reading = false;
+    bool paused = false;
+    std::size_t skipped_bytes = 0;  ///< Read before the response to the call.
+    std::size_t body_bytes = 0;     ///< Of the response to the call.
+    Time since{};                   ///< Start of connecting, or of being idle.
     std::chrono::milliseconds idle_limit{0};
   };
   using LinkPtr = std::shared_ptr<Link>;
   struct Pending {
     HttpCallHandlers handlers;
     Header identity;
+    std::size_t max_body_bytes = 0;
     LinkPtr link;
   };
 
@@ -128,10 +133,14 @@
     }
     link->call = id;
     link->sent_any = false;
+    link->paused = false;
+    link->skipped_bytes = 0;
+    link->body_bytes = 0;
     link->request = RequestBytes(call);
     this->Attach(link);
-    this->calls.emplace(
-        id, Pending{std::move(handlers), std::move(call.identity), link});
+    this->calls.emplace(id,
+                        Pending{std::move(handlers), std::move(call.identity),
+                                call.max_body_bytes, link});
     if (reused) {
       link->parser.Next();
       this->SendRequest(link);
@@ -161,12 +170,24 @@
     link->hooks.on_head = [this, raw] { this->OnHead(*raw); };
     link->hooks.on_body = [this, raw](std::string_view bytes) {
       const auto found = this->calls.find(raw->call);
-      if (found != this->calls.end() && !raw->skipping) {
+      if (found == this->calls.end() || raw->skipping) {
+        return;
+      }
+      raw->body_bytes += bytes.size();
+      if (raw->body_bytes <= found->second.max_body_bytes) {
         found->second.handlers.on_body(bytes);
       }
     };
   }
 
+  /// Whether the peer sent more than the call or the client accepts.
+  bool OverLimit(const Link& link) const {
+    const auto found = this->calls.find(link.call);
+    return found != this->calls.end() &&
+           (link.skipped_bytes > this->options.max_skipped_bytes ||
+            link.body_bytes > found->second.max_body_bytes);
+  }
+
   void Connect(const LinkPtr& link, const Endpoint& peer) {
     link->since = MonotonicNow();
     std::error_code bad;
@@ -209,6 +230,10 @@
   }
 
   void Read(const LinkPtr& link) {
+    if (link->reading || link->paused) {
+      return;
+    }
+    link->reading = true;
     link->socket.async_read_some(
         asio::buffer(link->chunk),
         [this, link, alive = this->alive](std::error_code error,
@@ -216,6 +241,7 @@
           if (!*alive) {
             return;
           }
+          link->reading = false;
           if (link->call == 0) {
             this->CloseIdleLink(link);
             return;
@@ -251,11 +277,13 @@
     while (!bytes.empty() && link->call != 0) {
       const HttpCallId call = link->call;
       const std::size_t used = link->parser.Parse(bytes);
+      const bool skipped = link->skipping || link->parser.status() / 100 == 1;
+      link->skipped_bytes += skipped ? used : 0;
       bytes.remove_prefix(std::min(used, bytes.size()));
       if (link->call != call) {
         return;  // Cancelled by a handler.
       }
-      if (link->parser.failed()) {
+      if (link->parser.failed() || this->OverLimit(*link)) {
         this->End(link, HttpEnd::kMalformed);
         return;
       }
@@ -301,6 +329,7 @@
       return;
     }
     link->since = MonotonicNow();
+    link->paused = false;
     link->request.clear();
     link->idle_limit = this->options.max_idle;
     if (const auto announced = AnnouncedIdleTimeout(link->parser.headers)) {
@@ -355,6 +384,24 @@
     Close(*link);
   }
 
+  void Pause(HttpCallId id) {
+    const auto found = this->calls.find(id);
+    if (found != this->calls.end()) {
+      found->second.link->paused = true;
+    }
+  }
+
+  void Resume(HttpCallId id) {
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) {
+      return;
+    }
+    const LinkPtr link = found->second.link;
+    if (std::exchange(link->paused, false) && link->connected) {
+      this->Read(link);
+    }
+  }
+
   void CloseIdle(const std::string& address) {
     const auto links = this->idle.extract(address);
     if (links.empty()) {
@@ -427,6 +474,10 @@
 
 void HttpClient::Cancel(HttpCallId call) { this->impl->Cancel(call); }
 
+void HttpClient::Pause(HttpCallId call) { this->impl->Pause(call); }
+
+void HttpClient::Resume(HttpCallId call) { this->impl->Resume(call); }
+
 void HttpClient::CloseIdle(const Endpoint& peer) {
   this->impl->CloseIdle(peer.ToString());
 }
--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -120,10 +120,13 @@
     http::HttpCallId call = 0;
     int status = 0;
     bool not_run = false;
-    Time due{};         ///< Deadline of its result.
-    Time since{};       ///< Start of the current phase.
-    Time last_heard{};  ///< When its last byte came.
-    Time not_before{};  ///< No start before this, after a failure.
+    Time due{};                      ///< Deadline of its result.
+    Time since{};                    ///< Start of the current phase.
+    Time last_heard{};               ///< When its last byte came.
+    Time last_block{};               ///< When its last complete event came.
+    std::size_t ignored_bytes = 0;   ///< Of a refusal's or failure's body.
+    std::size_t unframed_bytes = 0;  ///< Since the last event.
+    Time not_before{};               ///< No start before this, after a failure.
     /// Start of the pause, or of the first of several between which no event
     /// came.
     Time idle_since{};
@@ -176,6 +179,8 @@
   void OnHead(RunId id, const http::HttpHead& head);
   void OnBody(RunId id, std::string_view bytes);
   bool AppendEvent(Run& run, const http::StreamEvent& event);
+  /// Ends a run whose replica sends bytes beyond the limits.
+  void Cut(RunId id, const char* reason);
   void OnEnd(RunId id, http::HttpEnd end);
   void Finish(RunId id, Run& run, batches::ItemEnd end);
   void Report();
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -7,6 +7,7 @@
 #include "global/hash.h"
 #include "global/logging.h"
 #include "nodes/itemtraits.h"
+#include "nodes/responselimits.h"
 
 namespace papayarack::nodes {
 namespace {
@@ -145,7 +146,7 @@
   this->Report();
   std::vector<RunId> silent;
   for (const auto& [id, run] : this->runs) {
-    if (run.phase == Phase::kRunning && now - run.last_heard > kMaxSilence) {
+    if (run.phase == Phase::kRunning && now - run.last_block > kMaxSilence) {
       silent.push_back(id);
     }
   }
@@ -425,6 +426,9 @@
   run.not_run = false;
   run.since = MonotonicNow();
   run.last_heard = run.since;
+  run.last_block = run.since;
+  run.ignored_bytes = 0;
+  run.unframed_bytes = 0;
   run.first_event = run.last_event;
   run.run_began.reset();
   run.run_survived = false;
@@ -467,6 +471,7 @@
   found->second.status = head.status;
   found->second.not_run = engine.not_run;
   found->second.last_heard = MonotonicNow();
+  found->second.last_block = found->second.last_heard;
   const bool other = engine.not_run && !engine.engine_id.empty() &&
                      engine.engine_id != this->replica.id;
   if (other && this->other_replica) {
@@ -476,10 +481,17 @@
 
 void BatchRunner::OnBody(RunId id, std::string_view bytes) {
   const auto found = this->runs.find(id);
-  if (found == this->runs.end() || found->second.status != 200) {
+  if (found == this->runs.end()) {
     return;
   }
   Run& run = found->second;
+  if (run.status != 200) {
+    run.ignored_bytes += bytes.size();
+    if (run.ignored_bytes > kMaxIgnoredBytes) {
+      this->Cut(id, "a refusal or failure without end");
+    }
+    return;
+  }
   const Time before = std::exchange(run.last_heard, MonotonicNow());
   if (!run.run_began.has_value()) {
     run.run_began = run.last_heard;
@@ -488,8 +500,13 @@
     this->NoteSurvival(run);
   }
   run.splitter.Add(bytes);
+  run.unframed_bytes += bytes.size();
   http::StreamEvent event;
   while (run.splitter.Next(event)) {
+    run.last_block = run.last_heard;
+    if (event.IsEvent()) {
+      run.unframed_bytes = 0;
+    }
     if (!this->AppendEvent(run, event)) {
       Log(LogLevel::kWarn, "item_event_out_of_order",
           {{"request", run.item.spec.id},
@@ -500,6 +517,23 @@
       return;
     }
   }
+  if (run.unframed_bytes > kMaxUnframedBytes) {
+    this->Cut(id, "bytes that form no event");
+  }
+}
+
+/// The head has decided how a refusal or a failure is handled; a stream without
+/// events is handled like a broken connection.
+void BatchRunner::Cut(RunId id, const char* reason) {
+  Run& run = this->runs.at(id);
+  Log(LogLevel::kWarn, "item_response_cut",
+      {{"request", run.item.spec.id},
+       {"engine", this->replica.id},
+       {"status", run.status},
+       {"reason", reason},
+       {"last_event", run.last_event}});
+  this->engine.Cancel(run.call);
+  this->OnEnd(id, http::HttpEnd::kMalformed);
 }
 
 /// Event ids must be consecutive; any other id belongs to another run.
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -6,6 +6,7 @@
 #include "global/hash.h"
 #include "global/logging.h"
 #include "nodes/fleetengines.h"
+#include "nodes/responselimits.h"
 #include "placement/enginestart.h"
 
 namespace papayarack::nodes {
@@ -329,6 +330,7 @@
   http::HttpCall call;
   call.peer = ParseEndpoint(this->owned.address, "engine_address");
   call.target = this->runtime.dialect.report_target;
+  call.max_body_bytes = kMaxReportBodyBytes;
   const auto body = std::make_shared<std::string>();
   http::HttpCallHandlers handlers;
   handlers.on_head = [](const http::HttpHead&) {};
--- a/src/nodes/internal/listreading.cpp
+++ b/src/nodes/internal/listreading.cpp
@@ -9,6 +9,7 @@
 
 #include "global/logging.h"
 #include "nodes/plainresponses.h"
+#include "nodes/responselimits.h"
 
 namespace papayarack::nodes {
 namespace {
@@ -49,6 +50,7 @@
     http::HttpCall ask;
     ask.peer = this->list;
     ask.target = this->dialect.list_target(this->token);
+    ask.max_body_bytes = kMaxListPageBytes;
     this->body.clear();
     this->status = 0;
     http::HttpCallHandlers handlers;
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -7,6 +7,7 @@
 
 #include "global/logging.h"
 #include "nodes/fleetengines.h"
+#include "nodes/responselimits.h"
 #include "placement/admission.h"
 
 namespace papayarack::nodes {
@@ -377,6 +378,10 @@
   ++call.sends;
   call.sent = now;
   call.last_heard = now;
+  call.last_block = now;
+  call.ignored_bytes = 0;
+  call.failure_bytes = 0;
+  call.unframed_bytes = 0;
   call.accepted = false;
   call.other_replica.clear();
   call.run_began.reset();
@@ -434,6 +439,7 @@
   }
   Call& call = found->second;
   call.last_heard = MonotonicNow();
+  call.last_block = call.last_heard;
   const EngineHead engine = this->dialect.read_engine_head(head);
   call.status = head.status;
   if (engine.not_run) {
@@ -504,10 +510,11 @@
     return;
   }
   Call& call = found->second;
-  const Time before = std::exchange(call.last_heard, MonotonicNow());
   if (call.failed_status || (!call.head_sent && !call.held_head.has_value())) {
+    this->IgnoreBody(id, bytes.size());
     return;
   }
+  const Time before = std::exchange(call.last_heard, MonotonicNow());
   if (!call.run_began.has_value()) {
     call.run_began = call.last_heard;
   }
@@ -515,11 +522,62 @@
     this->NoteSurvival(call);
   }
   if (!call.is_events) {
-    this->front->Write(call.exchange, bytes);
+    this->ForwardBody(id, bytes);
     return;
   }
   if (!this->ForwardEvents(call, bytes)) {
     this->OnBroken(id, "an event out of order");
+    return;
+  }
+  if (call.unframed_bytes > kMaxUnframedBytes) {
+    constexpr const char* kReason = "bytes that form no event";
+    this->CutResponse(call, kReason);
+    this->OnBroken(id, kReason);
+  }
+}
+
+void OnlineRelay::IgnoreBody(CallId id, std::size_t bytes) {
+  Call& call = this->calls.at(id);
+  call.ignored_bytes += bytes;
+  if (call.ignored_bytes <= kMaxIgnoredBytes) {
+    return;
+  }
+  this->CutResponse(call, "a refusal or failure without end");
+  this->chooser.Failed(call.engine.address, MonotonicNow());
+  call.other_replica.clear();
+  this->EndFailed(id);
+}
+
+void OnlineRelay::ForwardBody(CallId id, std::string_view bytes) {
+  Call& call = this->calls.at(id);
+  call.failure_bytes += IsSuccess(call.status) ? 0 : bytes.size();
+  if (call.failure_bytes > kMaxFailureBytes) {
+    constexpr const char* kReason = "a failure without end";
+    this->CutResponse(call, kReason);
+    this->Fail(id, kBadGateway, kReason);
+    return;
+  }
+  this->front->Write(call.exchange, bytes);
+}
+
+void OnlineRelay::CutResponse(Call& call, const char* reason) {
+  Log(LogLevel::kWarn, "response_cut",
+      {{"request", call.fields.id},
+       {"engine", call.engine.id},
+       {"address", call.engine.address},
+       {"status", call.status},
+       {"reason", reason}});
+  this->metrics.Add("online_responses_cut_total");
+  this->engines.Cancel(std::exchange(call.engine_call, 0));
+}
+
+void OnlineRelay::EndFailed(CallId id) {
+  const Call& call = this->calls.at(id);
+  const bool ran = call.ran_at.count(call.engine.address) > 0;
+  if (ran) {
+    this->OnBroken(id, "the engine failed the request");
+  } else if (!this->SendToOtherReplica(id)) {
+    this->Retry(id);
   }
 }
 
@@ -527,8 +585,13 @@
 /// repetition or events of another request must not reach the caller.
 bool OnlineRelay::ForwardEvents(Call& call, std::string_view bytes) {
   call.splitter.Add(bytes);
+  call.unframed_bytes += bytes.size();
   http::StreamEvent event;
   while (call.splitter.Next(event)) {
+    call.last_block = call.last_heard;
+    if (event.IsEvent()) {
+      call.unframed_bytes = 0;
+    }
     if (event.id.has_value()) {
       if (call.any_event && *event.id != call.last_event + 1) {
         return false;
@@ -544,7 +607,7 @@
     }
     this->front->Write(call.exchange, event.raw);
   }
-  return !call.splitter.TooLong();
+  return true;
 }
 
 void OnlineRelay::OnEnd(CallId id, std::uint64_t attempt, http::HttpEnd end) {
@@ -569,12 +632,7 @@
     return;
   }
   if (call.failed_status) {
-    const bool ran = call.ran_at.count(call.engine.address) > 0;
-    if (ran) {
-      this->OnBroken(id, "the engine failed the request");
-    } else if (!this->SendToOtherReplica(id)) {
-      this->Retry(id);
-    }
+    this->EndFailed(id);
     return;
   }
   if (call.is_events && call.splitter.HasPartialEvent()) {
@@ -865,6 +923,7 @@
 void OnlineRelay::ExcuseSilence(Duration time, Time now) {
   for (auto& [id, call] : this->calls) {
     call.last_heard = std::min<Time>(call.last_heard + time, now);
+    call.last_block = std::min<Time>(call.last_block + time, now);
   }
 }
 
@@ -904,7 +963,13 @@
     }
     return;
   }
-  const Duration silent = now - call.last_heard;
+  if (call.failed_status && now - call.last_heard > kMaxIgnoredTime) {
+    this->CutResponse(call, "a refusal or failure that does not end");
+    this->EndFailed(id);
+    return;
+  }
+  const Duration silent =
+      now - (call.is_events ? call.last_block : call.last_heard);
   const bool streaming = call.route->kind == routes::RouteKind::kStreaming;
   const Duration bound =
       call.first_event == Time{} ? kMaxFirstEventSilence : kMaxEventGap;
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -123,6 +123,10 @@
     /// another software may begin it.
     std::optional<http::HttpHead> held_head;
     http::EventSplitter splitter;
+    Time last_block{};  ///< When the head or a complete event last came.
+    std::size_t ignored_bytes = 0;   ///< Of a body that is not passed on.
+    std::size_t failure_bytes = 0;   ///< Of a failure that is passed on.
+    std::size_t unframed_bytes = 0;  ///< Since the last event.
     std::size_t sends = 0;
   };
   using CallId = std::uint64_t;
@@ -152,6 +156,15 @@
   void BeginEvents(Call& call);
   void OnBody(CallId id, std::uint64_t attempt, std::string_view bytes);
   bool ForwardEvents(Call& call, std::string_view bytes);
+  /// Handles bytes of a refusal or failure that is not passed on.
+  void IgnoreBody(CallId id, std::size_t bytes);
+  /// Passes on bytes of a response that is not an event stream.
+  void ForwardBody(CallId id, std::string_view bytes);
+  /// Counts and logs a response that exceeds the limits, and ends its call.
+  void CutResponse(Call& call, const char* reason);
+  /// The replica refused the request or failed it, and the body no longer
+  /// matters.
+  void EndFailed(CallId id);
   void OnEnd(CallId id, std::uint64_t attempt, http::HttpEnd end);
   /// Handles a run that ended without a complete answer; the request may have
   /// run.
--- /dev/null
+++ b/src/nodes/responselimits.h
@@ -0,0 +1,33 @@
+#ifndef PAPAYARACK_NODES_RESPONSELIMITS_H_
+#define PAPAYARACK_NODES_RESPONSELIMITS_H_
+
+#include <chrono>
+#include <cstddef>
+
+namespace papayarack::nodes {
+
+/// Limits on responses of replicas and of the platform's list. A faulty peer
+/// may send bytes without end; beyond a limit the call is ended and the request
+/// is tried elsewhere where its route allows it.
+
+/// Body of a refusal or failure that is not passed on. The head has decided
+/// what happens next.
+constexpr std::size_t kMaxIgnoredBytes = 64U << 10U;
+/// Time for the rest of such a body after its head: a third of the usual target
+/// for a first event, so that a retry can meet it.
+constexpr std::chrono::milliseconds kMaxIgnoredTime{100};
+/// Bytes of an event stream since its last event. An entry on the slowest
+/// supported link, 30 Mbit/s, reads them in a quarter of the usual target of
+/// 300 ms.
+constexpr std::size_t kMaxUnframedBytes = 256U << 10U;
+/// Body of a failure that is passed on to the caller.
+constexpr std::size_t kMaxFailureBytes = 256U << 10U;
+/// Body of a load report, which is a few fields.
+constexpr std::size_t kMaxReportBodyBytes = 64U << 10U;
+/// Body of a page of the platform's list. 5,000 replicas on one page, the
+/// design size, take less than half of it.
+constexpr std::size_t kMaxListPageBytes = 4U << 20U;
+
+}  // namespace papayarack::nodes
+
+#endif  // PAPAYARACK_NODES_RESPONSELIMITS_H_
--- /dev/null
+++ b/src/nodes/tests/endlessbytes_tests.cpp
@@ -0,0 +1,161 @@
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <fstream>
+#include <string>
+
+#include "nodes/listreading.h"
+#include "nodes/responselimits.h"
+#include "nodes/tests/endlesspeer.h"
+#include "nodes/tests/relayfixture.h"
+
+namespace papayarack::nodes {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The usual target for a first event.
+constexpr milliseconds kTarget{300};
+/// Requests of each case, as the replica is chosen at random.
+constexpr int kRequests = 40;
+/// Memory that one case may add: a few buffers of the limits above.
+constexpr std::size_t kFlat = 8U << 20U;
+const std::string kEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+std::size_t ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t whole = 0;
+  std::size_t resident = 0;
+  file >> whole >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+/// A replica that answers with two events, or with those that are missing.
+struct SoundReplica {
+  explicit SoundReplica(asio::io_context& context)
+      : server(context, {"127.0.0.1", 0}, {}, this->Handlers()) {}
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->server.port());
+  }
+  http::HttpServerHandlers Handlers() {
+    http::HttpServerHandlers handlers;
+    handlers.on_request = [this](http::ExchangeId exchange,
+                                 const http::HttpRequest& request) {
+      http::HttpResponse response;
+      response.headers.Add("Content-Type", "text/event-stream");
+      const bool resumed = request.headers.Get("Resume-After") == "1";
+      response.body = resumed ? kEvents.substr(kEvents.size() / 2) : kEvents;
+      this->server.Respond(exchange, response);
+    };
+    handlers.on_gone = [](http::ExchangeId) {};
+    return handlers;
+  }
+  http::HttpServer server;
+};
+
+}  // namespace
+
+// Guards against a request that lasts until its deadline, and an entry that
+// runs out of memory, because a replica sends bytes without end.
+TEST_CASE("a request is served elsewhere when a replica sends endless bytes") {
+  RelayFixture fixture;
+  EndlessPeer faulty(fixture.context);
+  SoundReplica sound(fixture.context);
+  const std::string stream =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+  SECTION("in a head") { faulty.begin = "HTTP/1.1 200 OK\r\nName: "; }
+  SECTION("in heads of interim responses") {
+    faulty.begin = "HTTP/1.1 100 Continue\r\n\r\n";
+    faulty.rest = faulty.begin;
+  }
+  SECTION("instead of a response") { faulty.begin = "x"; }
+  SECTION("after a refusal") {
+    faulty.begin = "HTTP/1.1 421 Other\r\nNot-Executed: 1\r\n\r\n";
+  }
+  SECTION("after a refusal that stops in its body") {
+    faulty.begin = "HTTP/1.1 421 Other\r\nNot-Executed: 1\r\n\r\n";
+    faulty.stops = true;
+  }
+  SECTION("after a failed status") {
+    faulty.begin = "HTTP/1.1 500 Failed\r\n\r\n";
+  }
+  SECTION("in a stream without events") { faulty.begin = stream; }
+  SECTION("in a stream of comments") {
+    faulty.begin = stream;
+    faulty.rest = ": still there\n\n";
+    faulty.rest += faulty.rest;
+  }
+  SECTION("in a stream of lines") {
+    faulty.begin = stream;
+    faulty.rest = "data: a\n";
+  }
+  SECTION("in a stream after its first event") {
+    faulty.begin = stream + "id: 1\ndata: a\n\n";
+  }
+  // Each faulty request waits for its own replica, so that none is spared as
+  // the replica failed before.
+  std::size_t before = ResidentBytes();
+  int waited = 0;
+  for (int i = 0; i < kRequests && faulty.asked < 3; ++i) {
+    fixture.SetReplicas({faulty.Address(), sound.Address()});
+    const std::size_t asked = faulty.asked;
+    const RelayFixture::Answer answer = fixture.Ask();
+    CHECK(answer.whole);
+    CHECK(answer.status == 200);
+    CHECK(answer.body.ends_with(kEvents.substr(kEvents.size() / 2)));
+    CHECK(answer.took < kTarget);
+    waited += faulty.asked > asked ? 1 : 0;
+  }
+  CHECK(waited > 0);
+  CHECK(fixture.RunUntil([&] { return faulty.open == 0; }, kTarget));
+  CHECK(ResidentBytes() < before + kFlat);
+}
+
+// Guards against a process that runs out of memory while it collects a page of
+// the list, or a report, that never ends.
+TEST_CASE("a body that is collected is bounded") {
+  asio::io_context context;
+  http::HttpClient client(context);
+  EndlessPeer faulty(context);
+  faulty.begin = "HTTP/1.1 200 OK\r\n\r\n";
+  const std::size_t before = ResidentBytes();
+  SECTION("a page of the list") {
+    Dialect dialect;
+    dialect.list_target = [](const std::string&) { return "/"; };
+    ListReaderState reader;
+    std::size_t ended = 0;
+    ReadEngineList(
+        context, client, dialect, {"127.0.0.1", faulty.Port()}, reader, {},
+        [&](const std::optional<std::vector<coordination::EngineInstance>>&
+                list) {
+          CHECK_FALSE(list.has_value());
+          ++ended;
+          context.stop();
+        });
+    context.run_for(PageRetry::kMaxReadTime + std::chrono::seconds(2));
+    CHECK(ended == 1);
+    CHECK(ResidentBytes() < before + 2 * kMaxListPageBytes + kFlat);
+  }
+  SECTION("a report") {
+    http::HttpCall call;
+    call.peer = {"127.0.0.1", faulty.Port()};
+    call.target = "/";
+    call.max_body_bytes = kMaxReportBodyBytes;
+    std::size_t collected = 0;
+    std::optional<http::HttpEnd> end;
+    client.Call(std::move(call),
+                {[](const http::HttpHead&) {},
+                 [&](std::string_view bytes) { collected += bytes.size(); },
+                 [&](http::HttpEnd how) {
+                   end = how;
+                   context.stop();
+                 }});
+    context.run_for(std::chrono::seconds(3));
+    CHECK(end == http::HttpEnd::kMalformed);
+    CHECK(collected <= kMaxReportBodyBytes);
+    CHECK(ResidentBytes() < before + kFlat);
+  }
+}
+
+}  // namespace papayarack::nodes
