--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -46,6 +46,11 @@
   /// Beyond it the connections that have been idle longest are closed, if any
   /// has been for a second, otherwise the new one.
   std::size_t max_connections = 3000;
+  /// Response bytes held for all clients together. Beyond it the connections
+  /// whose clients have taken nothing for longest are closed, but not the only
+  /// one with bytes to send. A quarter of the memory of the smallest supported
+  /// entry, 120 MB.
+  std::size_t max_unsent_bytes = 30U << 20U;
 };
 
 /// Called on the event loop; they must not block.
@@ -85,8 +90,17 @@
   void EndStream(ExchangeId exchange);
   /// Closes the connection, so that a partial response does not look complete.
   void Abort(ExchangeId exchange);
+  /// The same for a client that does not read; it counts as kStalled.
+  void AbortStalled(ExchangeId exchange);
   /// Response bytes queued or in the write in progress.
   std::size_t Unsent(ExchangeId exchange) const;
+  /// The same of all connections, also of responses that are complete.
+  std::size_t UnsentTotal() const;
+  /// For how long the client has taken no byte although some are held for it;
+  /// zero if none are.
+  Duration Stalled(ExchangeId exchange) const;
+  /// Connections closed as all clients together held too many bytes.
+  std::uint64_t ClosedForMemory() const;
 
   void SetLimits(const HttpServerLimits& limits);
   /// Closes idle connections, and every other connection after its response,
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -66,9 +66,10 @@
     bool skipping = false;  ///< Skipping a response to another call.
     bool reading = false;
     bool paused = false;
-    std::size_t skipped_bytes = 0;  ///< Read before the response to the call.
-    std::size_t body_bytes = 0;     ///< Of the response to the call.
-    Time since{};                   ///< Start of connecting, or of being idle.
+    std::size_t skipped_bytes = 0;  ///< Of responses to other calls.
+    std::size_t interim_bytes = 0;
+    std::size_t body_bytes = 0;  ///< Of the response to the call.
+    Time since{};                ///< Start of connecting, or of being idle.
     std::chrono::milliseconds idle_limit{0};
   };
   using LinkPtr = std::shared_ptr<Link>;
@@ -135,6 +136,7 @@
     link->sent_any = false;
     link->paused = false;
     link->skipped_bytes = 0;
+    link->interim_bytes = 0;
     link->body_bytes = 0;
     link->request = RequestBytes(call);
     this->Attach(link);
@@ -185,6 +187,7 @@
     const auto found = this->calls.find(link.call);
     return found != this->calls.end() &&
            (link.skipped_bytes > this->options.max_skipped_bytes ||
+            link.interim_bytes > this->options.max_head_bytes ||
             link.body_bytes > found->second.max_body_bytes);
   }
 
@@ -277,8 +280,9 @@
     while (!bytes.empty() && link->call != 0) {
       const HttpCallId call = link->call;
       const std::size_t used = link->parser.Parse(bytes);
-      const bool skipped = link->skipping || link->parser.status() / 100 == 1;
-      link->skipped_bytes += skipped ? used : 0;
+      const bool interim = link->parser.status() / 100 == 1;
+      link->interim_bytes += interim ? used : 0;
+      link->skipped_bytes += link->skipping ? used : 0;
       bytes.remove_prefix(std::min(used, bytes.size()));
       if (link->call != call) {
         return;  // Cancelled by a handler.
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -262,11 +262,45 @@
     this->ShutdownAfterWrites(connection);
   }
 
-  void Send(const ConnectionPtr& connection, std::string_view bytes) {
+  void Queue(const ConnectionPtr& connection, std::string_view bytes) {
     connection->outgoing.append(bytes);
+    this->unsent += bytes.size();
+    if (this->unsent > this->limits.max_unsent_bytes && !this->trim_posted) {
+      this->trim_posted = true;
+      // Deferred, as the owner is still sending a response.
+      asio::post(this->context, [this, alive = this->alive] {
+        if (*alive) {
+          this->trim_posted = false;
+          this->TrimUnsent();
+        }
+      });
+    }
+  }
+
+  void Send(const ConnectionPtr& connection, std::string_view bytes) {
+    this->Queue(connection, bytes);
     this->StartWrite(connection);
   }
 
+  /// Closes the connections of the slowest clients until the others' bytes are
+  /// within the limit.
+  void TrimUnsent() {
+    const Time now = MonotonicNow();
+    std::vector<std::pair<Duration, ConnectionId>> slow;
+    for (const auto& [id, connection] : this->connections) {
+      if (connection->Unsent() > 0) {
+        slow.emplace_back(connection->Stalled(now), id);
+      }
+    }
+    std::ranges::sort(slow, std::greater<>());
+    for (std::size_t i = 0;
+         i + 1 < slow.size() && this->unsent > this->limits.max_unsent_bytes;
+         ++i) {
+      ++this->closed_for_memory;
+      this->Drop(slow[i].second, ExchangeOutcome::kStalled);
+    }
+  }
+
   void StartWrite(const ConnectionPtr& connection) {
     if (connection->write_under_way || connection->outgoing.empty() ||
         !connection->socket.is_open()) {
@@ -286,6 +320,9 @@
             return;
           }
           connection->write_under_way = false;
+          if (!connection->closed_as.has_value()) {
+            this->unsent -= connection->writing.size();
+          }
           connection->writing.clear();
           connection->taken += length;
           this->SettleSent(connection);
@@ -374,6 +411,8 @@
     this->connections.erase(found);
     std::error_code ignored;
     connection->socket.close(ignored);
+    this->unsent -= connection->Unsent();
+    connection->outgoing.clear();
     connection->closed_as = outcome;
     this->SettleSent(connection);
     if (this->exchanges.erase(connection->exchange) > 0) {
@@ -382,6 +421,17 @@
     }
   }
 
+  void AbortAs(ExchangeId exchange, ExchangeOutcome outcome) {
+    const auto found = this->exchanges.find(exchange);
+    if (found == this->exchanges.end()) {
+      return;
+    }
+    const ConnectionId id = found->second;
+    this->exchanges.erase(found);
+    this->ledger.End(exchange, outcome, MonotonicNow());
+    this->Drop(id, outcome);
+  }
+
   std::string Head(Connection& connection, int status,
                    const Headers& headers) const {
     std::string head =
@@ -463,6 +513,9 @@
   ConnectionId last_connection = 0;
   ExchangeId last_exchange = 0;
   bool leaving = false;
+  std::size_t unsent = 0;  ///< Response bytes of all connections.
+  bool trim_posted = false;
+  std::uint64_t closed_for_memory = 0;
   Time next_search{};  ///< For idle connections.
   /// False after destruction, for completion handlers still queued on the loop.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -504,7 +557,7 @@
   head += "\r\n";
   // The head is sent with the first bytes of the body: one write instead of
   // two.
-  connection->outgoing += head;
+  this->impl->Queue(connection, head);
   connection->head_begun = true;
 }
 
@@ -514,11 +567,11 @@
     return;
   }
   if (connection->chunked) {
-    connection->outgoing += fmt::format("{:x}\r\n", bytes.size());
-    connection->outgoing.append(bytes);
-    connection->outgoing += "\r\n";
+    this->impl->Queue(connection, fmt::format("{:x}\r\n", bytes.size()));
+    this->impl->Queue(connection, bytes);
+    this->impl->Queue(connection, "\r\n");
   } else {
-    connection->outgoing.append(bytes);
+    this->impl->Queue(connection, bytes);
   }
   this->impl->StartWrite(connection);
 }
@@ -533,21 +586,28 @@
 }
 
 void HttpServer::Abort(ExchangeId exchange) {
-  const auto found = this->impl->exchanges.find(exchange);
-  if (found == this->impl->exchanges.end()) {
-    return;
-  }
-  const ConnectionId id = found->second;
-  this->impl->exchanges.erase(found);
-  this->impl->ledger.End(exchange, ExchangeOutcome::kAborted, MonotonicNow());
-  this->impl->Drop(id, ExchangeOutcome::kAborted);
+  this->impl->AbortAs(exchange, ExchangeOutcome::kAborted);
+}
+
+void HttpServer::AbortStalled(ExchangeId exchange) {
+  this->impl->AbortAs(exchange, ExchangeOutcome::kStalled);
 }
 
 std::size_t HttpServer::Unsent(ExchangeId exchange) const {
   const auto connection = this->impl->Serving(exchange);
-  return connection == nullptr
-             ? 0
-             : connection->outgoing.size() + connection->writing.size();
+  return connection == nullptr ? 0 : connection->Unsent();
+}
+
+std::size_t HttpServer::UnsentTotal() const { return this->impl->unsent; }
+
+Duration HttpServer::Stalled(ExchangeId exchange) const {
+  const auto connection = this->impl->Serving(exchange);
+  return connection == nullptr ? Duration::zero()
+                               : connection->Stalled(MonotonicNow());
+}
+
+std::uint64_t HttpServer::ClosedForMemory() const {
+  return this->impl->closed_for_memory;
 }
 
 void HttpServer::SetLimits(const HttpServerLimits& limits) {
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -67,6 +67,14 @@
   bool AllSent() const {
     return !this->write_under_way && this->outgoing.empty();
   }
+  /// Response bytes held in memory.
+  std::size_t Unsent() const {
+    return this->outgoing.size() + this->writing.size();
+  }
+  /// For how long the client has taken nothing of what is held for it.
+  Duration Stalled(Time now) const {
+    return this->write_under_way ? now - this->last_written : Duration::zero();
+  }
   /// For how long it has waited for a request; zero unless it does.
   Duration Idle(Time now) const {
     const bool waits = this->phase == Phase::kReading &&
