Slow callers hold back their replica, and are left before it cuts

An entry buffered all that a replica wrote for a caller that did not read. Reading from the replica now pauses above 256 KB held for a caller and resumes below 64 KB; a caller that has taken nothing for 2 s is left.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -382,6 +382,7 @@
   call.ignored_bytes = 0;
   call.failure_bytes = 0;
   call.unframed_bytes = 0;
+  call.paused = false;
   call.accepted = false;
   call.other_replica.clear();
   call.run_began.reset();
@@ -440,6 +441,7 @@
   Call& call = found->second;
   call.last_heard = MonotonicNow();
   call.last_block = call.last_heard;
+  call.last_event_at = call.last_heard;
   const EngineHead engine = this->dialect.read_engine_head(head);
   call.status = head.status;
   if (engine.not_run) {
@@ -529,11 +531,51 @@
     this->OnBroken(id, "an event out of order");
     return;
   }
-  if (call.unframed_bytes > kMaxUnframedBytes) {
+  if (IsUnframed(call, call.last_heard)) {
     constexpr const char* kReason = "bytes that form no event";
     this->CutResponse(call, kReason);
     this->OnBroken(id, kReason);
+    return;
+  }
+  this->PauseIfSlow(call);
+}
+
+bool OnlineRelay::IsUnframed(const Call& call, Time now) {
+  return call.unframed_bytes > kMaxUnframedBytes ||
+         (call.unframed_bytes > kMinUnframedBytes &&
+          now - call.last_event_at > kMaxUnframedTime);
+}
+
+void OnlineRelay::PauseIfSlow(Call& call) {
+  if (call.paused || call.engine_call == 0 ||
+      this->front->Unsent(call.exchange) <= kPauseReadingBytes) {
+    return;
   }
+  call.paused = true;
+  this->engines.Pause(call.engine_call);
+  this->metrics.Add("online_reads_paused_total");
+}
+
+bool OnlineRelay::CheckCaller(CallId id) {
+  Call& call = this->calls.at(id);
+  if (this->front->Stalled(call.exchange) > kMaxCallerStall) {
+    Log(LogLevel::kInfo, "slow_caller_dropped",
+        {{"request", call.fields.id},
+         {"unsent", this->front->Unsent(call.exchange)},
+         {"unsent_total", this->front->UnsentTotal()}});
+    this->metrics.Add("online_callers_dropped_total");
+    this->front->AbortStalled(call.exchange);
+    this->Finish(id, "caller_stalled", call.status);
+    return false;
+  }
+  if (call.paused && this->front->Unsent(call.exchange) < kResumeReadingBytes) {
+    call.paused = false;
+    call.last_heard = MonotonicNow();
+    call.last_block = call.last_heard;
+    call.last_event_at = call.last_heard;
+    this->engines.Resume(call.engine_call);
+  }
+  return true;
 }
 
 void OnlineRelay::IgnoreBody(CallId id, std::size_t bytes) {
@@ -558,6 +600,7 @@
     return;
   }
   this->front->Write(call.exchange, bytes);
+  this->PauseIfSlow(call);
 }
 
 void OnlineRelay::CutResponse(Call& call, const char* reason) {
@@ -591,6 +634,7 @@
     call.last_block = call.last_heard;
     if (event.IsEvent()) {
       call.unframed_bytes = 0;
+      call.last_event_at = call.last_heard;
     }
     if (event.id.has_value()) {
       if (call.any_event && *event.id != call.last_event + 1) {
@@ -924,6 +968,7 @@
   for (auto& [id, call] : this->calls) {
     call.last_heard = std::min<Time>(call.last_heard + time, now);
     call.last_block = std::min<Time>(call.last_block + time, now);
+    call.last_event_at = std::min<Time>(call.last_event_at + time, now);
   }
 }
 
@@ -940,6 +985,12 @@
   for (const CallId id : this->AllIds()) {
     this->Check(id, now);
   }
+  if (this->front != nullptr) {
+    this->metrics.Set("caller_unsent_bytes",
+                      static_cast<double>(this->front->UnsentTotal()));
+    this->metrics.SetTotal("callers_dropped_for_memory_total",
+                           this->front->ClosedForMemory());
+  }
 }
 
 void OnlineRelay::Check(CallId id, Time now) {
@@ -968,6 +1019,9 @@
     this->EndFailed(id);
     return;
   }
+  if (!this->CheckCaller(id) || call.paused) {
+    return;
+  }
   const Duration silent =
       now - (call.is_events ? call.last_block : call.last_heard);
   const bool streaming = call.route->kind == routes::RouteKind::kStreaming;
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -123,10 +123,12 @@
     /// another software may begin it.
     std::optional<http::HttpHead> held_head;
     http::EventSplitter splitter;
-    Time last_block{};  ///< When the head or a complete event last came.
+    Time last_block{};     ///< When the head or a complete event last came.
+    Time last_event_at{};  ///< When the head or an event last came.
     std::size_t ignored_bytes = 0;   ///< Of a body that is not passed on.
     std::size_t failure_bytes = 0;   ///< Of a failure that is passed on.
     std::size_t unframed_bytes = 0;  ///< Since the last event.
+    bool paused = false;  ///< Reading from the replica, for a slow caller.
     std::size_t sends = 0;
   };
   using CallId = std::uint64_t;
@@ -158,8 +160,15 @@
   bool ForwardEvents(Call& call, std::string_view bytes);
   /// Handles bytes of a refusal or failure that is not passed on.
   void IgnoreBody(CallId id, std::size_t bytes);
+  /// Stops reading from the replica while its caller reads too slowly.
+  void PauseIfSlow(Call& call);
+  /// Continues reading where the caller caught up, and drops a caller that does
+  /// not read. False when the call has ended.
+  bool CheckCaller(CallId id);
   /// Passes on bytes of a response that is not an event stream.
   void ForwardBody(CallId id, std::string_view bytes);
+  /// Whether its replica sends bytes that form no event.
+  static bool IsUnframed(const Call& call, Time now);
   /// Counts and logs a response that exceeds the limits, and ends its call.
   void CutResponse(Call& call, const char* reason);
   /// The replica refused the request or failed it, and the body no longer
--- a/src/nodes/responselimits.h
+++ b/src/nodes/responselimits.h
@@ -20,6 +20,11 @@
 /// supported link, 30 Mbit/s, reads them in a quarter of the usual target of
 /// 300 ms.
 constexpr std::size_t kMaxUnframedBytes = 256U << 10U;
+/// A stream with more bytes than kMinUnframedBytes since its last event, which
+/// are more than a token and its keep-alive comments take, may not go on for
+/// longer than this. Bounds the time where such bytes arrive slowly.
+constexpr std::chrono::milliseconds kMaxUnframedTime{100};
+constexpr std::size_t kMinUnframedBytes = 4U << 10U;
 /// Body of a failure that is passed on to the caller.
 constexpr std::size_t kMaxFailureBytes = 256U << 10U;
 /// Body of a load report, which is a few fields.
@@ -28,6 +33,15 @@
 /// design size, take less than half of it.
 constexpr std::size_t kMaxListPageBytes = 4U << 20U;
 
+/// Bytes held for one caller above which reading from its replica pauses, and
+/// below which it continues.
+constexpr std::size_t kPauseReadingBytes = 256U << 10U;
+constexpr std::size_t kResumeReadingBytes = 64U << 10U;
+/// A caller that takes nothing for this long is dropped. Replicas cut a
+/// response that stays unread for some seconds, which must not happen because
+/// of a caller.
+constexpr std::chrono::milliseconds kMaxCallerStall{2000};
+
 }  // namespace papayarack::nodes
 
 #endif  // PAPAYARACK_NODES_RESPONSELIMITS_H_
