--- a/src/nodes/tests/listreading_tests.cpp
+++ b/src/nodes/tests/listreading_tests.cpp
@@ -13,7 +13,8 @@
 
 /// A stand-in for the platform's list. A page is a list of ids separated by
 /// spaces, then a bar and the path of the next page; an id that ends in "!" is
-/// draining.
+/// draining, one with "@" is followed by its address, and "?" stands for an
+/// entry that names no usable replica.
 struct PagedList {
   PagedList()
       : server(this->context, Endpoint{"127.0.0.1", 0}, {}, this->Handlers()) {
@@ -34,12 +35,19 @@
     while (!words.empty()) {
       const std::size_t end = std::min(words.find(' '), words.size());
       coordination::EngineInstance engine;
-      engine.id = words.substr(0, end);
+      const std::string_view word = words.substr(0, end);
+      engine.id = word.substr(0, word.find('@'));
+      engine.address = word.substr(std::min(word.find('@'), word.size()));
       engine.draining = engine.id.ends_with('!');
       if (engine.draining) {
         engine.id.pop_back();
       }
-      page.engines.push_back(engine);
+      if (word == "?") {
+        ++page.skipped;
+        page.first_problem = "unusable";
+      } else {
+        page.engines.push_back(engine);
+      }
       words.remove_prefix(std::min(end + 1, words.size()));
     }
     return page;
@@ -182,6 +190,29 @@
         std::vector<std::string>{"a", "b!", "c", "d", "e"});
 }
 
+// Guards against usable replicas that get no requests because another writer
+// added entries to the list: unusable ones, or an id or address of theirs.
+TEST_CASE("entries of another writer leave those of other pages valid") {
+  PagedList list;
+  SECTION("unusable ones on several pages") {
+    list.pages = {{"/", "? a b|2"}, {"/2", "c ? d|3"}, {"/3", "e ?|"}};
+    CHECK(list.IdsOf(list.Read()) == kWhole);
+  }
+  SECTION("a page of nothing else") {
+    list.pages = {{"/", "a b c|2"}, {"/2", "? ?|3"}, {"/3", "d e|"}};
+    CHECK(list.IdsOf(list.Read()) == kWhole);
+  }
+  SECTION("an id at a second address") {
+    list.pages = {{"/", "a@1 b@2|2"}, {"/2", "a@3 c@4|"}};
+    CHECK(list.IdsOf(list.Read()) ==
+          std::vector<std::string>{"a", "b", "a", "c"});
+  }
+  SECTION("an address with a second id") {
+    list.pages = {{"/", "a@1 b@2|2"}, {"/2", "c@1|"}};
+    CHECK(list.IdsOf(list.Read()) == std::vector<std::string>{"a", "b", "c"});
+  }
+}
+
 TEST_CASE("a search reads no more pages than its limit") {
   PagedList list;
   CHECK(list.IdsOf(list.Read({2, 0})) ==
