--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -9,6 +9,7 @@
 #include "global/hash.h"
 #include "global/logging.h"
 #include "nodes/fleetengines.h"
+#include "nodes/responselimits.h"
 #include "placement/enginestart.h"
 
 namespace papayarack::nodes {
@@ -376,6 +377,7 @@
   http::HttpCall call;
   call.peer = ParseEndpoint(this->owned.address, "engine_address");
   call.target = this->runtime.dialect.report_target;
+  call.max_body_bytes = kMaxReportBodyBytes;
   const auto body = std::make_shared<std::string>();
   http::HttpCallHandlers handlers;
   handlers.on_head = [this](const http::HttpHead& head) {
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -7,6 +7,7 @@
 
 #include "global/logging.h"
 #include "nodes/fleetengines.h"
+#include "nodes/responselimits.h"
 #include "placement/admission.h"
 
 namespace papayarack::nodes {
@@ -387,6 +388,11 @@
   ++call.sends;
   call.sent = now;
   call.last_heard = now;
+  call.last_block = now;
+  call.ignored_bytes = 0;
+  call.failure_bytes = 0;
+  call.unframed_bytes = 0;
+  call.paused = false;
   call.accepted = false;
   call.other_replica.clear();
   call.run_began.reset();
@@ -448,6 +454,8 @@
   }
   Call& call = found->second;
   call.last_heard = MonotonicNow();
+  call.last_block = call.last_heard;
+  call.last_event_at = call.last_heard;
   const EngineHead engine = this->dialect.read_engine_head(head);
   call.status = head.status;
   if (engine.not_run) {
@@ -521,11 +529,12 @@
     return;
   }
   Call& call = found->second;
-  const Time before = std::exchange(call.last_heard, MonotonicNow());
   call.run_bytes += bytes.size();
   if (call.failed_status || (!call.head_sent && !call.held_head.has_value())) {
+    this->IgnoreBody(id, bytes.size());
     return;
   }
+  const Time before = std::exchange(call.last_heard, MonotonicNow());
   if (!call.run_began.has_value()) {
     call.run_began = call.last_heard;
   }
@@ -533,11 +542,103 @@
     this->NoteSurvival(call);
   }
   if (!call.is_events) {
-    this->front->Write(call.exchange, bytes);
+    this->ForwardBody(id, bytes);
     return;
   }
   if (!this->ForwardEvents(call, bytes)) {
     this->OnBroken(id, "an event out of order");
+    return;
+  }
+  if (IsUnframed(call, call.last_heard)) {
+    constexpr const char* kReason = "bytes that form no event";
+    this->CutResponse(call, kReason);
+    this->OnBroken(id, kReason);
+    return;
+  }
+  this->PauseIfSlow(call);
+}
+
+bool OnlineRelay::IsUnframed(const Call& call, Time now) {
+  return call.unframed_bytes > kMaxUnframedBytes ||
+         (call.unframed_bytes > kMinUnframedBytes &&
+          now - call.last_event_at > kMaxUnframedTime);
+}
+
+void OnlineRelay::PauseIfSlow(Call& call) {
+  if (call.paused || call.engine_call == 0 ||
+      this->front->Unsent(call.exchange) <= kPauseReadingBytes) {
+    return;
+  }
+  call.paused = true;
+  this->engines.Pause(call.engine_call);
+  this->metrics.Add("online_reads_paused_total");
+}
+
+bool OnlineRelay::CheckCaller(CallId id) {
+  Call& call = this->calls.at(id);
+  if (this->front->Stalled(call.exchange) > kMaxCallerStall) {
+    Log(LogLevel::kInfo, "slow_caller_dropped",
+        {{"request", call.fields.id},
+         {"unsent", this->front->Unsent(call.exchange)},
+         {"unsent_total", this->front->UnsentTotal()}});
+    this->metrics.Add("online_callers_dropped_total");
+    this->front->AbortStalled(call.exchange);
+    this->Finish(id, "caller_stalled", call.status);
+    return false;
+  }
+  if (call.paused && this->front->Unsent(call.exchange) < kResumeReadingBytes) {
+    call.paused = false;
+    call.last_heard = MonotonicNow();
+    call.last_block = call.last_heard;
+    call.last_event_at = call.last_heard;
+    this->engines.Resume(call.engine_call);
+  }
+  return true;
+}
+
+void OnlineRelay::IgnoreBody(CallId id, std::size_t bytes) {
+  Call& call = this->calls.at(id);
+  call.ignored_bytes += bytes;
+  if (call.ignored_bytes <= kMaxIgnoredBytes) {
+    return;
+  }
+  this->CutResponse(call, "a refusal or failure without end");
+  this->chooser.Failed(call.engine.address, MonotonicNow());
+  call.other_replica.clear();
+  this->EndFailed(id);
+}
+
+void OnlineRelay::ForwardBody(CallId id, std::string_view bytes) {
+  Call& call = this->calls.at(id);
+  call.failure_bytes += IsSuccess(call.status) ? 0 : bytes.size();
+  if (call.failure_bytes > kMaxFailureBytes) {
+    constexpr const char* kReason = "a failure without end";
+    this->CutResponse(call, kReason);
+    this->Fail(id, kBadGateway, kReason);
+    return;
+  }
+  this->front->Write(call.exchange, bytes);
+  this->PauseIfSlow(call);
+}
+
+void OnlineRelay::CutResponse(Call& call, const char* reason) {
+  Log(LogLevel::kWarn, "response_cut",
+      {{"request", call.fields.id},
+       {"engine", call.engine.id},
+       {"address", call.engine.address},
+       {"status", call.status},
+       {"reason", reason}});
+  this->metrics.Add("online_responses_cut_total");
+  this->engines.Cancel(std::exchange(call.engine_call, 0));
+}
+
+void OnlineRelay::EndFailed(CallId id) {
+  const Call& call = this->calls.at(id);
+  const bool ran = call.ran_at.count(call.engine.address) > 0;
+  if (ran) {
+    this->OnBroken(id, "the engine failed the request");
+  } else if (!this->SendToOtherReplica(id)) {
+    this->Retry(id);
   }
 }
 
@@ -545,8 +646,14 @@
 /// repetition or events of another request must not reach the caller.
 bool OnlineRelay::ForwardEvents(Call& call, std::string_view bytes) {
   call.splitter.Add(bytes);
+  call.unframed_bytes += bytes.size();
   http::StreamEvent event;
   while (call.splitter.Next(event)) {
+    call.last_block = call.last_heard;
+    if (event.IsEvent()) {
+      call.unframed_bytes = 0;
+      call.last_event_at = call.last_heard;
+    }
     if (event.id.has_value()) {
       if (call.any_event && *event.id != call.last_event + 1) {
         return false;
@@ -565,7 +672,7 @@
     }
     this->front->Write(call.exchange, event.raw);
   }
-  return !call.splitter.TooLong();
+  return true;
 }
 
 void OnlineRelay::OnEnd(CallId id, std::uint64_t attempt, http::HttpEnd end) {
@@ -590,12 +697,7 @@
     return;
   }
   if (call.failed_status) {
-    const bool ran = call.ran_at.count(call.engine.address) > 0;
-    if (ran) {
-      this->OnBroken(id, "the engine failed the request");
-    } else if (!this->SendToOtherReplica(id)) {
-      this->Retry(id);
-    }
+    this->EndFailed(id);
     return;
   }
   if (call.is_events && call.splitter.HasPartialEvent()) {
@@ -963,6 +1065,8 @@
 void OnlineRelay::ExcuseSilence(Duration time, Time now) {
   for (auto& [id, call] : this->calls) {
     call.last_heard = std::min<Time>(call.last_heard + time, now);
+    call.last_block = std::min<Time>(call.last_block + time, now);
+    call.last_event_at = std::min<Time>(call.last_event_at + time, now);
   }
 }
 
@@ -979,6 +1083,12 @@
   for (const CallId id : this->AllIds()) {
     this->Check(id, now);
   }
+  if (this->front != nullptr) {
+    this->metrics.Set("caller_unsent_bytes",
+                      static_cast<double>(this->front->UnsentTotal()));
+    this->metrics.SetTotal("callers_dropped_for_memory_total",
+                           this->front->ClosedForMemory());
+  }
 }
 
 void OnlineRelay::Check(CallId id, Time now) {
@@ -1002,7 +1112,16 @@
     }
     return;
   }
-  const Duration silent = now - call.last_heard;
+  if (call.failed_status && now - call.last_heard > kMaxIgnoredTime) {
+    this->CutResponse(call, "a refusal or failure that does not end");
+    this->EndFailed(id);
+    return;
+  }
+  if (!this->CheckCaller(id) || call.paused) {
+    return;
+  }
+  const Duration silent =
+      now - (call.is_events ? call.last_block : call.last_heard);
   const bool streaming = call.route->kind == routes::RouteKind::kStreaming;
   const Duration bound =
       call.first_event == Time{} ? kMaxFirstEventSilence : kMaxEventGap;
