Gates are compared within their service and only with gates that have room

Gate speeds were compared over all services, so every gate of a service with slow replicas left items to gates that cannot run them. A fast gate without room for items, as after the loss of its replica, counted too, and one absurd short time in a fleet of two or three gates made all others slow. Now speeds are kept for each service, gates without room for 5 s are no alternative, and times far below the median are not believed.

A pull of a slow gate was tried again each 20 ms while items waited that it may not get; HasWaitingFor takes this into account.

--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -698,8 +698,9 @@
   }
   this->leases.Renew(puller.pull.gate, puller.pull.incarnation,
                      puller.pull.holding, now);
-  this->leases.SetRunTime(puller.pull.gate,
-                          std::chrono::milliseconds(puller.pull.run_ms));
+  this->leases.SetRunTime(puller.pull.gate, puller.pull.service,
+                          std::chrono::milliseconds(puller.pull.run_ms),
+                          puller.pull.room, now);
   for (const ReturnedItem& returned : puller.pull.returned) {
     this->leases.Return(puller.pull.gate, returned);
   }
@@ -777,8 +778,9 @@
 bool BatchStore::ShouldAnswer(const PullItems& pull,
                               const std::set<ItemRef>& removed,
                               Time now) const {
-  const bool items_wait = pull.room > 0 && this->leases.Settled(now) &&
-                          this->leases.HasWaitingFor(pull.service, now);
+  const bool items_wait =
+      pull.room > 0 && this->leases.Settled(now) &&
+      this->leases.HasWaitingFor(pull.service, now, pull.gate);
   return items_wait ||
          std::ranges::any_of(pull.holding, [&removed](const ItemRef& item) {
            return removed.count(item) > 0;
@@ -792,10 +794,11 @@
     for (auto waiting = this->pullers.begin();
          waiting != this->pullers.end();) {
       const Puller& puller = waiting->second;
-      const bool answered = this->leases.IsSlow(puller.pull.gate) == slow &&
-                            (now >= puller.until ||
-                             this->ShouldAnswer(puller.pull, removed, now)) &&
-                            this->AnswerPuller(waiting->first, puller, now);
+      const PullItems& pull = puller.pull;
+      const bool answered =
+          this->leases.IsSlow(pull.gate, pull.service) == slow &&
+          (now >= puller.until || this->ShouldAnswer(pull, removed, now)) &&
+          this->AnswerPuller(waiting->first, puller, now);
       waiting = answered ? this->pullers.erase(waiting) : std::next(waiting);
     }
   }
--- a/src/batches/internal/gatespeeds.cpp
+++ b/src/batches/internal/gatespeeds.cpp
@@ -1,54 +1,66 @@
 #include "batches/gatespeeds.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace papayarack::batches {
 
 void GateSpeeds::Clear() {
-  this->run_times.clear();
+  this->gates.clear();
   this->typical = {};
   this->reports_until_update = 0;
 }
 
-void GateSpeeds::Report(const std::string& gate, Duration run_time) {
+void GateSpeeds::Report(const std::string& gate, Duration run_time,
+                        bool has_room, Time now) {
   if (run_time <= Duration(0)) {
     this->Forget(gate);
     return;
   }
-  const auto [entry, added] = this->run_times.insert_or_assign(gate, run_time);
-  if (added || this->reports_until_update == 0) {
-    this->typical = this->Typical();
-    this->reports_until_update = this->run_times.size();
+  Gate& entry = this->gates[gate];
+  const bool gets_room = has_room && (!entry.last_room.has_value() ||
+                                      now - *entry.last_room > kRoomMemory);
+  entry.run_time = run_time;
+  entry.last_room = has_room ? now : entry.last_room;
+  if (gets_room || this->reports_until_update == 0) {
+    this->typical = this->Typical(now);
+    this->reports_until_update = this->gates.size();
   }
   --this->reports_until_update;
 }
 
 void GateSpeeds::Forget(const std::string& gate) {
-  this->run_times.erase(gate);
+  if (this->gates.erase(gate) > 0) {
+    this->reports_until_update = 0;
+  }
 }
 
-Duration GateSpeeds::Typical() const {
+Duration GateSpeeds::Typical(Time now) const {
   constexpr std::size_t kQuartile = 4;
   std::vector<Duration> times;
-  times.reserve(this->run_times.size());
-  for (const auto& [gate, time] : this->run_times) {
-    times.push_back(time);
+  times.reserve(this->gates.size());
+  for (const auto& [name, gate] : this->gates) {
+    if (gate.last_room.has_value() && now - *gate.last_room <= kRoomMemory) {
+      times.push_back(gate.run_time);
+    }
   }
   if (times.empty()) {
     return Duration(0);
   }
-  const auto quartile =
-      times.begin() + static_cast<std::ptrdiff_t>(times.size() / kQuartile);
-  std::ranges::nth_element(times, quartile);
-  return *quartile;
+  std::ranges::sort(times);
+  const Duration median = times[times.size() / 2];
+  const auto believed = std::ranges::lower_bound(
+      times, Duration(static_cast<std::int64_t>(
+                 static_cast<double>(median.count()) / kMaxFactor)));
+  return *(believed + (times.end() - believed) / kQuartile);
 }
 
 double GateSpeeds::FactorOf(const std::string& gate) const {
-  const auto found = this->run_times.find(gate);
-  if (found == this->run_times.end() || this->typical <= Duration(0)) {
+  const auto found = this->gates.find(gate);
+  if (found == this->gates.end() || this->typical <= Duration(0)) {
     return 1;
   }
-  const double factor = static_cast<double>(found->second.count()) /
+  const double factor = static_cast<double>(found->second.run_time.count()) /
                         static_cast<double>(this->typical.count());
   return factor < kSlow ? 1 : std::min(factor, kMaxFactor);
 }
--- a/src/batches/internal/leasescheduler.cpp
+++ b/src/batches/internal/leasescheduler.cpp
@@ -21,7 +21,7 @@
   this->held_by_gate.clear();
   this->removed.clear();
   this->gates.clear();
-  this->speeds.Clear();
+  this->speeds.clear();
   this->settled = now + kSettleTime;
 }
 
@@ -179,6 +179,27 @@
   return first;
 }
 
+void LeaseScheduler::SetRunTime(const std::string& gate,
+                                const std::string& service,
+                                std::chrono::milliseconds run_time,
+                                std::size_t room, Time now) {
+  this->speeds[service].Report(gate, run_time, room > 0, now);
+}
+
+double LeaseScheduler::FactorOf(const std::string& gate,
+                                const std::string& service) const {
+  const auto found = this->speeds.find(service);
+  return found != this->speeds.end() ? found->second.FactorOf(gate) : 1;
+}
+
+LeaseScheduler::DueLimits LeaseScheduler::DueLimitsOf(
+    const std::string& gate, const std::string& service, Time now) const {
+  const double here = static_cast<double>(this->run_estimate.count()) *
+                      this->FactorOf(gate, service);
+  return {now + Duration(static_cast<std::int64_t>(here)),
+          now + this->run_estimate};
+}
+
 std::vector<ItemRef> LeaseScheduler::Take(const std::string& gate,
                                           const std::string& service,
                                           std::size_t room, Time now) {
@@ -190,18 +211,12 @@
   if (trial.has_value()) {
     taken.push_back(*trial);
   }
-  // What cannot be in time here but elsewhere is left to faster gates, which
-  // take it first when they have room.
-  const Time ends_elsewhere = now + this->run_estimate;
-  const Time ends_here =
-      now + Duration(static_cast<std::int64_t>(
-                static_cast<double>(this->run_estimate.count()) *
-                this->speeds.FactorOf(gate)));
-  std::ranges::move(
-      this->FirstWaiting(service, room - taken.size(), ends_here, Time::max()),
-      std::back_inserter(taken));
+  const DueLimits limits = this->DueLimitsOf(gate, service, now);
+  std::ranges::move(this->FirstWaiting(service, room - taken.size(),
+                                       limits.in_time_here, Time::max()),
+                    std::back_inserter(taken));
   std::ranges::move(this->FirstWaiting(service, room - taken.size(),
-                                       Time::min(), ends_elsewhere),
+                                       Time::min(), limits.late_everywhere),
                     std::back_inserter(taken));
   for (const ItemRef& item : taken) {
     this->Lease(item, gate, now);
@@ -212,10 +227,15 @@
   return taken;
 }
 
-bool LeaseScheduler::HasWaitingFor(const std::string& service, Time now) const {
+bool LeaseScheduler::HasWaitingFor(const std::string& service, Time now,
+                                   const std::string& gate) const {
+  const DueLimits limits = this->DueLimitsOf(gate, service, now);
   return std::ranges::any_of(this->queues, [&](const auto& entry) {
     const Queue& queue = entry.second;
-    return (!queue.waiting.empty() && queue.Serves(service)) ||
+    const auto due_of = [](const QueueKey& key) { return std::get<Time>(key); };
+    return (!queue.waiting.empty() && queue.Serves(service) &&
+            (due_of(*queue.waiting.begin()) < limits.late_everywhere ||
+             due_of(*queue.waiting.rbegin()) >= limits.in_time_here)) ||
            this->MayTry(queue, service, now);
   });
 }
@@ -351,9 +371,13 @@
   }
   for (const std::string& name : silent) {
     this->gates.erase(name);
-    this->speeds.Forget(name);
+    for (auto& [service, speeds] : this->speeds) {
+      speeds.Forget(name);
+    }
     this->RequeueAllOf(name, {});
   }
+  std::erase_if(this->speeds,
+                [](const auto& entry) { return entry.second.Empty(); });
 }
 
 std::vector<ItemRef> LeaseScheduler::ToStop(
--- a/src/batches/leasescheduler.h
+++ b/src/batches/leasescheduler.h
@@ -92,22 +92,24 @@
              const std::vector<ItemRef>& holding, Time now);
   /// Returns an item from a gate, with the output of its run.
   void Return(const std::string& gate, const ReturnedItem& returned);
-  /// The gate states the time that a whole item takes there now; zero: not
-  /// known.
-  void SetRunTime(const std::string& gate, std::chrono::milliseconds run_time) {
-    this->speeds.Report(gate, run_time);
-  }
-  /// Whether items should go to other gates first.
-  bool IsSlow(const std::string& gate) const {
-    return this->speeds.IsSlow(gate);
+  /// A gate of `service` states the time that a whole item takes there now
+  /// (zero: not known) and for how many items it has room.
+  void SetRunTime(const std::string& gate, const std::string& service,
+                  std::chrono::milliseconds run_time, std::size_t room,
+                  Time now);
+  /// Whether items should go to other gates of its service first.
+  bool IsSlow(const std::string& gate, const std::string& service) const {
+    return this->FactorOf(gate, service) > 1;
   }
   /// Leases up to `room` items to a gate of `service`: one as a trial if it may
   /// be tried now, then those that can still finish in time there, then others.
   /// A slow gate gets no item that is in time at the others only.
   std::vector<ItemRef> Take(const std::string& gate, const std::string& service,
                             std::size_t room, Time now);
-  /// Whether a waiting item may run on replicas of `service` now.
-  bool HasWaitingFor(const std::string& service, Time now) const;
+  /// Whether a waiting item may run on replicas of `service` now, and Take
+  /// would lease it to `gate`.
+  bool HasWaitingFor(const std::string& service, Time now,
+                     const std::string& gate = {}) const;
   /// Whether quarantined traits keep the item from all services but as a trial.
   /// Precondition: it was added and not removed.
   bool NeedsTrial(const ItemRef& item) const;
@@ -175,6 +177,16 @@
   /// quarantined traits, as each of several could be the cause.
   std::optional<ItemRef> NextTrial(const std::string& service, Time now) const;
   void MoveTo(QueueId queue, const ItemRef& item, Entry& entry);
+  double FactorOf(const std::string& gate, const std::string& service) const;
+  /// What `gate` may be given apart from trials: items due at `in_time_here` or
+  /// later, and those due before `late_everywhere`. The items between are left
+  /// to faster gates.
+  struct DueLimits {
+    Time in_time_here{};
+    Time late_everywhere{};
+  };
+  DueLimits DueLimitsOf(const std::string& gate, const std::string& service,
+                        Time now) const;
   /// The first `max_count` items that `service` may run, by due time: those due
   /// at `earliest` or later and before `latest`.
   std::vector<ItemRef> FirstWaiting(const std::string& service,
@@ -202,7 +214,7 @@
   std::map<std::string, std::set<ItemRef>> held_by_gate;  ///< By gate.
   std::set<ItemRef> removed;
   std::map<std::string, Gate> gates;
-  GateSpeeds speeds;
+  std::map<std::string, GateSpeeds> speeds;  ///< By service.
   std::uint64_t last_arrival = 0;
   Time settled{};
   Duration run_estimate = kInitialRunEstimate;
