Organisations take turns where not all items can be in time

By due time, an organisation that submits little loses results in proportion to the overload of others. Where not all items that are due by some time can be in time, with the slots that gates have for items, organisations take turns with those: the most urgent priority first, then the one whose last turn is longest ago. All else goes by due time, as do fleets without organisations.

--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -172,6 +172,8 @@
   void AnswerPullers(Time now);
   /// Where the item may run under the current routes.
   Eligibility EligibilityOf(const ItemRef& item) const;
+  /// The batch's organisation with its priority in the current configuration.
+  ItemOwner OwnerOf(const BatchState::Batch& batch) const;
   LeasedItem Lease(const ItemRef& item, Time now) const;
   Time DueOf(const BatchState::Batch& batch, Time now) const;
   void GiveUpItemsOfRemovedRoutes();
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -593,9 +593,9 @@
 void BatchStore::SyncLease(const ItemRef& item, Time now) {
   if (this->batch_state.IsWaiting(item) &&
       !this->pending_ends.contains(item.batch)) {
-    this->leases.Add(item,
-                     this->DueOf(*this->batch_state.Find(item.batch), now),
-                     this->EligibilityOf(item));
+    const BatchState::Batch& batch = *this->batch_state.Find(item.batch);
+    this->leases.Add(item, this->DueOf(batch, now), this->EligibilityOf(item),
+                     this->OwnerOf(batch));
   } else {
     this->leases.Remove(item, now);
   }
@@ -700,7 +700,7 @@
                      puller.pull.holding, now);
   this->leases.SetRunTime(puller.pull.gate, puller.pull.service,
                           std::chrono::milliseconds(puller.pull.run_ms),
-                          puller.pull.room, now);
+                          puller.pull.room, puller.pull.holding.size(), now);
   for (const ReturnedItem& returned : puller.pull.returned) {
     this->leases.Return(puller.pull.gate, returned);
   }
@@ -709,6 +709,14 @@
   }
 }
 
+ItemOwner BatchStore::OwnerOf(const BatchState::Batch& batch) const {
+  const routes::Organisation* organisation =
+      this->table != nullptr ? this->table->FindOrganisation(batch.organisation)
+                             : nullptr;
+  return {batch.organisation,
+          organisation != nullptr ? organisation->priority : 0};
+}
+
 Eligibility BatchStore::EligibilityOf(const ItemRef& item) const {
   const BatchState::Batch* batch = this->batch_state.Find(item.batch);
   const BatchState::Item* found = this->batch_state.FindItem(item);
--- a/src/batches/internal/gatespeeds.cpp
+++ b/src/batches/internal/gatespeeds.cpp
@@ -1,6 +1,7 @@
 #include "batches/gatespeeds.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <vector>
 
 namespace papayarack::batches {
@@ -36,7 +37,7 @@
 }
 
 Duration GateSpeeds::Typical(Time now) const {
-  constexpr std::size_t kQuartile = 4;
+  constexpr std::ptrdiff_t kQuartile = 4;
   std::vector<Duration> times;
   times.reserve(this->gates.size());
   for (const auto& [name, gate] : this->gates) {
--- a/src/batches/internal/leasescheduler.cpp
+++ b/src/batches/internal/leasescheduler.cpp
@@ -21,7 +21,7 @@
   this->held_by_gate.clear();
   this->removed.clear();
   this->gates.clear();
-  this->speeds.clear();
+  this->gates_of.clear();
   this->settled = now + kSettleTime;
 }
 
@@ -66,10 +66,10 @@
   if (queue == entry.queue) {
     return;
   }
+  const bool waits = this->StopWaiting(item, entry);
   const QueueId former = std::exchange(entry.queue, queue);
-  const QueueKey key = QueueKeyOf(item, entry);
-  if (this->queues.at(former).waiting.erase(key) > 0) {
-    this->queues.at(queue).waiting.insert(key);
+  if (waits) {
+    this->StartWaiting(item, entry);
   } else if (entry.is_trial) {
     this->CountTrial(former, false);
     this->CountTrial(queue, true);
@@ -79,8 +79,27 @@
   this->DropIfUnused(former);
 }
 
+void LeaseScheduler::StartWaiting(const ItemRef& item, const Entry& entry) {
+  Queue& queue = this->queues.at(entry.queue);
+  queue.waiting.insert(QueueKeyOf(item, entry));
+  queue.due_load.Add(entry.due);
+  queue.turns.Add(entry.owner.organisation, entry.owner.priority,
+                  {entry.due, entry.arrival});
+}
+
+bool LeaseScheduler::StopWaiting(const ItemRef& item, const Entry& entry) {
+  Queue& queue = this->queues.at(entry.queue);
+  if (queue.waiting.erase(QueueKeyOf(item, entry)) == 0) {
+    return false;
+  }
+  queue.due_load.Remove(entry.due);
+  queue.turns.Remove(entry.owner.organisation, {entry.due, entry.arrival});
+  return true;
+}
+
 void LeaseScheduler::Add(const ItemRef& item, Time due,
-                         const Eligibility& eligibility) {
+                         const Eligibility& eligibility,
+                         const ItemOwner& owner) {
   const auto [added, is_new] = this->items.try_emplace(item);
   if (!is_new) {
     return;
@@ -89,9 +108,9 @@
   entry.queue = this->QueueFor(eligibility);
   entry.due = due;
   entry.arrival = ++this->last_arrival;
-  Queue& queue = this->queues.at(entry.queue);
-  queue.waiting.insert(QueueKeyOf(item, entry));
-  ++queue.items;
+  entry.owner = owner;
+  this->StartWaiting(item, entry);
+  ++this->queues.at(entry.queue).items;
 }
 
 std::optional<Time> LeaseScheduler::TrialTime(const Queue& queue) const {
@@ -154,92 +173,6 @@
   return queue.Tries(service) ? this->TrialTime(queue) : std::nullopt;
 }
 
-std::vector<ItemRef> LeaseScheduler::FirstWaiting(const std::string& service,
-                                                  std::size_t max_count,
-                                                  Time earliest,
-                                                  Time latest) const {
-  std::vector<QueueKey> keys;
-  for (const auto& [id, queue] : this->queues) {
-    if (!queue.Serves(service)) {
-      continue;
-    }
-    auto next = queue.waiting.lower_bound({earliest, 0, {}});
-    const auto end = queue.waiting.lower_bound({latest, 0, {}});
-    for (std::size_t i = 0; i < max_count && next != end; ++i, ++next) {
-      keys.push_back(*next);
-    }
-  }
-  std::ranges::sort(keys);
-  keys.resize(std::min(keys.size(), max_count));
-  std::vector<ItemRef> first;
-  first.reserve(keys.size());
-  for (QueueKey& key : keys) {
-    first.push_back(std::move(std::get<ItemRef>(key)));
-  }
-  return first;
-}
-
-void LeaseScheduler::SetRunTime(const std::string& gate,
-                                const std::string& service,
-                                std::chrono::milliseconds run_time,
-                                std::size_t room, Time now) {
-  this->speeds[service].Report(gate, run_time, room > 0, now);
-}
-
-double LeaseScheduler::FactorOf(const std::string& gate,
-                                const std::string& service) const {
-  const auto found = this->speeds.find(service);
-  return found != this->speeds.end() ? found->second.FactorOf(gate) : 1;
-}
-
-LeaseScheduler::DueLimits LeaseScheduler::DueLimitsOf(
-    const std::string& gate, const std::string& service, Time now) const {
-  const double here = static_cast<double>(this->run_estimate.count()) *
-                      this->FactorOf(gate, service);
-  return {now + Duration(static_cast<std::int64_t>(here)),
-          now + this->run_estimate};
-}
-
-std::vector<ItemRef> LeaseScheduler::Take(const std::string& gate,
-                                          const std::string& service,
-                                          std::size_t room, Time now) {
-  std::vector<ItemRef> taken;
-  if (!this->Settled(now)) {
-    return taken;
-  }
-  const auto trial = room > 0 ? this->NextTrial(service, now) : std::nullopt;
-  if (trial.has_value()) {
-    taken.push_back(*trial);
-  }
-  const DueLimits limits = this->DueLimitsOf(gate, service, now);
-  std::ranges::move(this->FirstWaiting(service, room - taken.size(),
-                                       limits.in_time_here, Time::max()),
-                    std::back_inserter(taken));
-  std::ranges::move(this->FirstWaiting(service, room - taken.size(),
-                                       Time::min(), limits.late_everywhere),
-                    std::back_inserter(taken));
-  for (const ItemRef& item : taken) {
-    this->Lease(item, gate, now);
-  }
-  if (trial.has_value()) {
-    this->MarkTrial(*trial, now);
-  }
-  return taken;
-}
-
-bool LeaseScheduler::HasWaitingFor(const std::string& service, Time now,
-                                   const std::string& gate) const {
-  const DueLimits limits = this->DueLimitsOf(gate, service, now);
-  return std::ranges::any_of(this->queues, [&](const auto& entry) {
-    const Queue& queue = entry.second;
-    const auto due_of = [](const QueueKey& key) { return std::get<Time>(key); };
-    return (!queue.waiting.empty() && queue.Serves(service) &&
-            (due_of(*queue.waiting.begin()) < limits.late_everywhere ||
-             due_of(*queue.waiting.rbegin()) >= limits.in_time_here)) ||
-           this->MayTry(queue, service, now);
-  });
-}
-
 std::size_t LeaseScheduler::Waiting() const {
   std::size_t sum = 0;
   for (const auto& [id, queue] : this->queues) {
@@ -261,9 +194,8 @@
     this->run_estimate = Duration(static_cast<std::int64_t>(mean));
     this->ReleaseLease(item, entry);
   }
-  Queue& queue = this->queues.at(entry.queue);
-  queue.waiting.erase(QueueKeyOf(item, entry));
-  --queue.items;
+  this->StopWaiting(item, entry);
+  --this->queues.at(entry.queue).items;
   this->DropIfUnused(entry.queue);
   this->removed.insert(item);
   this->items.erase(found);
@@ -272,7 +204,10 @@
 void LeaseScheduler::Lease(const ItemRef& item, const std::string& gate,
                            Time now) {
   Entry& entry = this->items.at(item);
-  this->queues.at(entry.queue).waiting.erase(QueueKeyOf(item, entry));
+  if (this->StopWaiting(item, entry)) {
+    this->queues.at(entry.queue)
+        .turns.Served(entry.owner.organisation, ++this->last_turn);
+  }
   entry.holder = gate;
   this->held_by_gate[gate].insert(item);
   this->gates.try_emplace(gate, Gate{0, now});
@@ -282,7 +217,7 @@
 void LeaseScheduler::Requeue(const ItemRef& item) {
   Entry& entry = this->items.at(item);
   this->ReleaseLease(item, entry);
-  this->queues.at(entry.queue).waiting.insert(QueueKeyOf(item, entry));
+  this->StartWaiting(item, entry);
 }
 
 void LeaseScheduler::ReleaseLease(const ItemRef& item, Entry& entry) {
@@ -371,13 +306,15 @@
   }
   for (const std::string& name : silent) {
     this->gates.erase(name);
-    for (auto& [service, speeds] : this->speeds) {
-      speeds.Forget(name);
+    for (auto& [service, known] : this->gates_of) {
+      known.speeds.Forget(name);
+      known.supply.Forget(name);
     }
     this->RequeueAllOf(name, {});
   }
-  std::erase_if(this->speeds,
-                [](const auto& entry) { return entry.second.Empty(); });
+  std::erase_if(this->gates_of, [](const auto& entry) {
+    return entry.second.speeds.Empty() && entry.second.supply.Empty();
+  });
 }
 
 std::vector<ItemRef> LeaseScheduler::ToStop(
--- a/src/batches/leasescheduler.h
+++ b/src/batches/leasescheduler.h
@@ -12,7 +12,10 @@
 #include <vector>
 
 #include "batches/batchmessages.h"
+#include "batches/dueload.h"
 #include "batches/gatespeeds.h"
+#include "batches/organisationturns.h"
+#include "batches/slotsupply.h"
 #include "global/timepoint.h"
 #include "quarantine/fingerprint.h"
 
@@ -40,6 +43,12 @@
   }
 };
 
+/// Who submitted an item.
+struct ItemOwner {
+  std::string organisation;  ///< Empty: submitted anonymously.
+  int priority = 0;          ///< Of the organisation; zero is the highest.
+};
+
 /// Leases waiting items to gates and decides which comes next. This state
 /// exists only on the job group's leader and is not replicated: an item may run
 /// twice if its lease expires early, but only its first result is recorded.
@@ -49,6 +58,11 @@
 /// item just after it was due. So items that can still finish in time go first,
 /// by due time; the others run when there are slots to spare.
 ///
+/// One organisation may submit more than can be in time, and others a little.
+/// Where not all items that are due by some time can be in time, organisations
+/// take turns with those that still can (see OrganisationTurns). A single
+/// organisation, or none, changes nothing.
+///
 /// Replicas may crash under an item, which its traits are then blamed for,
 /// rightly or not. An item that only quarantined traits keep from running is
 /// leased as a trial: one item with a trait at a time in the whole fleet, not
@@ -72,7 +86,8 @@
   /// waiting item afterwards.
   void Reset(Time now);
   /// Adds an item that is due at `due`. Ignored if it was added before.
-  void Add(const ItemRef& item, Time due, const Eligibility& eligibility);
+  void Add(const ItemRef& item, Time due, const Eligibility& eligibility,
+           const ItemOwner& owner = {});
   /// Updates where every item may run with `eligibility_of(item)`.
   template <typename EligibilityOf>
   void Reassign(const EligibilityOf& eligibility_of) {
@@ -93,10 +108,10 @@
   /// Returns an item from a gate, with the output of its run.
   void Return(const std::string& gate, const ReturnedItem& returned);
   /// A gate of `service` states the time that a whole item takes there now
-  /// (zero: not known) and for how many items it has room.
+  /// (zero: not known), for how many items it has room, and how many it holds.
   void SetRunTime(const std::string& gate, const std::string& service,
                   std::chrono::milliseconds run_time, std::size_t room,
-                  Time now);
+                  std::size_t held, Time now);
   /// Whether items should go to other gates of its service first.
   bool IsSlow(const std::string& gate, const std::string& service) const {
     return this->FactorOf(gate, service) > 1;
@@ -144,6 +159,7 @@
     QueueId queue = 0;
     Time due{};
     std::uint64_t arrival = 0;
+    ItemOwner owner;
     std::string holder;     ///< Name of the gate; empty while the item waits.
     Time first_leased{};    ///< Time of its first lease, by any gate.
     bool is_trial = false;  ///< Its lease is a trial.
@@ -156,12 +172,19 @@
   struct Queue {
     Eligibility eligibility;
     std::set<QueueKey> waiting;
-    std::size_t items = 0;  ///< Waiting or leased.
+    DueLoad due_load;         ///< Of `waiting`.
+    OrganisationTurns turns;  ///< Of `waiting`.
+    std::size_t items = 0;    ///< Waiting or leased.
 
     bool Serves(const std::string& service) const;
     bool Tries(const std::string& service) const;
   };
 
+  struct ServiceGates {
+    GateSpeeds speeds;
+    SlotSupply supply;
+  };
+
   QueueId QueueFor(const Eligibility& eligibility);
   /// Removes the queue if no item is left in it.
   void DropIfUnused(QueueId queue);
@@ -192,6 +215,18 @@
   std::vector<ItemRef> FirstWaiting(const std::string& service,
                                     std::size_t max_count, Time earliest,
                                     Time latest) const;
+  /// Organisations take turns with the items that wait for `service` and are
+  /// due before this, as not all of those can be in time; nullopt: all can.
+  std::optional<Time> TurnsUntil(const std::string& service, Time now) const;
+  /// Leases up to `room` items that can be in time and are due before `until`,
+  /// by turns.
+  std::vector<ItemRef> TakeInTurn(const std::string& gate,
+                                  const std::string& service, std::size_t room,
+                                  const DueLimits& limits, Time until,
+                                  Time now);
+  /// Adds the item to those that wait in its queue, or removes it.
+  void StartWaiting(const ItemRef& item, const Entry& entry);
+  bool StopWaiting(const ItemRef& item, const Entry& entry);
   static QueueKey QueueKeyOf(const ItemRef& item, const Entry& entry) {
     return {entry.due, entry.arrival, item};
   }
@@ -214,8 +249,9 @@
   std::map<std::string, std::set<ItemRef>> held_by_gate;  ///< By gate.
   std::set<ItemRef> removed;
   std::map<std::string, Gate> gates;
-  std::map<std::string, GateSpeeds> speeds;  ///< By service.
+  std::map<std::string, ServiceGates> gates_of;  ///< By service.
   std::uint64_t last_arrival = 0;
+  std::uint64_t last_turn = 0;
   Time settled{};
   Duration run_estimate = kInitialRunEstimate;
 };
--- a/src/batches/tests/itemsbyspeed_tests.cpp
+++ b/src/batches/tests/itemsbyspeed_tests.cpp
@@ -29,7 +29,7 @@
   }
   void State(const std::string& gate, milliseconds run_time,
              std::size_t room = 1, int at = kSettled) {
-    this->scheduler.SetRunTime(gate, kService, run_time, room, At(at));
+    this->scheduler.SetRunTime(gate, kService, run_time, room, 0, At(at));
   }
   std::vector<std::string> Take(const std::string& gate, std::size_t room,
                                 int at = kSettled) {
@@ -102,7 +102,7 @@
     SECTION("because the fast ones run another service") {
       leases.State("slow", kSlow);
       for (const char* gate : {"a", "b", "c", "d"}) {
-        leases.scheduler.SetRunTime(gate, "small", kFast, 1, At(kSettled));
+        leases.scheduler.SetRunTime(gate, "small", kFast, 1, 0, At(kSettled));
       }
     }
     SECTION("because the fast one never has room") {
