The leader logs items leased by reason and the runs that results took

Nothing showed whether items go by due time, by turn or late, and how many runs a result takes had to be worked out from the logs of all gates. The line items_leased appears every 10 s while there are leases or results.

--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -129,6 +129,8 @@
   void AnswerQueuedReads();
   void ScheduleReads();
   void LogRefusedReads(Time now);
+  /// Logs how items were leased since the last line.
+  void LogLeases(Time now);
   std::size_t UnsentReadBytes() const;
   /// Replies kOk once leadership is confirmed, for a command whose effect is
   /// already in the state.
@@ -212,6 +214,7 @@
   consensus::Term led_term = 0;
   Time next_tasks{};
   Time next_forget{};
+  Time next_lease_log{};
   Time next_body_drop{};
   /// Item of the newest body at the previous check; empty ids: none.
   ItemRef last_old_body;
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -29,6 +29,7 @@
 /// texts since the last one are kept in memory.
 constexpr std::uint64_t kSnapshotAfterBytes = 1U << 20U;
 constexpr std::chrono::seconds kRefusalLogInterval{1};
+constexpr std::chrono::seconds kLeaseLogInterval{10};
 constexpr std::chrono::milliseconds kUnsentCheckInterval{5};
 constexpr const char* kReadPath = "/jobs/read";
 constexpr const char* kBodyPath = "/jobs/body";
@@ -232,6 +233,7 @@
     this->GiveUpItemsOfRemovedRoutes();
     this->ForgetOldBatches(now);
     this->DropOldBodies(now);
+    this->LogLeases(now);
   }
   this->AnswerReaders(now);
   this->AnswerPullers(now);
@@ -812,6 +814,27 @@
   }
 }
 
+void BatchStore::LogLeases(Time now) {
+  if (now < this->next_lease_log) {
+    return;
+  }
+  this->next_lease_log = now + kLeaseLogInterval;
+  const LeaseCounts counts = this->leases.TakeCounts();
+  if (counts.by_due_time + counts.by_turn + counts.late + counts.trials +
+          counts.results ==
+      0) {
+    return;
+  }
+  Log(LogLevel::kInfo, "items_leased",
+      {{"by_due_time", counts.by_due_time},
+       {"by_turn", counts.by_turn},
+       {"late", counts.late},
+       {"trials", counts.trials},
+       {"results", counts.results},
+       {"runs_of_results", counts.runs},
+       {"waiting", this->leases.Waiting()}});
+}
+
 /// Items whose route was removed can never run. Giving them up ends the wait of
 /// their client. Where this member's routes are older than those that allowed
 /// the batch, its route may be one that this member does not know yet.
--- a/src/batches/internal/leasechoice.cpp
+++ b/src/batches/internal/leasechoice.cpp
@@ -106,6 +106,7 @@
         {best->item.first, best->item.second, {}});
     taken.push_back(std::get<ItemRef>(*item));
     this->Lease(taken.back(), gate, now);
+    ++this->counts.by_turn;
   }
   return taken;
 }
@@ -117,7 +118,9 @@
   if (!this->Settled(now)) {
     return taken;
   }
-  const auto lease = [&](const std::vector<ItemRef>& items) {
+  const auto lease = [&](const std::vector<ItemRef>& items,
+                         std::uint64_t& count) {
+    count += items.size();
     for (const ItemRef& item : items) {
       this->Lease(item, gate, now);
       taken.push_back(item);
@@ -125,7 +128,7 @@
   };
   const auto trial = room > 0 ? this->NextTrial(service, now) : std::nullopt;
   if (trial.has_value()) {
-    lease({*trial});
+    lease({*trial}, this->counts.trials);
     this->MarkTrial(*trial, now);
   }
   const DueLimits limits = this->DueLimitsOf(gate, service, now);
@@ -137,9 +140,11 @@
                       std::back_inserter(taken));
   }
   lease(this->FirstWaiting(service, room - taken.size(), limits.in_time_here,
-                           Time::max()));
+                           Time::max()),
+        this->counts.by_due_time);
   lease(this->FirstWaiting(service, room - taken.size(), Time::min(),
-                           limits.late_everywhere));
+                           limits.late_everywhere),
+        this->counts.late);
   return taken;
 }
 
--- a/src/batches/internal/leasescheduler.cpp
+++ b/src/batches/internal/leasescheduler.cpp
@@ -21,6 +21,7 @@
   this->held_by_gate.clear();
   this->removed.clear();
   this->gates.clear();
+  this->counts = {};
   this->gates_of.clear();
   this->settled = now + kSettleTime;
 }
@@ -188,6 +189,8 @@
   }
   Entry& entry = found->second;
   if (!entry.holder.empty()) {
+    ++this->counts.results;
+    this->counts.runs += entry.runs;
     const double mean =
         static_cast<double>(this->run_estimate.count()) * (1 - kRunWeight) +
         static_cast<double>((now - entry.first_leased).count()) * kRunWeight;
@@ -204,6 +207,7 @@
 void LeaseScheduler::Lease(const ItemRef& item, const std::string& gate,
                            Time now) {
   Entry& entry = this->items.at(item);
+  ++entry.runs;
   if (this->StopWaiting(item, entry)) {
     this->queues.at(entry.queue)
         .turns.Served(entry.owner.organisation, ++this->last_turn);
--- a/src/batches/leasescheduler.h
+++ b/src/batches/leasescheduler.h
@@ -49,6 +49,16 @@
   int priority = 0;          ///< Of the organisation; zero is the highest.
 };
 
+/// Leases by the reason why their item came next, and how many led to a result.
+struct LeaseCounts {
+  std::uint64_t by_due_time = 0;  ///< In time at the gate.
+  std::uint64_t by_turn = 0;      ///< As well, at its organisation's turn.
+  std::uint64_t late = 0;
+  std::uint64_t trials = 0;
+  std::uint64_t results = 0;
+  std::uint64_t runs = 0;  ///< Leases of the items with these results.
+};
+
 /// Leases waiting items to gates and decides which comes next. This state
 /// exists only on the job group's leader and is not replicated: an item may run
 /// twice if its lease expires early, but only its first result is recorded.
@@ -146,6 +156,8 @@
   /// When the item is due. Precondition: it was added and not removed.
   Time DueOf(const ItemRef& item) const { return this->items.at(item).due; }
   std::size_t Waiting() const;
+  /// Returns what was counted since the last call.
+  LeaseCounts TakeCounts() { return std::exchange(this->counts, {}); }
   bool Settled(Time now) const { return now >= this->settled; }
   Duration RunEstimate() const { return this->run_estimate; }
 
@@ -160,9 +172,10 @@
     Time due{};
     std::uint64_t arrival = 0;
     ItemOwner owner;
-    std::string holder;     ///< Name of the gate; empty while the item waits.
-    Time first_leased{};    ///< Time of its first lease, by any gate.
-    bool is_trial = false;  ///< Its lease is a trial.
+    std::string holder;      ///< Name of the gate; empty while the item waits.
+    Time first_leased{};     ///< Time of its first lease, by any gate.
+    bool is_trial = false;   ///< Its lease is a trial.
+    std::uint32_t runs = 0;  ///< Leases that this leader gave.
     PartialText partial;
   };
   /// Sorted by due time, then by order of arrival.
@@ -252,6 +265,7 @@
   std::map<std::string, ServiceGates> gates_of;  ///< By service.
   std::uint64_t last_arrival = 0;
   std::uint64_t last_turn = 0;
+  LeaseCounts counts;
   Time settled{};
   Duration run_estimate = kInitialRunEstimate;
 };
--- a/src/batches/tests/itemsbyspeed_tests.cpp
+++ b/src/batches/tests/itemsbyspeed_tests.cpp
@@ -71,6 +71,17 @@
     state_both();
     CHECK(leases.Take("fast", 1) == Names{"tight"});
     CHECK(leases.Take("fast", 5) == Names{"fresh", "late"});
+    const LeaseCounts first = leases.scheduler.TakeCounts();
+    CHECK(first.by_due_time == 2);
+    CHECK(first.late == 1);
+    SECTION("and the runs that a result took are counted") {
+      leases.scheduler.Return("fast", {{"b", "tight"}, {}});
+      REQUIRE(leases.Take("fast", 1) == Names{"tight"});
+      leases.scheduler.Remove({"b", "tight"}, At(kSettled + 6000));
+      const LeaseCounts second = leases.scheduler.TakeCounts();
+      CHECK(second.results == 1);
+      CHECK(second.runs == 2);
+    }
   }
   SECTION("an item that is late everywhere may run at a slow gate") {
     state_both();
--- a/src/batches/tests/itemsinturn_tests.cpp
+++ b/src/batches/tests/itemsinturn_tests.cpp
@@ -168,6 +168,7 @@
   replay.Step(kStart);
   replay.Step(kStart + kRunMs);
   REQUIRE(replay.leased.size() == 20);
+  CHECK(replay.scheduler.TakeCounts().by_turn == 0);
   CHECK(std::ranges::is_sorted(replay.leased, {}, [&](const ItemRef& item) {
     return std::pair(replay.due[item], std::stoi(item.item));
   }));
@@ -183,6 +184,7 @@
     return std::ranges::count(replay.leased, organisation, &ItemRef::batch);
   };
   CHECK(leased_of("urgent") == 4);
+  CHECK(replay.scheduler.TakeCounts().by_turn == 4);
   replay.Step(kStart + kRunMs);
   CHECK(leased_of("urgent") == 5);
   CHECK(leased_of("usual") + leased_of("other") == 3);
