--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -129,6 +129,8 @@
   void AnswerQueuedReads();
   void ScheduleReads();
   void LogRefusedReads(Time now);
+  /// Logs how items were leased since the last line.
+  void LogLeases(Time now);
   std::size_t UnsentReadBytes() const;
   /// Replies kOk once leadership is confirmed, for a command whose effect is
   /// already in the state.
@@ -172,6 +174,8 @@
   void AnswerPullers(Time now);
   /// Where the item may run under the current routes.
   Eligibility EligibilityOf(const ItemRef& item) const;
+  /// The batch's organisation with its priority in the current configuration.
+  ItemOwner OwnerOf(const BatchState::Batch& batch) const;
   LeasedItem Lease(const ItemRef& item, Time now) const;
   Time DueOf(const BatchState::Batch& batch, Time now) const;
   void GiveUpItemsOfRemovedRoutes();
@@ -210,6 +214,7 @@
   consensus::Term led_term = 0;
   Time next_tasks{};
   Time next_forget{};
+  Time next_lease_log{};
   Time next_body_drop{};
   /// Item of the newest body at the previous check; empty ids: none.
   ItemRef last_old_body;
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -29,6 +29,7 @@
 /// texts since the last one are kept in memory.
 constexpr std::uint64_t kSnapshotAfterBytes = 1U << 20U;
 constexpr std::chrono::seconds kRefusalLogInterval{1};
+constexpr std::chrono::seconds kLeaseLogInterval{10};
 constexpr std::chrono::milliseconds kUnsentCheckInterval{5};
 constexpr const char* kReadPath = "/jobs/read";
 constexpr const char* kBodyPath = "/jobs/body";
@@ -232,6 +233,7 @@
     this->GiveUpItemsOfRemovedRoutes();
     this->ForgetOldBatches(now);
     this->DropOldBodies(now);
+    this->LogLeases(now);
   }
   this->AnswerReaders(now);
   this->AnswerPullers(now);
@@ -593,9 +595,9 @@
 void BatchStore::SyncLease(const ItemRef& item, Time now) {
   if (this->batch_state.IsWaiting(item) &&
       !this->pending_ends.contains(item.batch)) {
-    this->leases.Add(item,
-                     this->DueOf(*this->batch_state.Find(item.batch), now),
-                     this->EligibilityOf(item));
+    const BatchState::Batch& batch = *this->batch_state.Find(item.batch);
+    this->leases.Add(item, this->DueOf(batch, now), this->EligibilityOf(item),
+                     this->OwnerOf(batch));
   } else {
     this->leases.Remove(item, now);
   }
@@ -698,8 +700,9 @@
   }
   this->leases.Renew(puller.pull.gate, puller.pull.incarnation,
                      puller.pull.holding, now);
-  this->leases.SetRunTime(puller.pull.gate,
-                          std::chrono::milliseconds(puller.pull.run_ms));
+  this->leases.SetRunTime(puller.pull.gate, puller.pull.service,
+                          std::chrono::milliseconds(puller.pull.run_ms),
+                          puller.pull.room, puller.pull.holding.size(), now);
   for (const ReturnedItem& returned : puller.pull.returned) {
     this->leases.Return(puller.pull.gate, returned);
   }
@@ -708,6 +711,14 @@
   }
 }
 
+ItemOwner BatchStore::OwnerOf(const BatchState::Batch& batch) const {
+  const routes::Organisation* organisation =
+      this->table != nullptr ? this->table->FindOrganisation(batch.organisation)
+                             : nullptr;
+  return {batch.organisation,
+          organisation != nullptr ? organisation->priority : 0};
+}
+
 Eligibility BatchStore::EligibilityOf(const ItemRef& item) const {
   const BatchState::Batch* batch = this->batch_state.Find(item.batch);
   const BatchState::Item* found = this->batch_state.FindItem(item);
@@ -777,8 +788,9 @@
 bool BatchStore::ShouldAnswer(const PullItems& pull,
                               const std::set<ItemRef>& removed,
                               Time now) const {
-  const bool items_wait = pull.room > 0 && this->leases.Settled(now) &&
-                          this->leases.HasWaitingFor(pull.service, now);
+  const bool items_wait =
+      pull.room > 0 && this->leases.Settled(now) &&
+      this->leases.HasWaitingFor(pull.service, now, pull.gate);
   return items_wait ||
          std::ranges::any_of(pull.holding, [&removed](const ItemRef& item) {
            return removed.count(item) > 0;
@@ -792,15 +804,37 @@
     for (auto waiting = this->pullers.begin();
          waiting != this->pullers.end();) {
       const Puller& puller = waiting->second;
-      const bool answered = this->leases.IsSlow(puller.pull.gate) == slow &&
-                            (now >= puller.until ||
-                             this->ShouldAnswer(puller.pull, removed, now)) &&
-                            this->AnswerPuller(waiting->first, puller, now);
+      const PullItems& pull = puller.pull;
+      const bool answered =
+          this->leases.IsSlow(pull.gate, pull.service) == slow &&
+          (now >= puller.until || this->ShouldAnswer(pull, removed, now)) &&
+          this->AnswerPuller(waiting->first, puller, now);
       waiting = answered ? this->pullers.erase(waiting) : std::next(waiting);
     }
   }
 }
 
+void BatchStore::LogLeases(Time now) {
+  if (now < this->next_lease_log) {
+    return;
+  }
+  this->next_lease_log = now + kLeaseLogInterval;
+  const LeaseCounts counts = this->leases.TakeCounts();
+  if (counts.by_due_time + counts.by_turn + counts.late + counts.trials +
+          counts.results ==
+      0) {
+    return;
+  }
+  Log(LogLevel::kInfo, "items_leased",
+      {{"by_due_time", counts.by_due_time},
+       {"by_turn", counts.by_turn},
+       {"late", counts.late},
+       {"trials", counts.trials},
+       {"results", counts.results},
+       {"runs_of_results", counts.runs},
+       {"waiting", this->leases.Waiting()}});
+}
+
 /// Items whose route was removed can never run. Giving them up ends the wait of
 /// their client. Where this member's routes are older than those that allowed
 /// the batch, its route may be one that this member does not know yet.
--- a/src/batches/leasescheduler.h
+++ b/src/batches/leasescheduler.h
@@ -12,7 +12,10 @@
 #include <vector>
 
 #include "batches/batchmessages.h"
+#include "batches/dueload.h"
 #include "batches/gatespeeds.h"
+#include "batches/organisationturns.h"
+#include "batches/slotsupply.h"
 #include "global/timepoint.h"
 #include "quarantine/fingerprint.h"
 
@@ -40,6 +43,22 @@
   }
 };
 
+/// Who submitted an item.
+struct ItemOwner {
+  std::string organisation;  ///< Empty: submitted anonymously.
+  int priority = 0;          ///< Of the organisation; zero is the highest.
+};
+
+/// Leases by the reason why their item came next, and how many led to a result.
+struct LeaseCounts {
+  std::uint64_t by_due_time = 0;  ///< In time at the gate.
+  std::uint64_t by_turn = 0;      ///< As well, at its organisation's turn.
+  std::uint64_t late = 0;
+  std::uint64_t trials = 0;
+  std::uint64_t results = 0;
+  std::uint64_t runs = 0;  ///< Leases of the items with these results.
+};
+
 /// Leases waiting items to gates and decides which comes next. This state
 /// exists only on the job group's leader and is not replicated: an item may run
 /// twice if its lease expires early, but only its first result is recorded.
@@ -49,6 +68,11 @@
 /// item just after it was due. So items that can still finish in time go first,
 /// by due time; the others run when there are slots to spare.
 ///
+/// One organisation may submit more than can be in time, and others a little.
+/// Where not all items that are due by some time can be in time, organisations
+/// take turns with those that still can (see OrganisationTurns). A single
+/// organisation, or none, changes nothing.
+///
 /// Replicas may crash under an item, which its traits are then blamed for,
 /// rightly or not. An item that only quarantined traits keep from running is
 /// leased as a trial: one item with a trait at a time in the whole fleet, not
@@ -72,7 +96,8 @@
   /// waiting item afterwards.
   void Reset(Time now);
   /// Adds an item that is due at `due`. Ignored if it was added before.
-  void Add(const ItemRef& item, Time due, const Eligibility& eligibility);
+  void Add(const ItemRef& item, Time due, const Eligibility& eligibility,
+           const ItemOwner& owner = {});
   /// Updates where every item may run with `eligibility_of(item)`.
   template <typename EligibilityOf>
   void Reassign(const EligibilityOf& eligibility_of) {
@@ -92,22 +117,24 @@
              const std::vector<ItemRef>& holding, Time now);
   /// Returns an item from a gate, with the output of its run.
   void Return(const std::string& gate, const ReturnedItem& returned);
-  /// The gate states the time that a whole item takes there now; zero: not
-  /// known.
-  void SetRunTime(const std::string& gate, std::chrono::milliseconds run_time) {
-    this->speeds.Report(gate, run_time);
-  }
-  /// Whether items should go to other gates first.
-  bool IsSlow(const std::string& gate) const {
-    return this->speeds.IsSlow(gate);
+  /// A gate of `service` states the time that a whole item takes there now
+  /// (zero: not known), for how many items it has room, and how many it holds.
+  void SetRunTime(const std::string& gate, const std::string& service,
+                  std::chrono::milliseconds run_time, std::size_t room,
+                  std::size_t held, Time now);
+  /// Whether items should go to other gates of its service first.
+  bool IsSlow(const std::string& gate, const std::string& service) const {
+    return this->FactorOf(gate, service) > 1;
   }
   /// Leases up to `room` items to a gate of `service`: one as a trial if it may
   /// be tried now, then those that can still finish in time there, then others.
   /// A slow gate gets no item that is in time at the others only.
   std::vector<ItemRef> Take(const std::string& gate, const std::string& service,
                             std::size_t room, Time now);
-  /// Whether a waiting item may run on replicas of `service` now.
-  bool HasWaitingFor(const std::string& service, Time now) const;
+  /// Whether a waiting item may run on replicas of `service` now, and Take
+  /// would lease it to `gate`.
+  bool HasWaitingFor(const std::string& service, Time now,
+                     const std::string& gate = {}) const;
   /// Whether quarantined traits keep the item from all services but as a trial.
   /// Precondition: it was added and not removed.
   bool NeedsTrial(const ItemRef& item) const;
@@ -129,6 +156,8 @@
   /// When the item is due. Precondition: it was added and not removed.
   Time DueOf(const ItemRef& item) const { return this->items.at(item).due; }
   std::size_t Waiting() const;
+  /// Returns what was counted since the last call.
+  LeaseCounts TakeCounts() { return std::exchange(this->counts, {}); }
   bool Settled(Time now) const { return now >= this->settled; }
   Duration RunEstimate() const { return this->run_estimate; }
 
@@ -142,9 +171,11 @@
     QueueId queue = 0;
     Time due{};
     std::uint64_t arrival = 0;
-    std::string holder;     ///< Name of the gate; empty while the item waits.
-    Time first_leased{};    ///< Time of its first lease, by any gate.
-    bool is_trial = false;  ///< Its lease is a trial.
+    ItemOwner owner;
+    std::string holder;      ///< Name of the gate; empty while the item waits.
+    Time first_leased{};     ///< Time of its first lease, by any gate.
+    bool is_trial = false;   ///< Its lease is a trial.
+    std::uint32_t runs = 0;  ///< Leases that this leader gave.
     PartialText partial;
   };
   /// Sorted by due time, then by order of arrival.
@@ -154,12 +185,19 @@
   struct Queue {
     Eligibility eligibility;
     std::set<QueueKey> waiting;
-    std::size_t items = 0;  ///< Waiting or leased.
+    DueLoad due_load;         ///< Of `waiting`.
+    OrganisationTurns turns;  ///< Of `waiting`.
+    std::size_t items = 0;    ///< Waiting or leased.
 
     bool Serves(const std::string& service) const;
     bool Tries(const std::string& service) const;
   };
 
+  struct ServiceGates {
+    GateSpeeds speeds;
+    SlotSupply supply;
+  };
+
   QueueId QueueFor(const Eligibility& eligibility);
   /// Removes the queue if no item is left in it.
   void DropIfUnused(QueueId queue);
@@ -175,11 +213,33 @@
   /// quarantined traits, as each of several could be the cause.
   std::optional<ItemRef> NextTrial(const std::string& service, Time now) const;
   void MoveTo(QueueId queue, const ItemRef& item, Entry& entry);
+  double FactorOf(const std::string& gate, const std::string& service) const;
+  /// What `gate` may be given apart from trials: items due at `in_time_here` or
+  /// later, and those due before `late_everywhere`. The items between are left
+  /// to faster gates.
+  struct DueLimits {
+    Time in_time_here{};
+    Time late_everywhere{};
+  };
+  DueLimits DueLimitsOf(const std::string& gate, const std::string& service,
+                        Time now) const;
   /// The first `max_count` items that `service` may run, by due time: those due
   /// at `earliest` or later and before `latest`.
   std::vector<ItemRef> FirstWaiting(const std::string& service,
                                     std::size_t max_count, Time earliest,
                                     Time latest) const;
+  /// Organisations take turns with the items that wait for `service` and are
+  /// due before this, as not all of those can be in time; nullopt: all can.
+  std::optional<Time> TurnsUntil(const std::string& service, Time now) const;
+  /// Leases up to `room` items that can be in time and are due before `until`,
+  /// by turns.
+  std::vector<ItemRef> TakeInTurn(const std::string& gate,
+                                  const std::string& service, std::size_t room,
+                                  const DueLimits& limits, Time until,
+                                  Time now);
+  /// Adds the item to those that wait in its queue, or removes it.
+  void StartWaiting(const ItemRef& item, const Entry& entry);
+  bool StopWaiting(const ItemRef& item, const Entry& entry);
   static QueueKey QueueKeyOf(const ItemRef& item, const Entry& entry) {
     return {entry.due, entry.arrival, item};
   }
@@ -202,8 +262,10 @@
   std::map<std::string, std::set<ItemRef>> held_by_gate;  ///< By gate.
   std::set<ItemRef> removed;
   std::map<std::string, Gate> gates;
-  GateSpeeds speeds;
+  std::map<std::string, ServiceGates> gates_of;  ///< By service.
   std::uint64_t last_arrival = 0;
+  std::uint64_t last_turn = 0;
+  LeaseCounts counts;
   Time settled{};
   Duration run_estimate = kInitialRunEstimate;
 };
