--- a/src/placement/tests/evenreplicas_tests.cpp
+++ b/src/placement/tests/evenreplicas_tests.cpp
@@ -65,6 +65,7 @@
   std::mt19937_64 events(11);
   std::vector<Replica> fleet = Fleet();
   std::vector<EngineOption> options;
+  options.reserve(fleet.size());
   for (const Replica& replica : fleet) {
     options.push_back(replica.option);
   }
