--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -52,6 +52,7 @@
   bool ends = true;           ///< Whether the answer ends after it.
   int status = 200;
   bool silent = false;  ///< Sends a head and nothing more.
+  std::string filler;   ///< Sent instead of the event, without an end.
   std::size_t asked = 0;
   std::vector<std::string> paths;  ///< Of all requests.
 
@@ -65,7 +66,8 @@
       this->server->BeginStream(
           exchange, this->status,
           http::Headers{{"Id", std::string(request.headers.Get("Id"))}});
-      if (this->silent) {
+      this->server->Write(exchange, this->filler);
+      if (this->silent || !this->filler.empty()) {
         return;
       }
       this->server->Write(exchange, "id: 1\ndata: " + this->text + "\n\n");
@@ -598,6 +600,30 @@
       kSoon));
 }
 
+// Guards against a slot that is held, and memory that grows, for as long as an
+// engine sends bytes which are no result.
+TEST_CASE("a run that receives endless bytes is ended") {
+  constexpr std::size_t kFar = 2U << 20U;  // Several times each limit.
+  RunnerFixture fixture(2);
+  fixture.leader.on_pull = [&](Leader::Pull& pull) {
+    if (fixture.leader.pulls.size() == 1) {
+      fixture.leader.Answer(pull, {{MakeItem("1", kAmpleTime)}, {}});
+    }
+  };
+  fixture.engine.filler = std::string(kFar, 'x');
+  SECTION("after a refusal") { fixture.engine.status = 503; }
+  SECTION("that form no event") {}
+  SECTION("that are comments") {
+    fixture.engine.filler.clear();
+    while (fixture.engine.filler.size() < kFar) {
+      fixture.engine.filler += ": still there\n\n";
+    }
+  }
+  // Sooner than a silent run, which is ended after 2.5 s.
+  CHECK(fixture.RunUntil([&] { return fixture.engine.asked > 1; },
+                         milliseconds(1500)));
+}
+
 // The answer to a pull that requested nothing carries no items, so cancelling
 // it loses nothing; the leader would delay it for a second although there are
 // free slots.
