Credit of a higher limit is not used under a lower one

A grant that was under way when a limit was lowered, and requests that were given back later, brought credit of the earlier limit: 35 requests in a window where 34.3 may run. Such credit is given up, and the leader decides anew.

--- a/src/quotas/creditbook.h
+++ b/src/quotas/creditbook.h
@@ -64,7 +64,8 @@
  private:
   struct Account {
     QuotaLimit limit;
-    Time limited_since{};
+    Time limited_since{};     ///< When there was none before.
+    Time limit_set{};         ///< When `limit` was last changed.
     CreditReport report;      ///< Current, but for what it asks.
     CreditReport last_sent;   ///< As in the last report that was answered.
     double demand = 0;        ///< Requests a second, a moving average.
--- a/src/quotas/internal/creditbook.cpp
+++ b/src/quotas/internal/creditbook.cpp
@@ -61,6 +61,7 @@
                      static_cast<std::int64_t>(std::ceil(credit * (1 - kept))));
       }
       account.none_before = {};
+      account.limit_set = now;
     }
     account.limit = limit;
   }
@@ -85,6 +86,7 @@
   }
   account.report.organisation = organisation;
   account.limited_since = now;
+  account.limit_set = now;
 }
 
 double CreditBook::Faded(double demand, double seconds, const Account& account,
@@ -166,7 +168,8 @@
 
 /// Credit that has ended since the request arrived must not come back, also if
 /// the book holds valid credit again: the leader counts it as used. A request
-/// from before the limit was set took none.
+/// from before there was a limit took none, and credit from before a change of
+/// the limit may exceed the new one: the leader decides anew.
 void CreditBook::GiveBack(const std::string& organisation, Time arrived,
                           Time now) {
   const auto found = this->accounts.find(organisation);
@@ -174,7 +177,8 @@
     return;
   }
   --found->second.report.used;
-  if (!this->Valid(now) || arrived < this->ended) {
+  if (!this->Valid(now) || arrived < this->ended ||
+      arrived <= found->second.limit_set) {
     this->GiveUp(found->second, 1);
   }
 }
@@ -237,16 +241,20 @@
   this->valid_since = this->sent;
   for (const CreditGrant& grant : reply.grants) {
     const auto found = this->accounts.find(grant.organisation);
-    if (found == this->accounts.end() ||
-        this->sent <= found->second.limited_since) {
-      continue;  // Counts from before the limit was set.
+    if (found == this->accounts.end()) {
+      continue;
     }
     Account& account = found->second;
+    const std::int64_t credit_before = account.report.Credit();
     const auto spent = account.report.used +
                        static_cast<std::int64_t>(account.report.returned);
     account.report.allowed =
         std::max(grant.allowed,
                  static_cast<std::uint64_t>(std::max<std::int64_t>(spent, 0)));
+    if (this->sent <= account.limit_set) {
+      // Granted for an earlier limit, which may have been higher.
+      this->GiveUp(account, account.report.Credit() - credit_before);
+    }
     account.report_within = std::chrono::milliseconds(grant.report_within_ms);
     const bool got_less = grant.allowed < account.last_sent.allowed +
                                               account.last_sent.needed +
