--- a/src/nodes/internal/quotaserver.cpp
+++ b/src/nodes/internal/quotaserver.cpp
@@ -116,11 +116,10 @@
 
 void QuotaServer::OnReport(transport::StreamId stream,
                            const std::string& body) {
-  if (!this->LedAt().has_value()) {
-    this->Refuse(stream);
-  } else if (this->KnowsReserves()) {
+  const bool leads = this->LedAt().has_value();
+  if (leads && this->KnowsReserves()) {
     this->Take(stream, body);
-  } else if (this->early_reports.size() < kMaxEarlyReports) {
+  } else if (leads && this->early_reports.size() < kMaxEarlyReports) {
     this->early_reports[stream] = body;
   } else {
     this->Refuse(stream);
