--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -211,11 +211,11 @@
   MSGPACK_DEFINE(name)
 };
 /// Requests by name of organisation.
-using CreditReserveMap = std::map<std::string, std::uint32_t>;
+using CreditReserves = std::map<std::string, std::uint32_t>;
 /// Sets the credit that the leader keeps of each organisation named, and will
 /// not hand out before a lower one is committed; zero removes it.
 struct SetCreditReserves {
-  CreditReserveMap reserves;
+  CreditReserves reserves;
   MSGPACK_DEFINE(reserves)
 };
 struct ReadQuery {
--- a/src/coordination/coordinationstate.h
+++ b/src/coordination/coordinationstate.h
@@ -36,7 +36,7 @@
     return this->data.job_founders;
   }
   const std::set<std::string>& leaving() const { return this->data.leaving; }
-  const CreditReserveMap& credit_reserves() const {
+  const CreditReserves& credit_reserves() const {
     return this->data.credit_reserves;
   }
   /// Whether reserves were ever set.
@@ -48,7 +48,7 @@
     std::string text;
     consensus::MemberList job_founders;
     std::set<std::string> leaving;
-    CreditReserveMap credit_reserves;
+    CreditReserves credit_reserves;
     bool keeps_reserves = false;
     MSGPACK_DEFINE(version, text, job_founders, leaving, credit_reserves,
                    keeps_reserves)
--- a/src/coordination/internal/reserverecord.cpp
+++ b/src/coordination/internal/reserverecord.cpp
@@ -23,7 +23,7 @@
 }
 
 void ReserveRecord::Read(
-    std::function<void(std::optional<CreditReserveMap>)> done) {
+    std::function<void(std::optional<CreditReserves>)> done) {
   this->group.Read(
       [this, done = std::move(done), alive = this->alive](bool confirmed) {
         if (*alive) {
--- a/src/coordination/reserverecord.h
+++ b/src/coordination/reserverecord.h
@@ -30,7 +30,7 @@
   void OnReport(const WatchRequest& report);
   /// Calls `done` with all reserves that earlier leaders committed, or with
   /// nullopt if this member does not lead.
-  void Read(std::function<void(std::optional<CreditReserveMap>)> done);
+  void Read(std::function<void(std::optional<CreditReserves>)> done);
   /// Whether all members can apply a change: they are of a release that can,
   /// or one was committed before.
   bool Usable() const;
--- a/src/coordination/tests/reserverecord_tests.cpp
+++ b/src/coordination/tests/reserverecord_tests.cpp
@@ -15,7 +15,8 @@
 
 }  // namespace
 
-// A member that receives a command that it cannot apply ends.
+// Guards against members whose states differ: one of an earlier release skips a
+// command that it cannot decode.
 TEST_CASE("reserves are proposed only to members that can apply them") {
   asio::io_context context;
   Member leader(context, 1);
--- a/src/nodes/internal/quotaserver.cpp
+++ b/src/nodes/internal/quotaserver.cpp
@@ -49,7 +49,7 @@
     this->reading_term = term;
     this->coordinator.reserves().Read(
         [this, term, alive = this->alive](
-            std::optional<coordination::CreditReserveMap> reserves) {
+            std::optional<coordination::CreditReserves> reserves) {
           if (*alive) {
             this->OnReserves(term, std::move(reserves));
           }
@@ -60,7 +60,7 @@
 
 void QuotaServer::OnReserves(
     consensus::Term term,
-    std::optional<coordination::CreditReserveMap> reserves) {
+    std::optional<coordination::CreditReserves> reserves) {
   if (this->reading_term == term) {
     this->reading_term = 0;
   }
--- a/src/nodes/quotaserver.h
+++ b/src/nodes/quotaserver.h
@@ -51,7 +51,7 @@
   /// otherwise.
   bool KnowsReserves();
   void OnReserves(consensus::Term term,
-                  std::optional<coordination::CreditReserveMap> reserves);
+                  std::optional<coordination::CreditReserves> reserves);
   void ProposeReserves();
 
   coordination::Coordinator& coordinator;
--- a/src/quotas/quotaauthority.h
+++ b/src/quotas/quotaauthority.h
@@ -60,7 +60,7 @@
   std::optional<CreditReserves> ProposeReserves(Time now);
   /// The proposal was committed, or it is not known whether it was.
   void ReservesProposed(bool committed);
-  /// Credit kept as reserve, over all organisations, and their number.
+  /// Number of organisations with a committed reserve.
   std::size_t ReservedOrganisations() const { return this->committed.size(); }
 
  private:
--- a/src/quotas/quotalimits.h
+++ b/src/quotas/quotalimits.h
@@ -58,7 +58,8 @@
 /// ended. An entry reports once a second; an election takes 0.6 to 1.2 s.
 inline constexpr std::chrono::milliseconds kCreditValidity{3000};
 /// A leader hands out credit only while its latest contact with a quorum is
-/// younger than this, which is before another member can be elected.
+/// younger than this, which is half of an election timeout. After a handover or
+/// a restart of a quorum another member may lead sooner: see QuotaAuthority.
 inline constexpr std::chrono::milliseconds kMaxContactAge{300};
 
 }  // namespace papayarack::quotas
