Streams leave the fast replicas to items, and spare items where a slot is free

Change: where items run, a replica that meets a route's objectives is chosen by load alone; a gate may be asked to spare items (AcquireSlot.spares_items, verdict would_preempt), and an item is preempted after three such gates. Takes effect where replicas differ in speed as observed; sparing also for callers of organisations.

--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -518,10 +518,6 @@
 /// Called at each tick, so that changes within a tick share one reply. Entries
 /// come first, as a delay there is visible to callers.
 void Coordinator::AnswerWatchers(Time now) {
-  // A committed command may bring it here before the next tick does.
-  if (this->group->Leads() && this->led_term != this->group->term()) {
-    this->OnTerm(now);
-  }
   constexpr std::array<NodeRole, 1> kFirst = {NodeRole::kEntry};
   constexpr std::array<NodeRole, 2> kThen = {NodeRole::kGate, NodeRole::kStore};
   this->config_history.Set(this->state.version(), this->state.text());
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -32,6 +32,8 @@
       return "closed";
     case SlotVerdict::kNotOwner:
       return "not_owner";
+    case SlotVerdict::kWouldPreempt:
+      return "would_preempt";
   }
   return "unknown";
 }
@@ -212,6 +214,10 @@
     this->Answer(stream, ticket, SlotVerdict::kClosed);
     return;
   }
+  if (ask.spares_items && this->allocator.WouldPreempt()) {
+    this->Answer(stream, ticket, SlotVerdict::kWouldPreempt);
+    return;
+  }
   this->tickets[stream] = ticket;
   const slots::SlotRequest request{
       stream, ask.priority, asked + std::chrono::milliseconds(ask.wait_ms),
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -154,7 +154,8 @@
   call.search.emplace(
       service, this->own_zone,
       speeds::SpeedObjectives{call.route->target_latency,
-                              call.route->target_gap, call.route->timeout});
+                              call.route->target_gap, call.route->timeout},
+      call.organisation != nullptr);
   const http::HttpRequest& request = call.request;
   call.traits =
       quarantine::TraitsOf({request.method, request.headers.Get("Host"),
@@ -241,7 +242,7 @@
 
 void OnlineRelay::Perform(CallId id, const placement::AskGate& step) {
   this->calls.at(id).engine = step.engine;
-  this->Ask(id, static_cast<std::uint32_t>(step.longest_wait.count()));
+  this->Ask(id, step);
 }
 
 void OnlineRelay::Perform(CallId id, const placement::SendUngated& step) {
@@ -258,7 +259,7 @@
   }
 }
 
-void OnlineRelay::Ask(CallId id, std::uint32_t wait_ms) {
+void OnlineRelay::Ask(CallId id, const placement::AskGate& step) {
   Call& call = this->calls.at(id);
   const std::uint64_t attempt = ++call.attempt;
   call.phase = Phase::kAsking;
@@ -271,7 +272,8 @@
   ask.priority = placement::SlotPriority(
       call.organisation != nullptr ? call.organisation->priority : 0,
       call.route->priority, call.began.has_value());
-  ask.wait_ms = wait_ms;
+  ask.wait_ms = static_cast<std::uint32_t>(step.longest_wait.count());
+  ask.spares_items = step.spares_items;
   if (call.organisation != nullptr) {
     ask.organisation = call.organisation->name;
   }
@@ -339,6 +341,9 @@
     case SlotVerdict::kBusy:
       call.search->Busy(std::chrono::milliseconds(reply.expected_wait_ms));
       break;
+    case SlotVerdict::kWouldPreempt:
+      call.search->WouldPreempt();
+      break;
     case SlotVerdict::kNotOwner:
       call.search->NoOwner();
       this->chooser.NotOwned(call.engine.address, MonotonicNow());
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -152,7 +152,7 @@
   void Perform(CallId id, const placement::AskGate& step);
   void Perform(CallId id, const placement::SendUngated& step);
   void Perform(CallId id, const placement::NoSlot& step);
-  void Ask(CallId id, std::uint32_t wait_ms);
+  void Ask(CallId id, const placement::AskGate& step);
   void OnSlotReply(CallId id, std::uint64_t attempt, const std::string& bytes);
   void OnAskFailed(CallId id, std::uint64_t attempt);
   void Send(CallId id);
--- a/src/nodes/slotmessages.h
+++ b/src/nodes/slotmessages.h
@@ -22,8 +22,11 @@
   /// Shares the slots with others of its priority; empty: the caller has none,
   /// or the entry is of an earlier release.
   std::string organisation = {};
+  /// Refuse with kWouldPreempt rather than preempt a batch item: the entry asks
+  /// elsewhere first. Earlier versions preempt.
+  bool spares_items = false;
   MSGPACK_DEFINE(request, engine_id, priority, wait_ms, engine_address,
-                 organisation)
+                 organisation, spares_items)
 };
 
 enum class SlotVerdict : std::uint8_t {
@@ -31,6 +34,9 @@
   kBusy = 1,
   kClosed = 2,
   kNotOwner = 3,  ///< Earlier versions treat it as kClosed.
+  /// Only batch items hold slots that the request could get, and it spares
+  /// them.
+  kWouldPreempt = 4,
 };
 
 struct SlotReply {
--- a/src/nodes/tests/nodes_tests.cpp
+++ b/src/nodes/tests/nodes_tests.cpp
@@ -42,6 +42,7 @@
   const auto ask = DecodeMessage<AcquireSlot>(EncodeMessage(former));
   CHECK(ask.wait_ms == 120);
   CHECK(ask.organisation.empty());
+  CHECK_FALSE(ask.spares_items);
   AcquireSlot named;
   named.engine_address = "10.0.0.2:80";
   named.organisation = "acme";
--- a/src/placement/enginechooser.h
+++ b/src/placement/enginechooser.h
@@ -76,9 +76,12 @@
 /// sent since; random noise of less than a slot keeps entries with the same
 /// reports from all choosing the same engine after a change.
 ///
-/// Replicas of one service can differ in speed. A request goes where the work
-/// in slots, including its own, times the replica's slowness is least, and to a
-/// replica that would miss its route's objectives only if others are full.
+/// Replicas of one service can differ in speed. A request goes to a replica
+/// that would miss its route's objectives only if others are full. Where no
+/// batch items run it goes where the work in slots, including its own, times
+/// the replica's slowness is least. Where items run it goes by load alone:
+/// streams that meet their objectives at a slow replica leave the fast ones to
+/// items, which have a due time and take a whole wave of load even there.
 /// Thread safety: none.
 class EngineChooser {
  public:
@@ -122,6 +125,10 @@
   void CountZone(const std::string& service, bool other_zone, Time now);
   /// How requests of the service leave the zone; null if it has no replicas.
   const ZonePolicy* ZoneOf(const std::string& service) const;
+  /// Whether requests should look for a free slot before a batch item is
+  /// preempted for them: replicas of the service differ in speed, so that items
+  /// gather at some of them.
+  bool SparesItems(const std::string& service, Time now) const;
   /// See speeds::ReplicaSpeed::Slowness; 1 for unknown replicas.
   double SlownessOf(const std::string& service, const std::string& address,
                     Time now) const;
@@ -182,6 +189,8 @@
     std::vector<EngineOption> options;
     speeds::FleetSpeeds speeds;
     ZonePolicy zone;
+    Time items_seen{};   ///< When a gate last stated that items run.
+    Time uneven_seen{};  ///< When a choice last met a slow replica.
   };
   std::optional<EngineRestart> ApplyStart(const EngineStart& reported_start);
   EngineStart StartOf(const EngineOption& option) const;
@@ -196,8 +205,7 @@
   };
   static Usage UsageOf(const EngineState& state, Time now);
   double CostOf(const EngineOption& option, const EngineQuery& query,
-                const std::string& own_zone, const ServiceState& service,
-                Time now);
+                const std::string& own_zone, ServiceState& service, Time now);
   ServiceState& ServiceOf(const std::string& service);
   /// Updates the zone policy from the replicas that are not backed off.
   void UpdateZone(ServiceState& service, const std::string& own_zone, Time now);
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -23,9 +23,16 @@
 /// serves a request sooner than a fast one that is nearly full, where asks find
 /// no slot and requests are rejected while slow slots are idle.
 constexpr double kSlowOccupancy = 0.75;
+/// How long a service counts as one whose replicas run items, or differ in
+/// speed: one wave of load, between the peaks of which items fill all slots.
+constexpr std::chrono::milliseconds kSeenRecently{6000};
 /// Cost of an engine in backoff: chosen only if all others are in backoff too.
 constexpr double kBackoffPenalty = 1000;
 
+bool IsRecent(Time seen, Time now) {
+  return seen != Time{} && now - seen < Duration(kSeenRecently);
+}
+
 bool Contains(std::span<const EngineStart> tried, const EngineStart& start) {
   return std::ranges::any_of(tried, [&start](const EngineStart& other) {
     return other.MayBeSameStart(start);
@@ -153,9 +160,12 @@
 
 double EngineChooser::CostOf(const EngineOption& option,
                              const EngineQuery& query,
-                             const std::string& own_zone,
-                             const ServiceState& service, Time now) {
+                             const std::string& own_zone, ServiceState& service,
+                             Time now) {
   const EngineState& state = this->states[option.address];
+  if (state.load.batch > 0) {
+    service.items_seen = std::max(service.items_seen, state.reported);
+  }
   const double used = UsageOf(state, now).used;
   std::uniform_real_distribution<double> noise(0, kNoiseWidth);
   const double slots = std::max<std::uint32_t>(1, option.slots);
@@ -166,8 +176,12 @@
     return cost;
   }
   const double slowness = state.speed.Slowness(service.speeds, now);
-  const double room = std::max(0.0, kSlowOccupancy - used / slots);
-  cost += std::min((slowness - 1) * (used + 1) / slots, room);
+  service.uneven_seen =
+      slowness >= speeds::ReplicaSpeed::kFull ? now : service.uneven_seen;
+  if (!IsRecent(service.items_seen, now)) {
+    const double room = std::max(0.0, kSlowOccupancy - used / slots);
+    cost += std::min((slowness - 1) * (used + 1) / slots, room);
+  }
   const bool misses =
       state.speed.MissesObjectives(query.objectives, service.speeds, now);
   return cost + (misses ? kMissPenalty : 0);
@@ -291,6 +305,12 @@
   return found != this->services.end() ? &found->second.zone : nullptr;
 }
 
+bool EngineChooser::SparesItems(const std::string& service, Time now) const {
+  const auto found = this->services.find(service);
+  return found != this->services.end() &&
+         IsRecent(found->second.uneven_seen, now);
+}
+
 double EngineChooser::SlownessOf(const std::string& service,
                                  const std::string& address, Time now) const {
   const auto fleet = this->services.find(service);
--- a/src/placement/internal/slotsearch.cpp
+++ b/src/placement/internal/slotsearch.cpp
@@ -1,6 +1,7 @@
 #include "placement/slotsearch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayarack::placement {
 
@@ -10,7 +11,8 @@
     return NoSlot{"no slot came free in time"};
   }
   bool unowned_share_used = false;
-  while (this->asks < kMaxImmediateAsks) {
+  while (this->asks < kMaxImmediateAsks &&
+         this->preemptible_gates < kMaxSparingAsks) {
     const auto option =
         chooser.Choose(this->query, this->own_zone, this->tried, now);
     if (!option.has_value()) {
@@ -20,7 +22,10 @@
     if (!option->gate.empty()) {
       ++this->asks;
       this->asked = option;
-      return AskGate{*option};
+      const bool spares =
+          this->may_spare && (this->always_spares ||
+                              chooser.SparesItems(this->query.service, now));
+      return AskGate{*option, std::chrono::milliseconds(0), spares};
     }
     const bool unlimited = option->slots == 0;
     if (unlimited ||
@@ -30,6 +35,9 @@
     }
     unowned_share_used = true;
   }
+  if (this->preemptible.has_value()) {
+    return this->AskToPreempt();
+  }
   if (this->asks == 0) {
     return this->NothingAsked(chooser, unowned_share_used);
   }
@@ -61,6 +69,20 @@
   return AskGate{*this->least_busy, this->longest_wait};
 }
 
+SearchStep SlotSearch::AskToPreempt() {
+  this->asked = std::exchange(this->preemptible, std::nullopt);
+  this->preemptible_gates = 0;
+  this->may_spare = false;
+  return AskGate{*this->asked};
+}
+
+void SlotSearch::WouldPreempt() {
+  ++this->preemptible_gates;
+  if (!this->preemptible.has_value()) {
+    this->preemptible = this->asked;
+  }
+}
+
 void SlotSearch::Busy(std::chrono::milliseconds expected_wait) {
   if (!this->shortest_wait.has_value() ||
       expected_wait < *this->shortest_wait) {
@@ -94,6 +116,9 @@
 
 void SlotSearch::ResetSearch() {
   this->asks = 0;
+  this->preemptible.reset();
+  this->preemptible_gates = 0;
+  this->may_spare = true;
   this->queueing = false;
   this->longest_wait = std::chrono::milliseconds(0);
   this->asked.reset();
--- a/src/placement/slotsearch.h
+++ b/src/placement/slotsearch.h
@@ -19,6 +19,8 @@
   EngineOption engine;
   /// How long the request may queue there; zero asks for an immediate reply.
   std::chrono::milliseconds longest_wait{0};
+  /// The gate shall not preempt a batch item for the slot.
+  bool spares_items = false;
 };
 
 /// The next step is to send to `engine` without a slot, as it has no owner now.
@@ -41,13 +43,23 @@
 /// so a few are asked in turn for an immediate slot, one round trip each. At
 /// its peak all are full; then the request queues once, at the gate that
 /// reported the shortest wait, if its caller can wait that long, and is refused
-/// at once otherwise. Thread safety: none.
+/// at once otherwise.
+///
+/// Batch items fill the slots that online work leaves, most of them at a few
+/// gates, and an entry knows little of which. A preempted item waits until a
+/// slot comes free at its gate, while others have free slots. So the first asks
+/// spare items, and one is preempted where none of these found a free slot.
+/// This applies where replicas differ in speed (EngineChooser::SparesItems) and
+/// to callers of organisations. Thread safety: none.
 class SlotSearch {
  public:
+  /// `spares_items`: batch items are spared whatever the replicas' speeds.
   SlotSearch(std::string service, std::string own_zone,
-             const speeds::SpeedObjectives& objectives = {})
+             const speeds::SpeedObjectives& objectives = {},
+             bool spares_items = false)
       : query{std::move(service), std::nullopt, objectives},
-        own_zone(std::move(own_zone)) {}
+        own_zone(std::move(own_zone)),
+        always_spares(spares_items) {}
 
   /// From now on only replicas of `began` are considered: an event of it has
   /// reached the caller.
@@ -58,6 +70,8 @@
                   Time now);
   /// The last gate asked has no slot; a new request would wait this long.
   void Busy(std::chrono::milliseconds expected_wait);
+  /// The last gate asked has a slot for the request if it preempts an item.
+  void WouldPreempt();
   /// The last gate asked grants no slots, as its engine is down or shutting
   /// down. A request that queued there looks for a slot elsewhere.
   void Closed();
@@ -89,6 +103,10 @@
   /// report of each gate about once a second, so at the start of a wave it
   /// knows little of their load, and fewer asks would miss free slots.
   static constexpr std::size_t kMaxImmediateAsks = 6;
+  /// Number of gates that would preempt an item before one of them is asked to:
+  /// where two of three gates are full, less than a third of the requests
+  /// preempt one.
+  static constexpr std::size_t kMaxSparingAsks = 3;
   /// 60 round trips within a region.
   static constexpr std::chrono::milliseconds kAskTimeout{120};
 
@@ -99,6 +117,8 @@
   NoSlot NothingAsked(const EngineChooser& chooser,
                       bool unowned_share_used) const;
   SearchStep QueueAtLeastBusy(std::chrono::milliseconds budget);
+  /// Asks the first of the gates that would preempt an item.
+  SearchStep AskToPreempt();
 
   EngineQuery query;
   std::string own_zone;
@@ -106,6 +126,11 @@
   std::optional<EngineOption> asked;       ///< Engine of the last gate asked.
   std::optional<EngineOption> least_busy;  ///< Reported the shortest wait.
   std::optional<std::chrono::milliseconds> shortest_wait;
+  /// Engine of the first gate that would preempt an item.
+  std::optional<EngineOption> preemptible;
+  std::size_t preemptible_gates = 0;
+  bool always_spares = false;
+  bool may_spare = true;  ///< No gate was asked to preempt an item yet.
   std::size_t asks = 0;
   bool queueing = false;
   std::chrono::milliseconds longest_wait{0};  ///< At the last gate asked.
--- a/src/placement/tests/slotsearch_tests.cpp
+++ b/src/placement/tests/slotsearch_tests.cpp
@@ -70,6 +70,56 @@
   }
 }
 
+// Guards against items that are preempted, and then wait at their gate, while
+// other gates have free slots.
+TEST_CASE("a request looks for a free slot before an item is preempted") {
+  EngineChooser chooser(1);
+  chooser.SetOptions("llm", Fleet(12));
+  SlotSearch search("llm", "z", {}, true);
+  const auto next = [&] {
+    return std::get<AskGate>(search.Next(chooser, kBudget, At(0)));
+  };
+  const AskGate first = next();
+  CHECK(first.spares_items);
+  search.WouldPreempt();
+  SECTION("and is granted one elsewhere") {
+    const AskGate second = next();
+    CHECK(second.spares_items);
+    CHECK(second.engine.address != first.engine.address);
+  }
+  SECTION("and preempts one at the first gate after three asks") {
+    for (std::size_t i = 1; i < SlotSearch::kMaxSparingAsks; ++i) {
+      CHECK(next().spares_items);
+      search.WouldPreempt();
+    }
+    const AskGate last = next();
+    CHECK(last.engine.address == first.engine.address);
+    CHECK_FALSE(last.spares_items);
+    CHECK(last.longest_wait == milliseconds(0));
+    SECTION("and goes on elsewhere if that has filled or closed meanwhile") {
+      GENERATE(true, false) ? search.Busy(milliseconds(90)) : search.Closed();
+      const AskGate other = next();
+      CHECK(other.engine.address != first.engine.address);
+      CHECK_FALSE(other.spares_items);
+    }
+  }
+  SECTION("and preempts one if no other gate is left") {
+    EngineChooser small(1);
+    small.SetOptions("llm", Fleet(1));
+    SlotSearch only("llm", "z", {}, true);
+    only.Next(small, kBudget, At(0));
+    only.WouldPreempt();
+    const auto again = std::get<AskGate>(only.Next(small, kBudget, At(0)));
+    CHECK_FALSE(again.spares_items);
+  }
+  SECTION(
+      "but not where replicas are even and the caller has no organisation") {
+    SlotSearch plain("llm", "z");
+    const SearchStep step = plain.Next(chooser, kBudget, At(0));
+    CHECK_FALSE(std::get<AskGate>(step).spares_items);
+  }
+}
+
 TEST_CASE("a request that would be too late is refused without queueing") {
   EngineChooser chooser(1);
   chooser.SetOptions("llm", Fleet(12));
--- a/src/placement/tests/unevenreplicas_tests.cpp
+++ b/src/placement/tests/unevenreplicas_tests.cpp
@@ -81,6 +81,32 @@
   CHECK(most <= 7);
 }
 
+// Load: the same, with items in the slots that streams leave. Guards against
+// fast replicas that get both the streams and the items, so that these are
+// preempted there while slow ones have free slots.
+TEST_CASE("where items run, streams that are in time anywhere go by load") {
+  EngineChooser chooser(3);
+  EngineChooser without(3);
+  for (EngineChooser* each : {&chooser, &without}) {
+    each->SetOptions("llm", Fleet(12));
+    ReportAll(*each, 12, {3, 0, 1}, At(0));
+  }
+  StateSpeeds(chooser, 12, 4, At(0));
+  CHECK_FALSE(chooser.SparesItems("llm", At(0)));
+  CHECK(Burst(chooser, 60, At(0)) == Burst(without, 60, At(0)));
+  SECTION("and they spare items as long as a slow replica is met") {
+    CHECK(chooser.SparesItems("llm", At(5000)));
+    CHECK_FALSE(chooser.SparesItems("llm", At(7000)));
+    CHECK_FALSE(without.SparesItems("llm", At(0)));
+  }
+  SECTION("but not to a replica that would miss an objective") {
+    chooser.LearnPace("e0", 5000, At(0));
+    ReportAll(chooser, 12, {6, 0, 1}, At(0));
+    chooser.Reported("e0", {0, 0, 1}, At(0));
+    CHECK(chooser.Choose(kQuery, "z", {}, At(0))->address != "e0");
+  }
+}
+
 TEST_CASE("a slow replica is chosen once the others are busy enough") {
   EngineChooser chooser(3);
   chooser.SetOptions("llm", Fleet(4));
--- a/src/quarantine/crashtracker.h
+++ b/src/quarantine/crashtracker.h
@@ -163,7 +163,6 @@
     return this->trials.at(trait).next;
   }
   /// Changes whenever the quarantined traits or the times of their trials do.
-  /// Never zero, which stands for a process that has no list.
   std::uint64_t revision() const { return this->changes; }
 
  private:
@@ -230,7 +229,7 @@
   std::map<Fingerprint, Trial> trials;      ///< Of those in quarantine.
   bool trials_outdated = false;  ///< Crashes were added since UpdateTrials.
   std::map<Fingerprint, Time> survivals;  ///< The latest of each trait.
-  std::uint64_t changes = 1;
+  std::uint64_t changes = 0;
 };
 
 }  // namespace papayarack::quarantine
--- a/src/slots/internal/slotallocator.cpp
+++ b/src/slots/internal/slotallocator.cpp
@@ -189,6 +189,12 @@
   return static_cast<std::uint32_t>(this->Usable() - used);
 }
 
+bool SlotAllocator::WouldPreempt() const {
+  const std::size_t running = this->running.size();
+  return this->open && this->queue.empty() && running < this->Usable() &&
+         running + this->batch >= this->slots;
+}
+
 std::uint32_t SlotAllocator::BatchToPreempt() const {
   const std::size_t used = this->running.size() + this->batch;
   if (used <= this->slots) {
--- a/src/slots/slotallocator.h
+++ b/src/slots/slotallocator.h
@@ -96,6 +96,9 @@
   std::uint32_t FreeBatchSlots() const;
   void StartBatch() { ++this->batch; }
   void EndBatch() { this->batch -= this->batch > 0 ? 1 : 0; }
+  /// Whether a request would be granted a slot now, and a batch item preempted
+  /// for it.
+  bool WouldPreempt() const;
   /// Batch items to preempt now, as online requests took their slots.
   std::uint32_t BatchToPreempt() const;
 
--- a/src/slots/tests/slotallocator_tests.cpp
+++ b/src/slots/tests/slotallocator_tests.cpp
@@ -38,6 +38,27 @@
   CHECK(allocator.FreeBatchSlots() == 1);
 }
 
+// Guards against items that are preempted though their entry asked to spare
+// them, and against free slots that are withheld.
+TEST_CASE("a gate knows whether a grant would preempt an item") {
+  SlotAllocator allocator;
+  allocator.SetSlots(2);
+  CHECK_FALSE(allocator.WouldPreempt());
+  allocator.StartBatch();
+  CHECK_FALSE(allocator.WouldPreempt());
+  allocator.StartBatch();
+  CHECK(allocator.WouldPreempt());
+  SECTION("not where online requests hold all slots: it would be refused") {
+    allocator.Acquire(MakeRequest(1, 200), At(0));
+    allocator.Acquire(MakeRequest(2, 200), At(0));
+    CHECK_FALSE(allocator.WouldPreempt());
+  }
+  SECTION("not at a closed gate") {
+    allocator.SetOpen(false);
+    CHECK_FALSE(allocator.WouldPreempt());
+  }
+}
+
 // Load: a peak at which online work alone fills the engine. A slot becomes free
 // every 88 ms; a caller with 200 ms left can wait behind one other, not three.
 TEST_CASE("the queue is bounded by the time that its callers can wait") {
