Online relay: the bounds and events of a response in a class of its own

Change: EngineResponse splits a stream into events, checks their order and the limits on bytes and silence, and decides when reading pauses for a slow caller. It does no I/O. The time of an ask for a slot is a field of its own.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -17,12 +17,6 @@
 constexpr std::chrono::milliseconds kSweep{25};
 /// A check later than this means that the loop stood still.
 constexpr std::chrono::milliseconds kStoodStill{100};
-/// A repeatable request is sent to another engine after a silence this long:
-/// many times what an engine with a free slot takes to its first event.
-constexpr std::chrono::milliseconds kMaxFirstEventSilence{700};
-/// The same between two events; half of the time after which callers
-/// disconnect.
-constexpr std::chrono::milliseconds kMaxEventGap{900};
 /// Maximum number of engines that may answer "did not run" before the caller is
 /// told so.
 constexpr std::size_t kMaxSends = 6;
@@ -41,8 +35,6 @@
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
-bool IsSuccess(int status) { return status / 100 == 2; }
-
 /// Whether the status tells the caller that the request did not run.
 bool PromisesNotRun(int status) {
   return status == 503 || status == 429 || status == 408 || status == 421;
@@ -130,8 +122,7 @@
       std::min(route.timeout, call.fields.deadline.value_or(route.timeout));
   call.deadline = call.arrived + bound;
   if (call.fields.resume_after.has_value()) {
-    call.last_event = *call.fields.resume_after;
-    call.any_event = true;
+    call.response.ContinueAfter(*call.fields.resume_after);
   }
   this->by_exchange[exchange] = id;
   this->calls.emplace(id, std::move(call));
@@ -174,7 +165,7 @@
   Log(LogLevel::kInfo, "stream_taken_up",
       {{"request", call.fields.id},
        {"resumes", call.fields.resumes},
-       {"last_event", call.last_event}});
+       {"last_event", call.response.LastEvent().value_or(0)}});
   const StreamOrigins::LookupId lookup = this->stream_origins.Find(
       call.fields.resumes, [this, id](const ReplicaSoftware& recorded) {
         this->OnOrigin(id, recorded);
@@ -263,7 +254,7 @@
   const std::uint64_t attempt = ++call.attempt;
   call.phase = Phase::kAsking;
   call.sent = MonotonicNow();
-  call.last_heard = call.sent;
+  call.asked = call.sent;
   AcquireSlot ask;
   ask.request = call.fields.id;
   ask.engine_id = call.engine.id;
@@ -387,20 +378,10 @@
   call.phase = Phase::kRunning;
   ++call.sends;
   call.sent = now;
-  call.last_heard = now;
-  call.last_block = now;
-  call.ignored_bytes = 0;
-  call.failure_bytes = 0;
-  call.unframed_bytes = 0;
-  call.paused = false;
+  call.response.BeginAttempt(call.request.body.size(), now);
   call.accepted = false;
   call.other_replica.clear();
-  call.run_began.reset();
   call.run_survived = false;
-  call.splitter.Clear();
-  call.run_events = 0;
-  call.run_first_event = {};
-  call.run_bytes = call.request.body.size();
   http::HttpCall out;
   out.peer = ParseEndpoint(call.engine.address, "engine");
   out.method = call.request.method;
@@ -417,15 +398,15 @@
   if (call.organisation != nullptr) {
     fields.organisation = call.organisation->name;
   }
-  if (call.any_event) {
-    fields.resume_after = call.last_event;
+  fields.resume_after = call.response.LastEvent();
+  if (fields.resume_after.has_value()) {
     Log(LogLevel::kInfo, "stream_continued",
         {{"request", call.fields.id},
          {"resumes", call.fields.resumes},
          {"engine", call.engine.id},
          {"version", call.engine.software.version},
          {"began_at_version", call.began.value_or(ReplicaSoftware{}).version},
-         {"last_event", call.last_event},
+         {"last_event", *fields.resume_after},
          {"engines_age_ms", MillisSince(this->engines_seen, now)}});
   }
   this->dialect.write_forward(out.headers, fields);
@@ -453,11 +434,8 @@
     return;
   }
   Call& call = found->second;
-  call.last_heard = MonotonicNow();
-  call.last_block = call.last_heard;
-  call.last_event_at = call.last_heard;
+  call.response.HeadArrived(head.status, MonotonicNow());
   const EngineHead engine = this->dialect.read_engine_head(head);
-  call.status = head.status;
   if (engine.not_run) {
     // Handled in OnEnd; the body is ignored.
     call.failed_status = true;
@@ -468,10 +446,10 @@
   }
   this->chooser.LearnPace(call.engine.address,
                           engine.load.value_or(EngineLoad{}).pace,
-                          call.last_heard);
+                          call.response.LastHeard());
   call.accepted = true;
   call.ran_at.insert(call.engine.address);
-  const bool success = IsSuccess(head.status);
+  const bool success = call.response.IsSuccess();
   // A failure is passed to the caller when no further attempt is possible,
   // unless it would state "did not run" about a request that may have run.
   const bool can_repeat =
@@ -488,8 +466,8 @@
   if (call.head_sent) {
     return;
   }
-  call.is_events = IsEventStream(head);
-  if (call.is_events) {
+  call.response.SetEvents(IsEventStream(head));
+  if (call.response.IsEvents()) {
     call.held_head = head;
   } else {
     this->ForwardHead(call, head);
@@ -499,7 +477,7 @@
 void OnlineRelay::ForwardHead(Call& call, const http::HttpHead& head) {
   http::Headers headers = head.headers;
   http::RemoveConnectionFields(headers);
-  if (call.is_events) {
+  if (call.response.IsEvents()) {
     headers.Remove("Content-Length");
   }
   call.head_sent = true;
@@ -529,47 +507,52 @@
     return;
   }
   Call& call = found->second;
-  call.run_bytes += bytes.size();
   if (call.failed_status || (!call.head_sent && !call.held_head.has_value())) {
     this->IgnoreBody(id, bytes.size());
     return;
   }
-  const Time before = std::exchange(call.last_heard, MonotonicNow());
-  if (!call.run_began.has_value()) {
-    call.run_began = call.last_heard;
-  }
-  if (CrashDetector::IsSurvival(*call.run_began, before, call.last_heard)) {
+  this->ForwardBody(id, bytes);
+}
+
+void OnlineRelay::ForwardBody(CallId id, std::string_view bytes) {
+  Call& call = this->calls.at(id);
+  const EngineResponse::BodyFault fault = call.response.AddBody(
+      bytes, MonotonicNow(), [this, &call](std::string_view part) {
+        if (call.held_head.has_value()) {
+          this->BeginEvents(call);
+        }
+        this->front->Write(call.exchange, part);
+      });
+  if (call.response.run().survived) {
     this->NoteSurvival(call);
   }
-  if (!call.is_events) {
-    this->ForwardBody(id, bytes);
-    return;
-  }
-  if (!this->ForwardEvents(call, bytes)) {
-    this->OnBroken(id, "an event out of order");
-    return;
-  }
-  if (IsUnframed(call, call.last_heard)) {
-    constexpr const char* kReason = "bytes that form no event";
-    this->CutResponse(call, kReason);
-    this->OnBroken(id, kReason);
-    return;
+  switch (fault) {
+    case EngineResponse::BodyFault::kNone:
+      this->PauseIfSlow(call);
+      return;
+    case EngineResponse::BodyFault::kOutOfOrder:
+      this->OnBroken(id, "an event out of order");
+      return;
+    case EngineResponse::BodyFault::kUnframed: {
+      constexpr const char* kReason = "bytes that form no event";
+      this->CutResponse(call, kReason);
+      this->OnBroken(id, kReason);
+      return;
+    }
+    case EngineResponse::BodyFault::kEndlessFailure: {
+      constexpr const char* kReason = "a failure without end";
+      this->CutResponse(call, kReason);
+      this->Fail(id, kBadGateway, kReason);
+      return;
+    }
   }
-  this->PauseIfSlow(call);
-}
-
-bool OnlineRelay::IsUnframed(const Call& call, Time now) {
-  return call.unframed_bytes > kMaxUnframedBytes ||
-         (call.unframed_bytes > kMinUnframedBytes &&
-          now - call.last_event_at > kMaxUnframedTime);
 }
 
 void OnlineRelay::PauseIfSlow(Call& call) {
-  if (call.paused || call.engine_call == 0 ||
-      this->front->Unsent(call.exchange) <= kPauseReadingBytes) {
+  if (call.engine_call == 0 ||
+      !call.response.Pause(this->front->Unsent(call.exchange))) {
     return;
   }
-  call.paused = true;
   this->engines.Pause(call.engine_call);
   this->metrics.Add("online_reads_paused_total");
 }
@@ -583,14 +566,11 @@
          {"unsent_total", this->front->UnsentTotal()}});
     this->metrics.Add("online_callers_dropped_total");
     this->front->AbortStalled(call.exchange);
-    this->Finish(id, "caller_stalled", call.status);
+    this->Finish(id, "caller_stalled", call.response.Status());
     return false;
   }
-  if (call.paused && this->front->Unsent(call.exchange) < kResumeReadingBytes) {
-    call.paused = false;
-    call.last_heard = MonotonicNow();
-    call.last_block = call.last_heard;
-    call.last_event_at = call.last_heard;
+  if (call.response.Resume(this->front->Unsent(call.exchange),
+                           MonotonicNow())) {
     this->engines.Resume(call.engine_call);
   }
   return true;
@@ -598,8 +578,7 @@
 
 void OnlineRelay::IgnoreBody(CallId id, std::size_t bytes) {
   Call& call = this->calls.at(id);
-  call.ignored_bytes += bytes;
-  if (call.ignored_bytes <= kMaxIgnoredBytes) {
+  if (call.response.AddIgnored(bytes)) {
     return;
   }
   this->CutResponse(call, "a refusal or failure without end");
@@ -608,25 +587,12 @@
   this->EndFailed(id);
 }
 
-void OnlineRelay::ForwardBody(CallId id, std::string_view bytes) {
-  Call& call = this->calls.at(id);
-  call.failure_bytes += IsSuccess(call.status) ? 0 : bytes.size();
-  if (call.failure_bytes > kMaxFailureBytes) {
-    constexpr const char* kReason = "a failure without end";
-    this->CutResponse(call, kReason);
-    this->Fail(id, kBadGateway, kReason);
-    return;
-  }
-  this->front->Write(call.exchange, bytes);
-  this->PauseIfSlow(call);
-}
-
 void OnlineRelay::CutResponse(Call& call, const char* reason) {
   Log(LogLevel::kWarn, "response_cut",
       {{"request", call.fields.id},
        {"engine", call.engine.id},
        {"address", call.engine.address},
-       {"status", call.status},
+       {"status", call.response.Status()},
        {"reason", reason}});
   this->metrics.Add("online_responses_cut_total");
   this->engines.Cancel(std::exchange(call.engine_call, 0));
@@ -642,39 +608,6 @@
   }
 }
 
-/// Forwards complete events. False when their ids are not consecutive: a gap, a
-/// repetition or events of another request must not reach the caller.
-bool OnlineRelay::ForwardEvents(Call& call, std::string_view bytes) {
-  call.splitter.Add(bytes);
-  call.unframed_bytes += bytes.size();
-  http::StreamEvent event;
-  while (call.splitter.Next(event)) {
-    call.last_block = call.last_heard;
-    if (event.IsEvent()) {
-      call.unframed_bytes = 0;
-      call.last_event_at = call.last_heard;
-    }
-    if (event.id.has_value()) {
-      if (call.any_event && *event.id != call.last_event + 1) {
-        return false;
-      }
-      call.last_event = *event.id;
-      call.any_event = true;
-      if (++call.run_events == 1) {
-        call.run_first_event = call.last_heard;
-      }
-      if (call.first_event == Time{}) {
-        call.first_event = call.last_heard;
-      }
-    }
-    if (call.held_head.has_value()) {
-      this->BeginEvents(call);
-    }
-    this->front->Write(call.exchange, event.raw);
-  }
-  return true;
-}
-
 void OnlineRelay::OnEnd(CallId id, std::uint64_t attempt, http::HttpEnd end) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end() || found->second.attempt != attempt) {
@@ -688,8 +621,9 @@
     return;
   }
   if (end != http::HttpEnd::kComplete) {
-    this->crash_detector.ConnectionBroke(
-        {call.fields.id, call.traits, call.engine.Start(), call.run_began});
+    this->crash_detector.ConnectionBroke({call.fields.id, call.traits,
+                                          call.engine.Start(),
+                                          call.response.run().began});
     call.ran_at.insert(call.engine.address);
     this->OnBroken(id, end == http::HttpEnd::kMalformed
                            ? "the engine sent what is not an answer"
@@ -700,13 +634,14 @@
     this->EndFailed(id);
     return;
   }
-  if (call.is_events && call.splitter.HasPartialEvent()) {
-    this->crash_detector.ConnectionBroke(
-        {call.fields.id, call.traits, call.engine.Start(), call.run_began});
+  if (call.response.EndedInsideEvent()) {
+    this->crash_detector.ConnectionBroke({call.fields.id, call.traits,
+                                          call.engine.Start(),
+                                          call.response.run().began});
     this->OnBroken(id, "the stream ended inside an event");
     return;
   }
-  if (IsSuccess(call.status)) {
+  if (call.response.IsSuccess()) {
     this->NoteSurvival(call);
   }
   this->chooser.Succeeded(call.engine.address);
@@ -715,7 +650,7 @@
     this->ForwardHead(call, *call.held_head);
   }
   this->front->EndStream(call.exchange);
-  this->Finish(id, "answered", call.status);
+  this->Finish(id, "answered", call.response.Status());
 }
 
 void OnlineRelay::LearnSpeed(const Call& call, const SlotReply& reply) {
@@ -730,15 +665,17 @@
 /// A stream of a few events says little of the time between two.
 void OnlineRelay::LearnStream(const Call& call) {
   constexpr std::uint64_t kMinEvents = 5;
-  if (!call.is_events || call.run_events < kMinEvents) {
+  const EngineResponse::Run& run = call.response.run();
+  if (!call.response.IsEvents() || run.events < kMinEvents) {
     return;
   }
-  const Duration all = call.last_heard - call.run_first_event;
+  const Time end = call.response.LastHeard();
+  const Duration all = end - run.first_event;
   const speeds::StreamTimes times{
-      call.run_first_event - call.sent,
-      all / static_cast<std::int64_t>(call.run_events - 1)};
-  this->chooser.LearnStream(call.service, call.engine.address, times,
-                            call.run_bytes, call.last_heard);
+      run.first_event - call.sent,
+      all / static_cast<std::int64_t>(run.events - 1)};
+  this->chooser.LearnStream(call.service, call.engine.address, times, run.bytes,
+                            end);
   this->LogSpeed(call.service, call.engine.address);
 }
 
@@ -821,11 +758,11 @@
        {"address", call.engine.address},
        {"fingerprint", call.traits.front().id.ToString()},
        {"reason", reason},
-       {"last_event", call.last_event},
+       {"last_event", call.response.LastEvent().value_or(0)},
        {"resumable", call.route->MayRepeat()}});
   const bool attempts_left = call.ran_at.size() < call.route->max_attempts;
   // Streams can be resumed after their last event, other answers cannot.
-  const bool can_go_on = !call.head_sent || call.is_events;
+  const bool can_go_on = !call.head_sent || call.response.IsEvents();
   if (call.route->MayRepeat() && attempts_left && can_go_on) {
     this->Retry(id);
     return;
@@ -966,7 +903,7 @@
        {"may_have_run", !call.ran_at.empty()}});
   if (call.head_sent) {
     this->front->Abort(call.exchange);
-    this->Finish(id, "cut", call.status);
+    this->Finish(id, "cut", call.response.Status());
     return;
   }
   http::HttpResponse response;
@@ -985,6 +922,7 @@
   this->ReleaseEngine(call);
   this->stream_origins.Cancel(call.origin_lookup);
   const Time now = MonotonicNow();
+  const Time first_event = call.response.FirstEvent();
   Log(LogLevel::kInfo, "request_done",
       {{"request", call.fields.id},
        {"route", call.route->name},
@@ -996,17 +934,16 @@
        {"version", call.engine.software.version},
        {"sends", call.sends},
        {"sent_ms", MillisSince(call.arrived, call.sent)},
-       {"first_ms", call.first_event == Time{}
-                        ? -1
-                        : MillisSince(call.arrived, call.first_event)},
+       {"first_ms",
+        first_event == Time{} ? -1 : MillisSince(call.arrived, first_event)},
        {"total_ms", MillisSince(call.arrived, now)},
        {"config_version", call.table->configuration().version},
        {"engines_age_ms", MillisSince(this->engines_seen, now)}});
   this->metrics.Add(fmt::format("online_{}_total", outcome));
   this->metrics.Observe("online_total_seconds", ToSeconds(now - call.arrived));
-  if (call.first_event != Time{}) {
+  if (first_event != Time{}) {
     this->metrics.Observe("online_first_event_seconds",
-                          ToSeconds(call.first_event - call.arrived));
+                          ToSeconds(first_event - call.arrived));
   }
   this->by_exchange.erase(call.exchange);
   this->calls.erase(id);
@@ -1064,9 +1001,8 @@
 /// an engine or a gate.
 void OnlineRelay::ExcuseSilence(Duration time, Time now) {
   for (auto& [id, call] : this->calls) {
-    call.last_heard = std::min<Time>(call.last_heard + time, now);
-    call.last_block = std::min<Time>(call.last_block + time, now);
-    call.last_event_at = std::min<Time>(call.last_event_at + time, now);
+    call.asked = std::min<Time>(call.asked + time, now);
+    call.response.Excuse(time, now);
   }
 }
 
@@ -1106,26 +1042,23 @@
     return;
   }
   if (call.phase != Phase::kRunning) {
-    if (call.slot != 0 && call.search->AskTimedOut(now - call.last_heard)) {
+    if (call.slot != 0 && call.search->AskTimedOut(now - call.asked)) {
       this->peers.Cancel(call.slot);
       this->OnAskFailed(id, call.attempt);
     }
     return;
   }
-  if (call.failed_status && now - call.last_heard > kMaxIgnoredTime) {
+  if (call.failed_status && call.response.IgnoredTooLong(now)) {
     this->CutResponse(call, "a refusal or failure that does not end");
     this->EndFailed(id);
     return;
   }
-  if (!this->CheckCaller(id) || call.paused) {
+  if (!this->CheckCaller(id) || call.response.Paused()) {
     return;
   }
-  const Duration silent =
-      now - (call.is_events ? call.last_block : call.last_heard);
   const bool streaming = call.route->kind == routes::RouteKind::kStreaming;
-  const Duration bound =
-      call.first_event == Time{} ? kMaxFirstEventSilence : kMaxEventGap;
-  if (streaming && call.route->MayRepeat() && silent > bound) {
+  if (streaming && call.route->MayRepeat() &&
+      call.response.SilentTooLong(now)) {
     this->OnBroken(id, "the engine fell silent");
   }
 }
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -15,11 +15,11 @@
 
 #include "coordination/fleetwatch.h"
 #include "global/metrics.h"
-#include "http/eventsplitter.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 #include "nodes/crashdetector.h"
 #include "nodes/dialect.h"
+#include "nodes/engineresponse.h"
 #include "nodes/logthrottle.h"
 #include "nodes/slotmessages.h"
 #include "nodes/streamorigins.h"
@@ -102,27 +102,17 @@
     http::HttpCallId engine_call = 0;
     std::uint64_t attempt = 0;  ///< Identifies late callbacks.
     Time sent{};
-    Time last_heard{};
+    Time asked{};  ///< When the gate was asked, later if this process stalled.
+    EngineResponse response;
     bool head_sent = false;
-    bool is_events = false;
     bool accepted = false;  ///< Not refused by the engine of this attempt.
     /// The gate that granted the slot is on the engine's VM and serves the
     /// request's service, so any replica that starts there does.
     bool service_confirmed = false;
     /// Id of the replica that refused this attempt as not meant for it.
     std::string other_replica;
-    std::optional<Time> run_began;  ///< First byte of this attempt's body.
-    bool run_survived = false;      ///< Noted for this attempt.
+    bool run_survived = false;  ///< Noted for this attempt.
     bool failed_status = false;
-    int status = 0;
-    std::uint64_t last_event = 0;
-    bool any_event = false;
-    Time first_event{};
-    /// Events of this attempt, when the first one came, and the bytes sent to
-    /// and received from the replica.
-    std::uint64_t run_events = 0;
-    Time run_first_event{};
-    std::uint64_t run_bytes = 0;
     /// Of the first event that the caller got, in this or an earlier attempt.
     std::optional<ReplicaSoftware> began;
     std::optional<Time> broken_at;  ///< When a stream that had begun broke.
@@ -130,13 +120,6 @@
     /// Head of an event stream that has not delivered an event: until then
     /// another software may begin it.
     std::optional<http::HttpHead> held_head;
-    http::EventSplitter splitter;
-    Time last_block{};     ///< When the head or a complete event last came.
-    Time last_event_at{};  ///< When the head or an event last came.
-    std::size_t ignored_bytes = 0;   ///< Of a body that is not passed on.
-    std::size_t failure_bytes = 0;   ///< Of a failure that is passed on.
-    std::size_t unframed_bytes = 0;  ///< Since the last event.
-    bool paused = false;  ///< Reading from the replica, for a slow caller.
     std::size_t sends = 0;
   };
   using CallId = std::uint64_t;
@@ -165,7 +148,8 @@
   /// the software of the stream, and forwards the head.
   void BeginEvents(Call& call);
   void OnBody(CallId id, std::uint64_t attempt, std::string_view bytes);
-  bool ForwardEvents(Call& call, std::string_view bytes);
+  /// Passes on bytes of a response.
+  void ForwardBody(CallId id, std::string_view bytes);
   /// Handles bytes of a refusal or failure that is not passed on.
   void IgnoreBody(CallId id, std::size_t bytes);
   /// Stops reading from the replica while its caller reads too slowly.
@@ -173,10 +157,6 @@
   /// Continues reading where the caller caught up, and drops a caller that does
   /// not read. False when the call has ended.
   bool CheckCaller(CallId id);
-  /// Passes on bytes of a response that is not an event stream.
-  void ForwardBody(CallId id, std::string_view bytes);
-  /// Whether its replica sends bytes that form no event.
-  static bool IsUnframed(const Call& call, Time now);
   /// Counts and logs a response that exceeds the limits, and ends its call.
   void CutResponse(Call& call, const char* reason);
   /// The replica refused the request or failed it, and the body no longer
