Online relay: what a rejected caller is told in a class of its own

Cause: when a rejected caller returns, and which rejections count for learned return times, could only be tested through a whole relay.

Change: Rejections builds the answers to rejected callers, logs and counts them, and holds the return schedule. The relay decides whether a request may be answered as not run, as before. A rejection is now logged before its answer is sent, not after.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -7,6 +7,7 @@
 
 #include "global/logging.h"
 #include "nodes/fleetengines.h"
+#include "nodes/plainresponses.h"
 #include "nodes/responselimits.h"
 #include "placement/admission.h"
 
@@ -20,18 +21,9 @@
 /// Maximum number of engines that may answer "did not run" before the caller is
 /// told so.
 constexpr std::size_t kMaxSends = 6;
-/// Logged when no gate stated an expected wait.
-constexpr std::chrono::milliseconds kUnknownWait{-1};
-/// Retry-After of a quarantined request: as long as the quarantine lasts.
-constexpr std::chrono::seconds kQuarantineRetryAfter =
-    quarantine::CrashTracker::kRetention;
-/// Retry-After of a stream that cannot go on anywhere: its caller can begin
-/// anew at once.
-constexpr std::chrono::milliseconds kBeginAnewDelay{50};
 /// Margin of the time for which an origin is kept, for the way of the caller's
 /// last attempt.
 constexpr std::chrono::milliseconds kOriginMargin{2000};
-constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
@@ -64,6 +56,7 @@
       engines(context),
       crash_detector(context, watch),
       chooser(seed, place.zones),
+      rejections(metrics),
       stream_origins(peers, metrics),
       random(seed + 1),
       sweep(context) {
@@ -316,7 +309,7 @@
     call.service_confirmed =
         !reply.service.empty() && reply.service == call.service;
     if (call.organisation != nullptr) {
-      this->return_schedule.Served(MonotonicNow());
+      this->rejections.Served(MonotonicNow());
     }
     this->Send(id);
     return;
@@ -806,25 +799,6 @@
   }
 }
 
-/// Learned times are used where callers name organisations, and where gates
-/// said that their slots are taken: what has another cause tells nothing about
-/// slots.
-placement::ReturnTime OnlineRelay::ReturnOf(const Call& call) {
-  std::uniform_real_distribution<double> draw(0, 1);
-  const std::chrono::milliseconds usual =
-      placement::RetryAfter(call.search->ShortestWait(), draw(this->random));
-  if (call.organisation == nullptr ||
-      !call.search->ShortestWait().has_value()) {
-    return {usual};
-  }
-  const Time now = MonotonicNow();
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-      call.deadline - now);
-  return this->return_schedule.Rejected(usual, remaining, now);
-}
-
-/// Refuses at once, with a long Retry-After: each run of the request ends a
-/// replica and everything that runs there.
 void OnlineRelay::RefuseQuarantined(CallId id,
                                     const quarantine::Trait& culprit) {
   Call& call = this->calls.at(id);
@@ -838,12 +812,7 @@
     this->Fail(id, kBadGateway, kReason);
     return;
   }
-  http::HttpResponse response;
-  response.status = kServiceUnavailable;
-  response.headers.Set("Retry-After",
-                       std::to_string(kQuarantineRetryAfter.count()));
-  response.body = kReason;
-  this->front->Respond(call.exchange, response);
+  this->front->Respond(call.exchange, Rejections::Quarantined(kReason));
   this->Finish(id, "quarantined", kServiceUnavailable);
 }
 
@@ -854,7 +823,11 @@
     this->Fail(id, kBadGateway, reason);
     return;
   }
-  this->RespondRefused(id, reason, this->ReturnOf(call));
+  std::uniform_real_distribution<double> draw(0, 1);
+  this->front->Respond(call.exchange, this->rejections.NoSlot(
+                                          this->RejectedOf(call, reason),
+                                          draw(this->random), MonotonicNow()));
+  this->Finish(id, "refused", kServiceUnavailable);
 }
 
 void OnlineRelay::RefuseContinuation(CallId id, const char* reason,
@@ -865,33 +838,22 @@
     this->Fail(id, kBadGateway, reason);
     return;
   }
-  this->RespondRefused(id, reason, {kBeginAnewDelay});
+  this->front->Respond(call.exchange, this->rejections.NoContinuation(
+                                          this->RejectedOf(call, reason)));
+  this->Finish(id, "refused", kServiceUnavailable);
 }
 
-void OnlineRelay::RespondRefused(CallId id, const char* reason,
-                                 const placement::ReturnTime& back) {
-  Call& call = this->calls.at(id);
-  http::HttpResponse response;
-  response.status = kServiceUnavailable;
-  const double delay_s = ToSeconds(back.delay);
-  response.headers.Add("Retry-After", fmt::format("{:.2f}", delay_s));
-  response.body = reason;
-  this->front->Respond(call.exchange, response);
-  Log(LogLevel::kInfo, "request_refused",
-      {{"request", call.fields.id},
-       {"reason", reason},
-       {"asked", call.search->Asks()},
-       {"expected_wait_ms",
-        call.search->ShortestWait().value_or(kUnknownWait).count()},
-       {"budget_ms", this->WaitBudget(call).count()},
-       {"retry_after_ms", back.delay.count()},
-       {"return_learned", back.learned},
-       {"returning_at_once", back.at_once}});
-  this->metrics.Observe("online_retry_after_seconds", delay_s);
-  if (back.learned) {
-    this->metrics.Add("online_returns_learned_total");
-  }
-  this->Finish(id, "refused", response.status);
+RejectedRequest OnlineRelay::RejectedOf(const Call& call,
+                                        const char* reason) const {
+  RejectedRequest rejected;
+  rejected.id = call.fields.id;
+  rejected.reason = reason;
+  rejected.of_organisation = call.organisation != nullptr;
+  rejected.asks = call.search->Asks();
+  rejected.shortest_wait = call.search->ShortestWait();
+  rejected.budget = this->WaitBudget(call);
+  rejected.deadline = call.deadline;
+  return rejected;
 }
 
 void OnlineRelay::Fail(CallId id, int status, const char* reason) {
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -21,10 +21,10 @@
 #include "nodes/dialect.h"
 #include "nodes/engineresponse.h"
 #include "nodes/logthrottle.h"
+#include "nodes/rejections.h"
 #include "nodes/slotmessages.h"
 #include "nodes/streamorigins.h"
 #include "placement/enginechooser.h"
-#include "placement/returnschedule.h"
 #include "placement/slotsearch.h"
 #include "routes/routetable.h"
 #include "transport/peerclient.h"
@@ -180,9 +180,9 @@
   /// Refuses a stream that cannot go on anywhere, so its caller has to begin
   /// anew and need not wait for that.
   void RefuseContinuation(CallId id, const char* reason, const char* metric);
-  /// Answers that the request did not run. Precondition: it did not.
-  void RespondRefused(CallId id, const char* reason,
-                      const placement::ReturnTime& back);
+  /// Describes a request for the answer that it did not run. Precondition: it
+  /// did not.
+  RejectedRequest RejectedOf(const Call& call, const char* reason) const;
   void RefuseQuarantined(CallId id, const quarantine::Trait& culprit);
   void SetService(Call& call, const std::string& service) const;
   void NoteSurvival(Call& call);
@@ -194,8 +194,6 @@
   void CheckAll(Time now);
   void Check(CallId id, Time now);
   std::chrono::milliseconds WaitBudget(const Call& call) const;
-  /// When a caller that found no slot is to return.
-  placement::ReturnTime ReturnOf(const Call& call);
 
   http::HttpServer*& front;
   transport::PeerClient& peers;
@@ -206,7 +204,7 @@
   http::HttpClient engines;
   CrashDetector crash_detector;
   placement::EngineChooser chooser;
-  placement::ReturnSchedule return_schedule;
+  Rejections rejections;
   StreamOrigins stream_origins;
   std::mt19937_64 random;
   std::unordered_map<CallId, Call> calls;
