Online relay: what streams and gates tell of speeds in a class of its own

Cause: which streams count for the speed of a replica could only be tested through a whole relay.

Change: SpeedLearner passes the statements of gates and the times of complete streams on to the chooser, and logs replicas that become slow.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -56,6 +56,7 @@
       engines(context),
       crash_detector(context, watch),
       chooser(seed, place.zones),
+      speed_learner(this->chooser, metrics),
       rejections(metrics),
       stream_origins(peers, metrics),
       random(seed + 1),
@@ -302,7 +303,8 @@
   this->chooser.Reported(call.engine.address,
                          {reply.online, reply.waiting, reply.batch},
                          MonotonicNow());
-  this->LearnSpeed(call, reply);
+  this->speed_learner.GateReplied(call.service, call.engine.address, reply,
+                                  MonotonicNow());
   const bool fits =
       !call.began.has_value() || call.engine.software.CanContinue(*call.began);
   if (reply.Verdict() == SlotVerdict::kGranted && fits) {
@@ -638,7 +640,8 @@
     this->NoteSurvival(call);
   }
   this->chooser.Succeeded(call.engine.address);
-  this->LearnStream(call);
+  this->speed_learner.ResponseEnded(call.service, call.engine.address,
+                                    call.sent, call.response, MonotonicNow());
   if (call.held_head.has_value()) {
     this->ForwardHead(call, *call.held_head);
   }
@@ -646,48 +649,6 @@
   this->Finish(id, "answered", call.response.Status());
 }
 
-void OnlineRelay::LearnSpeed(const Call& call, const SlotReply& reply) {
-  const speeds::SpeedStatement statement{
-      std::chrono::milliseconds(reply.hold_ms),
-      std::chrono::milliseconds(reply.hold_age_ms), reply.pace};
-  this->chooser.LearnSpeed(call.service, call.engine.address, statement,
-                           MonotonicNow());
-  this->LogSpeed(call.service, call.engine.address);
-}
-
-/// A stream of a few events says little of the time between two.
-void OnlineRelay::LearnStream(const Call& call) {
-  constexpr std::uint64_t kMinEvents = 5;
-  const EngineResponse::Run& run = call.response.run();
-  if (!call.response.IsEvents() || run.events < kMinEvents) {
-    return;
-  }
-  const Time end = call.response.LastHeard();
-  const Duration all = end - run.first_event;
-  const speeds::StreamTimes times{
-      run.first_event - call.sent,
-      all / static_cast<std::int64_t>(run.events - 1)};
-  this->chooser.LearnStream(call.service, call.engine.address, times, run.bytes,
-                            end);
-  this->LogSpeed(call.service, call.engine.address);
-}
-
-void OnlineRelay::LogSpeed(const std::string& service,
-                           const std::string& address) {
-  const auto change = this->chooser.NoteSpeed(service, address, MonotonicNow());
-  if (!change.has_value()) {
-    return;
-  }
-  Log(LogLevel::kInfo, "replica_speed_changed",
-      {{"service", service},
-       {"address", address},
-       {"slowness", change->factor},
-       {"source", NameOf(change->source)},
-       {"age_ms", change->age.count() / 1000}});
-  this->metrics.Set("slow_replicas",
-                    static_cast<double>(this->chooser.SlowReplicas()));
-}
-
 void OnlineRelay::CountZone(const Call& call) {
   const bool other_zone = call.engine.zone != this->own_zone;
   const Time now = MonotonicNow();
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -23,6 +23,7 @@
 #include "nodes/logthrottle.h"
 #include "nodes/rejections.h"
 #include "nodes/slotmessages.h"
+#include "nodes/speedlearner.h"
 #include "nodes/streamorigins.h"
 #include "placement/enginechooser.h"
 #include "placement/slotsearch.h"
@@ -168,11 +169,6 @@
   void OnBroken(CallId id, const char* reason);
   void Retry(CallId id);
   void ReleaseEngine(Call& call);
-  /// Passes the speed that a gate states on to the chooser.
-  void LearnSpeed(const Call& call, const SlotReply& reply);
-  /// The same for the times of a stream that ended completely.
-  void LearnStream(const Call& call);
-  void LogSpeed(const std::string& service, const std::string& address);
   /// Counts a request that is sent, and logs why requests leave the zone.
   void CountZone(const Call& call);
   void OnRestart(const placement::EngineRestart& restart);
@@ -204,6 +200,7 @@
   http::HttpClient engines;
   CrashDetector crash_detector;
   placement::EngineChooser chooser;
+  SpeedLearner speed_learner;
   Rejections rejections;
   StreamOrigins stream_origins;
   std::mt19937_64 random;
