Online relay: the search for a slot in a class of its own

Cause: the asks for a slot, the replies of gates and the slot held were spread over the relay's calls, and could only be tested with whole nodes.

Change: SlotFinder asks gates in the order that SlotSearch decides, passes their replies on to the chooser and holds the slot until it is released. The relay keeps the engine of the attempt and decides what follows.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -48,7 +48,6 @@
                          const Dialect& dialect, Metrics& metrics,
                          RelayLocation place, std::uint64_t seed)
     : front(front),
-      peers(peers),
       dialect(dialect),
       metrics(metrics),
       own_name(std::move(place.name)),
@@ -57,6 +56,8 @@
       crash_detector(context, watch),
       chooser(seed, place.zones),
       speed_learner(this->chooser, metrics),
+      slots(peers, this->chooser, this->speed_learner, this->own_zone,
+            this->SlotHandlers()),
       rejections(metrics),
       stream_origins(peers, metrics),
       random(seed + 1),
@@ -110,7 +111,7 @@
   call.route = routed.route;
   call.organisation = routed.organisation;
   std::uniform_real_distribution<double> draw(0, 1);
-  this->SetService(call, routes::PickService(route, draw(this->random)));
+  this->SetService(id, call, routes::PickService(route, draw(this->random)));
   call.arrived = routed.arrived;
   const auto bound =
       std::min(route.timeout, call.fields.deadline.value_or(route.timeout));
@@ -134,12 +135,20 @@
   }
 }
 
-void OnlineRelay::SetService(Call& call, const std::string& service) const {
+void OnlineRelay::SetService(CallId id, Call& call,
+                             const std::string& service) {
   call.service = service;
-  call.search.emplace(
-      service, this->own_zone,
-      speeds::SpeedObjectives{call.route->target_latency,
-                              call.route->target_gap, call.route->timeout});
+  SlotRequest wanted;
+  wanted.id = call.fields.id;
+  wanted.service = service;
+  wanted.objectives = {call.route->target_latency, call.route->target_gap,
+                       call.route->timeout};
+  wanted.route_priority = call.route->priority;
+  if (call.organisation != nullptr) {
+    wanted.organisation = call.organisation->name;
+    wanted.organisation_priority = call.organisation->priority;
+  }
+  this->slots.Set(id, std::move(wanted));
   const http::HttpRequest& request = call.request;
   call.traits =
       quarantine::TraitsOf({request.method, request.headers.Get("Host"),
@@ -186,8 +195,8 @@
 void OnlineRelay::Perform(CallId id, const origins::ContinueWith& decision) {
   Call& call = this->calls.at(id);
   call.began = decision.software;
-  this->SetService(call, decision.software.service);
-  call.search->ContinueOnly(decision.software);
+  this->SetService(id, call, decision.software.service);
+  this->slots.ContinueOnly(id, decision.software);
   const auto* culprit = this->crash_detector.FindQuarantined(call.traits);
   if (culprit != nullptr) {
     this->RefuseQuarantined(id, *culprit);
@@ -206,10 +215,9 @@
                            "continuations_without_replica_total");
 }
 
-std::chrono::milliseconds OnlineRelay::WaitBudget(const Call& call) const {
-  return placement::WaitBudget(
-      {call.arrived, call.deadline, call.route->target_latency, call.broken_at},
-      MonotonicNow());
+placement::RequestTiming OnlineRelay::TimingOf(const Call& call) {
+  return {call.arrived, call.deadline, call.route->target_latency,
+          call.broken_at};
 }
 
 /// Chooses the next engine, or refuses the request.
@@ -219,156 +227,52 @@
     this->Refuse(id, "every engine tried said that it did not run");
     return;
   }
-  const placement::SearchStep step =
-      call.search->Next(this->chooser, this->WaitBudget(call), MonotonicNow());
-  std::visit([this, id](const auto& next) { this->Perform(id, next); }, step);
-}
-
-void OnlineRelay::Perform(CallId id, const placement::AskGate& step) {
-  this->calls.at(id).engine = step.engine;
-  this->Ask(id, static_cast<std::uint32_t>(step.longest_wait.count()));
-}
-
-void OnlineRelay::Perform(CallId id, const placement::SendUngated& step) {
-  this->calls.at(id).engine = step.engine;
-  this->Send(id);
-}
-
-void OnlineRelay::Perform(CallId id, const placement::NoSlot& step) {
-  if (step.no_replica && this->calls.at(id).began.has_value()) {
-    this->RefuseContinuation(id, step.reason,
-                             "continuations_without_replica_total");
-  } else {
-    this->Refuse(id, step.reason);
-  }
+  call.phase = Phase::kAsking;
+  this->slots.Find(id, TimingOf(call));
 }
 
-void OnlineRelay::Ask(CallId id, std::uint32_t wait_ms) {
-  Call& call = this->calls.at(id);
-  const std::uint64_t attempt = ++call.attempt;
-  call.phase = Phase::kAsking;
-  call.sent = MonotonicNow();
-  call.asked = call.sent;
-  AcquireSlot ask;
-  ask.request = call.fields.id;
-  ask.engine_id = call.engine.id;
-  ask.engine_address = call.engine.address;
-  ask.priority = placement::SlotPriority(
-      call.organisation != nullptr ? call.organisation->priority : 0,
-      call.route->priority, call.began.has_value());
-  ask.wait_ms = wait_ms;
-  if (call.organisation != nullptr) {
-    ask.organisation = call.organisation->name;
-  }
-  transport::CallHandlers handlers;
-  handlers.on_message = [this, id, attempt,
-                         alive = this->alive](const std::string& bytes) {
-    if (*alive) {
-      this->OnSlotReply(id, attempt, bytes);
-    }
+SlotFinder::Handlers OnlineRelay::SlotHandlers() {
+  SlotFinder::Handlers handlers;
+  handlers.on_asked = [this](CallId id, const placement::EngineOption& engine,
+                             Time asked) {
+    Call& call = this->calls.at(id);
+    call.engine = engine;
+    call.sent = asked;
   };
-  handlers.on_end = [this, id, attempt,
-                     alive = this->alive](transport::CallEnd) {
-    if (*alive) {
-      this->OnAskFailed(id, attempt);
-    }
+  handlers.on_found = [this](CallId id, const FoundSlot& found) {
+    this->OnSlotFound(id, found);
+  };
+  handlers.on_none = [this](CallId id, const placement::NoSlot& result) {
+    this->OnNoSlot(id, result);
   };
-  call.slot =
-      this->peers.Call(ParseEndpoint(call.engine.gate, "gate"), "/slots/ask",
-                       EncodeMessage(ask), std::move(handlers));
+  handlers.on_restart = [this](const placement::EngineRestart& restart) {
+    this->OnRestart(restart);
+  };
+  return handlers;
 }
 
-void OnlineRelay::OnSlotReply(CallId id, std::uint64_t attempt,
-                              const std::string& bytes) {
-  const auto found = this->calls.find(id);
-  if (found == this->calls.end() || found->second.attempt != attempt ||
-      found->second.phase != Phase::kAsking) {
-    return;
-  }
-  Call& call = found->second;
-  SlotReply reply;
-  try {
-    reply = DecodeMessage<SlotReply>(bytes);
-  } catch (const ResultError&) {
-    this->OnAskFailed(id, attempt);
-    return;
-  }
-  if (const auto restart = this->chooser.ObserveStart(
-          call.engine.address, reply.engine_started_ms)) {
-    this->OnRestart(*restart);
-  }
-  if (placement::LearnStart(call.engine.started_ms, reply.engine_started_ms)) {
-    call.engine.software = {};  // It may have been upgraded under its id.
-  }
-  this->chooser.Reported(call.engine.address,
-                         {reply.online, reply.waiting, reply.batch},
-                         MonotonicNow());
-  this->speed_learner.GateReplied(call.service, call.engine.address, reply,
-                                  MonotonicNow());
-  const bool fits =
-      !call.began.has_value() || call.engine.software.CanContinue(*call.began);
-  if (reply.Verdict() == SlotVerdict::kGranted && fits) {
-    call.service_confirmed =
-        !reply.service.empty() && reply.service == call.service;
-    if (call.organisation != nullptr) {
-      this->rejections.Served(MonotonicNow());
-    }
-    this->Send(id);
-    return;
-  }
-  ++call.attempt;
-  if (reply.Verdict() == SlotVerdict::kGranted) {
-    this->peers.Cancel(call.slot);
-  }
-  call.slot = 0;
-  switch (reply.Verdict()) {
-    case SlotVerdict::kBusy:
-      call.search->Busy(std::chrono::milliseconds(reply.expected_wait_ms));
-      break;
-    case SlotVerdict::kNotOwner:
-      call.search->NoOwner();
-      this->chooser.NotOwned(call.engine.address, MonotonicNow());
-      break;
-    default:
-      call.search->Closed();
-      this->chooser.Closed(call.engine.address, MonotonicNow());
-      break;
+void OnlineRelay::OnSlotFound(CallId id, const FoundSlot& found) {
+  Call& call = this->calls.at(id);
+  call.engine = found.engine;
+  call.service_confirmed = found.service_confirmed;
+  if (found.granted && call.organisation != nullptr) {
+    this->rejections.Served(MonotonicNow());
   }
-  this->FindSlot(id);
+  this->Send(id);
 }
 
-/// The gate or its connection is lost. Nothing was sent before the grant, so
-/// another gate is tried; after the grant the engine continues the request.
-void OnlineRelay::OnAskFailed(CallId id, std::uint64_t attempt) {
-  const auto found = this->calls.find(id);
-  if (found == this->calls.end() || found->second.attempt != attempt) {
-    return;
-  }
-  Call& call = found->second;
-  if (call.phase == Phase::kRunning) {
-    call.slot = 0;
-    return;
-  }
-  ++call.attempt;
-  call.slot = 0;
-  Log(LogLevel::kInfo, "gate_did_not_answer",
-      {{"request", call.fields.id},
-       {"gate", call.engine.gate},
-       {"engine", call.engine.id},
-       {"hosted", call.engine.hosted}});
-  if (call.engine.hosted) {
-    this->chooser.HostTimedOut(call.engine.gate, MonotonicNow());
-    call.search->NoOwner();
+void OnlineRelay::OnNoSlot(CallId id, const placement::NoSlot& result) {
+  if (result.no_replica && this->calls.at(id).began.has_value()) {
+    this->RefuseContinuation(id, result.reason,
+                             "continuations_without_replica_total");
   } else {
-    this->chooser.Failed(call.engine.address, MonotonicNow());
-    call.search->Unanswered();
+    this->Refuse(id, result.reason);
   }
-  this->FindSlot(id);
 }
 
 void OnlineRelay::Send(CallId id) {
   Call& call = this->calls.at(id);
-  const std::uint64_t attempt = call.slot != 0 ? call.attempt : ++call.attempt;
+  const std::uint64_t attempt = ++call.attempt;
   const Time now = MonotonicNow();
   call.phase = Phase::kRunning;
   ++call.sends;
@@ -479,11 +383,12 @@
   this->front->BeginStream(call.exchange, head.status, headers);
 }
 
-void OnlineRelay::BeginEvents(Call& call) {
+void OnlineRelay::BeginEvents(CallId id) {
+  Call& call = this->calls.at(id);
   const bool taken_up = call.began.has_value();
   if (!taken_up) {
     call.began = call.engine.software;
-    call.search->ContinueOnly(*call.began);
+    this->slots.ContinueOnly(id, *call.began);
   }
   const std::string& key = taken_up ? call.fields.resumes : call.fields.id;
   if (call.route->MayRepeat() && !key.empty()) {
@@ -512,9 +417,9 @@
 void OnlineRelay::ForwardBody(CallId id, std::string_view bytes) {
   Call& call = this->calls.at(id);
   const EngineResponse::BodyFault fault = call.response.AddBody(
-      bytes, MonotonicNow(), [this, &call](std::string_view part) {
+      bytes, MonotonicNow(), [this, id, &call](std::string_view part) {
         if (call.held_head.has_value()) {
-          this->BeginEvents(call);
+          this->BeginEvents(id);
         }
         this->front->Write(call.exchange, part);
       });
@@ -676,8 +581,9 @@
   Call& call = this->calls.at(id);
   const bool too_late = MonotonicNow() + placement::kMinRunTime > call.deadline;
   // What has begun goes on at known software only.
-  if (call.other_replica.empty() || !call.service_confirmed || call.slot == 0 ||
-      call.began.has_value() || call.sends >= kMaxSends || too_late) {
+  if (call.other_replica.empty() || !call.service_confirmed ||
+      !this->slots.Holds(id) || call.began.has_value() ||
+      call.sends >= kMaxSends || too_late) {
     return false;
   }
   Log(LogLevel::kInfo, "engine_id_learned",
@@ -727,7 +633,7 @@
 /// Tries another engine; those already tried are excluded.
 void OnlineRelay::Retry(CallId id) {
   Call& call = this->calls.at(id);
-  this->ReleaseEngine(call);
+  this->ReleaseEngine(id);
   call.failed_status = false;
   call.held_head.reset();
   if (call.began.has_value()) {
@@ -742,18 +648,17 @@
     this->RefuseQuarantined(id, *culprit);
     return;
   }
-  call.search->Restart(this->chooser, call.engine.Start());
+  this->slots.Restart(id, call.engine.Start());
   this->FindSlot(id);
 }
 
-void OnlineRelay::ReleaseEngine(Call& call) {
+void OnlineRelay::ReleaseEngine(CallId id) {
+  Call& call = this->calls.at(id);
   ++call.attempt;
   if (call.engine_call != 0) {
     this->engines.Cancel(std::exchange(call.engine_call, 0));
   }
-  if (call.slot != 0) {
-    this->peers.Cancel(std::exchange(call.slot, 0));
-  }
+  this->slots.Release(id);
   if (call.phase == Phase::kRunning) {
     this->chooser.Ended(call.engine.address);
     call.phase = Phase::kAsking;
@@ -786,7 +691,7 @@
   }
   std::uniform_real_distribution<double> draw(0, 1);
   this->front->Respond(call.exchange, this->rejections.NoSlot(
-                                          this->RejectedOf(call, reason),
+                                          this->RejectedOf(id, reason),
                                           draw(this->random), MonotonicNow()));
   this->Finish(id, "refused", kServiceUnavailable);
 }
@@ -800,19 +705,19 @@
     return;
   }
   this->front->Respond(call.exchange, this->rejections.NoContinuation(
-                                          this->RejectedOf(call, reason)));
+                                          this->RejectedOf(id, reason)));
   this->Finish(id, "refused", kServiceUnavailable);
 }
 
-RejectedRequest OnlineRelay::RejectedOf(const Call& call,
-                                        const char* reason) const {
+RejectedRequest OnlineRelay::RejectedOf(CallId id, const char* reason) const {
+  const Call& call = this->calls.at(id);
   RejectedRequest rejected;
   rejected.id = call.fields.id;
   rejected.reason = reason;
   rejected.of_organisation = call.organisation != nullptr;
-  rejected.asks = call.search->Asks();
-  rejected.shortest_wait = call.search->ShortestWait();
-  rejected.budget = this->WaitBudget(call);
+  rejected.asks = this->slots.Asks(id);
+  rejected.shortest_wait = this->slots.ShortestWait(id);
+  rejected.budget = placement::WaitBudget(TimingOf(call), MonotonicNow());
   rejected.deadline = call.deadline;
   return rejected;
 }
@@ -842,7 +747,7 @@
   if (!may_have_run && call.organisation != nullptr && this->not_run) {
     this->not_run(call.organisation->name, call.arrived);
   }
-  this->ReleaseEngine(call);
+  this->ReleaseEngine(id);
   this->stream_origins.Cancel(call.origin_lookup);
   const Time now = MonotonicNow();
   const Time first_event = call.response.FirstEvent();
@@ -868,6 +773,7 @@
     this->metrics.Observe("online_first_event_seconds",
                           ToSeconds(first_event - call.arrived));
   }
+  this->slots.Remove(id);
   this->by_exchange.erase(call.exchange);
   this->calls.erase(id);
 }
@@ -923,8 +829,8 @@
 /// While the loop stood still, nobody was listening: that time is no silence of
 /// an engine or a gate.
 void OnlineRelay::ExcuseSilence(Duration time, Time now) {
+  this->slots.Excuse(time, now);
   for (auto& [id, call] : this->calls) {
-    call.asked = std::min<Time>(call.asked + time, now);
     call.response.Excuse(time, now);
   }
 }
@@ -965,10 +871,7 @@
     return;
   }
   if (call.phase != Phase::kRunning) {
-    if (call.slot != 0 && call.search->AskTimedOut(now - call.asked)) {
-      this->peers.Cancel(call.slot);
-      this->OnAskFailed(id, call.attempt);
-    }
+    this->slots.CheckReply(id, now);
     return;
   }
   if (call.failed_status && call.response.IgnoredTooLong(now)) {
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -22,11 +22,10 @@
 #include "nodes/engineresponse.h"
 #include "nodes/logthrottle.h"
 #include "nodes/rejections.h"
-#include "nodes/slotmessages.h"
+#include "nodes/slotfinder.h"
 #include "nodes/speedlearner.h"
 #include "nodes/streamorigins.h"
 #include "placement/enginechooser.h"
-#include "placement/slotsearch.h"
 #include "routes/routetable.h"
 #include "transport/peerclient.h"
 
@@ -97,13 +96,10 @@
     Phase phase = Phase::kAsking;
     placement::EngineOption engine;
     std::string service;
-    std::optional<placement::SlotSearch> search;  ///< Set by Take.
     std::set<std::string> ran_at;  ///< Addresses where it may have run.
-    transport::CallId slot = 0;
     http::HttpCallId engine_call = 0;
     std::uint64_t attempt = 0;  ///< Identifies late callbacks.
     Time sent{};
-    Time asked{};  ///< When the gate was asked, later if this process stalled.
     EngineResponse response;
     bool head_sent = false;
     bool accepted = false;  ///< Not refused by the engine of this attempt.
@@ -133,12 +129,9 @@
   void Perform(CallId id, const origins::OriginUnknown& decision);
   void Perform(CallId id, const origins::OriginNotOnRoute& decision);
   void FindSlot(CallId id);
-  void Perform(CallId id, const placement::AskGate& step);
-  void Perform(CallId id, const placement::SendUngated& step);
-  void Perform(CallId id, const placement::NoSlot& step);
-  void Ask(CallId id, std::uint32_t wait_ms);
-  void OnSlotReply(CallId id, std::uint64_t attempt, const std::string& bytes);
-  void OnAskFailed(CallId id, std::uint64_t attempt);
+  SlotFinder::Handlers SlotHandlers();
+  void OnSlotFound(CallId id, const FoundSlot& found);
+  void OnNoSlot(CallId id, const placement::NoSlot& result);
   void Send(CallId id);
   /// Sends again, with the same slot, to the replica that runs at the address
   /// now. False if it may not be sent there.
@@ -147,7 +140,7 @@
   void ForwardHead(Call& call, const http::HttpHead& head);
   /// Called as the first event of an attempt is about to be forwarded: fixes
   /// the software of the stream, and forwards the head.
-  void BeginEvents(Call& call);
+  void BeginEvents(CallId id);
   void OnBody(CallId id, std::uint64_t attempt, std::string_view bytes);
   /// Passes on bytes of a response.
   void ForwardBody(CallId id, std::string_view bytes);
@@ -168,7 +161,7 @@
   /// run.
   void OnBroken(CallId id, const char* reason);
   void Retry(CallId id);
-  void ReleaseEngine(Call& call);
+  void ReleaseEngine(CallId id);
   /// Counts a request that is sent, and logs why requests leave the zone.
   void CountZone(const Call& call);
   void OnRestart(const placement::EngineRestart& restart);
@@ -178,9 +171,9 @@
   void RefuseContinuation(CallId id, const char* reason, const char* metric);
   /// Describes a request for the answer that it did not run. Precondition: it
   /// did not.
-  RejectedRequest RejectedOf(const Call& call, const char* reason) const;
+  RejectedRequest RejectedOf(CallId id, const char* reason) const;
   void RefuseQuarantined(CallId id, const quarantine::Trait& culprit);
-  void SetService(Call& call, const std::string& service) const;
+  void SetService(CallId id, Call& call, const std::string& service);
   void NoteSurvival(Call& call);
   void Fail(CallId id, int status, const char* reason);
   void Finish(CallId id, const char* outcome, int status);
@@ -189,10 +182,9 @@
   std::vector<CallId> AllIds() const;
   void CheckAll(Time now);
   void Check(CallId id, Time now);
-  std::chrono::milliseconds WaitBudget(const Call& call) const;
+  static placement::RequestTiming TimingOf(const Call& call);
 
   http::HttpServer*& front;
-  transport::PeerClient& peers;
   const Dialect& dialect;
   Metrics& metrics;
   std::string own_name;
@@ -201,6 +193,7 @@
   CrashDetector crash_detector;
   placement::EngineChooser chooser;
   SpeedLearner speed_learner;
+  SlotFinder slots;
   Rejections rejections;
   StreamOrigins stream_origins;
   std::mt19937_64 random;
