Online relay: what is forwarded in functions of their own

Cause: which head of an engine a caller gets, above all which failures, was decided inside a callback and could only be tested through sockets.

Change: JudgeHead decides about the head of a response; EngineCallOf and CallerHeaders say what is forwarded. A field of the call that nothing read is removed.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -7,6 +7,7 @@
 
 #include "global/logging.h"
 #include "nodes/fleetengines.h"
+#include "nodes/forwarding.h"
 #include "nodes/plainresponses.h"
 #include "nodes/responselimits.h"
 #include "placement/admission.h"
@@ -27,15 +28,6 @@
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
-/// Whether the status tells the caller that the request did not run.
-bool PromisesNotRun(int status) {
-  return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
-bool IsEventStream(const http::HttpHead& head) {
-  return head.headers.Get("Content-Type").starts_with("text/event-stream");
-}
-
 std::int64_t MillisSince(Time start, Time now) {
   return start == Time{} ? -1 : (now - start).count() / 1000;
 }
@@ -278,18 +270,8 @@
   ++call.sends;
   call.sent = now;
   call.response.BeginAttempt(call.request.body.size(), now);
-  call.accepted = false;
   call.other_replica.clear();
   call.run_survived = false;
-  http::HttpCall out;
-  out.peer = ParseEndpoint(call.engine.address, "engine");
-  out.method = call.request.method;
-  out.target = call.request.target;
-  out.headers = call.request.headers;
-  http::RemoveConnectionFields(out.headers);
-  out.headers.Remove("Content-Length");
-  out.headers.Remove("Expect");
-  out.headers.Remove("Accept-Encoding");
   ForwardFields fields;
   fields.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(
       call.deadline - now);
@@ -308,9 +290,8 @@
          {"last_event", *fields.resume_after},
          {"engines_age_ms", MillisSince(this->engines_seen, now)}});
   }
-  this->dialect.write_forward(out.headers, fields);
-  out.body = call.request.body;
-  out.identity = this->dialect.identity(call.fields.id);
+  http::HttpCall out = EngineCallOf(call.request, call.engine, fields,
+                                    call.fields.id, this->dialect);
   http::HttpCallHandlers handlers;
   handlers.on_head = [this, id, attempt](const http::HttpHead& head) {
     this->OnHead(id, attempt, head);
@@ -346,41 +327,33 @@
   this->chooser.LearnPace(call.engine.address,
                           engine.load.value_or(EngineLoad{}).pace,
                           call.response.LastHeard());
-  call.accepted = true;
   call.ran_at.insert(call.engine.address);
-  const bool success = call.response.IsSuccess();
-  // A failure is passed to the caller when no further attempt is possible,
-  // unless it would state "did not run" about a request that may have run.
   const bool can_repeat =
       call.route->MayRepeat() && call.ran_at.size() < call.route->max_attempts;
-  call.failed_status =
-      !success && (call.head_sent || can_repeat || PromisesNotRun(head.status));
-  if (call.failed_status) {
-    return;
-  }
-  if (success && !engine.sealed) {
-    this->OnBroken(id, "a success without the engine's mark");
-    return;
-  }
-  if (call.head_sent) {
-    return;
-  }
-  call.response.SetEvents(IsEventStream(head));
-  if (call.response.IsEvents()) {
-    call.held_head = head;
-  } else {
-    this->ForwardHead(call, head);
+  switch (JudgeHead(head, engine, call.head_sent, can_repeat)) {
+    case HeadVerdict::kForward:
+      call.response.SetEvents(false);
+      this->ForwardHead(call, head);
+      return;
+    case HeadVerdict::kHold:
+      call.response.SetEvents(true);
+      call.held_head = head;
+      return;
+    case HeadVerdict::kGoOn:
+      return;
+    case HeadVerdict::kIgnore:
+      call.failed_status = true;
+      return;
+    case HeadVerdict::kBroken:
+      this->OnBroken(id, "a success without the engine's mark");
+      return;
   }
 }
 
 void OnlineRelay::ForwardHead(Call& call, const http::HttpHead& head) {
-  http::Headers headers = head.headers;
-  http::RemoveConnectionFields(headers);
-  if (call.response.IsEvents()) {
-    headers.Remove("Content-Length");
-  }
   call.head_sent = true;
-  this->front->BeginStream(call.exchange, head.status, headers);
+  this->front->BeginStream(call.exchange, head.status,
+                           CallerHeaders(head, call.response.IsEvents()));
 }
 
 void OnlineRelay::BeginEvents(CallId id) {
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -102,7 +102,6 @@
     Time sent{};
     EngineResponse response;
     bool head_sent = false;
-    bool accepted = false;  ///< Not refused by the engine of this attempt.
     /// The gate that granted the slot is on the engine's VM and serves the
     /// request's service, so any replica that starts there does.
     bool service_confirmed = false;
