--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -7,6 +7,8 @@
 
 #include "global/logging.h"
 #include "nodes/fleetengines.h"
+#include "nodes/forwarding.h"
+#include "nodes/plainresponses.h"
 #include "nodes/responselimits.h"
 #include "placement/admission.h"
 
@@ -17,41 +19,15 @@
 constexpr std::chrono::milliseconds kSweep{25};
 /// A check later than this means that the loop stood still.
 constexpr std::chrono::milliseconds kStoodStill{100};
-/// A repeatable request is sent to another engine after a silence this long:
-/// many times what an engine with a free slot takes to its first event.
-constexpr std::chrono::milliseconds kMaxFirstEventSilence{700};
-/// The same between two events; half of the time after which callers
-/// disconnect.
-constexpr std::chrono::milliseconds kMaxEventGap{900};
 /// Maximum number of engines that may answer "did not run" before the caller is
 /// told so.
 constexpr std::size_t kMaxSends = 6;
-/// Logged when no gate stated an expected wait.
-constexpr std::chrono::milliseconds kUnknownWait{-1};
-/// Retry-After of a quarantined request: as long as the quarantine lasts.
-constexpr std::chrono::seconds kQuarantineRetryAfter =
-    quarantine::CrashTracker::kRetention;
-/// Retry-After of a stream that cannot go on anywhere: its caller can begin
-/// anew at once.
-constexpr std::chrono::milliseconds kBeginAnewDelay{50};
 /// Margin of the time for which an origin is kept, for the way of the caller's
 /// last attempt.
 constexpr std::chrono::milliseconds kOriginMargin{2000};
-constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
-bool IsSuccess(int status) { return status / 100 == 2; }
-
-/// Whether the status tells the caller that the request did not run.
-bool PromisesNotRun(int status) {
-  return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
-bool IsEventStream(const http::HttpHead& head) {
-  return head.headers.Get("Content-Type").starts_with("text/event-stream");
-}
-
 std::int64_t MillisSince(Time start, Time now) {
   return start == Time{} ? -1 : (now - start).count() / 1000;
 }
@@ -64,7 +40,6 @@
                          const Dialect& dialect, Metrics& metrics,
                          RelayLocation place, std::uint64_t seed)
     : front(front),
-      peers(peers),
       dialect(dialect),
       metrics(metrics),
       own_name(std::move(place.name)),
@@ -72,6 +47,10 @@
       engines(context),
       crash_detector(context, watch),
       chooser(seed, place.zones),
+      speed_learner(this->chooser, metrics),
+      slots(peers, this->chooser, this->speed_learner, this->own_zone,
+            this->SlotHandlers()),
+      rejections(metrics),
       stream_origins(peers, metrics),
       random(seed + 1),
       sweep(context) {
@@ -124,14 +103,13 @@
   call.route = routed.route;
   call.organisation = routed.organisation;
   std::uniform_real_distribution<double> draw(0, 1);
-  this->SetService(call, routes::PickService(route, draw(this->random)));
+  this->SetService(id, call, routes::PickService(route, draw(this->random)));
   call.arrived = routed.arrived;
   const auto bound =
       std::min(route.timeout, call.fields.deadline.value_or(route.timeout));
   call.deadline = call.arrived + bound;
   if (call.fields.resume_after.has_value()) {
-    call.last_event = *call.fields.resume_after;
-    call.any_event = true;
+    call.response.ContinueAfter(*call.fields.resume_after);
   }
   this->by_exchange[exchange] = id;
   this->calls.emplace(id, std::move(call));
@@ -149,13 +127,20 @@
   }
 }
 
-void OnlineRelay::SetService(Call& call, const std::string& service) const {
+void OnlineRelay::SetService(CallId id, Call& call,
+                             const std::string& service) {
   call.service = service;
-  call.search.emplace(
-      service, this->own_zone,
-      speeds::SpeedObjectives{call.route->target_latency,
-                              call.route->target_gap, call.route->timeout},
-      call.organisation != nullptr);
+  SlotRequest wanted;
+  wanted.id = call.fields.id;
+  wanted.service = service;
+  wanted.objectives = {call.route->target_latency, call.route->target_gap,
+                       call.route->timeout};
+  wanted.route_priority = call.route->priority;
+  if (call.organisation != nullptr) {
+    wanted.organisation = call.organisation->name;
+    wanted.organisation_priority = call.organisation->priority;
+  }
+  this->slots.Set(id, std::move(wanted));
   const http::HttpRequest& request = call.request;
   call.traits =
       quarantine::TraitsOf({request.method, request.headers.Get("Host"),
@@ -175,7 +160,7 @@
   Log(LogLevel::kInfo, "stream_taken_up",
       {{"request", call.fields.id},
        {"resumes", call.fields.resumes},
-       {"last_event", call.last_event}});
+       {"last_event", call.response.LastEvent().value_or(0)}});
   const StreamOrigins::LookupId lookup = this->stream_origins.Find(
       call.fields.resumes, [this, id](const ReplicaSoftware& recorded) {
         this->OnOrigin(id, recorded);
@@ -202,8 +187,8 @@
 void OnlineRelay::Perform(CallId id, const origins::ContinueWith& decision) {
   Call& call = this->calls.at(id);
   call.began = decision.software;
-  this->SetService(call, decision.software.service);
-  call.search->ContinueOnly(decision.software);
+  this->SetService(id, call, decision.software.service);
+  this->slots.ContinueOnly(id, decision.software);
   const auto* culprit = this->crash_detector.FindQuarantined(call.traits);
   if (culprit != nullptr) {
     this->RefuseQuarantined(id, *culprit);
@@ -222,10 +207,9 @@
                            "continuations_without_replica_total");
 }
 
-std::chrono::milliseconds OnlineRelay::WaitBudget(const Call& call) const {
-  return placement::WaitBudget(
-      {call.arrived, call.deadline, call.route->target_latency, call.broken_at},
-      MonotonicNow());
+placement::RequestTiming OnlineRelay::TimingOf(const Call& call) {
+  return {call.arrived, call.deadline, call.route->target_latency,
+          call.broken_at};
 }
 
 /// Chooses the next engine, or refuses the request.
@@ -235,186 +219,59 @@
     this->Refuse(id, "every engine tried said that it did not run");
     return;
   }
-  const placement::SearchStep step =
-      call.search->Next(this->chooser, this->WaitBudget(call), MonotonicNow());
-  std::visit([this, id](const auto& next) { this->Perform(id, next); }, step);
-}
-
-void OnlineRelay::Perform(CallId id, const placement::AskGate& step) {
-  this->calls.at(id).engine = step.engine;
-  this->Ask(id, step);
-}
-
-void OnlineRelay::Perform(CallId id, const placement::SendUngated& step) {
-  this->calls.at(id).engine = step.engine;
-  this->Send(id);
-}
-
-void OnlineRelay::Perform(CallId id, const placement::NoSlot& step) {
-  if (step.no_replica && this->calls.at(id).began.has_value()) {
-    this->RefuseContinuation(id, step.reason,
-                             "continuations_without_replica_total");
-  } else {
-    this->Refuse(id, step.reason);
-  }
+  call.phase = Phase::kAsking;
+  this->slots.Find(id, TimingOf(call));
 }
 
-void OnlineRelay::Ask(CallId id, const placement::AskGate& step) {
-  Call& call = this->calls.at(id);
-  const std::uint64_t attempt = ++call.attempt;
-  call.phase = Phase::kAsking;
-  call.sent = MonotonicNow();
-  call.last_heard = call.sent;
-  AcquireSlot ask;
-  ask.request = call.fields.id;
-  ask.engine_id = call.engine.id;
-  ask.engine_address = call.engine.address;
-  ask.priority = placement::SlotPriority(
-      call.organisation != nullptr ? call.organisation->priority : 0,
-      call.route->priority, call.began.has_value());
-  ask.wait_ms = static_cast<std::uint32_t>(step.longest_wait.count());
-  ask.spares_items = step.spares_items;
-  if (call.organisation != nullptr) {
-    ask.organisation = call.organisation->name;
-  }
-  transport::CallHandlers handlers;
-  handlers.on_message = [this, id, attempt,
-                         alive = this->alive](const std::string& bytes) {
-    if (*alive) {
-      this->OnSlotReply(id, attempt, bytes);
-    }
+SlotFinder::Handlers OnlineRelay::SlotHandlers() {
+  SlotFinder::Handlers handlers;
+  handlers.on_asked = [this](CallId id, const placement::EngineOption& engine,
+                             Time asked) {
+    Call& call = this->calls.at(id);
+    call.engine = engine;
+    call.sent = asked;
   };
-  handlers.on_end = [this, id, attempt,
-                     alive = this->alive](transport::CallEnd) {
-    if (*alive) {
-      this->OnAskFailed(id, attempt);
-    }
+  handlers.on_found = [this](CallId id, const FoundSlot& found) {
+    this->OnSlotFound(id, found);
+  };
+  handlers.on_none = [this](CallId id, const placement::NoSlot& result) {
+    this->OnNoSlot(id, result);
   };
-  call.slot =
-      this->peers.Call(ParseEndpoint(call.engine.gate, "gate"), "/slots/ask",
-                       EncodeMessage(ask), std::move(handlers));
+  handlers.on_restart = [this](const placement::EngineRestart& restart) {
+    this->OnRestart(restart);
+  };
+  return handlers;
 }
 
-void OnlineRelay::OnSlotReply(CallId id, std::uint64_t attempt,
-                              const std::string& bytes) {
-  const auto found = this->calls.find(id);
-  if (found == this->calls.end() || found->second.attempt != attempt ||
-      found->second.phase != Phase::kAsking) {
-    return;
-  }
-  Call& call = found->second;
-  SlotReply reply;
-  try {
-    reply = DecodeMessage<SlotReply>(bytes);
-  } catch (const ResultError&) {
-    this->OnAskFailed(id, attempt);
-    return;
-  }
-  if (const auto restart = this->chooser.ObserveStart(
-          call.engine.address, reply.engine_started_ms)) {
-    this->OnRestart(*restart);
-  }
-  if (placement::LearnStart(call.engine.started_ms, reply.engine_started_ms)) {
-    call.engine.software = {};  // It may have been upgraded under its id.
-  }
-  this->chooser.Reported(call.engine.address,
-                         {reply.online, reply.waiting, reply.batch},
-                         MonotonicNow());
-  this->LearnSpeed(call, reply);
-  const bool fits =
-      !call.began.has_value() || call.engine.software.CanContinue(*call.began);
-  if (reply.Verdict() == SlotVerdict::kGranted && fits) {
-    call.service_confirmed =
-        !reply.service.empty() && reply.service == call.service;
-    if (call.organisation != nullptr) {
-      this->return_schedule.Served(MonotonicNow());
-    }
-    this->Send(id);
-    return;
-  }
-  ++call.attempt;
-  if (reply.Verdict() == SlotVerdict::kGranted) {
-    this->peers.Cancel(call.slot);
-  }
-  call.slot = 0;
-  switch (reply.Verdict()) {
-    case SlotVerdict::kBusy:
-      call.search->Busy(std::chrono::milliseconds(reply.expected_wait_ms));
-      break;
-    case SlotVerdict::kWouldPreempt:
-      call.search->WouldPreempt();
-      break;
-    case SlotVerdict::kNotOwner:
-      call.search->NoOwner();
-      this->chooser.NotOwned(call.engine.address, MonotonicNow());
-      break;
-    default:
-      call.search->Closed();
-      this->chooser.Closed(call.engine.address, MonotonicNow());
-      break;
+void OnlineRelay::OnSlotFound(CallId id, const FoundSlot& found) {
+  Call& call = this->calls.at(id);
+  call.engine = found.engine;
+  call.service_confirmed = found.service_confirmed;
+  if (found.granted && call.organisation != nullptr) {
+    this->rejections.Served(MonotonicNow());
   }
-  this->FindSlot(id);
+  this->Send(id);
 }
 
-/// The gate or its connection is lost. Nothing was sent before the grant, so
-/// another gate is tried; after the grant the engine continues the request.
-void OnlineRelay::OnAskFailed(CallId id, std::uint64_t attempt) {
-  const auto found = this->calls.find(id);
-  if (found == this->calls.end() || found->second.attempt != attempt) {
-    return;
-  }
-  Call& call = found->second;
-  if (call.phase == Phase::kRunning) {
-    call.slot = 0;
-    return;
-  }
-  ++call.attempt;
-  call.slot = 0;
-  Log(LogLevel::kInfo, "gate_did_not_answer",
-      {{"request", call.fields.id},
-       {"gate", call.engine.gate},
-       {"engine", call.engine.id},
-       {"hosted", call.engine.hosted}});
-  if (call.engine.hosted) {
-    this->chooser.HostTimedOut(call.engine.gate, MonotonicNow());
-    call.search->NoOwner();
+void OnlineRelay::OnNoSlot(CallId id, const placement::NoSlot& result) {
+  if (result.no_replica && this->calls.at(id).began.has_value()) {
+    this->RefuseContinuation(id, result.reason,
+                             "continuations_without_replica_total");
   } else {
-    this->chooser.Failed(call.engine.address, MonotonicNow());
-    call.search->Unanswered();
+    this->Refuse(id, result.reason);
   }
-  this->FindSlot(id);
 }
 
 void OnlineRelay::Send(CallId id) {
   Call& call = this->calls.at(id);
-  const std::uint64_t attempt = call.slot != 0 ? call.attempt : ++call.attempt;
+  const std::uint64_t attempt = ++call.attempt;
   const Time now = MonotonicNow();
   call.phase = Phase::kRunning;
   ++call.sends;
   call.sent = now;
-  call.last_heard = now;
-  call.last_block = now;
-  call.ignored_bytes = 0;
-  call.failure_bytes = 0;
-  call.unframed_bytes = 0;
-  call.paused = false;
-  call.accepted = false;
+  call.response.BeginAttempt(call.request.body.size(), now);
   call.other_replica.clear();
-  call.run_began.reset();
   call.run_survived = false;
-  call.splitter.Clear();
-  call.run_events = 0;
-  call.run_first_event = {};
-  call.run_bytes = call.request.body.size();
-  http::HttpCall out;
-  out.peer = ParseEndpoint(call.engine.address, "engine");
-  out.method = call.request.method;
-  out.target = call.request.target;
-  out.headers = call.request.headers;
-  http::RemoveConnectionFields(out.headers);
-  out.headers.Remove("Content-Length");
-  out.headers.Remove("Expect");
-  out.headers.Remove("Accept-Encoding");
   ForwardFields fields;
   fields.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(
       call.deadline - now);
@@ -422,20 +279,19 @@
   if (call.organisation != nullptr) {
     fields.organisation = call.organisation->name;
   }
-  if (call.any_event) {
-    fields.resume_after = call.last_event;
+  fields.resume_after = call.response.LastEvent();
+  if (fields.resume_after.has_value()) {
     Log(LogLevel::kInfo, "stream_continued",
         {{"request", call.fields.id},
          {"resumes", call.fields.resumes},
          {"engine", call.engine.id},
          {"version", call.engine.software.version},
          {"began_at_version", call.began.value_or(ReplicaSoftware{}).version},
-         {"last_event", call.last_event},
+         {"last_event", *fields.resume_after},
          {"engines_age_ms", MillisSince(this->engines_seen, now)}});
   }
-  this->dialect.write_forward(out.headers, fields);
-  out.body = call.request.body;
-  out.identity = this->dialect.identity(call.fields.id);
+  http::HttpCall out = EngineCallOf(call.request, call.engine, fields,
+                                    call.fields.id, this->dialect);
   http::HttpCallHandlers handlers;
   handlers.on_head = [this, id, attempt](const http::HttpHead& head) {
     this->OnHead(id, attempt, head);
@@ -458,11 +314,8 @@
     return;
   }
   Call& call = found->second;
-  call.last_heard = MonotonicNow();
-  call.last_block = call.last_heard;
-  call.last_event_at = call.last_heard;
+  call.response.HeadArrived(head.status, MonotonicNow());
   const EngineHead engine = this->dialect.read_engine_head(head);
-  call.status = head.status;
   if (engine.not_run) {
     // Handled in OnEnd; the body is ignored.
     call.failed_status = true;
@@ -473,49 +326,42 @@
   }
   this->chooser.LearnPace(call.engine.address,
                           engine.load.value_or(EngineLoad{}).pace,
-                          call.last_heard);
-  call.accepted = true;
+                          call.response.LastHeard());
   call.ran_at.insert(call.engine.address);
-  const bool success = IsSuccess(head.status);
-  // A failure is passed to the caller when no further attempt is possible,
-  // unless it would state "did not run" about a request that may have run.
   const bool can_repeat =
       call.route->MayRepeat() && call.ran_at.size() < call.route->max_attempts;
-  call.failed_status =
-      !success && (call.head_sent || can_repeat || PromisesNotRun(head.status));
-  if (call.failed_status) {
-    return;
-  }
-  if (success && !engine.sealed) {
-    this->OnBroken(id, "a success without the engine's mark");
-    return;
-  }
-  if (call.head_sent) {
-    return;
-  }
-  call.is_events = IsEventStream(head);
-  if (call.is_events) {
-    call.held_head = head;
-  } else {
-    this->ForwardHead(call, head);
+  switch (JudgeHead(head, engine, call.head_sent, can_repeat)) {
+    case HeadVerdict::kForward:
+      call.response.SetEvents(false);
+      this->ForwardHead(call, head);
+      return;
+    case HeadVerdict::kHold:
+      call.response.SetEvents(true);
+      call.held_head = head;
+      return;
+    case HeadVerdict::kGoOn:
+      return;
+    case HeadVerdict::kIgnore:
+      call.failed_status = true;
+      return;
+    case HeadVerdict::kBroken:
+      this->OnBroken(id, "a success without the engine's mark");
+      return;
   }
 }
 
 void OnlineRelay::ForwardHead(Call& call, const http::HttpHead& head) {
-  http::Headers headers = head.headers;
-  http::RemoveConnectionFields(headers);
-  if (call.is_events) {
-    headers.Remove("Content-Length");
-  }
   call.head_sent = true;
-  this->front->BeginStream(call.exchange, head.status, headers);
+  this->front->BeginStream(call.exchange, head.status,
+                           CallerHeaders(head, call.response.IsEvents()));
 }
 
-void OnlineRelay::BeginEvents(Call& call) {
+void OnlineRelay::BeginEvents(CallId id) {
+  Call& call = this->calls.at(id);
   const bool taken_up = call.began.has_value();
   if (!taken_up) {
     call.began = call.engine.software;
-    call.search->ContinueOnly(*call.began);
+    this->slots.ContinueOnly(id, *call.began);
   }
   const std::string& key = taken_up ? call.fields.resumes : call.fields.id;
   if (call.route->MayRepeat() && !key.empty()) {
@@ -534,47 +380,52 @@
     return;
   }
   Call& call = found->second;
-  call.run_bytes += bytes.size();
   if (call.failed_status || (!call.head_sent && !call.held_head.has_value())) {
     this->IgnoreBody(id, bytes.size());
     return;
   }
-  const Time before = std::exchange(call.last_heard, MonotonicNow());
-  if (!call.run_began.has_value()) {
-    call.run_began = call.last_heard;
-  }
-  if (CrashDetector::IsSurvival(*call.run_began, before, call.last_heard)) {
+  this->ForwardBody(id, bytes);
+}
+
+void OnlineRelay::ForwardBody(CallId id, std::string_view bytes) {
+  Call& call = this->calls.at(id);
+  const EngineResponse::BodyFault fault = call.response.AddBody(
+      bytes, MonotonicNow(), [this, id, &call](std::string_view part) {
+        if (call.held_head.has_value()) {
+          this->BeginEvents(id);
+        }
+        this->front->Write(call.exchange, part);
+      });
+  if (call.response.run().survived) {
     this->NoteSurvival(call);
   }
-  if (!call.is_events) {
-    this->ForwardBody(id, bytes);
-    return;
-  }
-  if (!this->ForwardEvents(call, bytes)) {
-    this->OnBroken(id, "an event out of order");
-    return;
-  }
-  if (IsUnframed(call, call.last_heard)) {
-    constexpr const char* kReason = "bytes that form no event";
-    this->CutResponse(call, kReason);
-    this->OnBroken(id, kReason);
-    return;
+  switch (fault) {
+    case EngineResponse::BodyFault::kNone:
+      this->PauseIfSlow(call);
+      return;
+    case EngineResponse::BodyFault::kOutOfOrder:
+      this->OnBroken(id, "an event out of order");
+      return;
+    case EngineResponse::BodyFault::kUnframed: {
+      constexpr const char* kReason = "bytes that form no event";
+      this->CutResponse(call, kReason);
+      this->OnBroken(id, kReason);
+      return;
+    }
+    case EngineResponse::BodyFault::kEndlessFailure: {
+      constexpr const char* kReason = "a failure without end";
+      this->CutResponse(call, kReason);
+      this->Fail(id, kBadGateway, kReason);
+      return;
+    }
   }
-  this->PauseIfSlow(call);
-}
-
-bool OnlineRelay::IsUnframed(const Call& call, Time now) {
-  return call.unframed_bytes > kMaxUnframedBytes ||
-         (call.unframed_bytes > kMinUnframedBytes &&
-          now - call.last_event_at > kMaxUnframedTime);
 }
 
 void OnlineRelay::PauseIfSlow(Call& call) {
-  if (call.paused || call.engine_call == 0 ||
-      this->front->Unsent(call.exchange) <= kPauseReadingBytes) {
+  if (call.engine_call == 0 ||
+      !call.response.Pause(this->front->Unsent(call.exchange))) {
     return;
   }
-  call.paused = true;
   this->engines.Pause(call.engine_call);
   this->metrics.Add("online_reads_paused_total");
 }
@@ -588,14 +439,11 @@
          {"unsent_total", this->front->UnsentTotal()}});
     this->metrics.Add("online_callers_dropped_total");
     this->front->AbortStalled(call.exchange);
-    this->Finish(id, "caller_stalled", call.status);
+    this->Finish(id, "caller_stalled", call.response.Status());
     return false;
   }
-  if (call.paused && this->front->Unsent(call.exchange) < kResumeReadingBytes) {
-    call.paused = false;
-    call.last_heard = MonotonicNow();
-    call.last_block = call.last_heard;
-    call.last_event_at = call.last_heard;
+  if (call.response.Resume(this->front->Unsent(call.exchange),
+                           MonotonicNow())) {
     this->engines.Resume(call.engine_call);
   }
   return true;
@@ -603,8 +451,7 @@
 
 void OnlineRelay::IgnoreBody(CallId id, std::size_t bytes) {
   Call& call = this->calls.at(id);
-  call.ignored_bytes += bytes;
-  if (call.ignored_bytes <= kMaxIgnoredBytes) {
+  if (call.response.AddIgnored(bytes)) {
     return;
   }
   this->CutResponse(call, "a refusal or failure without end");
@@ -613,25 +460,12 @@
   this->EndFailed(id);
 }
 
-void OnlineRelay::ForwardBody(CallId id, std::string_view bytes) {
-  Call& call = this->calls.at(id);
-  call.failure_bytes += IsSuccess(call.status) ? 0 : bytes.size();
-  if (call.failure_bytes > kMaxFailureBytes) {
-    constexpr const char* kReason = "a failure without end";
-    this->CutResponse(call, kReason);
-    this->Fail(id, kBadGateway, kReason);
-    return;
-  }
-  this->front->Write(call.exchange, bytes);
-  this->PauseIfSlow(call);
-}
-
 void OnlineRelay::CutResponse(Call& call, const char* reason) {
   Log(LogLevel::kWarn, "response_cut",
       {{"request", call.fields.id},
        {"engine", call.engine.id},
        {"address", call.engine.address},
-       {"status", call.status},
+       {"status", call.response.Status()},
        {"reason", reason}});
   this->metrics.Add("online_responses_cut_total");
   this->engines.Cancel(std::exchange(call.engine_call, 0));
@@ -647,39 +481,6 @@
   }
 }
 
-/// Forwards complete events. False when their ids are not consecutive: a gap, a
-/// repetition or events of another request must not reach the caller.
-bool OnlineRelay::ForwardEvents(Call& call, std::string_view bytes) {
-  call.splitter.Add(bytes);
-  call.unframed_bytes += bytes.size();
-  http::StreamEvent event;
-  while (call.splitter.Next(event)) {
-    call.last_block = call.last_heard;
-    if (event.IsEvent()) {
-      call.unframed_bytes = 0;
-      call.last_event_at = call.last_heard;
-    }
-    if (event.id.has_value()) {
-      if (call.any_event && *event.id != call.last_event + 1) {
-        return false;
-      }
-      call.last_event = *event.id;
-      call.any_event = true;
-      if (++call.run_events == 1) {
-        call.run_first_event = call.last_heard;
-      }
-      if (call.first_event == Time{}) {
-        call.first_event = call.last_heard;
-      }
-    }
-    if (call.held_head.has_value()) {
-      this->BeginEvents(call);
-    }
-    this->front->Write(call.exchange, event.raw);
-  }
-  return true;
-}
-
 void OnlineRelay::OnEnd(CallId id, std::uint64_t attempt, http::HttpEnd end) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end() || found->second.attempt != attempt) {
@@ -693,8 +494,9 @@
     return;
   }
   if (end != http::HttpEnd::kComplete) {
-    this->crash_detector.ConnectionBroke(
-        {call.fields.id, call.traits, call.engine.Start(), call.run_began});
+    this->crash_detector.ConnectionBroke({call.fields.id, call.traits,
+                                          call.engine.Start(),
+                                          call.response.run().began});
     call.ran_at.insert(call.engine.address);
     this->OnBroken(id, end == http::HttpEnd::kMalformed
                            ? "the engine sent what is not an answer"
@@ -705,62 +507,24 @@
     this->EndFailed(id);
     return;
   }
-  if (call.is_events && call.splitter.HasPartialEvent()) {
-    this->crash_detector.ConnectionBroke(
-        {call.fields.id, call.traits, call.engine.Start(), call.run_began});
+  if (call.response.EndedInsideEvent()) {
+    this->crash_detector.ConnectionBroke({call.fields.id, call.traits,
+                                          call.engine.Start(),
+                                          call.response.run().began});
     this->OnBroken(id, "the stream ended inside an event");
     return;
   }
-  if (IsSuccess(call.status)) {
+  if (call.response.IsSuccess()) {
     this->NoteSurvival(call);
   }
   this->chooser.Succeeded(call.engine.address);
-  this->LearnStream(call);
+  this->speed_learner.ResponseEnded(call.service, call.engine.address,
+                                    call.sent, call.response, MonotonicNow());
   if (call.held_head.has_value()) {
     this->ForwardHead(call, *call.held_head);
   }
   this->front->EndStream(call.exchange);
-  this->Finish(id, "answered", call.status);
-}
-
-void OnlineRelay::LearnSpeed(const Call& call, const SlotReply& reply) {
-  const speeds::SpeedStatement statement{
-      std::chrono::milliseconds(reply.hold_ms),
-      std::chrono::milliseconds(reply.hold_age_ms), reply.pace};
-  this->chooser.LearnSpeed(call.service, call.engine.address, statement,
-                           MonotonicNow());
-  this->LogSpeed(call.service, call.engine.address);
-}
-
-/// A stream of a few events says little of the time between two.
-void OnlineRelay::LearnStream(const Call& call) {
-  constexpr std::uint64_t kMinEvents = 5;
-  if (!call.is_events || call.run_events < kMinEvents) {
-    return;
-  }
-  const Duration all = call.last_heard - call.run_first_event;
-  const speeds::StreamTimes times{
-      call.run_first_event - call.sent,
-      all / static_cast<std::int64_t>(call.run_events - 1)};
-  this->chooser.LearnStream(call.service, call.engine.address, times,
-                            call.run_bytes, call.last_heard);
-  this->LogSpeed(call.service, call.engine.address);
-}
-
-void OnlineRelay::LogSpeed(const std::string& service,
-                           const std::string& address) {
-  const auto change = this->chooser.NoteSpeed(service, address, MonotonicNow());
-  if (!change.has_value()) {
-    return;
-  }
-  Log(LogLevel::kInfo, "replica_speed_changed",
-      {{"service", service},
-       {"address", address},
-       {"slowness", change->factor},
-       {"source", NameOf(change->source)},
-       {"age_ms", change->age.count() / 1000}});
-  this->metrics.Set("slow_replicas",
-                    static_cast<double>(this->chooser.SlowReplicas()));
+  this->Finish(id, "answered", call.response.Status());
 }
 
 void OnlineRelay::CountZone(const Call& call) {
@@ -790,8 +554,9 @@
   Call& call = this->calls.at(id);
   const bool too_late = MonotonicNow() + placement::kMinRunTime > call.deadline;
   // What has begun goes on at known software only.
-  if (call.other_replica.empty() || !call.service_confirmed || call.slot == 0 ||
-      call.began.has_value() || call.sends >= kMaxSends || too_late) {
+  if (call.other_replica.empty() || !call.service_confirmed ||
+      !this->slots.Holds(id) || call.began.has_value() ||
+      call.sends >= kMaxSends || too_late) {
     return false;
   }
   Log(LogLevel::kInfo, "engine_id_learned",
@@ -826,11 +591,11 @@
        {"address", call.engine.address},
        {"fingerprint", call.traits.front().id.ToString()},
        {"reason", reason},
-       {"last_event", call.last_event},
+       {"last_event", call.response.LastEvent().value_or(0)},
        {"resumable", call.route->MayRepeat()}});
   const bool attempts_left = call.ran_at.size() < call.route->max_attempts;
   // Streams can be resumed after their last event, other answers cannot.
-  const bool can_go_on = !call.head_sent || call.is_events;
+  const bool can_go_on = !call.head_sent || call.response.IsEvents();
   if (call.route->MayRepeat() && attempts_left && can_go_on) {
     this->Retry(id);
     return;
@@ -841,7 +606,7 @@
 /// Tries another engine; those already tried are excluded.
 void OnlineRelay::Retry(CallId id) {
   Call& call = this->calls.at(id);
-  this->ReleaseEngine(call);
+  this->ReleaseEngine(id);
   call.failed_status = false;
   call.held_head.reset();
   if (call.began.has_value()) {
@@ -856,43 +621,23 @@
     this->RefuseQuarantined(id, *culprit);
     return;
   }
-  call.search->Restart(this->chooser, call.engine.Start());
+  this->slots.Restart(id, call.engine.Start());
   this->FindSlot(id);
 }
 
-void OnlineRelay::ReleaseEngine(Call& call) {
+void OnlineRelay::ReleaseEngine(CallId id) {
+  Call& call = this->calls.at(id);
   ++call.attempt;
   if (call.engine_call != 0) {
     this->engines.Cancel(std::exchange(call.engine_call, 0));
   }
-  if (call.slot != 0) {
-    this->peers.Cancel(std::exchange(call.slot, 0));
-  }
+  this->slots.Release(id);
   if (call.phase == Phase::kRunning) {
     this->chooser.Ended(call.engine.address);
     call.phase = Phase::kAsking;
   }
 }
 
-/// Learned times are used where callers name organisations, and where gates
-/// said that their slots are taken: what has another cause tells nothing about
-/// slots.
-placement::ReturnTime OnlineRelay::ReturnOf(const Call& call) {
-  std::uniform_real_distribution<double> draw(0, 1);
-  const std::chrono::milliseconds usual =
-      placement::RetryAfter(call.search->ShortestWait(), draw(this->random));
-  if (call.organisation == nullptr ||
-      !call.search->ShortestWait().has_value()) {
-    return {usual};
-  }
-  const Time now = MonotonicNow();
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-      call.deadline - now);
-  return this->return_schedule.Rejected(usual, remaining, now);
-}
-
-/// Refuses at once, with a long Retry-After: each run of the request ends a
-/// replica and everything that runs there.
 void OnlineRelay::RefuseQuarantined(CallId id,
                                     const quarantine::Trait& culprit) {
   Call& call = this->calls.at(id);
@@ -906,12 +651,7 @@
     this->Fail(id, kBadGateway, kReason);
     return;
   }
-  http::HttpResponse response;
-  response.status = kServiceUnavailable;
-  response.headers.Set("Retry-After",
-                       std::to_string(kQuarantineRetryAfter.count()));
-  response.body = kReason;
-  this->front->Respond(call.exchange, response);
+  this->front->Respond(call.exchange, Rejections::Quarantined(kReason));
   this->Finish(id, "quarantined", kServiceUnavailable);
 }
 
@@ -922,7 +662,11 @@
     this->Fail(id, kBadGateway, reason);
     return;
   }
-  this->RespondRefused(id, reason, this->ReturnOf(call));
+  std::uniform_real_distribution<double> draw(0, 1);
+  this->front->Respond(call.exchange, this->rejections.NoSlot(
+                                          this->RejectedOf(id, reason),
+                                          draw(this->random), MonotonicNow()));
+  this->Finish(id, "refused", kServiceUnavailable);
 }
 
 void OnlineRelay::RefuseContinuation(CallId id, const char* reason,
@@ -933,33 +677,22 @@
     this->Fail(id, kBadGateway, reason);
     return;
   }
-  this->RespondRefused(id, reason, {kBeginAnewDelay});
+  this->front->Respond(call.exchange, this->rejections.NoContinuation(
+                                          this->RejectedOf(id, reason)));
+  this->Finish(id, "refused", kServiceUnavailable);
 }
 
-void OnlineRelay::RespondRefused(CallId id, const char* reason,
-                                 const placement::ReturnTime& back) {
-  Call& call = this->calls.at(id);
-  http::HttpResponse response;
-  response.status = kServiceUnavailable;
-  const double delay_s = ToSeconds(back.delay);
-  response.headers.Add("Retry-After", fmt::format("{:.2f}", delay_s));
-  response.body = reason;
-  this->front->Respond(call.exchange, response);
-  Log(LogLevel::kInfo, "request_refused",
-      {{"request", call.fields.id},
-       {"reason", reason},
-       {"asked", call.search->Asks()},
-       {"expected_wait_ms",
-        call.search->ShortestWait().value_or(kUnknownWait).count()},
-       {"budget_ms", this->WaitBudget(call).count()},
-       {"retry_after_ms", back.delay.count()},
-       {"return_learned", back.learned},
-       {"returning_at_once", back.at_once}});
-  this->metrics.Observe("online_retry_after_seconds", delay_s);
-  if (back.learned) {
-    this->metrics.Add("online_returns_learned_total");
-  }
-  this->Finish(id, "refused", response.status);
+RejectedRequest OnlineRelay::RejectedOf(CallId id, const char* reason) const {
+  const Call& call = this->calls.at(id);
+  RejectedRequest rejected;
+  rejected.id = call.fields.id;
+  rejected.reason = reason;
+  rejected.of_organisation = call.organisation != nullptr;
+  rejected.asks = this->slots.Asks(id);
+  rejected.shortest_wait = this->slots.ShortestWait(id);
+  rejected.budget = placement::WaitBudget(TimingOf(call), MonotonicNow());
+  rejected.deadline = call.deadline;
+  return rejected;
 }
 
 void OnlineRelay::Fail(CallId id, int status, const char* reason) {
@@ -971,7 +704,7 @@
        {"may_have_run", !call.ran_at.empty()}});
   if (call.head_sent) {
     this->front->Abort(call.exchange);
-    this->Finish(id, "cut", call.status);
+    this->Finish(id, "cut", call.response.Status());
     return;
   }
   http::HttpResponse response;
@@ -987,9 +720,10 @@
   if (!may_have_run && call.organisation != nullptr && this->not_run) {
     this->not_run(call.organisation->name, call.arrived);
   }
-  this->ReleaseEngine(call);
+  this->ReleaseEngine(id);
   this->stream_origins.Cancel(call.origin_lookup);
   const Time now = MonotonicNow();
+  const Time first_event = call.response.FirstEvent();
   Log(LogLevel::kInfo, "request_done",
       {{"request", call.fields.id},
        {"route", call.route->name},
@@ -1001,18 +735,18 @@
        {"version", call.engine.software.version},
        {"sends", call.sends},
        {"sent_ms", MillisSince(call.arrived, call.sent)},
-       {"first_ms", call.first_event == Time{}
-                        ? -1
-                        : MillisSince(call.arrived, call.first_event)},
+       {"first_ms",
+        first_event == Time{} ? -1 : MillisSince(call.arrived, first_event)},
        {"total_ms", MillisSince(call.arrived, now)},
        {"config_version", call.table->configuration().version},
        {"engines_age_ms", MillisSince(this->engines_seen, now)}});
   this->metrics.Add(fmt::format("online_{}_total", outcome));
   this->metrics.Observe("online_total_seconds", ToSeconds(now - call.arrived));
-  if (call.first_event != Time{}) {
+  if (first_event != Time{}) {
     this->metrics.Observe("online_first_event_seconds",
-                          ToSeconds(call.first_event - call.arrived));
+                          ToSeconds(first_event - call.arrived));
   }
+  this->slots.Remove(id);
   this->by_exchange.erase(call.exchange);
   this->calls.erase(id);
 }
@@ -1068,10 +802,9 @@
 /// While the loop stood still, nobody was listening: that time is no silence of
 /// an engine or a gate.
 void OnlineRelay::ExcuseSilence(Duration time, Time now) {
+  this->slots.Excuse(time, now);
   for (auto& [id, call] : this->calls) {
-    call.last_heard = std::min<Time>(call.last_heard + time, now);
-    call.last_block = std::min<Time>(call.last_block + time, now);
-    call.last_event_at = std::min<Time>(call.last_event_at + time, now);
+    call.response.Excuse(time, now);
   }
 }
 
@@ -1111,26 +844,20 @@
     return;
   }
   if (call.phase != Phase::kRunning) {
-    if (call.slot != 0 && call.search->AskTimedOut(now - call.last_heard)) {
-      this->peers.Cancel(call.slot);
-      this->OnAskFailed(id, call.attempt);
-    }
+    this->slots.CheckReply(id, now);
     return;
   }
-  if (call.failed_status && now - call.last_heard > kMaxIgnoredTime) {
+  if (call.failed_status && call.response.IgnoredTooLong(now)) {
     this->CutResponse(call, "a refusal or failure that does not end");
     this->EndFailed(id);
     return;
   }
-  if (!this->CheckCaller(id) || call.paused) {
+  if (!this->CheckCaller(id) || call.response.Paused()) {
     return;
   }
-  const Duration silent =
-      now - (call.is_events ? call.last_block : call.last_heard);
   const bool streaming = call.route->kind == routes::RouteKind::kStreaming;
-  const Duration bound =
-      call.first_event == Time{} ? kMaxFirstEventSilence : kMaxEventGap;
-  if (streaming && call.route->MayRepeat() && silent > bound) {
+  if (streaming && call.route->MayRepeat() &&
+      call.response.SilentTooLong(now)) {
     this->OnBroken(id, "the engine fell silent");
   }
 }
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -15,17 +15,17 @@
 
 #include "coordination/fleetwatch.h"
 #include "global/metrics.h"
-#include "http/eventsplitter.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 #include "nodes/crashdetector.h"
 #include "nodes/dialect.h"
+#include "nodes/engineresponse.h"
 #include "nodes/logthrottle.h"
-#include "nodes/slotmessages.h"
+#include "nodes/rejections.h"
+#include "nodes/slotfinder.h"
+#include "nodes/speedlearner.h"
 #include "nodes/streamorigins.h"
 #include "placement/enginechooser.h"
-#include "placement/returnschedule.h"
-#include "placement/slotsearch.h"
 #include "routes/routetable.h"
 #include "transport/peerclient.h"
 
@@ -96,33 +96,19 @@
     Phase phase = Phase::kAsking;
     placement::EngineOption engine;
     std::string service;
-    std::optional<placement::SlotSearch> search;  ///< Set by Take.
     std::set<std::string> ran_at;  ///< Addresses where it may have run.
-    transport::CallId slot = 0;
     http::HttpCallId engine_call = 0;
     std::uint64_t attempt = 0;  ///< Identifies late callbacks.
     Time sent{};
-    Time last_heard{};
+    EngineResponse response;
     bool head_sent = false;
-    bool is_events = false;
-    bool accepted = false;  ///< Not refused by the engine of this attempt.
     /// The gate that granted the slot is on the engine's VM and serves the
     /// request's service, so any replica that starts there does.
     bool service_confirmed = false;
     /// Id of the replica that refused this attempt as not meant for it.
     std::string other_replica;
-    std::optional<Time> run_began;  ///< First byte of this attempt's body.
-    bool run_survived = false;      ///< Noted for this attempt.
+    bool run_survived = false;  ///< Noted for this attempt.
     bool failed_status = false;
-    int status = 0;
-    std::uint64_t last_event = 0;
-    bool any_event = false;
-    Time first_event{};
-    /// Events of this attempt, when the first one came, and the bytes sent to
-    /// and received from the replica.
-    std::uint64_t run_events = 0;
-    Time run_first_event{};
-    std::uint64_t run_bytes = 0;
     /// Of the first event that the caller got, in this or an earlier attempt.
     std::optional<ReplicaSoftware> began;
     std::optional<Time> broken_at;  ///< When a stream that had begun broke.
@@ -130,13 +116,6 @@
     /// Head of an event stream that has not delivered an event: until then
     /// another software may begin it.
     std::optional<http::HttpHead> held_head;
-    http::EventSplitter splitter;
-    Time last_block{};     ///< When the head or a complete event last came.
-    Time last_event_at{};  ///< When the head or an event last came.
-    std::size_t ignored_bytes = 0;   ///< Of a body that is not passed on.
-    std::size_t failure_bytes = 0;   ///< Of a failure that is passed on.
-    std::size_t unframed_bytes = 0;  ///< Since the last event.
-    bool paused = false;  ///< Reading from the replica, for a slow caller.
     std::size_t sends = 0;
   };
   using CallId = std::uint64_t;
@@ -149,12 +128,9 @@
   void Perform(CallId id, const origins::OriginUnknown& decision);
   void Perform(CallId id, const origins::OriginNotOnRoute& decision);
   void FindSlot(CallId id);
-  void Perform(CallId id, const placement::AskGate& step);
-  void Perform(CallId id, const placement::SendUngated& step);
-  void Perform(CallId id, const placement::NoSlot& step);
-  void Ask(CallId id, const placement::AskGate& step);
-  void OnSlotReply(CallId id, std::uint64_t attempt, const std::string& bytes);
-  void OnAskFailed(CallId id, std::uint64_t attempt);
+  SlotFinder::Handlers SlotHandlers();
+  void OnSlotFound(CallId id, const FoundSlot& found);
+  void OnNoSlot(CallId id, const placement::NoSlot& result);
   void Send(CallId id);
   /// Sends again, with the same slot, to the replica that runs at the address
   /// now. False if it may not be sent there.
@@ -163,9 +139,10 @@
   void ForwardHead(Call& call, const http::HttpHead& head);
   /// Called as the first event of an attempt is about to be forwarded: fixes
   /// the software of the stream, and forwards the head.
-  void BeginEvents(Call& call);
+  void BeginEvents(CallId id);
   void OnBody(CallId id, std::uint64_t attempt, std::string_view bytes);
-  bool ForwardEvents(Call& call, std::string_view bytes);
+  /// Passes on bytes of a response.
+  void ForwardBody(CallId id, std::string_view bytes);
   /// Handles bytes of a refusal or failure that is not passed on.
   void IgnoreBody(CallId id, std::size_t bytes);
   /// Stops reading from the replica while its caller reads too slowly.
@@ -173,10 +150,6 @@
   /// Continues reading where the caller caught up, and drops a caller that does
   /// not read. False when the call has ended.
   bool CheckCaller(CallId id);
-  /// Passes on bytes of a response that is not an event stream.
-  void ForwardBody(CallId id, std::string_view bytes);
-  /// Whether its replica sends bytes that form no event.
-  static bool IsUnframed(const Call& call, Time now);
   /// Counts and logs a response that exceeds the limits, and ends its call.
   void CutResponse(Call& call, const char* reason);
   /// The replica refused the request or failed it, and the body no longer
@@ -187,12 +160,7 @@
   /// run.
   void OnBroken(CallId id, const char* reason);
   void Retry(CallId id);
-  void ReleaseEngine(Call& call);
-  /// Passes the speed that a gate states on to the chooser.
-  void LearnSpeed(const Call& call, const SlotReply& reply);
-  /// The same for the times of a stream that ended completely.
-  void LearnStream(const Call& call);
-  void LogSpeed(const std::string& service, const std::string& address);
+  void ReleaseEngine(CallId id);
   /// Counts a request that is sent, and logs why requests leave the zone.
   void CountZone(const Call& call);
   void OnRestart(const placement::EngineRestart& restart);
@@ -200,11 +168,11 @@
   /// Refuses a stream that cannot go on anywhere, so its caller has to begin
   /// anew and need not wait for that.
   void RefuseContinuation(CallId id, const char* reason, const char* metric);
-  /// Answers that the request did not run. Precondition: it did not.
-  void RespondRefused(CallId id, const char* reason,
-                      const placement::ReturnTime& back);
+  /// Describes a request for the answer that it did not run. Precondition: it
+  /// did not.
+  RejectedRequest RejectedOf(CallId id, const char* reason) const;
   void RefuseQuarantined(CallId id, const quarantine::Trait& culprit);
-  void SetService(Call& call, const std::string& service) const;
+  void SetService(CallId id, Call& call, const std::string& service);
   void NoteSurvival(Call& call);
   void Fail(CallId id, int status, const char* reason);
   void Finish(CallId id, const char* outcome, int status);
@@ -213,12 +181,9 @@
   std::vector<CallId> AllIds() const;
   void CheckAll(Time now);
   void Check(CallId id, Time now);
-  std::chrono::milliseconds WaitBudget(const Call& call) const;
-  /// When a caller that found no slot is to return.
-  placement::ReturnTime ReturnOf(const Call& call);
+  static placement::RequestTiming TimingOf(const Call& call);
 
   http::HttpServer*& front;
-  transport::PeerClient& peers;
   const Dialect& dialect;
   Metrics& metrics;
   std::string own_name;
@@ -226,7 +191,9 @@
   http::HttpClient engines;
   CrashDetector crash_detector;
   placement::EngineChooser chooser;
-  placement::ReturnSchedule return_schedule;
+  SpeedLearner speed_learner;
+  SlotFinder slots;
+  Rejections rejections;
   StreamOrigins stream_origins;
   std::mt19937_64 random;
   std::unordered_map<CallId, Call> calls;
