Quotas: a grant states its limit, and an entry keeps its share of a higher one

Cause: an entry with a low limit that missed a higher one, which the leader had meanwhile, kept the credit that the leader granted for it. After the limit was low again for both, that credit was used beside the low limit.

Change: CreditGrant states the highest limit for which credit was granted that the entry has not reported as received, so that a grant whose answer was lost is covered, too. An entry whose limit is lower keeps a part in proportion and gives up the rest. Zero means not known (a leader of an earlier release) and keeps the former behaviour.

--- a/src/quotas/creditbook.h
+++ b/src/quotas/creditbook.h
@@ -32,8 +32,9 @@
 /// do not wait, also while a leader is elected; it asks for more while some is
 /// left, and gives up what it no longer needs. Without credit the first
 /// requests wait for an answer, and once the leader has none the following ones
-/// are refused at once until it may have some. Does no I/O. Thread safety:
-/// none.
+/// are refused at once until it may have some. Credit that the leader granted
+/// for a higher limit than the entry's is kept in proportion only: one of them
+/// has missed a change. Does no I/O. Thread safety: none.
 class CreditBook {
  public:
   CreditBook(std::string entry, std::uint64_t incarnation,
@@ -76,6 +77,7 @@
     Duration per_request{};   ///< Time in which one request's credit comes.
     Time last_turn{};         ///< Told to the caller refused last.
     Time next_top_up{};       ///< No credit in advance is asked for until then.
+    double kept_rest = 0;     ///< Part of a request that KeptOf() left over.
     std::chrono::milliseconds report_within{0};  ///< As in CreditGrant.
   };
 
@@ -94,6 +96,9 @@
   static bool WantsMore(const Account& account, Time now);
   static bool HasNews(const Account& account);
   void GiveUp(Account& account, std::int64_t credit) const;
+  /// Part of `granted` that the account may use under its own limit.
+  std::int64_t KeptOf(Account& account, const CreditGrant& grant,
+                      std::int64_t granted) const;
   void RemoveLimit(const std::string& organisation, Account& account);
   void AddLimit(const std::string& organisation, Account& account, Time now);
   void EndCredit(Time now);
--- a/src/quotas/internal/creditbook.cpp
+++ b/src/quotas/internal/creditbook.cpp
@@ -61,6 +61,7 @@
                      static_cast<std::int64_t>(std::ceil(credit * (1 - kept))));
       }
       account.none_before = {};
+      account.kept_rest = 0;
       account.limit_set = now;
     }
     account.limit = limit;
@@ -130,6 +131,22 @@
       std::clamp<std::int64_t>(credit, 0, account.report.Credit()));
 }
 
+/// What is left over is carried on, so that the sum over all grants and entries
+/// never exceeds the share.
+std::int64_t CreditBook::KeptOf(Account& account, const CreditGrant& grant,
+                                std::int64_t granted) const {
+  const bool is_limit_known = grant.limit_rate > 0;
+  const QuotaLimit limit{grant.limit_rate, grant.limit_burst};
+  const double share = FloatOf(account.limit, this->tolerance).standing /
+                       FloatOf(limit, this->tolerance).standing;
+  if (!is_limit_known || share >= 1 || granted <= 0) {
+    return granted;
+  }
+  const double kept = account.kept_rest + share * static_cast<double>(granted);
+  account.kept_rest = kept - std::floor(kept);
+  return static_cast<std::int64_t>(std::floor(kept));
+}
+
 void CreditBook::EndCredit(Time now) {
   this->ended = now;
   for (auto& [organisation, account] : this->accounts) {
@@ -251,10 +268,13 @@
     account.report.allowed =
         std::max(grant.allowed,
                  static_cast<std::uint64_t>(std::max<std::int64_t>(spent, 0)));
-    if (this->sent <= account.limit_set) {
-      // Granted for an earlier limit, which may have been higher.
-      this->GiveUp(account, account.report.Credit() - credit_before);
-    }
+    const std::int64_t granted = account.report.Credit() - credit_before;
+    // The answer to a report from before a change is given up: the limit may
+    // have been removed and set again, so the leader need not count its credit.
+    const bool is_current = this->sent > account.limit_set;
+    const std::int64_t kept =
+        is_current ? this->KeptOf(account, grant, granted) : 0;
+    this->GiveUp(account, granted - kept);
     account.report_within = std::chrono::milliseconds(grant.report_within_ms);
     const bool got_less = grant.allowed < account.last_sent.allowed +
                                               account.last_sent.needed +
--- a/src/quotas/internal/quotaauthority.cpp
+++ b/src/quotas/internal/quotaauthority.cpp
@@ -158,6 +158,7 @@
   this->Fill(bucket, now);
   Holder& holder = bucket.holders.at(entry);
   const std::uint64_t before = holder.last.allowed;
+  this->NoteLimit(bucket, holder, report);
   Grant(bucket, holder, report);
   // Credit that a reserve holds back is there once a lower one is committed.
   holder.starved =
@@ -167,6 +168,8 @@
   grant.allowed = holder.last.allowed;
   grant.report_within_ms = ReportWithinMs(bucket);
   grant.wait_ms = holder.starved ? WaitMs(bucket) : 0;
+  grant.limit_rate = holder.granted_for.requests_per_second;
+  grant.limit_burst = holder.granted_for.burst;
   return grant;
 }
 
@@ -231,6 +234,16 @@
   bucket.tokens += std::max(0.0, returned);
 }
 
+void QuotaAuthority::NoteLimit(const Bucket& bucket, Holder& holder,
+                               const CreditReport& report) const {
+  const bool received_all = report.allowed >= holder.last.allowed;
+  const bool is_higher = FloatOf(holder.granted_for, this->tolerance).standing <
+                         bucket.bounds.standing;
+  if (received_all || is_higher) {
+    holder.granted_for = bucket.limit;
+  }
+}
+
 void QuotaAuthority::Grant(Bucket& bucket, Holder& holder,
                            const CreditReport& report) {
   const auto share_of = [](double tokens) {
--- a/src/quotas/quotaauthority.h
+++ b/src/quotas/quotaauthority.h
@@ -65,7 +65,9 @@
 
  private:
   struct Holder {
-    CreditReport last;     ///< With what was granted since.
+    CreditReport last;  ///< With what was granted since.
+    /// The highest limit of grants that were not reported as received.
+    QuotaLimit granted_for;
     bool starved = false;  ///< Its requests wait and it got no credit.
   };
   struct Bucket {
@@ -107,6 +109,10 @@
   void Adopt(Bucket& bucket, const std::string& entry,
              const CreditReport& report, Time now);
   static void Apply(Bucket& bucket, Holder& holder, const CreditReport& report);
+  /// Notes that what is granted now is for the bucket's limit. A grant whose
+  /// answer was lost is part of the next one, also if the limit is lower then.
+  void NoteLimit(const Bucket& bucket, Holder& holder,
+                 const CreditReport& report) const;
   static void Grant(Bucket& bucket, Holder& holder, const CreditReport& report);
   static std::uint32_t ReportWithinMs(const Bucket& bucket);
   /// How long an entry without credit should wait before it asks again.
--- a/src/quotas/quotamessages.h
+++ b/src/quotas/quotamessages.h
@@ -44,7 +44,12 @@
   /// How soon the use of credit should be reported: what was used fills again
   /// from then on.
   std::uint32_t report_within_ms = 0;
-  MSGPACK_DEFINE(organisation, allowed, wait_ms, report_within_ms)
+  /// The highest limit for which credit was granted that the entry has not
+  /// reported as received. Zero if not known: a leader of an earlier release.
+  double limit_rate = 0;
+  double limit_burst = 0;
+  MSGPACK_DEFINE(organisation, allowed, wait_ms, report_within_ms, limit_rate,
+                 limit_burst)
 };
 
 struct CreditReply {
--- a/src/quotas/tests/creditbook_tests.cpp
+++ b/src/quotas/tests/creditbook_tests.cpp
@@ -149,6 +149,63 @@
   }
 }
 
+/// Guards against credit for a limit that is no longer in force: a grant that
+/// the leader made for a higher limit was used beside the lower one.
+TEST_CASE("credit for a higher limit than the entry's is kept in proportion") {
+  const QuotaLimit low{2, 3};
+  const QuotaLimit high{73, 73};
+  Fixture fixture(low);
+  const double standing = FloatOf(low, fixture.tolerance).standing;
+  const auto admit_all = [&fixture] {
+    constexpr int kMany = 100;
+    int ran = 0;
+    for (int i = 0; i < kMany; ++i) {
+      ran += Runs(fixture.Admit()) ? 1 : 0;
+    }
+    return ran;
+  };
+
+  SECTION("also if the entry never hears of the higher limit") {
+    fixture.authority.SetLimits({{kName, high}}, fixture.now);
+    admit_all();
+    fixture.Exchange();
+    fixture.authority.SetLimits({{kName, low}}, fixture.now);
+    CHECK(admit_all() <= standing);
+  }
+  SECTION("while it has not heard, its requests below the limit go on") {
+    constexpr int kReports = 20;
+    fixture.authority.SetLimits({{kName, high}}, fixture.now);
+    int ran = 0;
+    for (int i = 0; i < kReports; ++i) {
+      fixture.now += milliseconds(500);
+      ran += Runs(fixture.Admit()) ? 1 : 0;
+      fixture.Exchange();
+      ran += Runs(fixture.book.AdmitWaiting(kName, fixture.now)) ? 1 : 0;
+    }
+    CHECK(ran >= kReports / 2);
+  }
+  SECTION("also if its grant was lost and is repeated after the change") {
+    fixture.SetLimit(high);
+    fixture.now += milliseconds(1);
+    admit_all();
+    fixture.authority.Take(fixture.book.MakeReport(fixture.now), fixture.now);
+    fixture.book.Unanswered(fixture.now);
+    fixture.SetLimit(low);
+    fixture.now += milliseconds(1);
+    fixture.Exchange();
+    CHECK(admit_all() <= standing);
+  }
+  SECTION("a leader of an earlier release states no limit") {
+    admit_all();
+    CreditReply reply = fixture.authority.Take(
+        fixture.book.MakeReport(fixture.now), fixture.now);
+    reply.grants.front().limit_rate = 0;
+    reply.grants.front().limit_burst = 0;
+    fixture.book.Answered(reply, fixture.now);
+    CHECK(admit_all() > 0);
+  }
+}
+
 TEST_CASE("a limit that goes and comes back brings no credit of its own") {
   Fixture fixture({10, 20});
   const auto admitted = [&fixture] {
