Quotas: credit of a removed limit does not come back to the new bucket

Cause: an entry's delayed report brought counts from before its limit was removed and set again. What it gave up afterwards filled the new bucket, which had never granted it.

Change: what a report has beyond the holder's credit is subtracted from what it gives up.

--- a/src/quotas/internal/quotaauthority.cpp
+++ b/src/quotas/internal/quotaauthority.cpp
@@ -218,20 +218,23 @@
 
 /// What was used leaves room that fills at the rate; what was given up is there
 /// again at once. A report may be older than the last grant, which it then
-/// lacks.
+/// lacks. It may also have credit that this bucket never granted, but another
+/// leader or the bucket of a limit that was removed and set again: that does
+/// not come back to this bucket.
 void QuotaAuthority::Apply(Bucket& bucket, Holder& holder,
                            const CreditReport& report) {
   if (report.returned < holder.last.returned) {
     return;  // An older report that was delayed.
   }
   const std::uint64_t allowed = std::max(holder.last.allowed, report.allowed);
+  const auto foreign = static_cast<double>(allowed - holder.last.allowed);
   const auto returned = static_cast<double>(report.returned) -
                         static_cast<double>(holder.last.returned);
   const auto before = static_cast<double>(holder.last.Credit());
   holder.last = report;
   holder.last.allowed = allowed;
   bucket.held += static_cast<double>(holder.last.Credit()) - before;
-  bucket.tokens += std::max(0.0, returned);
+  bucket.tokens += std::max(0.0, returned - foreign);
 }
 
 void QuotaAuthority::NoteLimit(const Bucket& bucket, Holder& holder,
--- a/src/quotas/tests/quotaauthority_tests.cpp
+++ b/src/quotas/tests/quotaauthority_tests.cpp
@@ -225,6 +225,15 @@
       authority.SetLimits({{"bolt", kLimit}, {kName, kLimit}}, At(20020));
       CHECK(Drain(authority, entry, At(20020)) < standing / 2);
     }
+    // Guards against credit of the old bucket that fills the new one.
+    SECTION("what was granted before the removal does not come back to it") {
+      const CreditReport delayed = entry.report;
+      authority.SetLimits({{"bolt", kLimit}}, At(20010));
+      authority.SetLimits({{"bolt", kLimit}, {kName, kLimit}}, At(20020));
+      authority.Take({"e1", 1, {delayed}}, At(20020));
+      entry.report.returned = entry.report.allowed;
+      CHECK(Drain(authority, entry, At(20020)) < standing / 2);
+    }
     SECTION("again after that") {
       authority.SetLimits({{"bolt", kLimit}}, At(20010));
       entry = {"e1", 2};
