Quotas: credit of a higher limit does not fill the bucket of the lower one

Cause: when a limit is lowered, entries keep a part of their credit and give up the rest. What they gave up filled the bucket up to its new size as soon as the kept part was reported as used, so a window had the kept part, a full bucket and the rate.

Change: what entries held beyond the lowered limit does not come back when it is given up within the window of the change. The rate fills the bucket.

--- a/src/quotas/internal/quotaauthority.cpp
+++ b/src/quotas/internal/quotaauthority.cpp
@@ -103,6 +103,8 @@
     if (!added) {
       this->Fill(bucket, now);
       bucket.tokens += std::max(0.0, bounds.standing - bucket.bounds.standing);
+      bucket.excess = std::max(0.0, bucket.held - bounds.standing);
+      bucket.excess_until = now + this->tolerance.window;
     }
     bucket.limit = limit;
     bucket.bounds = bounds;
@@ -127,6 +129,9 @@
   bucket.tokens = std::min(
       room, bucket.tokens + seconds * bucket.limit.requests_per_second);
   bucket.filled = std::max(bucket.filled, now);
+  if (now >= bucket.excess_until) {
+    bucket.excess = 0;
+  }
 }
 
 CreditReply QuotaAuthority::Take(const ReportCredit& report, Time now) {
@@ -234,7 +239,10 @@
   holder.last = report;
   holder.last.allowed = allowed;
   bucket.held += static_cast<double>(holder.last.Credit()) - before;
-  bucket.tokens += std::max(0.0, returned - foreign);
+  const double given_up = std::max(0.0, returned - foreign);
+  const double withheld = std::min(given_up, bucket.excess);
+  bucket.excess -= withheld;
+  bucket.tokens += given_up - withheld;
 }
 
 void QuotaAuthority::NoteLimit(const Bucket& bucket, Holder& holder,
--- a/src/quotas/quotaauthority.h
+++ b/src/quotas/quotaauthority.h
@@ -77,6 +77,10 @@
     Time filled{};
     double held = 0;     ///< Credit of all holders.
     double adopted = 0;  ///< Part of `held` from before this term.
+    /// What entries held beyond a lowered limit: that much of what they give up
+    /// does not come back to the bucket.
+    double excess = 0;
+    Time excess_until{};  ///< Nothing from before the change is in a window.
     /// Part of `tokens` that is not handed out: at least what is committed.
     double floor = 0;
     double taken_over = 0;  ///< The committed reserve when the term began.
--- a/src/quotas/tests/quotaauthority_tests.cpp
+++ b/src/quotas/tests/quotaauthority_tests.cpp
@@ -126,6 +126,19 @@
     first.UseAll(authority, At(20000));
     CHECK(Drain(authority, first, At(21000)) == 1);
   }
+  // Guards against a bucket that is filled by credit of a higher limit, beside
+  // what entries used and kept of it.
+  SECTION("what is given up for a lower limit does not fill the bucket") {
+    authority.SetLimits({{kName, {10, 40}}}, At(20000));
+    const std::int64_t raised = Drain(authority, first, At(20000));
+    authority.SetLimits({{kName, {1, 0}}}, At(20000));
+    first.report.used += 10;
+    first.report.returned = static_cast<std::uint64_t>(raised - 10);
+    const double standing = FloatOf({1, 0}, QuotaTolerance{}).standing;
+    const auto ran = static_cast<double>(first.report.used);
+    CHECK(ran + static_cast<double>(Drain(authority, first, At(20000))) <=
+          standing);
+  }
 }
 
 // Guards against limits that nobody can tell after a restart of all processes,
