--- a/src/quotas/internal/quotaauthority.cpp
+++ b/src/quotas/internal/quotaauthority.cpp
@@ -103,6 +103,8 @@
     if (!added) {
       this->Fill(bucket, now);
       bucket.tokens += std::max(0.0, bounds.standing - bucket.bounds.standing);
+      bucket.excess = std::max(0.0, bucket.held - bounds.standing);
+      bucket.excess_until = now + this->tolerance.window;
     }
     bucket.limit = limit;
     bucket.bounds = bounds;
@@ -127,6 +129,9 @@
   bucket.tokens = std::min(
       room, bucket.tokens + seconds * bucket.limit.requests_per_second);
   bucket.filled = std::max(bucket.filled, now);
+  if (now >= bucket.excess_until) {
+    bucket.excess = 0;
+  }
 }
 
 CreditReply QuotaAuthority::Take(const ReportCredit& report, Time now) {
@@ -158,6 +163,7 @@
   this->Fill(bucket, now);
   Holder& holder = bucket.holders.at(entry);
   const std::uint64_t before = holder.last.allowed;
+  this->NoteLimit(bucket, holder, report);
   Grant(bucket, holder, report);
   // Credit that a reserve holds back is there once a lower one is committed.
   holder.starved =
@@ -167,6 +173,8 @@
   grant.allowed = holder.last.allowed;
   grant.report_within_ms = ReportWithinMs(bucket);
   grant.wait_ms = holder.starved ? WaitMs(bucket) : 0;
+  grant.limit_rate = holder.granted_for.requests_per_second;
+  grant.limit_burst = holder.granted_for.burst;
   return grant;
 }
 
@@ -215,20 +223,36 @@
 
 /// What was used leaves room that fills at the rate; what was given up is there
 /// again at once. A report may be older than the last grant, which it then
-/// lacks.
+/// lacks. It may also have credit that this bucket never granted, but another
+/// leader or the bucket of a limit that was removed and set again: that does
+/// not come back to this bucket.
 void QuotaAuthority::Apply(Bucket& bucket, Holder& holder,
                            const CreditReport& report) {
   if (report.returned < holder.last.returned) {
     return;  // An older report that was delayed.
   }
   const std::uint64_t allowed = std::max(holder.last.allowed, report.allowed);
+  const auto foreign = static_cast<double>(allowed - holder.last.allowed);
   const auto returned = static_cast<double>(report.returned) -
                         static_cast<double>(holder.last.returned);
   const auto before = static_cast<double>(holder.last.Credit());
   holder.last = report;
   holder.last.allowed = allowed;
   bucket.held += static_cast<double>(holder.last.Credit()) - before;
-  bucket.tokens += std::max(0.0, returned);
+  const double given_up = std::max(0.0, returned - foreign);
+  const double withheld = std::min(given_up, bucket.excess);
+  bucket.excess -= withheld;
+  bucket.tokens += given_up - withheld;
+}
+
+void QuotaAuthority::NoteLimit(const Bucket& bucket, Holder& holder,
+                               const CreditReport& report) const {
+  const bool received_all = report.allowed >= holder.last.allowed;
+  const bool is_higher = FloatOf(holder.granted_for, this->tolerance).standing <
+                         bucket.bounds.standing;
+  if (received_all || is_higher) {
+    holder.granted_for = bucket.limit;
+  }
 }
 
 void QuotaAuthority::Grant(Bucket& bucket, Holder& holder,
--- a/src/quotas/quotaauthority.h
+++ b/src/quotas/quotaauthority.h
@@ -65,7 +65,9 @@
 
  private:
   struct Holder {
-    CreditReport last;     ///< With what was granted since.
+    CreditReport last;  ///< With what was granted since.
+    /// The highest limit of grants that were not reported as received.
+    QuotaLimit granted_for;
     bool starved = false;  ///< Its requests wait and it got no credit.
   };
   struct Bucket {
@@ -75,6 +77,10 @@
     Time filled{};
     double held = 0;     ///< Credit of all holders.
     double adopted = 0;  ///< Part of `held` from before this term.
+    /// What entries held beyond a lowered limit: that much of what they give up
+    /// does not come back to the bucket.
+    double excess = 0;
+    Time excess_until{};  ///< Nothing from before the change is in a window.
     /// Part of `tokens` that is not handed out: at least what is committed.
     double floor = 0;
     double taken_over = 0;  ///< The committed reserve when the term began.
@@ -107,6 +113,10 @@
   void Adopt(Bucket& bucket, const std::string& entry,
              const CreditReport& report, Time now);
   static void Apply(Bucket& bucket, Holder& holder, const CreditReport& report);
+  /// Notes that what is granted now is for the bucket's limit. A grant whose
+  /// answer was lost is part of the next one, also if the limit is lower then.
+  void NoteLimit(const Bucket& bucket, Holder& holder,
+                 const CreditReport& report) const;
   static void Grant(Bucket& bucket, Holder& holder, const CreditReport& report);
   static std::uint32_t ReportWithinMs(const Bucket& bucket);
   /// How long an entry without credit should wait before it asks again.
