check-configuration: name removed keys by organisation and position

Cause: the comparison said that the keys of an organisation changed, but not which of the keys in force were gone; a key moved to another organisation was not told at all. Which keys callers send is not known to entries, so every key in force counts as in use.

--- a/src/routes/internal/configurationdifference.cpp
+++ b/src/routes/internal/configurationdifference.cpp
@@ -175,4 +175,29 @@
   return differences;
 }
 
+std::vector<RemovedKey> RemovedKeysOf(const FleetConfiguration& from,
+                                      const FleetConfiguration& to) {
+  if (!to.requires_keys) {
+    return {};
+  }
+  std::map<std::string_view, std::string_view> holders;  // By key.
+  for (const Organisation& organisation : to.organisations) {
+    for (const std::string& key : organisation.keys) {
+      holders.emplace(key, organisation.name);
+    }
+  }
+  std::vector<RemovedKey> removed;
+  for (const Organisation& organisation : from.organisations) {
+    for (std::size_t i = 0; i < organisation.keys.size(); ++i) {
+      const auto holder = holders.find(organisation.keys[i]);
+      if (holder == holders.end()) {
+        removed.push_back({organisation.name, i, {}});
+      } else if (holder->second != organisation.name) {
+        removed.push_back({organisation.name, i, std::string(holder->second)});
+      }
+    }
+  }
+  return removed;
+}
+
 }  // namespace papayarack::routes
--- a/src/routes/tests/configurationfindings_tests.cpp
+++ b/src/routes/tests/configurationfindings_tests.cpp
@@ -229,4 +229,48 @@
   }
 }
 
+// Guards against callers who are rejected, or served as somebody else, since a
+// key was dropped by mistake.
+TEST_CASE("keys that are removed are told by organisation and position") {
+  FleetConfiguration from = MakeConfiguration();
+  from.organisations = {{"acme", {"secret-1", "secret-2", "secret-3"}, 0, 1, 1},
+                        {"bolt", {"secret-4"}, 0, 1, 1}};
+  FleetConfiguration to = from;
+  const auto removed = [&] {
+    Strings all;
+    for (const RemovedKey& key : RemovedKeysOf(from, to)) {
+      all.push_back(key.organisation + " " + std::to_string(key.position) +
+                    (key.moved_to.empty() ? "" : " to " + key.moved_to));
+    }
+    return all;
+  };
+
+  SECTION("not those that are kept or added, in any order") {
+    to.organisations[0].keys = {"secret-3", "secret-5", "secret-2", "secret-1"};
+    CHECK(removed().empty());
+  }
+  SECTION("those that no organisation has") {
+    to.organisations[0].keys = {"secret-2"};
+    CHECK(removed() == Strings{"acme 0", "acme 2"});
+  }
+  SECTION("those of an organisation that is removed or renamed") {
+    to.organisations[0].name = "acme-2";
+    to.organisations.pop_back();
+    CHECK(removed() == Strings{"acme 0 to acme-2", "acme 1 to acme-2",
+                               "acme 2 to acme-2", "bolt 0"});
+  }
+  SECTION("none where keys are no longer asked for") {
+    to.organisations.clear();
+    CHECK(removed().size() == 4);
+    to.requires_keys = false;
+    CHECK(removed().empty());
+  }
+  SECTION("none where none were asked for") {
+    std::swap(from, to);
+    from.organisations.clear();
+    from.requires_keys = false;
+    CHECK(removed().empty());
+  }
+}
+
 }  // namespace papayarack::routes
