Soak: organisations with limits, one of which sends far more at times

Cause: no caller of the soak test had a key, so limits never met the faults.

Change: all callers belong to organisations. Functions that call an entry moved to soakcalls.py.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,6 +9,8 @@
 - the results of an accepted batch are complete, each item once, with the engine's text;
 - a listed position never changes, at any entry;
 - a configuration that is read is never older than an acknowledged one;
+- an organisation that sends seven times its usual load for seconds gets no more than its limit, and
+  no other one that is below its own is refused for exceeding it;
 - each request that a process read whole was answered, refused or left by its caller, also at the
   end of a process that was stopped by a signal;
 - after the last fault everything works again within a time limit.
@@ -31,19 +33,20 @@
 import time
 
 import soakcounts
+import soakload
+from soakcalls import CALL_TIMEOUT_S, FRONT, call, complete_events, stream_call
 
-PEER, FRONT, READY, CONTROL, ENGINE, LIST = 29720, 29161, 29167, 29166, 29008, 29169
+PEER, READY, CONTROL, ENGINE, LIST = 29720, 29167, 29166, 29008, 29169
 EVENTS = 40
 VERSIONS = ("v1", "v2")  # Of the engines' software, alternately.
 RECOVERY_S = 15.0
-CALL_TIMEOUT_S = 6.0
 
 
 class Proxy:
     """Forwards connections to an entry; can delay or reset them or stall one direction."""
 
     def __init__(self, listen, target):
-        self.target, self.mode = target, "pass"
+        self.address, self.target, self.mode = listen[0], target, "pass"
         self.server = socket.create_server(listen, backlog=128)
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -90,22 +93,22 @@
     def __init__(self, args, folder, gates):
         self.gates = gates  # Number of engines with a gate next to them.
         self.args, self.folder, self.processes, self.first = args, folder, {}, True
-        self.entries = [f"127.1.1.{i + 1}" for i in range(args.entries)]
-        self.stores = [f"127.1.2.{i + 1}" for i in range(args.stores)]
-        self.engines = [f"127.1.3.{i + 1}" for i in range(args.engines)]
-        self.proxies = [Proxy((f"127.1.4.{i + 1}", FRONT), (host, FRONT)) for i, host in enumerate(self.entries)]
+        self.entries = [f"{args.network}.1.{i + 1}" for i in range(args.entries)]
+        self.stores = [f"{args.network}.2.{i + 1}" for i in range(args.stores)]
+        self.engines = [f"{args.network}.3.{i + 1}" for i in range(args.engines)]
+        self.proxies = [Proxy((f"{args.network}.4.{i + 1}", FRONT), (host, FRONT)) for i, host in enumerate(self.entries)]
         listed = [{"id": f"engine-{i}", "service": "llm", "address": f"{host}:{ENGINE}", "slots": 8,
                    "events": EVENTS, "event_ms": 5, "version": VERSIONS[i % len(VERSIONS)]} for i, host in enumerate(self.engines)]
         path = os.path.join(folder, "standins.json")
         with open(path, "w", encoding="utf-8") as file:
-            json.dump({"list": f"127.1.9.1:{LIST}", "engines": listed}, file)
+            json.dump({"list": f"{args.network}.9.1:{LIST}", "engines": listed}, file)
         self.standins = subprocess.Popen([args.standins, path])
 
     def settings(self, name, machine, host, more):
         lines = [f"NodeName={name}", f"MachineClass={machine}", f"Ip={host}", "Zone=a",
                  f"PortRange={PEER},{PEER + 9}", f"Bootstrap={'true' if self.first else 'false'}",
                  "Seeds=" + ",".join(f"{entry}:{CONTROL}" for entry in self.entries[:3]),
-                 "Tolerate.Machines=1", "Bounds.GraceS=8", f"Cloud.Address=127.1.9.1:{LIST}", *more]
+                 "Tolerate.Machines=1", "Bounds.GraceS=8", f"Cloud.Address={self.args.network}.9.1:{LIST}", *more]
         path = os.path.join(self.folder, name + ".conf")
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
@@ -179,45 +182,10 @@
         with self.lock:
             self.failures.append(f"{time.time():.3f} {text}")
 
-
-def call(host, port, method, path, headers=None, body=None, timeout=CALL_TIMEOUT_S):
-    """Sends a request; returns (status, body, whole). Status 0 means no response."""
-    connection = http.client.HTTPConnection(host, port, timeout=timeout)
-    try:
-        connection.request(method, path, body, headers or {})
-        response = connection.getresponse()
-        try:
-            return response.status, response.read().decode(), True
-        except (http.client.IncompleteRead, OSError):
-            return response.status, "", False
-    except (OSError, http.client.HTTPException):
-        return 0, "", False
-    finally:
-        connection.close()
-
-
-def stream_call(host, headers, path):
-    """Like call, but also returns what arrived of an answer that broke off."""
-    connection = http.client.HTTPConnection(host, FRONT, timeout=CALL_TIMEOUT_S)
-    status, body = 0, b""
-    try:
-        connection.request("POST", path, None, headers)
-        response = connection.getresponse()
-        status = response.status
-        while data := response.read1(4096):
-            body += data
-        return status, body.decode(), response.isclosed()
-    except (OSError, http.client.HTTPException):
-        return status, body.decode(), False
-    finally:
-        connection.close()
-
-
-def complete_events(body):
-    """(id, data) of each event that arrived completely."""
-    for event in body.split("\n\n")[:-1]:
-        fields = dict(line.split(": ", 1) for line in event.split("\n"))
-        yield int(fields["id"]), fields["data"]
+    def check_status(self, organisation, path, status):
+        """Checks what a caller with a valid key was answered; "steady" has no limit."""
+        if status == 401 or (status == 429 and organisation == "steady"):
+            self.fail(f"{organisation} was answered {status} for {path}")
 
 
 def text_of(path, version):
@@ -237,18 +205,18 @@
          "TargetLatencyMs": 300, "Resumable": True, "GapAimMs": 200, **common},
         {"Name": "batch", "PathPrefix": "/batch/", "RouteType": "batch", "TimeoutMs": 15000, "TargetLatencyMs": 500,
          "ResultDeadlineMs": 18000, "Cap": 10000000, **common}, *more],
-        "Services": [{"Name": "llm", "Engine": {"Slots": 8}}]})
+        "Services": [{"Name": "llm", "Engine": {"Slots": 8}}], "Tenants": soakload.ORGANISATIONS})
 
 
 def stream(fleet, checks, rng):
     """Reads one stream; takes it up at another entry when it breaks off."""
     path = f"/online/{rng.randrange(1 << 40):x}"
-    headers = {"Host": "h.example", "Deadline-Ms": "5000"}
+    headers = {"Deadline-Ms": "5000", **soakload.identity()}
     lines = []
     for attempt in range(3):
         headers["Request-Id"] = f"{path[8:]}-{attempt}"
-        host = f"127.1.4.{rng.randrange(len(fleet.entries)) + 1}"
-        status, body, whole = stream_call(host, headers, path)
+        status, body, whole = stream_call(rng.choice(fleet.proxies).address, headers, path)
+        checks.check_status("steady", path, status)
         new = [data for number, data in complete_events(body) if number > len(lines)] if status == 200 else []
         if new and not lines:
             headers["Resumes"] = headers["Request-Id"]
@@ -289,9 +257,10 @@
             closes = False
             while not closes and not stop.is_set():
                 path = f"/{rng.choice(['online', 'more-0', 'nowhere'])}/{rng.randrange(1 << 40):x}"
-                connection.request("POST", path, None, {"Host": "h.example", "Request-Id": path, "Deadline-Ms": "5000"})
+                connection.request("POST", path, None, {"Request-Id": path, "Deadline-Ms": "5000", **soakload.identity()})
                 sent += 1
                 response = connection.getresponse()
+                checks.check_status("steady", path, response.status)
                 closes = response.will_close
                 response.read()
                 answered += 1
@@ -313,7 +282,7 @@
         status = 0
         while status != 202 and not stop.is_set():
             entry = rng.choice(fleet.entries)
-            status, _, _ = call(entry, FRONT, "POST", "/batch/" + batch, {"Host": "h.example", "Request-Id": batch},
+            status, _, _ = call(entry, FRONT, "POST", "/batch/" + batch, {"Request-Id": batch, **soakload.identity()},
                                 json.dumps({"Items": items}))
             time.sleep(0.1)
         if status == 202:
@@ -324,7 +293,7 @@
 
 def read_batch(entry, batch, checks):
     """Compares the listed results with earlier reads. True if the batch is complete."""
-    status, body, whole = call(entry, FRONT, "GET", f"/lots/{batch}?After=0", {"Host": "h.example"})
+    status, body, whole = call(entry, FRONT, "GET", f"/lots/{batch}?After=0", soakload.identity())
     if status == 404:
         checks.fail(f"batch {batch} was accepted but is unknown at {entry}")
     if status != 200 or not whole:
@@ -426,6 +395,7 @@
 def run_seed(seed, args):
     rng = random.Random(seed)
     gates = gate_count(seed, args)
+    summary = ""
     folder = tempfile.mkdtemp(prefix=f"papayarack-soak-{seed}-")
     fleet, checks, stop = Fleet(args, folder, gates), Checks(), threading.Event()
     started = time.time()
@@ -445,6 +415,8 @@
         work = [online_caller] * 6 + [kept_caller] * 3 + [batch_caller] * 2 + [batch_reader, operator]
         threads = [threading.Thread(target=one, args=(fleet, checks, random.Random(rng.random()), stop), daemon=True)
                    for one in work]
+        limited = soakload.LimitedCallers(fleet, checks, random.Random(rng.random()), stop)
+        threads += limited.threads
         for thread in threads:
             thread.start()
         until = time.time() + args.seconds
@@ -455,6 +427,7 @@
         for thread in threads:
             thread.join(timeout=CALL_TIMEOUT_S * 2)
         log("last fault over")
+        summary = limited.report()
         left = set(checks.accepted)
 
         def all_listed():
@@ -475,7 +448,7 @@
         stop.set()
         fleet.end_all()
     print(f"seed {seed}: {'FAILED' if checks.failures else 'ok'}; {checks.whole} streams whole, {checks.cut} cut, "
-          f"{checks.resumed} taken up, {checks.refused} refused; {checks.kept} on kept connections, {checks.kept_unanswered} without an answer; {len(checks.accepted)} batches; {len(faults) - 1} faults; {gates} gates", flush=True)
+          f"{checks.resumed} taken up, {checks.refused} refused; {checks.kept} on kept connections, {checks.kept_unanswered} without an answer; {len(checks.accepted)} batches; {len(faults) - 1} faults; {gates} gates; {summary}", flush=True)
     if checks.notes:
         print("\n".join(["notes:"] + checks.notes[:10]), flush=True)
     if checks.failures:
@@ -492,6 +465,7 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--stores", type=int, default=3)
     parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument("--network", default="127.1", help="first two numbers of the addresses; differ for soaks at once")
     parser.add_argument("--program", default="build/src/app/papayarack")
     parser.add_argument("--standins", default="build/standins/standin_fleet")
     args = parser.parse_args()
--- /dev/null
+++ b/tools/soakcalls.py
@@ -0,0 +1,46 @@
+"""Calls of the soak test's callers, and what arrived of the answers."""
+
+import http.client
+
+FRONT = 29161
+CALL_TIMEOUT_S = 6.0
+
+
+def call(host, port, method, path, headers=None, body=None, timeout=CALL_TIMEOUT_S):
+    """Sends a request; returns (status, body, whole). Status 0 means no response."""
+    connection = http.client.HTTPConnection(host, port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        try:
+            return response.status, response.read().decode(), True
+        except (http.client.IncompleteRead, OSError):
+            return response.status, "", False
+    except (OSError, http.client.HTTPException):
+        return 0, "", False
+    finally:
+        connection.close()
+
+
+def stream_call(host, headers, path):
+    """Like call, but also returns what arrived of an answer that broke off."""
+    connection = http.client.HTTPConnection(host, FRONT, timeout=CALL_TIMEOUT_S)
+    status, body = 0, b""
+    try:
+        connection.request("POST", path, None, headers)
+        response = connection.getresponse()
+        status = response.status
+        while data := response.read1(4096):
+            body += data
+        return status, body.decode(), response.isclosed()
+    except (OSError, http.client.HTTPException):
+        return status, body.decode(), False
+    finally:
+        connection.close()
+
+
+def complete_events(body):
+    """(id, data) of each event that arrived completely."""
+    for event in body.split("\n\n")[:-1]:
+        fields = dict(line.split(": ", 1) for line in event.split("\n"))
+        yield int(fields["id"]), fields["data"]
