Soak: callers that read slowly, or not at all for seconds

Cause: every caller of the soak test read at once, so an entry's bounds on what it holds for callers met neither the faults nor other callers.

Change: twelve callers read large streams (40 events of 192 KB, which stand-in engines send for /large/) slowly or with halts of 0.5 to 4 s, all at the same entry for 4 s. They go on after the last fault, while ten usual streams must be served, the median within 0.3 s to the first event (the route's target) and 0.2 s of events. An entry's resident memory may exceed that at its start by 12 times twice the caller's bound and an event (448 KB), and by 8 MB for all else.

--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kPageSize = 2;
+/// Unread bytes above which a run produces no events, so that a response that
+/// is read slowly does not fill this process's memory.
+constexpr std::size_t kMaxUnreadBytes = 1U << 20U;
 constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
 
@@ -261,10 +264,13 @@
         this->server->Write(exchange, "id: 9");
         this->server->Abort(exchange);
         ended.push_back(exchange);
-      } else {
+      } else if (this->server->Unsent(exchange) <= kMaxUnreadBytes) {
+        const bool large = run.path.starts_with(this->options.large_prefix);
+        const std::string padding(large ? this->options.large_bytes : 0, 'x');
         this->server->Write(
-            exchange, fmt::format("id: {}\ndata: {}-{}-{}\n\n", run.next,
-                                  run.path, run.next, this->options.version));
+            exchange,
+            fmt::format("id: {}\ndata: {}{}-{}-{}\n\n", run.next, padding,
+                        run.path, run.next, this->options.version));
         ++run.next;
       }
     }
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -31,6 +31,9 @@
   bool admits_all = false;
   /// Version of its software, which each event's text names.
   std::string version = "v1";
+  /// Padding of each event of a path that begins with `large_prefix`.
+  std::size_t large_bytes = 0;
+  std::string large_prefix = "/large/";
   /// Number of upcoming runs to abort in the middle.
   std::uint64_t cut_next = 0;
 };
@@ -54,8 +57,9 @@
 };
 
 /// Streams `id: n`, `data: PATH-n-VERSION`, resumes after Last-Event-Id, and
-/// refuses requests for another instance id or without a free slot. Thread
-/// safety: none; use it on the event loop's thread.
+/// refuses requests for another instance id or without a free slot. A run waits
+/// while over 1 MB of its events are unread. Thread safety: none; use it on the
+/// event loop's thread.
 class StandInEngine {
  public:
   StandInEngine(asio::io_context& context, StandInEngineOptions options);
--- a/standins/fleet/standinfleet.cpp
+++ b/standins/fleet/standinfleet.cpp
@@ -11,7 +11,7 @@
 /// Runs stand-in engines and their replica list in one process until killed.
 /// Usage: standin_fleet FILE, where FILE is
 /// {"list":"host:port","engines":[{"id":"","service":"","address":"host:port",
-/// "slots":8,"events":20,"event_ms":5,"version":"v1"}]}
+/// "slots":8,"events":20,"event_ms":5,"version":"v1","large_bytes":0}]}
 namespace papayarack::standins {
 namespace {
 
@@ -30,6 +30,7 @@
     options.event_time =
         std::chrono::milliseconds(entry.at("event_ms").get<int>());
     options.version = entry.value("version", options.version);
+    options.large_bytes = entry.value("large_bytes", options.large_bytes);
     listed.push_back({options.id, entry.at("service").get<std::string>(),
                       address, "a", options.slots, false, 0, options.version});
     engines.push_back(
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -11,6 +11,8 @@
 - a configuration that is read is never older than an acknowledged one;
 - an organisation that sends seven times its usual load for seconds gets no more than its limit, and
   no other one that is below its own is refused for exceeding it;
+- callers that read slowly, or not at all for seconds, keep no other caller from being served in
+  time and do not fill an entry's memory;
 - each request that a process read whole was answered, refused or left by its caller, also at the
   end of a process that was stopped by a signal;
 - after the last fault everything works again within a time limit.
@@ -37,7 +39,8 @@
 from soakcalls import CALL_TIMEOUT_S, FRONT, call, complete_events, stream_call
 
 PEER, READY, CONTROL, ENGINE, LIST = 29720, 29167, 29166, 29008, 29169
-EVENTS = 40
+EVENTS, EVENT_MS = 40, 5
+ONLINE_TARGET_S = 0.3  # First event of an online request, as configured.
 VERSIONS = ("v1", "v2")  # Of the engines' software, alternately.
 RECOVERY_S = 15.0
 
@@ -98,7 +101,7 @@
         self.engines = [f"{args.network}.3.{i + 1}" for i in range(args.engines)]
         self.proxies = [Proxy((f"{args.network}.4.{i + 1}", FRONT), (host, FRONT)) for i, host in enumerate(self.entries)]
         listed = [{"id": f"engine-{i}", "service": "llm", "address": f"{host}:{ENGINE}", "slots": 8,
-                   "events": EVENTS, "event_ms": 5, "version": VERSIONS[i % len(VERSIONS)]} for i, host in enumerate(self.engines)]
+                   "events": EVENTS, "event_ms": EVENT_MS, "large_bytes": soakload.LARGE_EVENT_BYTES, "version": VERSIONS[i % len(VERSIONS)]} for i, host in enumerate(self.engines)]
         path = os.path.join(folder, "standins.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump({"list": f"{args.network}.9.1:{LIST}", "engines": listed}, file)
@@ -203,6 +206,8 @@
     return json.dumps({"Version": version, "Limits": {"IdleTimeoutMs": (15000, 1000)[version % 2]}, "Routes": [
         {"Name": "online", "PathPrefix": "/online/", "RouteType": "streaming", "TimeoutMs": 5000,
          "TargetLatencyMs": 300, "Resumable": True, "GapAimMs": 200, **common},
+        {"Name": "large", "PathPrefix": "/large/", "RouteType": "streaming", "TimeoutMs": 10000,
+         "TargetLatencyMs": 300, "Resumable": True, **common},
         {"Name": "batch", "PathPrefix": "/batch/", "RouteType": "batch", "TimeoutMs": 15000, "TargetLatencyMs": 500,
          "ResultDeadlineMs": 18000, "Cap": 10000000, **common}, *more],
         "Services": [{"Name": "llm", "Engine": {"Slots": 8}}], "Tenants": soakload.ORGANISATIONS})
@@ -376,6 +381,20 @@
         time.sleep(5)  # The fleet tolerates the next loss only after the restarted nodes have caught up.
 
 
+def check_served(fleet, checks, rng):
+    """Checks that callers are served in time although others read slowly."""
+    served, times = checks.whole, []
+    for _ in range(10):
+        begun = time.time()
+        stream(fleet, checks, rng)
+        times.append(time.time() - begun)
+    if checks.whole < served + 9:
+        checks.fail(f"only {checks.whole - served} of 10 streams served after the last fault")
+    usual = ONLINE_TARGET_S + EVENTS * EVENT_MS / 1000
+    if sorted(times)[5] > usual:
+        checks.fail(f"streams took {sorted(times)[5]:.2f} s after the last fault, {usual:.2f} s are usual at most")
+
+
 def wait_until(condition, seconds):
     until = time.time() + seconds
     while time.time() < until:
@@ -398,6 +417,7 @@
     summary = ""
     folder = tempfile.mkdtemp(prefix=f"papayarack-soak-{seed}-")
     fleet, checks, stop = Fleet(args, folder, gates), Checks(), threading.Event()
+    slow_stop = threading.Event()  # Slow callers go on after the last fault.
     started = time.time()
     faults = []
 
@@ -416,8 +436,9 @@
         threads = [threading.Thread(target=one, args=(fleet, checks, random.Random(rng.random()), stop), daemon=True)
                    for one in work]
         limited = soakload.LimitedCallers(fleet, checks, random.Random(rng.random()), stop)
+        slow = soakload.SlowCallers(fleet, checks, random.Random(rng.random()), slow_stop)
         threads += limited.threads
-        for thread in threads:
+        for thread in threads + slow.threads:
             thread.start()
         until = time.time() + args.seconds
         while time.time() < until:
@@ -435,17 +456,18 @@
             return not left
         if not wait_until(all_listed, RECOVERY_S + 18):
             checks.fail(f"{len(left)} batches incomplete after the last fault: {sorted(left)[:3]}")
-        served = checks.whole
-        for _ in range(10):
-            stream(fleet, checks, rng)
-        if checks.whole < served + 9:
-            checks.fail(f"only {checks.whole - served} of 10 streams served after the last fault")
+        check_served(fleet, checks, rng)
+        slow_stop.set()
+        for thread in slow.threads:
+            thread.join(timeout=CALL_TIMEOUT_S * 2)
+        summary += "; " + slow.report()
         for name in fleet.all_names():
             soakcounts.check_calm(name, fleet.host(name), checks)
         for name in rng.sample(fleet.all_names(), 2):
             fleet.stop(name, checks)
     finally:
         stop.set()
+        slow_stop.set()
         fleet.end_all()
     print(f"seed {seed}: {'FAILED' if checks.failures else 'ok'}; {checks.whole} streams whole, {checks.cut} cut, "
           f"{checks.resumed} taken up, {checks.refused} refused; {checks.kept} on kept connections, {checks.kept_unanswered} without an answer; {len(checks.accepted)} batches; {len(faults) - 1} faults; {gates} gates; {summary}", flush=True)
