--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,6 +9,12 @@
 - the results of an accepted batch are complete, each item once, with the engine's text;
 - a listed position never changes, at any entry;
 - a configuration that is read is never older than an acknowledged one;
+- an organisation that sends seven times its usual load for seconds gets no more than its limit, and
+  no other one that is below its own is refused for exceeding it;
+- a replica that answers with endless bytes delays nobody beyond the deadline, and no caller gets
+  any of these bytes;
+- callers that read slowly, or not at all for seconds, keep no other caller from being served in
+  time and do not fill an entry's memory;
 - each request that a process read whole was answered, refused or left by its caller, also at the
   end of a process that was stopped by a signal;
 - after the last fault everything works again within a time limit.
@@ -23,7 +29,6 @@
 import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -31,57 +36,17 @@
 import time
 
 import soakcounts
-
-PEER, FRONT, READY, CONTROL, ENGINE, LIST = 29720, 29161, 29167, 29166, 29008, 29169
-EVENTS = 40
+import soakload
+from soakcalls import CALL_TIMEOUT_S, FRONT, call, complete_events, stream_call
+from soakproxy import ENDLESS, Proxy
+
+PEER, READY, CONTROL, ENGINE, LIST = 29720, 29167, 29166, 29008, 29169
+DEADLINE_S = 5
+CALM_STREAMS = 80
+EVENTS, EVENT_MS = 40, 5
+ONLINE_TARGET_S = 0.3  # First event of an online request, as configured.
 VERSIONS = ("v1", "v2")  # Of the engines' software, alternately.
 RECOVERY_S = 15.0
-CALL_TIMEOUT_S = 6.0
-
-
-class Proxy:
-    """Forwards connections to an entry; can delay or reset them or stall one direction."""
-
-    def __init__(self, listen, target):
-        self.target, self.mode = target, "pass"
-        self.server = socket.create_server(listen, backlog=128)
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def close(self):
-        self.mode = "closed"
-        self.server.shutdown(socket.SHUT_RDWR)
-        self.server.close()
-
-    def accept(self):
-        while self.mode != "closed":
-            try:
-                caller, _ = self.server.accept()
-                entry = socket.create_connection(self.target, timeout=2)
-            except OSError:
-                continue
-            entry.settimeout(None)
-            for source, sink, to_entry in ((caller, entry, True), (entry, caller, False)):
-                threading.Thread(target=self.pump, args=(source, sink, to_entry), daemon=True).start()
-
-    def pump(self, source, sink, to_entry):
-        try:
-            while data := source.recv(4096):
-                mode = self.mode
-                if mode == "reset":
-                    break
-                if mode == "delay":
-                    time.sleep(0.05)
-                if mode == "silent" and not to_entry:
-                    time.sleep(3)
-                sink.sendall(data)
-        except OSError:
-            pass
-        for end in (source, sink):
-            try:
-                end.shutdown(socket.SHUT_RDWR)
-                end.close()
-            except OSError:
-                pass
 
 
 class Fleet:
@@ -90,22 +55,25 @@
     def __init__(self, args, folder, gates):
         self.gates = gates  # Number of engines with a gate next to them.
         self.args, self.folder, self.processes, self.first = args, folder, {}, True
-        self.entries = [f"127.1.1.{i + 1}" for i in range(args.entries)]
-        self.stores = [f"127.1.2.{i + 1}" for i in range(args.stores)]
-        self.engines = [f"127.1.3.{i + 1}" for i in range(args.engines)]
-        self.proxies = [Proxy((f"127.1.4.{i + 1}", FRONT), (host, FRONT)) for i, host in enumerate(self.entries)]
-        listed = [{"id": f"engine-{i}", "service": "llm", "address": f"{host}:{ENGINE}", "slots": 8,
-                   "events": EVENTS, "event_ms": 5, "version": VERSIONS[i % len(VERSIONS)]} for i, host in enumerate(self.engines)]
+        self.entries = [f"{args.network}.1.{i + 1}" for i in range(args.entries)]
+        self.stores = [f"{args.network}.2.{i + 1}" for i in range(args.stores)]
+        self.engines = [f"{args.network}.3.{i + 1}" for i in range(args.engines)]
+        self.proxies = [Proxy((f"{args.network}.4.{i + 1}", FRONT), (host, FRONT)) for i, host in enumerate(self.entries)]
+        listed = [{"id": f"engine-{i}", "service": "llm", "address": f"{host}:{ENGINE}", "slots": 8, "events": EVENTS,
+                   "event_ms": EVENT_MS, "large_bytes": soakload.LARGE_EVENT_BYTES, "version": VERSIONS[i % len(VERSIONS)]}
+                  for i, host in enumerate(self.engines)]
+        listed[-1]["listen"] = f"{args.network}.5.1:{ENGINE}"
+        self.faulty_engine = Proxy((self.engines[-1], ENGINE), (f"{args.network}.5.1", ENGINE))
         path = os.path.join(folder, "standins.json")
         with open(path, "w", encoding="utf-8") as file:
-            json.dump({"list": f"127.1.9.1:{LIST}", "engines": listed}, file)
+            json.dump({"list": f"{args.network}.9.1:{LIST}", "engines": listed}, file)
         self.standins = subprocess.Popen([args.standins, path])
 
     def settings(self, name, machine, host, more):
         lines = [f"NodeName={name}", f"MachineClass={machine}", f"Ip={host}", "Zone=a",
                  f"PortRange={PEER},{PEER + 9}", f"Bootstrap={'true' if self.first else 'false'}",
                  "Seeds=" + ",".join(f"{entry}:{CONTROL}" for entry in self.entries[:3]),
-                 "Tolerate.Machines=1", "Bounds.GraceS=8", f"Cloud.Address=127.1.9.1:{LIST}", *more]
+                 "Tolerate.Machines=1", "Bounds.GraceS=8", f"Cloud.Address={self.args.network}.9.1:{LIST}", *more]
         path = os.path.join(self.folder, name + ".conf")
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
@@ -152,7 +120,7 @@
             soakcounts.check_stopped(name, log.readlines(), checks)
 
     def end_all(self):
-        for proxy in self.proxies:
+        for proxy in [*self.proxies, self.faulty_engine]:
             proxy.close()
         for process in [*self.processes.values(), self.standins]:
             if process.poll() is None:
@@ -179,45 +147,12 @@
         with self.lock:
             self.failures.append(f"{time.time():.3f} {text}")
 
-
-def call(host, port, method, path, headers=None, body=None, timeout=CALL_TIMEOUT_S):
-    """Sends a request; returns (status, body, whole). Status 0 means no response."""
-    connection = http.client.HTTPConnection(host, port, timeout=timeout)
-    try:
-        connection.request(method, path, body, headers or {})
-        response = connection.getresponse()
-        try:
-            return response.status, response.read().decode(), True
-        except (http.client.IncompleteRead, OSError):
-            return response.status, "", False
-    except (OSError, http.client.HTTPException):
-        return 0, "", False
-    finally:
-        connection.close()
-
-
-def stream_call(host, headers, path):
-    """Like call, but also returns what arrived of an answer that broke off."""
-    connection = http.client.HTTPConnection(host, FRONT, timeout=CALL_TIMEOUT_S)
-    status, body = 0, b""
-    try:
-        connection.request("POST", path, None, headers)
-        response = connection.getresponse()
-        status = response.status
-        while data := response.read1(4096):
-            body += data
-        return status, body.decode(), response.isclosed()
-    except (OSError, http.client.HTTPException):
-        return status, body.decode(), False
-    finally:
-        connection.close()
-
-
-def complete_events(body):
-    """(id, data) of each event that arrived completely."""
-    for event in body.split("\n\n")[:-1]:
-        fields = dict(line.split(": ", 1) for line in event.split("\n"))
-        yield int(fields["id"]), fields["data"]
+    def check_answer(self, organisation, path, status, body):
+        """Checks what a caller with a valid key was answered; "steady" has no limit."""
+        if ENDLESS in body:
+            self.fail(f"{path}, answered {status}, has bytes of an endless response")
+        if status == 401 or (status == 429 and organisation == "steady"):
+            self.fail(f"{organisation} was answered {status} for {path}")
 
 
 def text_of(path, version):
@@ -235,20 +170,22 @@
     return json.dumps({"Version": version, "Limits": {"IdleTimeoutMs": (15000, 1000)[version % 2]}, "Routes": [
         {"Name": "online", "PathPrefix": "/online/", "RouteType": "streaming", "TimeoutMs": 5000,
          "TargetLatencyMs": 300, "Resumable": True, "GapAimMs": 200, **common},
+        {"Name": "large", "PathPrefix": "/large/", "RouteType": "streaming", "TimeoutMs": 10000,
+         "TargetLatencyMs": 300, "Resumable": True, **common},
         {"Name": "batch", "PathPrefix": "/batch/", "RouteType": "batch", "TimeoutMs": 15000, "TargetLatencyMs": 500,
          "ResultDeadlineMs": 18000, "Cap": 10000000, **common}, *more],
-        "Services": [{"Name": "llm", "Engine": {"Slots": 8}}]})
+        "Services": [{"Name": "llm", "Engine": {"Slots": 8}}], "Tenants": soakload.ORGANISATIONS})
 
 
 def stream(fleet, checks, rng):
     """Reads one stream; takes it up at another entry when it breaks off."""
     path = f"/online/{rng.randrange(1 << 40):x}"
-    headers = {"Host": "h.example", "Deadline-Ms": "5000"}
+    headers = {"Deadline-Ms": "5000", **soakload.identity()}
     lines = []
     for attempt in range(3):
         headers["Request-Id"] = f"{path[8:]}-{attempt}"
-        host = f"127.1.4.{rng.randrange(len(fleet.entries)) + 1}"
-        status, body, whole = stream_call(host, headers, path)
+        status, body, whole = stream_call(rng.choice(fleet.proxies).address, headers, path)
+        checks.check_answer("steady", path, status, body)
         new = [data for number, data in complete_events(body) if number > len(lines)] if status == 200 else []
         if new and not lines:
             headers["Resumes"] = headers["Request-Id"]
@@ -289,14 +226,16 @@
             closes = False
             while not closes and not stop.is_set():
                 path = f"/{rng.choice(['online', 'more-0', 'nowhere'])}/{rng.randrange(1 << 40):x}"
-                connection.request("POST", path, None, {"Host": "h.example", "Request-Id": path, "Deadline-Ms": "5000"})
+                connection.request("POST", path, None, {"Request-Id": path, "Deadline-Ms": "5000", **soakload.identity()})
                 sent += 1
                 response = connection.getresponse()
                 closes = response.will_close
-                response.read()
+                checks.check_answer("steady", path, response.status, response.read().decode())
                 answered += 1
         except (OSError, http.client.HTTPException) as error:
             time.sleep(0.05)
+            if sent > answered:
+                checks.check_answer("steady", path, 0, getattr(error, "partial", b"").decode())
             if sent > answered and process.poll() != -signal.SIGKILL:
                 checks.note(f"{path} at {entry} got no answer: {error!r}")
         connection.close()
@@ -313,7 +252,7 @@
         status = 0
         while status != 202 and not stop.is_set():
             entry = rng.choice(fleet.entries)
-            status, _, _ = call(entry, FRONT, "POST", "/batch/" + batch, {"Host": "h.example", "Request-Id": batch},
+            status, _, _ = call(entry, FRONT, "POST", "/batch/" + batch, {"Request-Id": batch, **soakload.identity()},
                                 json.dumps({"Items": items}))
             time.sleep(0.1)
         if status == 202:
@@ -324,7 +263,7 @@
 
 def read_batch(entry, batch, checks):
     """Compares the listed results with earlier reads. True if the batch is complete."""
-    status, body, whole = call(entry, FRONT, "GET", f"/lots/{batch}?After=0", {"Host": "h.example"})
+    status, body, whole = call(entry, FRONT, "GET", f"/lots/{batch}?After=0", soakload.identity())
     if status == 404:
         checks.fail(f"batch {batch} was accepted but is unknown at {entry}")
     if status != 200 or not whole:
@@ -376,11 +315,12 @@
 
 def inject_fault(fleet, checks, rng, log):
     """Injects a fault and ends it; blocks meanwhile. Never wipes two disks at the same time."""
-    kind = rng.choice(["kill", "pause", "stop", "stop", "wipe", "kill_gates", "kill_all", "proxy", "proxy", "pause", "kill"])
+    kind = rng.choice(["kill", "pause", "stop", "stop", "wipe", "kill_gates", "kill_all", "proxy", "proxy", "pause", "kill",
+                       "endless", "endless"])
     duration = rng.uniform(0.2, 2.5)
-    if kind == "proxy":
-        proxy = rng.choice(fleet.proxies)
-        proxy.mode = rng.choice(["delay", "reset", "silent"])
+    if kind in ("proxy", "endless"):
+        proxy = rng.choice(fleet.proxies) if kind == "proxy" else fleet.faulty_engine
+        proxy.mode = rng.choice(["delay", "reset", "silent"]) if kind == "proxy" else kind
         log(f"proxy {proxy.mode} {duration:.1f} s")
         time.sleep(duration)
         proxy.mode = "pass"
@@ -407,6 +347,32 @@
         time.sleep(5)  # The fleet tolerates the next loss only after the restarted nodes have caught up.
 
 
+def check_served(fleet, checks, rng):
+    """Checks that callers are served in time although others read slowly and an engine answers endlessly."""
+    served, times = checks.whole, []
+    fleet.faulty_engine.mode = "endless"
+
+    def call_often(rng):
+        for _ in range(CALM_STREAMS // 4):
+            begun = time.time()
+            stream(fleet, checks, rng)
+            times.append(time.time() - begun)
+    callers = [threading.Thread(target=call_often, args=(random.Random(rng.random()),)) for _ in range(4)]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    fleet.faulty_engine.mode = "pass"
+    if checks.whole < served + CALM_STREAMS * 0.9:
+        checks.fail(f"only {checks.whole - served} of {CALM_STREAMS} streams served after the last fault")
+    times.sort()
+    usual = ONLINE_TARGET_S + EVENTS * EVENT_MS / 1000
+    if times[len(times) // 2] > usual or times[-1] > DEADLINE_S:
+        checks.fail(f"streams took {times[len(times) // 2]:.2f} s after the last fault, {usual:.2f} s are usual at most, or "
+                    f"{times[-1]:.2f} s, their deadline is {DEADLINE_S} s")
+    return f"calm: {times[len(times) // 2]:.2f} s, at most {times[-1]:.2f} s"
+
+
 def wait_until(condition, seconds):
     until = time.time() + seconds
     while time.time() < until:
@@ -426,8 +392,10 @@
 def run_seed(seed, args):
     rng = random.Random(seed)
     gates = gate_count(seed, args)
+    summary = ""
     folder = tempfile.mkdtemp(prefix=f"papayarack-soak-{seed}-")
     fleet, checks, stop = Fleet(args, folder, gates), Checks(), threading.Event()
+    slow_stop = threading.Event()  # Slow callers go on after the last fault.
     started = time.time()
     faults = []
 
@@ -445,7 +413,10 @@
         work = [online_caller] * 6 + [kept_caller] * 3 + [batch_caller] * 2 + [batch_reader, operator]
         threads = [threading.Thread(target=one, args=(fleet, checks, random.Random(rng.random()), stop), daemon=True)
                    for one in work]
-        for thread in threads:
+        limited = soakload.LimitedCallers(fleet, checks, random.Random(rng.random()), stop)
+        slow = soakload.SlowCallers(fleet, checks, random.Random(rng.random()), slow_stop)
+        threads += limited.threads
+        for thread in threads + slow.threads:
             thread.start()
         until = time.time() + args.seconds
         while time.time() < until:
@@ -455,6 +426,7 @@
         for thread in threads:
             thread.join(timeout=CALL_TIMEOUT_S * 2)
         log("last fault over")
+        summary = limited.report()
         left = set(checks.accepted)
 
         def all_listed():
@@ -462,20 +434,22 @@
             return not left
         if not wait_until(all_listed, RECOVERY_S + 18):
             checks.fail(f"{len(left)} batches incomplete after the last fault: {sorted(left)[:3]}")
-        served = checks.whole
-        for _ in range(10):
-            stream(fleet, checks, rng)
-        if checks.whole < served + 9:
-            checks.fail(f"only {checks.whole - served} of 10 streams served after the last fault")
+        summary += "; " + check_served(fleet, checks, rng)
+        slow_stop.set()
+        for thread in slow.threads:
+            thread.join(timeout=CALL_TIMEOUT_S * 2)
+        summary += "; " + slow.report() + f"; {fleet.faulty_engine.endless} endless answers"
         for name in fleet.all_names():
             soakcounts.check_calm(name, fleet.host(name), checks)
         for name in rng.sample(fleet.all_names(), 2):
             fleet.stop(name, checks)
     finally:
         stop.set()
+        slow_stop.set()
         fleet.end_all()
     print(f"seed {seed}: {'FAILED' if checks.failures else 'ok'}; {checks.whole} streams whole, {checks.cut} cut, "
-          f"{checks.resumed} taken up, {checks.refused} refused; {checks.kept} on kept connections, {checks.kept_unanswered} without an answer; {len(checks.accepted)} batches; {len(faults) - 1} faults; {gates} gates", flush=True)
+          f"{checks.resumed} taken up, {checks.refused} refused; {checks.kept} on kept connections, {checks.kept_unanswered} without an answer; "
+          f"{len(checks.accepted)} batches; {len(faults) - 1} faults; {gates} gates; {summary}", flush=True)
     if checks.notes:
         print("\n".join(["notes:"] + checks.notes[:10]), flush=True)
     if checks.failures:
@@ -492,6 +466,7 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--stores", type=int, default=3)
     parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument("--network", default="127.1", help="first two numbers of the addresses; differ for soaks at once")
     parser.add_argument("--program", default="build/src/app/papayarack")
     parser.add_argument("--standins", default="build/standins/standin_fleet")
     args = parser.parse_args()
