Test: a request told not to have run never runs, through processes

Cause: that "not run" stays true was tested at the relay alone. Change: the stand-in engine has a queue of its own, and entries are killed, give up or leave while requests wait in it.

--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -42,6 +42,7 @@
   };
   handlers.on_gone = [this](http::ExchangeId exchange) {
     this->running.erase(exchange);
+    this->waiting.erase(exchange);
   };
   this->server = std::make_unique<http::HttpServer>(
       this->context, this->options.listen, http::HttpServerLimits{},
@@ -98,6 +99,7 @@
 
 void StandInEngine::Crash() {
   ++this->crash_count;
+  this->waiting.clear();
   this->running.clear();
   this->server.reset();
   this->restart.expires_after(this->down_time);
@@ -117,6 +119,7 @@
 StandInEngine::~StandInEngine() { *this->alive = false; }
 
 void StandInEngine::Stop() {
+  this->waiting.clear();
   this->running.clear();
   this->server.reset();
 }
@@ -149,6 +152,7 @@
 void StandInEngine::StopResponding() {
   this->unresponsive = true;
   this->running.clear();
+  this->waiting.clear();
 }
 
 void StandInEngine::Restart(std::uint64_t started_ms) {
@@ -158,7 +162,8 @@
 }
 
 void StandInEngine::Report(http::ExchangeId exchange) {
-  nlohmann::json report = {{"Running", this->running.size()}, {"Waiting", 0}};
+  nlohmann::json report = {{"Running", this->running.size()},
+                           {"Waiting", this->waiting.size()}};
   if (this->options.started_ms != 0) {
     report["born"] = this->options.started_ms;
   }
@@ -201,6 +206,24 @@
     this->Refuse(exchange, kServiceUnavailable);
     return;
   }
+  if (this->options.runs_at_once != 0) {
+    this->waiting.emplace(exchange, request);
+    this->BeginWaiting();
+  } else {
+    this->Begin(exchange, request);
+  }
+}
+
+void StandInEngine::BeginWaiting() {
+  while (!this->waiting.empty() &&
+         this->running.size() < this->options.runs_at_once) {
+    const auto next = this->waiting.extract(this->waiting.begin());
+    this->Begin(next.key(), next.mapped());
+  }
+}
+
+void StandInEngine::Begin(http::ExchangeId exchange,
+                          const http::HttpRequest& request) {
   const std::string id(request.headers.Get("Request-Id"));
   Run run;
   run.number = this->seen.size();
@@ -271,6 +294,7 @@
     for (const http::ExchangeId exchange : ended) {
       this->running.erase(exchange);
     }
+    this->BeginWaiting();
     this->Step();
   });
 }
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -29,6 +29,9 @@
   /// Admits runs beyond its slots, like engines with an internal queue;
   /// otherwise refuses them.
   bool admits_all = false;
+  /// Runs at once; more requests wait, without a response, in the engine's own
+  /// queue. Zero: all that are admitted run at once.
+  std::uint32_t runs_at_once = 0;
   /// Version of its software, which each event's text names.
   std::string version = "v1";
   /// Number of upcoming runs to abort in the middle.
@@ -93,6 +96,7 @@
   const std::string& id() const { return this->options.id; }
   const std::string& version() const { return this->options.version; }
   std::size_t running_count() const { return this->running.size(); }
+  std::size_t waiting_count() const { return this->waiting.size(); }
   /// Ends like a crashed process: breaks off all runs and refuses connections.
   void Stop();
   /// Starts after Stop as replica `id` with software `version`.
@@ -117,12 +121,15 @@
   void Report(http::ExchangeId exchange);
   void ReportLater(http::ExchangeId exchange);
   void Refuse(http::ExchangeId exchange, int status);
+  void Begin(http::ExchangeId exchange, const http::HttpRequest& request);
+  void BeginWaiting();
   void Step();
   void TrackOverload();
 
   StandInEngineOptions options;
   std::unique_ptr<http::HttpServer> server;
   std::map<http::ExchangeId, Run> running;
+  std::map<http::ExchangeId, http::HttpRequest> waiting;  ///< Oldest first.
   std::vector<SeenRun> seen;
   std::uint64_t max_running = 0;
   Time overloaded_since{};  ///< Zero unless it has more runs than slots.
