--- a/src/placement/internal/slotsearch.cpp
+++ b/src/placement/internal/slotsearch.cpp
@@ -77,6 +77,9 @@
 }
 
 void SlotSearch::WouldPreempt() {
+  if (!this->may_spare) {
+    return;  // It was asked to preempt one: not asked again.
+  }
   ++this->preemptible_gates;
   if (!this->preemptible.has_value()) {
     this->preemptible = this->asked;
--- a/src/placement/tests/slotsearch_tests.cpp
+++ b/src/placement/tests/slotsearch_tests.cpp
@@ -102,6 +102,10 @@
       CHECK(other.engine.address != first.engine.address);
       CHECK_FALSE(other.spares_items);
     }
+    SECTION("and does not ask again where that is refused all the same") {
+      search.WouldPreempt();
+      CHECK(next().engine.address != first.engine.address);
+    }
   }
   SECTION("and preempts one if no other gate is left") {
     EngineChooser small(1);
