Slot search: a test of what a gate sends after its grant

Cause: nothing failed when a second message of a gate was taken for another reply.

Change: a section in which a gate sends two more messages after a grant.

Result: it fails without the check in SlotFinder::OnReply.

--- a/src/nodes/tests/slotfinder_tests.cpp
+++ b/src/nodes/tests/slotfinder_tests.cpp
@@ -116,6 +116,7 @@
                                Time) { this->asked.push_back(engine); };
     handlers.on_found = [this](SlotFinder::RequestId, const FoundSlot& slot) {
       this->found = slot;
+      ++this->times_found;
     };
     handlers.on_none = [this](SlotFinder::RequestId,
                               const placement::NoSlot& result) {
@@ -136,6 +137,7 @@
   FakeGate second;
   std::vector<placement::EngineOption> asked;
   std::optional<FoundSlot> found;
+  int times_found = 0;
   std::optional<placement::NoSlot> none;
   std::string restarted;
   SlotFinder finder{this->peers, this->chooser, this->speed_learner, "z",
@@ -158,6 +160,16 @@
   CHECK(fixture.first.asks.front().organisation == "o1");
   CHECK(fixture.second.asks.empty());
 
+  SECTION("whatever else its gate sends") {
+    fixture.first.Reply(ReplyOf(SlotVerdict::kBusy));
+    fixture.first.Reply(ReplyOf(SlotVerdict::kGranted));
+    fixture.context.run_for(milliseconds(50));
+    fixture.context.restart();
+    CHECK(fixture.finder.Holds(kRequest));
+    CHECK(fixture.times_found == 1);
+    CHECK(fixture.asked.size() == 1);
+    fixture.finder.Release(kRequest);
+  }
   SECTION("by a request that goes on") { fixture.finder.Release(kRequest); }
   SECTION("by one that has ended") {
     fixture.finder.Remove(kRequest);
