--- a/src/nodes/internal/slotfinder.cpp
+++ b/src/nodes/internal/slotfinder.cpp
@@ -109,6 +109,7 @@
   try {
     reply = DecodeMessage<SlotReply>(bytes);
   } catch (const ResultError&) {
+    this->peers.Cancel(search->slot);  // The gate may have granted one.
     this->OnLost(id, ask);
     return;
   }
--- a/src/placement/internal/enginechooser.cpp
+++ b/src/placement/internal/enginechooser.cpp
@@ -65,6 +65,7 @@
   state.failures = 0;
   state.backoff_until = {};
   state.speed = {};
+  state.noted_slow = false;
   return EngineRestart{before,
                        {reported_start.address, state.id, state.started_ms}};
 }
