--- a/src/batches/gatespeeds.h
+++ b/src/batches/gatespeeds.h
@@ -20,8 +20,8 @@
 /// no I/O. Thread safety: none.
 class GateSpeeds {
  public:
-  /// A gate counts as slow from this factor over the typical one on: beyond
-  /// what the number of runs beside makes of equal replicas.
+  /// A gate counts as slow from this factor over the typical one on. Equal
+  /// replicas differ by less, through the number of their concurrent runs.
   static constexpr double kSlow = 1.4;
   /// A longer time counts as this factor over the typical one. A time that is
   /// shorter than the median by more than this factor is not believed:
