Review case 3: a refusal that comes twice, an entry of the list of known failures

Seen: a second, late copy of a refusal is taken for the answer to the second send of the same request, which then runs at two replicas. Rule TWICE is broken.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,84 +1,100 @@
-"""LOST: a batch route for anonymous callers is added on a host; the batch jobs of tenants on that host are answered 404."""
+"""A replica's refusal comes twice, the second copy late; the request has been sent to it again by then."""
 import asyncio
-import json
 import pathlib
-import random
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from fleet import BATCH, STREAM, TROUBLE, Deployment, call, play  # noqa: E402
+import fleet  # noqa: E402
 
-TENANT = "t-4be1"
-KEY = "7d1c55e09a3b42f6"
-OPEN_ROUTE = {**BATCH, "Name": "r-open", "PathPrefix": "/open77/", "AllowAnonymous": True}
-SETTLE_S = 1.0  # SettleMs is 1000.
-CONFIG_APPLY_S = 2.5  # ConfigApplyMs is 2500; longer than any bound that counts here.
-ITEMS = 10
+BROKEN = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError)
+TROUBLE_S = 5.0
+VICTIM_GAP_S = 0.7
+ROUTE = {**fleet.STREAM, "Name": "r-d3zji9n", "PathPrefix": "/pufi791/", "Resumable": False, "MaxAttempts": 1}
 
 
-class WithTenants(Deployment):
-    """Settings and configuration of a deployment whose callers have keys."""
+class TwiceAnswering(fleet.Replica):
+    """Is full for a moment when it first gets one of the marked requests, and refuses it (503, Not-Executed). The first
+    replica spoils: it sends that answer once more, late, where the next answer on the connection is expected."""
 
-    def settings(self, name):
-        path = super().settings(name)
-        file = pathlib.Path(path)
-        text = file.read_text(encoding="utf-8")
-        text = text.replace("batch,stream,engine", "health,pool,batch,stream,engine,tenants,quota")
-        text += "Bounds.StrictRevoke=true\nBounds.RevokeMs=5000\nBounds.QuotaWindowS=5\nBounds.QuotaSlack=20\n"
-        file.write_text(text, encoding="utf-8")
-        return path
+    def __init__(self, *args):
+        super().__init__(*args, events=8, event_s=0.01)
+        self.refused = set()
+        self.late = {}  # By connection: bytes of the second copy.
+        self.spoils = False
+        self.answers = self.spoiled = 0
 
-    def configuration(self, routes, version):
-        document = json.loads(super().configuration(routes, version))
-        document["Tenants"] = [{"Name": TENANT, "ApiKeys": [KEY], "Priority": 0}]
-        return json.dumps(document)
+    async def serve(self, reader, writer, number, path, fields, length):
+        await reader.readexactly(length)
+        request_id = fields["request-id"]
+        late = self.late.pop(number, None)
+        if late:
+            self.record(f"{self.name} conn {number} sends its earlier answer once more, before that to {request_id}")
+            writer.write(late)
+            await writer.drain()
+            self.spoiled += 1
+        self.answers += 1
+        status = self.refusal(fields)
+        if not status and request_id.startswith("victim") and request_id not in self.refused:
+            self.refused.add(request_id)
+            status = 503
+        if not status:
+            return await self.answer(writer, number, path, fields, request_id)
+        self.record(f"{self.name} conn {number} refuses {request_id} with {status}")
+        data = self.bytes_of(status, b"", [("Not-Executed", "1")], request_id)
+        writer.write(data)
+        await writer.drain()
+        if fleet.TROUBLE and self.spoils and status == 503 and request_id.startswith("victim"):
+            self.late[number] = data
+        return True
+
+
+async def ask(deployment, record, entry, request_id):
+    record(f"client sends {request_id}")
+    try:
+        status, _, body = await asyncio.wait_for(fleet.call(
+            entry, deployment.front, "POST", f"/pufi791/{request_id}",
+            {"Request-Id": request_id, "Deadline-Ms": "5000", "Model": "m", "Token-Usage": "10,20"}, "hello"), 6)
+        status = f"{status} with {body.count(b'id: ')} events"
+    except BROKEN as error:
+        status = repr(error)
+    record(f"client got {status} for {request_id}")
+
+
+async def ordinary(deployment, record, client, stop):
+    """A client's other requests, at the other entries."""
+    number = 0
+    while not stop.is_set():
+        number += 1
+        await ask(deployment, record, deployment.entries()[1 + client % 2], f"plain{client}-{number:04d}")
 
 
 async def case(record):
-    deployment = WithTenants(record, replicas=2)
+    deployment = fleet.Deployment(record, replicas=2, make=TwiceAnswering)
+    deployment.replicas[0].spoils = True
     try:
         await deployment.begin()
-        await deployment.configure([STREAM, BATCH])
+        await deployment.configure([fleet.STREAM, ROUTE])
         await deployment.ready_all()
-        await asyncio.sleep(2)
-        entries = deployment.entries()
-        batch = f"{random.randrange(1 << 64):016x}"
-        ids = [f"{random.randrange(1 << 64):016x}" for _ in range(ITEMS)]
-        items = [{"Id": item, "Path": f"{BATCH['PathPrefix']}3/{item[:4]}", "Body": "q83vEjRWeJA=", "Tokens": 40,
-                  "Headers": {"Model": "m", "Token-Usage": "20,20", "Prompt-Prefix": f"{item}:20"}} for item in ids]
-        status, _, _ = await call(entries[0], deployment.front, "POST", BATCH["PathPrefix"] + batch,
-                                  {"Request-Id": batch, "Content-Type": "application/json", "Api-Key": KEY},
-                                  json.dumps({"Items": items}))
-        record(f"batch {batch} of {TENANT}: {status}")
-        if status != 202:
-            raise RuntimeError("the batch job was not accepted")
-        accepted = time.monotonic()
-        await asyncio.sleep(SETTLE_S + 1)
-        breaks = []
-
-        async def look(when):
-            for host in entries:
-                status, _, body = await asyncio.wait_for(
-                    call(host, deployment.front, "GET", f"/lots/{batch}?After=0", {"Api-Key": KEY}, ""), 5)
-                listed = len(json.loads(body)["Results"]) if status == 200 else 0
-                age = time.monotonic() - accepted
-                record(f"{when}: {host} answers {status} to a read, {listed} results, {age:.1f} s after the 202")
-                if status in (404, 410):
-                    breaks.append(f"LOST: {host} answers {status} for an accepted batch job, {age:.1f} s after the 202")
-
-        await look("before")
-        if TROUBLE:
-            await deployment.configure([STREAM, BATCH, OPEN_ROUTE])
-        await asyncio.sleep(CONFIG_APPLY_S)
-        for _ in range(3):
-            await look("after")
-            await asyncio.sleep(0.5)
-        status, _, _ = await call(entries[1], deployment.front, "DELETE", f"/lots/{batch}", {"Api-Key": KEY}, "")
-        record(f"the end of the batch job is answered {status}")
-        return breaks
+        stop = asyncio.Event()
+        clients = [asyncio.create_task(ordinary(deployment, record, client, stop)) for client in range(8)]
+        await asyncio.sleep(1)
+        until = asyncio.get_running_loop().time() + TROUBLE_S
+        victim = 0
+        while asyncio.get_running_loop().time() < until:
+            victim += 1
+            await ask(deployment, record, deployment.entries()[0], f"victim{victim:02d}")
+            await asyncio.sleep(VICTIM_GAP_S)
+        stop.set()
+        await asyncio.gather(*clients)
+        runs = {}
+        for replica in deployment.replicas:
+            record(f"{replica.name}: {replica.spoiled} of {replica.answers} answers came twice")
+            for request_id, _ in replica.runs:
+                runs.setdefault(request_id, []).append(replica.name)
+        return [f"TWICE: {request_id}, which isn't idempotent, ran at {' and at '.join(where)}"
+                for request_id, where in runs.items() if len(where) > 1]
     finally:
         deployment.end()
 
 
-play(pathlib.Path(__file__).parent, case)
+fleet.play(pathlib.Path(__file__).parent, case)
