HttpClient: a connection carries the same request only once

Cause: HttpClient tells a late answer by the request's id. A replica's refusal may come twice, the second copy late. Where the same request was sent to that replica again on the pooled connection, the copy was taken for the answer to the second send, and the request, which ran, was sent to another replica.

Change: a connection remembers the ids that it has carried and carries none of them again; it is closed after 1,000 calls. Calls whose answers name no request (reports of load) have connections of their own. This covers what goes through HttpClient beside online requests: items after a refusal or a failure, and a request sent again to a replica that names another id.

--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -29,7 +29,9 @@
   Headers headers;  ///< Content-Length is added.
   std::string body;
   /// Name and value of the header that identifies the response to this call; a
-  /// response with another value is skipped. Empty: not checked.
+  /// response with another value is skipped. A pooled connection that has
+  /// carried a call with the same value is not used. Empty: not checked; uses
+  /// other connections than calls that have one.
   Header identity;
   /// Whether a pooled connection may be used. The peer may already have closed
   /// it, so the outcome of a failure on one is unknown.
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <asio.hpp>
+#include <functional>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -23,6 +24,9 @@
 /// Subtracted from the idle timeout that a peer announces: the request must
 /// arrive before the peer closes the connection.
 constexpr std::chrono::milliseconds kIdleMargin{500};
+/// A connection that has carried this many calls is closed, which bounds what
+/// is remembered of each.
+constexpr std::size_t kMaxCallsPerConnection = 1000;
 
 /// `timeout=N` of a Keep-Alive header; nothing if there is none.
 std::optional<std::chrono::milliseconds> AnnouncedIdleTimeout(
@@ -45,6 +49,15 @@
 }  // namespace
 
 struct HttpClient::Impl {
+  /// Connections that may carry the same calls. Those of calls without an
+  /// identity are kept apart: such a response names no call, so a late copy of
+  /// it would be taken for the response to any call.
+  struct PoolKey {
+    std::string address;
+    bool identified = false;
+    auto operator<=>(const PoolKey&) const = default;
+  };
+
   struct Link {
     Link(asio::io_context& context, std::size_t max_head)
         : socket(context),
@@ -58,7 +71,9 @@
     HeadParser::Callbacks hooks;
     HeadParser parser;
     std::array<char, kReadChunk> chunk{};
-    std::string address;
+    PoolKey pool;
+    /// Hashes of the identities of all calls that it has carried.
+    std::vector<std::size_t> carried;
     std::string request;  ///< Bytes of the request, sent or being sent.
     HttpCallId call = 0;  ///< Zero while idle.
     bool connected = false;
@@ -90,7 +105,7 @@
     for (auto& [id, call] : this->calls) {
       Close(*call.link);
     }
-    for (auto& [address, links] : this->idle) {
+    for (auto& [pool, links] : this->idle) {
       for (const LinkPtr& link : links) {
         Close(*link);
       }
@@ -102,36 +117,58 @@
     link.socket.close(ignored);
   }
 
-  LinkPtr TakeIdle(const std::string& address) {
-    const auto found = this->idle.find(address);
+  static std::size_t HashOf(const Header& identity) {
+    return std::hash<std::string>()(identity.value);
+  }
+
+  static bool IsUsable(const Link& link, Time now) {
+    return link.socket.is_open() && now - link.since < link.idle_limit;
+  }
+
+  /// Takes a connection that has not carried a call with the same identity. A
+  /// faulty peer may send a response twice, the second copy late; where the
+  /// same request is sent again on that connection, the copy would be taken for
+  /// the new response, and a request that runs for one that was refused.
+  LinkPtr TakeIdle(const PoolKey& pool, const Header& identity) {
+    const auto found = this->idle.find(pool);
     if (found == this->idle.end()) {
       return nullptr;
     }
+    std::vector<LinkPtr>& links = found->second;
     const Time now = MonotonicNow();
-    while (!found->second.empty()) {
-      // The connection used last is least likely to have been closed by the
-      // peer.
-      LinkPtr link = found->second.back();
-      found->second.pop_back();
-      if (link->socket.is_open() && now - link->since < link->idle_limit) {
-        return link;
+    std::erase_if(links, [now](const LinkPtr& link) {
+      const bool usable = IsUsable(*link, now);
+      if (!usable) {
+        Close(*link);
       }
-      Close(*link);
+      return !usable;
+    });
+    const std::size_t hash = HashOf(identity);
+    // The connection used last is least likely to have been closed by the peer.
+    const auto last =
+        std::find_if(links.rbegin(), links.rend(), [&](const LinkPtr& link) {
+          return !pool.identified ||
+                 std::ranges::find(link->carried, hash) == link->carried.end();
+        });
+    if (last == links.rend()) {
+      return nullptr;
     }
-    this->idle.erase(found);
-    return nullptr;
+    LinkPtr link = *last;
+    links.erase(std::next(last).base());
+    return link;
   }
 
   HttpCallId Start(HttpCall call, HttpCallHandlers handlers) {
     const HttpCallId id = ++this->last_call;
-    const std::string address = call.peer.ToString();
-    LinkPtr link = call.reuse ? this->TakeIdle(address) : nullptr;
+    const PoolKey pool{call.peer.ToString(), !call.identity.name.empty()};
+    LinkPtr link = call.reuse ? this->TakeIdle(pool, call.identity) : nullptr;
     const bool reused = link != nullptr;
     if (!reused) {
       link =
           std::make_shared<Link>(this->context, this->options.max_head_bytes);
-      link->address = address;
+      link->pool = pool;
     }
+    link->carried.push_back(HashOf(call.identity));
     link->call = id;
     link->sent_any = false;
     link->paused = false;
@@ -327,8 +364,9 @@
   }
 
   void AddIdle(const LinkPtr& link) {
-    auto& links = this->idle[link->address];
-    if (links.size() >= this->options.max_idle_per_peer) {
+    auto& links = this->idle[link->pool];
+    if (links.size() >= this->options.max_idle_per_peer ||
+        link->carried.size() >= kMaxCallsPerConnection) {
       Close(*link);
       return;
     }
@@ -347,7 +385,7 @@
 
   void CloseIdleLink(const LinkPtr& link) {
     Close(*link);
-    const auto found = this->idle.find(link->address);
+    const auto found = this->idle.find(link->pool);
     if (found != this->idle.end()) {
       std::erase(found->second, link);
     }
@@ -407,12 +445,14 @@
   }
 
   void CloseIdle(const std::string& address) {
-    const auto links = this->idle.extract(address);
-    if (links.empty()) {
-      return;
-    }
-    for (const LinkPtr& link : links.mapped()) {
-      Close(*link);
+    for (const bool identified : {false, true}) {
+      const auto links = this->idle.extract(PoolKey{address, identified});
+      if (links.empty()) {
+        continue;
+      }
+      for (const LinkPtr& link : links.mapped()) {
+        Close(*link);
+      }
     }
   }
 
@@ -443,7 +483,7 @@
 
   void CloseExpiredIdle() {
     const Time now = MonotonicNow();
-    for (auto& [address, links] : this->idle) {
+    for (auto& [pool, links] : this->idle) {
       std::erase_if(links, [now](const LinkPtr& link) {
         const bool old = now - link->since >= link->idle_limit;
         if (old) {
@@ -460,7 +500,7 @@
   HttpClientOptions options;
   asio::steady_timer sweep;
   std::unordered_map<HttpCallId, Pending> calls;
-  std::map<std::string, std::vector<LinkPtr>> idle;
+  std::map<PoolKey, std::vector<LinkPtr>> idle;
   HttpCallId last_call = 0;
   std::uint64_t connections_made = 0;
   /// False after destruction, for completion handlers still queued on the loop.
