Batch calls: the caller's key is read whatever routes its host has

Cause: whose key is read was decided by the routes that the host has now. If one of them allows anonymous callers, no key was read, and the job group hid the batch from the caller without an organisation.

Evidence: batch_call_refused at the entries, code 101, status 404, answered by the job group's leader, which still held the batch and its results.

Change: IdentifyBatchCaller reads the key of each call about a batch; routes decide only whether a caller who may not know of the batch is told 401 or 404. Batches of organisations are shown to holders of their keys only. The same cause on related paths: a batch that comes again on a route that was opened meanwhile (409 before; the submission now names the holder of the key), batches without a key once the open route is removed (401 before), outdated keys on such a host (404 before, now 503). A request to end an unknown batch adds no log entry any more, as callers without a key may reach it.

--- a/src/batches/batchmessages.h
+++ b/src/batches/batchmessages.h
@@ -42,8 +42,11 @@
   std::string organisation = {};  ///< Empty: submitted anonymously.
   /// Version of the configuration that allowed it; zero: unknown.
   std::uint64_t config_version = 0;
+  /// Holds the key that the caller sent, also where the route needs none;
+  /// empty: nobody. Tells that a batch which comes again is the caller's own.
+  std::string key_holder = {};
   MSGPACK_DEFINE(id, host, route_key, items, max_waiting_tokens, now_ms,
-                 organisation, config_version)
+                 organisation, config_version, key_holder)
 };
 
 enum class ItemEnd : std::uint8_t { kComplete = 0, kGivenUp = 1, kFailed = 2 };
--- a/src/batches/batchstate.h
+++ b/src/batches/batchstate.h
@@ -69,6 +69,11 @@
     bool VisibleTo(std::string_view caller) const {
       return this->organisation.empty() || this->organisation == caller;
     }
+    /// Whether the batch may be one that its caller has submitted before.
+    bool MayBeCopy(const SubmitBatch& submitted) const {
+      return this->VisibleTo(submitted.organisation) ||
+             this->VisibleTo(submitted.key_holder);
+    }
     bool Open() const {
       return !this->ended && this->results.size() < this->items.size();
     }
--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -143,6 +143,8 @@
   void OnRead(StreamId stream, const std::string& body);
   void OnBody(StreamId stream, const std::string& body);
   void OnEnd(StreamId stream, const std::string& body);
+  /// Ends a batch, or tells that its caller may not know of it.
+  void End(StreamId stream, const EndBatch& command);
   void FinishEnd(const std::string& id, ResultCode code, Time requested_at);
   void OnPull(StreamId stream, const std::string& body);
   void OnReport(StreamId stream, const std::string& body);
--- a/src/batches/internal/batchstate.cpp
+++ b/src/batches/internal/batchstate.cpp
@@ -79,9 +79,8 @@
 BatchReply BatchState::Execute(const SubmitBatch& command) {
   const Batch* known = this->Find(command.id);
   if (known != nullptr) {
-    return ReplyWith(known->VisibleTo(command.organisation)
-                         ? ResultCode::kOk
-                         : ResultCode::kConflict);
+    return ReplyWith(known->MayBeCopy(command) ? ResultCode::kOk
+                                               : ResultCode::kConflict);
   }
   std::uint64_t& waiting =
       this->waiting_tokens[{command.organisation, command.route_key}];
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -1,9 +1,8 @@
-#include "batches/batchstore.h"
-
 #include <algorithm>
 #include <set>
 #include <utility>
 
+#include "batches/batchstore.h"
 #include "global/logging.h"
 #include "global/variantcodec.h"
 
@@ -386,7 +385,7 @@
 void BatchStore::OnSubmit(StreamId stream, const std::string& body) {
   auto command = DecodeMessage<SubmitBatch>(body);
   const BatchState::Batch* known = this->batch_state.Find(command.id);
-  if (known != nullptr && known->VisibleTo(command.organisation)) {
+  if (known != nullptr && known->MayBeCopy(command)) {
     this->ReplyConfirmed(stream);
     return;
   }
@@ -419,11 +418,29 @@
   });
 }
 
+/// A request to end an unknown batch adds no log entry: callers without a key
+/// may send any number of them.
+void BatchStore::OnEnd(StreamId stream, const std::string& body) {
+  const auto command = DecodeMessage<EndBatch>(body);
+  const bool may_be_known = this->batch_state.Find(command.id) != nullptr ||
+                            this->submissions.contains(command.id);
+  if (may_be_known) {
+    this->End(stream, command);
+    return;
+  }
+  this->AfterConfirmation(stream, [this, stream, command] {
+    if (this->batch_state.Find(command.id) != nullptr) {
+      this->End(stream, command);
+    } else {
+      this->Reply(stream, ResultCode::kNotFound);
+    }
+  });
+}
+
 /// Stops the items as soon as the end is requested, because its commit may be
 /// delayed by results before it in the log. If the command is not committed,
 /// the items may run again. A repeated request waits for the first one.
-void BatchStore::OnEnd(StreamId stream, const std::string& body) {
-  auto command = DecodeMessage<EndBatch>(body);
+void BatchStore::End(StreamId stream, const EndBatch& command) {
   const BatchState::Batch* batch = this->batch_state.Find(command.id);
   if (batch != nullptr && !batch->VisibleTo(command.organisation)) {
     this->Reply(stream, ResultCode::kNotFound);
@@ -442,10 +459,9 @@
   const Time requested_at = MonotonicNow();
   Log(LogLevel::kInfo, "batch_end_asked", {{"batch", id}});
   this->SyncLeases(id, requested_at);
-  this->ProposeThen(std::move(command),
-                    [this, id, requested_at](ResultCode code) {
-                      this->FinishEnd(id, code, requested_at);
-                    });
+  this->ProposeThen(command, [this, id, requested_at](ResultCode code) {
+    this->FinishEnd(id, code, requested_at);
+  });
 }
 
 void BatchStore::FinishEnd(const std::string& id, ResultCode code,
--- a/src/nodes/batchapi.h
+++ b/src/nodes/batchapi.h
@@ -11,6 +11,7 @@
 #include "http/httpserver.h"
 #include "nodes/dialect.h"
 #include "nodes/noderuntime.h"
+#include "organisations/authentication.h"
 #include "routes/routetable.h"
 
 namespace papayarack::nodes {
@@ -22,14 +23,20 @@
   /// Precondition: both arguments outlive it.
   BatchApi(NodeRuntime& runtime, http::HttpServer& front);
 
-  /// Submits a batch of `organisation`, empty for an anonymous caller, for
-  /// `route`; answers once the job group has committed it.
+  /// Who submits a batch. Both names are empty for an anonymous caller.
+  struct Submitter {
+    std::string organisation;  ///< The batch will belong to it.
+    /// Holds the key that the caller sent, also where the route needs none.
+    std::string key_holder;
+  };
+
+  /// Submits a batch for `route`; answers once the job group has committed it.
   void Submit(http::ExchangeId exchange, const http::HttpRequest& request,
-              const routes::Route& route, std::string organisation);
+              const routes::Route& route, Submitter submitter);
   /// Any other call about a batch. Batches of other organisations are not
   /// found.
   void Answer(http::ExchangeId exchange, const BatchCall& call,
-              const std::string& organisation);
+              const organisations::BatchCaller& caller);
   /// Cancels the call of a caller that disconnected. False when there is none.
   bool CallerGone(http::ExchangeId exchange);
   bool Empty() const { return this->job_calls.empty(); }
--- a/src/nodes/entrynode.h
+++ b/src/nodes/entrynode.h
@@ -69,6 +69,9 @@
   organisations::KeyTrust TrustInKeys();
   void ServeBatchCall(ExchangeId exchange, const http::HttpRequest& request,
                       const BatchCall& call, std::string_view key);
+  /// Name of the organisation that holds `key`; empty if none does, or if keys
+  /// are outdated.
+  std::string HolderOf(std::string_view key);
   /// Identifies the caller; nullopt if the request was refused.
   std::optional<organisations::Authenticated> Authenticate(
       ExchangeId exchange, const http::HttpRequest& request,
--- a/src/nodes/internal/batchapi.cpp
+++ b/src/nodes/internal/batchapi.cpp
@@ -75,7 +75,7 @@
 
 void BatchApi::Submit(http::ExchangeId exchange,
                       const http::HttpRequest& request,
-                      const routes::Route& route, std::string organisation) {
+                      const routes::Route& route, Submitter submitter) {
   batches::SubmitBatch batch;
   try {
     batch = this->runtime.dialect.read_batch(request);
@@ -84,7 +84,8 @@
     this->front.Respond(exchange, EmptyResponse(kBadRequest));
     return;
   }
-  batch.organisation = std::move(organisation);
+  batch.organisation = std::move(submitter.organisation);
+  batch.key_holder = std::move(submitter.key_holder);
   batch.host = route.host;
   batch.route_key = route.Key();
   batch.max_waiting_tokens = route.batch.max_waiting_tokens;
@@ -98,7 +99,11 @@
 }
 
 void BatchApi::Answer(http::ExchangeId exchange, const BatchCall& call,
-                      const std::string& organisation) {
+                      const organisations::BatchCaller& caller) {
+  const auto status_of = [hidden = caller.rejected](ResultCode code) {
+    const int status = ReadStatusOf(code);
+    return hidden && status == kNotFoundStatus ? kUnauthorized : status;
+  };
   std::visit(
       Overloaded{
           [](const std::monostate&) {},
@@ -106,13 +111,14 @@
             const std::chrono::milliseconds time =
                 kBatchTime + std::chrono::milliseconds(read.query.wait_ms);
             batches::ReadResults query = read.query;
-            query.organisation = organisation;
+            query.organisation = caller.organisation;
             this->CallJobs(
                 exchange,
                 {"/jobs/read", EncodeMessage(query), time, {read.query.id, {}}},
-                [this](const Result& result, const std::string& body) {
+                [this, status_of](const Result& result,
+                                  const std::string& body) {
                   if (!result.Ok()) {
-                    return EmptyResponse(ReadStatusOf(result.code));
+                    return EmptyResponse(status_of(result.code));
                   }
                   return JsonResponse(this->runtime.dialect.write_results(
                       DecodeMessage<batches::ResultPage>(body)));
@@ -120,15 +126,15 @@
           },
           [&](const BatchBodyCall& read) {
             batches::ReadItemBody query = read.query;
-            query.organisation = organisation;
+            query.organisation = caller.organisation;
             this->CallJobs(exchange,
                            {"/jobs/body",
                             EncodeMessage(query),
                             kBatchTime,
                             {read.query.batch, read.query.item}},
-                           [](const Result& result, std::string body) {
+                           [status_of](const Result& result, std::string body) {
                              http::HttpResponse response =
-                                 EmptyResponse(ReadStatusOf(result.code));
+                                 EmptyResponse(status_of(result.code));
                              response.body = result.Ok() ? std::move(body) : "";
                              return response;
                            });
@@ -137,11 +143,11 @@
             this->CallJobs(
                 exchange,
                 {"/jobs/end",
-                 EncodeMessage(batches::EndBatch{end.id, organisation}),
+                 EncodeMessage(batches::EndBatch{end.id, caller.organisation}),
                  kBatchTime,
                  {end.id, {}}},
-                [](const Result& result, const std::string&) {
-                  return EmptyResponse(HttpStatusOf(result.code, kOk));
+                [status_of](const Result& result, const std::string&) {
+                  return EmptyResponse(status_of(result.code));
                 });
           }},
       call);
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds kEarlyTick{20};
 /// Retry-After where another process can take the request now.
 constexpr const char* kRetryElsewhere = "0.05";
+constexpr const char* kKeysOutdated = "the keys known here are outdated";
 
 std::string NameOf(const organisations::Authenticated& caller) {
   return caller.organisation != nullptr ? caller.organisation->name
@@ -290,7 +291,8 @@
     return;
   }
   if (route->kind == routes::RouteKind::kBatch) {
-    this->batches->Submit(exchange, request, *route, NameOf(*caller));
+    this->batches->Submit(exchange, request, *route,
+                          {NameOf(*caller), this->HolderOf(key)});
     return;
   }
   this->ServeOnline(exchange, std::move(request),
@@ -343,15 +345,24 @@
 void EntryNode::ServeBatchCall(ExchangeId exchange,
                                const http::HttpRequest& request,
                                const BatchCall& call, std::string_view key) {
-  const bool allows_anonymous =
-      this->runtime.table->AllowsAnonymousBatches(request.headers.Get("Host"));
-  const std::optional<organisations::Authenticated> caller =
-      this->Authenticate(exchange, request, key, allows_anonymous);
+  const std::optional<organisations::BatchCaller> caller =
+      organisations::IdentifyBatchCaller(*this->runtime.table,
+                                         request.headers.Get("Host"), key,
+                                         this->TrustInKeys());
   if (caller.has_value()) {
-    this->batches->Answer(exchange, call, NameOf(*caller));
+    this->batches->Answer(exchange, call, *caller);
+  } else {
+    this->Refuse(exchange, request, kKeysOutdated, kRetryElsewhere);
   }
 }
 
+std::string EntryNode::HolderOf(std::string_view key) {
+  const organisations::Authentication result = organisations::Authenticate(
+      *this->runtime.table, false, key, this->TrustInKeys());
+  const auto* caller = std::get_if<organisations::Authenticated>(&result);
+  return caller != nullptr ? NameOf(*caller) : std::string();
+}
+
 /// The clock is read here: the request may have arrived while this process
 /// stood still, after whatever time was read before.
 organisations::KeyTrust EntryNode::TrustInKeys() {
@@ -392,8 +403,7 @@
                    return std::optional<Authenticated>();
                  },
                  [&](const organisations::KeysOutdated&) {
-                   this->Refuse(exchange, request,
-                                "the keys known here are outdated",
+                   this->Refuse(exchange, request, kKeysOutdated,
                                 kRetryElsewhere);
                    return std::optional<Authenticated>();
                  }},
--- a/src/organisations/authentication.h
+++ b/src/organisations/authentication.h
@@ -1,6 +1,8 @@
 #ifndef PAPAYARACK_ORGANISATIONS_AUTHENTICATION_H_
 #define PAPAYARACK_ORGANISATIONS_AUTHENTICATION_H_
 
+#include <optional>
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -29,6 +31,24 @@
                             bool allows_anonymous, std::string_view key,
                             KeyTrust trust);
 
+/// Whose batches a caller may know of, besides those that were submitted
+/// without a key.
+struct BatchCaller {
+  std::string organisation;  ///< Empty: none.
+  /// Whether it is told that its key is rejected where it may not know of the
+  /// batch, in place of that there is no such batch.
+  bool rejected = false;
+};
+
+/// Decides who makes a call about a batch on `host`, which may be the batch of
+/// an organisation or one that was submitted without a key; nullopt where keys
+/// are outdated. A batch keeps its owner when routes change, so routes do not
+/// decide whose key is read. Thread safety: any thread.
+std::optional<BatchCaller> IdentifyBatchCaller(const routes::RouteTable& table,
+                                               std::string_view host,
+                                               std::string_view key,
+                                               KeyTrust trust);
+
 }  // namespace papayarack::organisations
 
 #endif  // PAPAYARACK_ORGANISATIONS_AUTHENTICATION_H_
--- a/src/organisations/tests/authentication_tests.cpp
+++ b/src/organisations/tests/authentication_tests.cpp
@@ -58,6 +58,38 @@
   }
 }
 
+// Guards against a caller whose key is not read, so that the batches of its
+// organisation are hidden from it.
+TEST_CASE("the caller of a batch is told by its key on every host") {
+  routes::FleetConfiguration configuration = TwoOrganisations();
+  routes::Route open;
+  open.host = "open";
+  open.kind = routes::RouteKind::kBatch;
+  open.allows_anonymous = true;
+  configuration.routes = {open};
+  const routes::RouteTable table(configuration);
+  const auto identify = [&table](std::string_view host, std::string_view key,
+                                 KeyTrust trust = KeyTrust::kCurrent) {
+    return IdentifyBatchCaller(table, host, key, trust);
+  };
+
+  SECTION("a key is read where anonymous batches are allowed too") {
+    for (const char* host : {"open", "closed"}) {
+      CHECK(identify(host, "k1")->organisation == "acme");
+      CHECK_FALSE(identify(host, "k1")->rejected);
+      CHECK(identify(host, "k")->organisation.empty());
+      CHECK(identify(host, "k")->rejected);
+      CHECK_FALSE(identify(host, "k1", KeyTrust::kNone).has_value());
+    }
+  }
+  SECTION("a caller without a key is told so where one is needed") {
+    CHECK(identify("closed", "")->rejected);
+    CHECK_FALSE(identify("open", "")->rejected);
+    CHECK_FALSE(identify("closed", "", KeyTrust::kNone).has_value());
+    CHECK(identify("open", "", KeyTrust::kNone).has_value());
+  }
+}
+
 TEST_CASE("without organisations every caller is anonymous") {
   const routes::RouteTable table((routes::FleetConfiguration()));
   CHECK(Outcome(Authenticate(table, false, "k1", KeyTrust::kNone)).empty());
