Batch items: the route that accepted a batch decides where its items run

Cause: where an item may run was looked up by its own path, as for a caller's request, at the leader and at the gate. The path led to the new route, which takes no batches. Whether items have to be given up was decided by the route that had accepted the batch.

Change: RouteTable::FindBatchRoute, by the batch's route, decides everywhere. The same cause on related paths: items whose path lies under no batch route (never run before); a route that keeps its place and takes no batches any more (items are given up); a paused item whose route leads to another service by now (its gate started it, and now returns it).

--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -1,8 +1,9 @@
+#include "batches/batchstore.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
 
-#include "batches/batchstore.h"
 #include "global/logging.h"
 #include "global/variantcodec.h"
 
@@ -255,7 +256,8 @@
 /// affects the order of items.
 Time BatchStore::DueOf(const BatchState::Batch& batch, Time now) const {
   const routes::Route* route =
-      this->table != nullptr ? this->table->FindKey(batch.route_key) : nullptr;
+      this->table != nullptr ? this->table->FindBatchRoute(batch.route_key)
+                             : nullptr;
   const std::chrono::milliseconds allowed =
       route != nullptr ? route->batch.result_deadline : kUnknownDeadline;
   const std::chrono::milliseconds age(WallNow() - batch.submitted_ms);
@@ -735,14 +737,16 @@
           organisation != nullptr ? organisation->priority : 0};
 }
 
+/// An item goes where the route leads that accepted its batch, whatever route
+/// its own path matches: one for other requests may be added under the prefix.
 Eligibility BatchStore::EligibilityOf(const ItemRef& item) const {
   const BatchState::Batch* batch = this->batch_state.Find(item.batch);
   const BatchState::Item* found = this->batch_state.FindItem(item);
   if (found == nullptr || this->table == nullptr) {
     return {};
   }
-  const routes::Route* route = this->table->Find(batch->host, found->spec.path);
-  if (route == nullptr || route->kind != routes::RouteKind::kBatch) {
+  const routes::Route* route = this->table->FindBatchRoute(batch->route_key);
+  if (route == nullptr) {
     return {};
   }
   std::set<std::string> services;
@@ -851,9 +855,10 @@
        {"waiting", this->leases.Waiting()}});
 }
 
-/// Items whose route was removed can never run. Giving them up ends the wait of
-/// their client. Where this member's routes are older than those that allowed
-/// the batch, its route may be one that this member does not know yet.
+/// Items whose route was removed, or takes no batches now, can never run.
+/// Giving them up ends the wait of their client. Where this member's routes are
+/// older than those that allowed the batch, its route may be one that this
+/// member does not know yet.
 void BatchStore::GiveUpItemsOfRemovedRoutes() {
   if (this->table == nullptr || this->giving_up) {
     return;
@@ -862,7 +867,7 @@
   ReportOutcomes report;
   for (const auto& [id, batch] : this->batch_state.batches()) {
     if (!batch.Open() || batch.config_version > version ||
-        this->table->FindKey(batch.route_key) != nullptr) {
+        this->table->FindBatchRoute(batch.route_key) != nullptr) {
       continue;
     }
     for (const BatchState::Item& item : batch.items) {
--- a/src/batches/tests/removedroutes_tests.cpp
+++ b/src/batches/tests/removedroutes_tests.cpp
@@ -77,4 +77,72 @@
   CHECK(caller.Listed() == 1);
 }
 
+// Guards against accepted items that are neither run nor given up, as their own
+// paths match no batch route, or another one than accepted them.
+TEST_CASE("items go where the route leads that accepted their batch") {
+  constexpr std::uint64_t kOldVersion = 1;
+  const auto routes = [](std::uint64_t version, const auto& change) {
+    routes::FleetConfiguration configuration =
+        MakeBatchTable()->configuration();
+    configuration.version = version;
+    change(configuration.routes);
+    return std::make_shared<routes::RouteTable>(std::move(configuration));
+  };
+  const auto under_prefix = [](routes::RouteKind kind) {
+    routes::Route route = MakeBatchTable()->configuration().routes.front();
+    route.path_prefix = "/r/3/";
+    route.kind = kind;
+    route.targets = {{"other", 1}};
+    return route;
+  };
+  Caller caller;
+  caller.SetRoutes(routes(kOldVersion, [](auto&) {}));
+  SubmitBatch batch;
+  batch.id = "b";
+  batch.host = "h";
+  batch.route_key = "h/r/";
+  batch.items.push_back({"i", "/r/3/1", {}, "body", 100});
+  batch.config_version = kOldVersion;
+  const auto leased_by = [&caller](const std::string& service) {
+    PullItems pull;
+    pull.gate = "g";
+    pull.incarnation = 1;
+    pull.service = service;
+    pull.room = 1;
+    // The first pulls of a term may get nothing.
+    constexpr int kPulls = 3;
+    std::size_t leased = 0;
+    for (int i = 0; i < kPulls && leased == 0; ++i) {
+      const coordination::GroupReply reply = caller.Ask("/jobs/pull", pull);
+      leased = DecodeMessage<PulledItems>(reply.body).items.size();
+    }
+    return leased;
+  };
+
+  SECTION("where a route for other requests is added under its prefix") {
+    REQUIRE(caller.Ask("/jobs/submit", batch).code == 0);
+    const auto kind =
+        GENERATE(routes::RouteKind::kStreaming, routes::RouteKind::kIdempotent,
+                 routes::RouteKind::kBatch);
+    caller.SetRoutes(routes(kNewVersion, [&](auto& changed) {
+      changed.push_back(under_prefix(kind));
+    }));
+    CHECK(leased_by("other") == 0);
+    CHECK(leased_by("llm") == 1);
+    CHECK(caller.Listed() == 0);
+  }
+  SECTION("where their paths lie under no route") {
+    batch.items.front().path = "/elsewhere/1";
+    REQUIRE(caller.Ask("/jobs/submit", batch).code == 0);
+    CHECK(leased_by("llm") == 1);
+  }
+  SECTION("and are given up where it takes no batches any more") {
+    REQUIRE(caller.Ask("/jobs/submit", batch).code == 0);
+    caller.SetRoutes(routes(kNewVersion, [](auto& changed) {
+      changed.front().kind = routes::RouteKind::kStreaming;
+    }));
+    CHECK(caller.Listed() == 1);
+  }
+}
+
 }  // namespace papayarack::batches
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -388,11 +388,10 @@
 }
 
 void BatchRunner::Start(RunId id, Run& run) {
-  const routes::Route* route =
-      this->table->Find(run.item.host, run.item.spec.path);
-  if (route == nullptr || route->kind != routes::RouteKind::kBatch) {
+  const routes::Route* route = this->table->FindBatchRoute(run.item.route_key);
+  if (route == nullptr || !route->LeadsTo(this->target.service)) {
     run.not_before = MonotonicNow() + kRetryDelay;
-    return;  // The leader fails the item, or the route is restored.
+    return;  // The leader gives the item up, or it is returned.
   }
   http::HttpCall call;
   call.peer = ParseEndpoint(this->target.engine_address, "engine_address");
@@ -611,7 +610,7 @@
 }
 
 void BatchRunner::Finish(RunId id, Run& run, batches::ItemEnd end) {
-  const routes::Route* route = this->table->FindKey(run.item.route_key);
+  const routes::Route* route = this->table->FindBatchRoute(run.item.route_key);
   run.phase = Phase::kReporting;
   run.outcome.batch = run.item.batch;
   run.outcome.item = run.item.spec.id;
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -600,6 +600,39 @@
       kSoon));
 }
 
+// Guards against accepted items that a gate holds and never starts, or starts
+// though their route leads elsewhere by now.
+TEST_CASE("a gate runs what the route that accepted an item leads to it") {
+  RunnerFixture fixture(1);
+  routes::FleetConfiguration configuration = MakeBatchTable()->configuration();
+  fixture.leader.on_pull = [&](Leader::Pull& pull) {
+    if (fixture.leader.pulls.size() == 1) {
+      fixture.leader.Answer(pull, {{MakeItem("1", kAmpleTime)}, {}});
+    }
+  };
+  const auto set_routes = [&] {
+    fixture.runner.SetRoutes(
+        std::make_shared<routes::RouteTable>(configuration));
+  };
+  SECTION("whatever other route the item's path matches") {
+    routes::Route other = configuration.routes.front();
+    other.path_prefix = "/r/1";
+    other.kind = routes::RouteKind::kStreaming;
+    configuration.routes.push_back(other);
+    set_routes();
+    CHECK(fixture.RunUntil([&] { return !fixture.leader.listed.empty(); }));
+  }
+  SECTION("and not once it leads to another service") {
+    configuration.routes.front().targets = {{"other", 1}, {"llm", 0}};
+    set_routes();
+    CHECK(fixture.RunUntil([&] {
+      return !fixture.leader.pulls.empty() &&
+             !fixture.leader.pulls.back().asked.returned.empty();
+    }));
+    CHECK(fixture.engine.asked == 0);
+  }
+}
+
 // Guards against a slot that is held, and memory that grows, for as long as an
 // engine sends bytes which are no result.
 TEST_CASE("a run that receives endless bytes is ended") {
--- a/src/routes/fleetconfiguration.h
+++ b/src/routes/fleetconfiguration.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "global/resultcode.h"
@@ -54,6 +55,8 @@
 
   /// Identifies the route across configurations.
   std::string Key() const { return this->host + this->path_prefix; }
+  /// Whether requests may go to replicas of `service`.
+  bool LeadsTo(std::string_view service) const;
   /// Whether a request may be sent to a second replica after it may have run.
   bool MayRepeat() const {
     return this->kind == RouteKind::kIdempotent ||
--- a/src/routes/internal/fleetconfiguration.cpp
+++ b/src/routes/internal/fleetconfiguration.cpp
@@ -93,6 +93,13 @@
 
 }  // namespace
 
+bool Route::LeadsTo(std::string_view service) const {
+  return std::ranges::any_of(
+      this->targets, [service](const WeightedService& target) {
+        return target.weight > 0 && target.service == service;
+      });
+}
+
 const ServiceSpec* FleetConfiguration::FindService(
     std::string_view name) const {
   const auto found =
--- a/src/routes/internal/routetable.cpp
+++ b/src/routes/internal/routetable.cpp
@@ -54,6 +54,11 @@
                                      : nullptr;
 }
 
+const Route* RouteTable::FindBatchRoute(std::string_view key) const {
+  const Route* route = this->FindKey(key);
+  return route != nullptr && route->kind == RouteKind::kBatch ? route : nullptr;
+}
+
 const Organisation* RouteTable::FindByApiKey(std::string_view key) const {
   const auto found = this->by_api_key.find(std::string(key));
   return found != this->by_api_key.end()
--- a/src/routes/routetable.h
+++ b/src/routes/routetable.h
@@ -26,6 +26,9 @@
   const Route* Find(std::string_view host, std::string_view path) const;
   /// Returns the route with that Route::Key; null if there is none.
   const Route* FindKey(std::string_view key) const;
+  /// Returns the batch route with that Route::Key; null if there is none, or if
+  /// the route is no longer one for batches.
+  const Route* FindBatchRoute(std::string_view key) const;
   /// Returns the organisation that holds this key of a caller; null if none
   /// does.
   const Organisation* FindByApiKey(std::string_view key) const;
