Replicas' ids: another id is believed only while the address cannot be reused

What callers saw: a crashed replica's address went to another service 2.3 s later.

Cause: a 421 that names another replica was taken for a restart of the same service under another id, on the word of the service in the gate's settings. Settings tell what stood at the address when they were read.

Evidence: engine_id_learned at all three entries for the one address, 11 times, each followed by a run at the replica of the other service.

Change: the platform reuses an address no sooner than ReuseAfterS after its replica has ended, and the gate knows from the starts in reports and list when the listed replica answered last. Until then plus ReuseAfterS any replica there is of the service; the gate's answer about a slot says for how long, and entry and gate believe another id within that time only. A gate that sees another replica later gives no slots and returns its items until the list shows it. After a loss of power of all VMs ids are not learned any more: gates start without that knowledge.

--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -98,7 +98,14 @@
   void UpdateAvailability();
   void ApplyListing(const coordination::EngineInstance& listed);
   void LearnStart(std::uint64_t started_ms);
+  /// The replica at the address names itself `other`. Ignored where it may be
+  /// of another service.
   void LearnId(const std::string& other);
+  void NoteReplaced(const std::string& other);
+  /// How long from now on any replica at the address is of this service: until
+  /// the platform may reuse the address, if the listed replica ended right
+  /// after its last report.
+  Duration ServiceHolds(Time now) const;
   /// Id of the replica that runs now, which the list may not show yet.
   const std::string& RunningId() const;
   void OnEngineRestart();
@@ -120,8 +127,13 @@
   std::string unlisted_id;  ///< Of a replica that started since; or empty.
   ReplicaSoftware listed_software;      ///< Of the replica `id`.
   std::uint64_t listed_started_ms = 0;  ///< Its start; zero: not listed.
-  std::string last_id;                  ///< The last one that was not empty.
-  std::uint64_t started_ms = 0;         ///< As in EngineInstance.
+  /// When the last report was requested that the listed replica answered.
+  Time listed_alive{};
+  /// Another replica answers at the address, which may be of another service:
+  /// no work until the list shows it, or the listed one answers again.
+  bool replaced = false;
+  std::string last_id;           ///< The last one that was not empty.
+  std::uint64_t started_ms = 0;  ///< As in EngineInstance.
   Time next_report{};
   Time report_asked{};  ///< When the last report was requested.
   /// When the last report was requested that stated `started_ms`.
--- a/src/nodes/internal/engineowner.cpp
+++ b/src/nodes/internal/engineowner.cpp
@@ -60,10 +60,8 @@
              &crash_detector),
       foreign(this->owned.same_vm ? slots::ReportAge::kFresh
                                   : slots::ReportAge::kLate) {
-  if (this->owned.same_vm) {
-    this->runner.SetOtherReplica(
-        [this](const std::string& other) { this->LearnId(other); });
-  }
+  this->runner.SetOtherReplica(
+      [this](const std::string& other) { this->LearnId(other); });
 }
 
 EngineOwner::~EngineOwner() {
@@ -83,6 +81,8 @@
   this->listed_software = present ? found->Software() : ReplicaSoftware{};
   this->listed_started_ms = present ? found->started_ms : 0;
   if (id != this->id) {
+    this->listed_alive = {};
+    this->replaced = false;
     Log(LogLevel::kInfo, "engine_changed",
         {{"engine", id},
          {"version", this->listed_software.version},
@@ -119,14 +119,14 @@
          {"items_held", this->runner.HeldCount()}});
   }
   const bool knows_others = this->owned.same_vm || this->foreign.Known();
-  const bool takes_work =
-      up && knows_others && !this->leaving && !this->id.empty();
+  const bool takes_work = up && knows_others && !this->leaving &&
+                          !this->id.empty() && !this->replaced;
   this->allocator.SetOpen(takes_work);
   this->runner.SetEngine(takes_work ? RunnerReplica{this->RunningId(),
                                                     this->RunningSoftware(),
                                                     this->started_ms}
                                     : RunnerReplica{});
-  if (!up) {
+  if (!up || this->replaced) {
     this->runner.ReturnAll();
   }
 }
@@ -148,12 +148,24 @@
   return this->unlisted_id.empty() ? this->id : this->unlisted_id;
 }
 
-/// The replica on this VM refused an item that names the listed one. It is of
-/// the same service, which this process's settings name.
+/// Settings do not tell whose replica stands at the address: they may change
+/// later than the replica.
+Duration EngineOwner::ServiceHolds(Time now) const {
+  if (this->listed_alive == Time{}) {
+    return Duration::zero();
+  }
+  const Time until = this->listed_alive + this->runtime.options.address_reuse;
+  return std::max<Duration>(until - now, Duration::zero());
+}
+
 void EngineOwner::LearnId(const std::string& other) {
   if (this->id.empty() || other == this->RunningId()) {
     return;
   }
+  if (this->ServiceHolds(MonotonicNow()) == Duration::zero()) {
+    this->NoteReplaced(other);
+    return;
+  }
   Log(LogLevel::kInfo, "engine_id_learned",
       {{"engine", other},
        {"listed", this->id},
@@ -162,6 +174,20 @@
   this->UpdateAvailability();
 }
 
+/// Without the start of the listed replica, nothing would tell that it answers
+/// again.
+void EngineOwner::NoteReplaced(const std::string& other) {
+  if (this->replaced || this->listed_started_ms == 0) {
+    return;
+  }
+  Log(LogLevel::kInfo, "engine_replaced",
+      {{"engine", other},
+       {"listed", this->id},
+       {"address", this->owned.address},
+       {"items_held", this->runner.HeldCount()}});
+  this->replaced = true;  // Takes effect with the next report.
+}
+
 ReplicaSoftware EngineOwner::RunningSoftware() const {
   const bool restarted = !this->unlisted_id.empty() ||
                          (this->listed_started_ms != 0 &&
@@ -294,7 +320,8 @@
       ticket.organisation, ticket.priority, MonotonicNow());
   reply.expected_wait_ms = static_cast<std::uint32_t>(wait.count() / 1000);
   reply.engine_started_ms = this->started_ms;
-  reply.service = this->owned.same_vm ? this->owned.service : std::string();
+  reply.service = this->owned.service;
+  reply.service_holds_ms = WireMillis(this->ServiceHolds(MonotonicNow()));
   const speeds::SpeedStatement stated = this->speed.Statement(MonotonicNow());
   reply.hold_ms = WireMillis(stated.hold);
   reply.hold_age_ms = WireMillis(stated.hold_age);
@@ -447,6 +474,10 @@
     return;
   }
   this->report_problems.Due({}, MonotonicNow());
+  if (load.started_ms != 0 && load.started_ms == this->listed_started_ms) {
+    this->listed_alive = this->report_asked;
+    this->replaced = false;
+  }
   this->LearnStart(load.started_ms);
   if (load.started_ms != 0 && load.started_ms == this->started_ms) {
     this->known_start_seen = this->report_asked;
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -246,7 +246,7 @@
 void OnlineRelay::OnSlotFound(CallId id, const FoundSlot& found) {
   Call& call = this->calls.at(id);
   call.engine = found.engine;
-  call.service_confirmed = found.service_confirmed;
+  call.service_holds_until = found.service_holds_until;
   if (found.granted && call.organisation != nullptr) {
     this->rejections.Served(MonotonicNow());
   }
@@ -548,13 +548,15 @@
 
 /// After a restart of many replicas the list shows their former ids for a
 /// second, in which every request would be refused by each replica it is sent
-/// to. An address can belong to another service by then, so only the gate
-/// beside the replica can tell that it may be used.
+/// to. The platform may also have given the address to another service, whose
+/// replica would run a request that names it; the gate tells until when it
+/// cannot have.
 bool OnlineRelay::SendToOtherReplica(CallId id) {
   Call& call = this->calls.at(id);
-  const bool too_late = MonotonicNow() + placement::kMinRunTime > call.deadline;
+  const Time now = MonotonicNow();
+  const bool too_late = now + placement::kMinRunTime > call.deadline;
   // What has begun goes on at known software only.
-  if (call.other_replica.empty() || !call.service_confirmed ||
+  if (call.other_replica.empty() || now >= call.service_holds_until ||
       !this->slots.Holds(id) || call.began.has_value() ||
       call.sends >= kMaxSends || too_late) {
     return false;
--- a/src/nodes/internal/slotfinder.cpp
+++ b/src/nodes/internal/slotfinder.cpp
@@ -121,9 +121,10 @@
     return;
   }
   search->granted = true;
-  const bool service_confirmed =
-      !reply.service.empty() && reply.service == search->request.service;
-  this->handlers.on_found(id, {search->engine, true, service_confirmed});
+  const bool same_service = reply.service == search->request.service;
+  const std::chrono::milliseconds holds(same_service ? reply.service_holds_ms
+                                                     : 0);
+  this->handlers.on_found(id, {search->engine, true, search->asked + holds});
 }
 
 void SlotFinder::Learn(RequestId id, const SlotReply& reply) {
--- a/src/nodes/nodeoptions.h
+++ b/src/nodes/nodeoptions.h
@@ -34,7 +34,10 @@
   std::optional<Endpoint> metrics;  ///< Address for metrics.
   std::string engine_address;       ///< Gate.
   std::string engine_service;       ///< Gate.
-  std::optional<Endpoint> list;     ///< The platform's list of replicas.
+  /// The platform gives the address of a replica that has ended to a replica of
+  /// another service no sooner than after this time; zero: not known.
+  std::chrono::milliseconds address_reuse{0};
+  std::optional<Endpoint> list;  ///< The platform's list of replicas.
   /// Its rate limit in calls a second for all processes together; zero: not
   /// known.
   double list_calls_per_second = 0;
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -102,9 +102,8 @@
     Time sent{};
     EngineResponse response;
     bool head_sent = false;
-    /// The gate that granted the slot is on the engine's VM and serves the
-    /// request's service, so any replica that starts there does.
-    bool service_confirmed = false;
+    /// As in FoundSlot.
+    Time service_holds_until{};
     /// Id of the replica that refused this attempt as not meant for it.
     std::string other_replica;
     bool run_survived = false;  ///< Noted for this attempt.
--- a/src/nodes/slotfinder.h
+++ b/src/nodes/slotfinder.h
@@ -36,9 +36,9 @@
   placement::EngineOption engine;
   /// A gate granted a slot. False: the replica has no owner.
   bool granted = false;
-  /// The gate is on the engine's VM and serves the request's service, so any
-  /// replica that starts there does.
-  bool service_confirmed = false;
+  /// Until then any replica at the engine's address is of the request's
+  /// service.
+  Time service_holds_until{};
 };
 
 /// Finds a replica and its slot for each request of an entry: asks gates in the
--- a/src/nodes/slotmessages.h
+++ b/src/nodes/slotmessages.h
@@ -48,8 +48,8 @@
   std::uint32_t expected_wait_ms = 0;
   /// As in coordination::EngineInstance; a gate knows it before the list does.
   std::uint64_t engine_started_ms = 0;
-  /// Service of the replica on the gate's VM, as the gate's settings name it,
-  /// so that it holds for whichever replica starts there; empty: not known.
+  /// Service of whichever replica starts at the engine's address within
+  /// `service_holds_ms`; empty: not known.
   std::string service = {};
   /// How long a stream holds a slot there on average; zero: not known.
   std::uint32_t hold_ms = 0;
@@ -57,8 +57,11 @@
   std::uint32_t hold_age_ms = 0;
   /// As in EngineLoad.
   std::uint32_t pace = 0;
+  /// How long from now on `service` holds; zero in earlier releases.
+  std::uint32_t service_holds_ms = 0;
   MSGPACK_DEFINE(verdict, online, waiting, batch, slots, expected_wait_ms,
-                 engine_started_ms, service, hold_ms, hold_age_ms, pace)
+                 engine_started_ms, service, hold_ms, hold_age_ms, pace,
+                 service_holds_ms)
 
   SlotVerdict Verdict() const {
     return static_cast<SlotVerdict>(this->verdict);
--- a/src/nodes/tests/slotfinder_tests.cpp
+++ b/src/nodes/tests/slotfinder_tests.cpp
@@ -24,6 +24,7 @@
   reply.verdict = static_cast<std::uint8_t>(verdict);
   reply.engine_started_ms = 1;
   reply.service = "llm";
+  reply.service_holds_ms = 500;
   return reply;
 }
 
@@ -154,7 +155,9 @@
   REQUIRE(fixture.found.has_value());
   CHECK(fixture.found->engine.id == "e1");
   CHECK(fixture.found->granted);
-  CHECK(fixture.found->service_confirmed);
+  CHECK(fixture.found->service_holds_until > MonotonicNow());
+  CHECK(fixture.found->service_holds_until <=
+        MonotonicNow() + milliseconds(500));
   CHECK(fixture.finder.Holds(kRequest));
   REQUIRE(fixture.first.asks.size() == 1);
   CHECK(fixture.first.asks.front().organisation == "o1");
--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -14,6 +14,8 @@
 /// is read slowly does not fill this process's memory.
 constexpr std::size_t kMaxUnreadBytes = 1U << 20U;
 constexpr int kMisdirected = 421;
+/// Each start is this much later than the one before.
+constexpr std::uint64_t kLaterMs = 1000;
 constexpr int kServiceUnavailable = 503;
 
 /// Whether a prompt, given as ID:TOKENS entries, has the part of that id.
@@ -110,8 +112,7 @@
     if (error || !*alive) {
       return;
     }
-    constexpr std::uint64_t kLater = 1000;
-    this->options.started_ms += kLater;
+    this->options.started_ms += kLaterMs;
     if (this->changes_id) {
       this->options.id += "-again";
     }
@@ -130,6 +131,7 @@
 void StandInEngine::Start(std::string id, std::string version) {
   this->options.id = std::move(id);
   this->options.version = std::move(version);
+  this->options.started_ms += this->options.started_ms != 0 ? kLaterMs : 0;
   this->Listen();
 }
 
