Origins of streams: begun at unknown software differs from no record

Cause: such a stream's software is unknown to its entry, and unknown was not recorded. "Began at unknown software" and "no record" were one value, and without a record the conclusion is drawn from the list, which is just what did not show the replica.

Change: the record says that the software is unknown, homes keep and tell it (FoundOrigin, with a field that earlier releases leave out), and a take-up of such a stream is refused.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -162,7 +162,7 @@
        {"resumes", call.fields.resumes},
        {"last_event", call.response.LastEvent().value_or(0)}});
   const StreamOrigins::LookupId lookup = this->stream_origins.Find(
-      call.fields.resumes, [this, id](const ReplicaSoftware& recorded) {
+      call.fields.resumes, [this, id](const origins::FoundOrigin& recorded) {
         this->OnOrigin(id, recorded);
       });
   // The origin may have been found, and the request have ended, by now.
@@ -172,7 +172,7 @@
   }
 }
 
-void OnlineRelay::OnOrigin(CallId id, const ReplicaSoftware& recorded) {
+void OnlineRelay::OnOrigin(CallId id, const origins::FoundOrigin& recorded) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) {
     return;
--- a/src/nodes/internal/originserver.cpp
+++ b/src/nodes/internal/originserver.cpp
@@ -34,8 +34,8 @@
 
 void OriginServer::OnFind(transport::StreamId stream, const std::string& body) {
   const auto wanted = DecodeMessage<origins::FindOrigin>(body);
-  const origins::OriginReply reply{
-      this->store.Find(wanted.request, MonotonicNow())};
+  const origins::FoundOrigin reply =
+      this->store.Find(wanted.request, MonotonicNow());
   Log(LogLevel::kInfo, "origin_answered",
       {{"request", wanted.request},
        {"known", reply.software.Known()},
--- a/src/nodes/internal/streamorigins.cpp
+++ b/src/nodes/internal/streamorigins.cpp
@@ -67,9 +67,9 @@
 StreamOrigins::LookupId StreamOrigins::Find(const std::string& request,
                                             Found found) {
   const Time now = MonotonicNow();
-  const ReplicaSoftware known = this->own.Find(request, now);
+  const origins::FoundOrigin known = this->own.Find(request, now);
   const LookupId id = ++this->last_lookup;
-  if (known.Known() || request.empty()) {
+  if (known.Recorded() || request.empty()) {
     found(known);
     return id;
   }
@@ -111,8 +111,8 @@
     return;
   }
   try {
-    lookup->second.search.Answered(
-        home, DecodeMessage<origins::OriginReply>(bytes).software);
+    lookup->second.search.Answered(home,
+                                   DecodeMessage<origins::FoundOrigin>(bytes));
   } catch (const ResultError& error) {
     Log(LogLevel::kWarn, "origin_unreadable",
         {{"home", home}, {"text", error.what()}});
@@ -135,7 +135,7 @@
     return;
   }
   const Time now = MonotonicNow();
-  const std::optional<ReplicaSoftware> result =
+  const std::optional<origins::FoundOrigin> result =
       lookup->second.search.Result(now);
   if (!result.has_value()) {
     return;
@@ -144,8 +144,9 @@
   this->lookups.erase(lookup);
   Log(LogLevel::kInfo, "origin_searched",
       {{"request", ended.request},
-       {"known", result->Known()},
-       {"version", result->version},
+       {"known", result->software.Known()},
+       {"recorded", result->Recorded()},
+       {"version", result->software.version},
        {"homes", ended.asked},
        {"unanswered", ended.search.Waiting().size()},
        {"took_ms", (now - ended.started).count() / 1000}});
@@ -169,7 +170,7 @@
 }
 
 origins::Continuation StreamOrigins::Decide(
-    const ReplicaSoftware& recorded, const routes::Route& route,
+    const origins::FoundOrigin& recorded, const routes::Route& route,
     const routes::FleetConfiguration& configuration) const {
   std::vector<std::string> services;
   for (const routes::WeightedService& target : route.targets) {
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -122,7 +122,7 @@
   /// Whether the caller takes up a stream that an earlier attempt began.
   static bool IsTakeUp(const CallFields& fields);
   void FindOrigin(CallId id);
-  void OnOrigin(CallId id, const ReplicaSoftware& recorded);
+  void OnOrigin(CallId id, const origins::FoundOrigin& recorded);
   void Perform(CallId id, const origins::ContinueWith& decision);
   void Perform(CallId id, const origins::OriginUnknown& decision);
   void Perform(CallId id, const origins::OriginNotOnRoute& decision);
--- a/src/nodes/streamorigins.h
+++ b/src/nodes/streamorigins.h
@@ -36,8 +36,8 @@
   /// a route after it began: each attempt of its caller ends within one.
   static constexpr int kMaxAttemptsOfCaller = 4;
 
-  /// Unknown software if no process that could be asked knows it.
-  using Found = std::function<void(const ReplicaSoftware&)>;
+  /// Without a record if no process that could be asked has one.
+  using Found = std::function<void(const origins::FoundOrigin&)>;
   using LookupId = std::uint64_t;
 
   /// Precondition: `peers` and `metrics` outlive this.
@@ -50,8 +50,8 @@
   void SetFleet(const coordination::FleetKnowledge& fleet, Time now);
   /// The platform's list was read at `read`, with or without changes.
   void ListRead(Time read) { this->history.ListRead(read); }
-  /// `software` produced the first event of `request`, whose caller may take
-  /// the stream up for `keep`.
+  /// `software`, which may be unknown, produced the first event of `request`,
+  /// whose caller may take the stream up for `keep`.
   void Began(const std::string& request, const ReplicaSoftware& software,
              Duration keep);
   /// Finds the origin of `request`; `found` may run before this returns, and
@@ -61,7 +61,7 @@
   /// Decides where a stream of `route` goes on that its caller takes up, given
   /// what Find found. Precondition: `route` belongs to `configuration`.
   origins::Continuation Decide(
-      const ReplicaSoftware& recorded, const routes::Route& route,
+      const origins::FoundOrigin& recorded, const routes::Route& route,
       const routes::FleetConfiguration& configuration) const;
   /// Ends searches that are overdue. Call every few tens of milliseconds.
   void Tick();
--- a/src/origins/continuation.h
+++ b/src/origins/continuation.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "global/replicasoftware.h"
+#include "origins/originmessages.h"
 
 namespace papayarack::origins {
 
@@ -24,9 +25,10 @@
 
 /// What is known when a caller takes a stream up.
 struct OriginEvidence {
-  ReplicaSoftware recorded;  ///< By this process or a home; may be unknown.
+  FoundOrigin recorded;  ///< By this process or a home.
   /// The only software of the route's only service for as long as a stream may
-  /// be open; may be unknown.
+  /// be open; may be unknown. Counts only without a record: it is told by the
+  /// list, which does not show every replica that began a stream.
   ReplicaSoftware sole;
 };
 
--- a/src/origins/internal/continuation.cpp
+++ b/src/origins/internal/continuation.cpp
@@ -7,7 +7,7 @@
 Continuation DecideContinuation(const OriginEvidence& evidence,
                                 std::span<const std::string> services) {
   const ReplicaSoftware& software =
-      evidence.recorded.Known() ? evidence.recorded : evidence.sole;
+      evidence.recorded.Recorded() ? evidence.recorded.software : evidence.sole;
   if (!software.Known()) {
     return OriginUnknown{};
   }
--- a/src/origins/internal/originstore.cpp
+++ b/src/origins/internal/originstore.cpp
@@ -5,7 +5,7 @@
 namespace papayarack::origins {
 
 bool OriginStore::Record(const RecordOrigin& record, Time now) {
-  const bool usable = !record.request.empty() && record.software.Known() &&
+  const bool usable = !record.request.empty() &&
                       record.request.size() <= kMaxNameBytes &&
                       record.software.service.size() <= kMaxNameBytes &&
                       record.software.version.size() <= kMaxNameBytes;
@@ -41,11 +41,11 @@
   this->by_expiry.erase(first);
 }
 
-ReplicaSoftware OriginStore::Find(std::string_view request, Time now) const {
+FoundOrigin OriginStore::Find(std::string_view request, Time now) const {
   const auto found = this->records.find(request);
   const bool valid =
       found != this->records.end() && found->second.expires > now;
-  return valid ? found->second.software : ReplicaSoftware{};
+  return valid ? FoundOrigin{found->second.software, true} : FoundOrigin{};
 }
 
 void OriginStore::Expire(Time now) {
--- a/src/origins/originlookup.h
+++ b/src/origins/originlookup.h
@@ -7,14 +7,14 @@
 #include <string>
 #include <vector>
 
-#include "global/replicasoftware.h"
 #include "global/timepoint.h"
+#include "origins/originmessages.h"
 
 namespace papayarack::origins {
 
 /// One search for the origin of a stream at all homes at once. Ends with the
-/// first home that knows, or when no home is left that could. Does no I/O.
-/// Thread safety: none.
+/// first home that has a record, or when no home is left that could. Does no
+/// I/O. Thread safety: none.
 class OriginLookup {
  public:
   /// Homes that have not answered by then count as not knowing: 60 round trips
@@ -24,20 +24,20 @@
   OriginLookup(const std::vector<std::string>& homes, Time now)
       : waiting(homes.begin(), homes.end()), until(now + kTimeout) {}
 
-  /// `home` answered; unknown software if it has no record.
-  void Answered(const std::string& home, const ReplicaSoftware& software);
+  /// `home` answered.
+  void Answered(const std::string& home, const FoundOrigin& reply);
   /// `home` cannot be reached.
   void Failed(const std::string& home) { this->waiting.erase(home); }
-  /// The origin; unknown software if no home knows it. Nothing while homes may
+  /// The origin; without a record if no home has one. Nothing while homes may
   /// still answer.
-  std::optional<ReplicaSoftware> Result(Time now) const;
+  std::optional<FoundOrigin> Result(Time now) const;
   /// Homes that have not answered.
   const std::set<std::string>& Waiting() const { return this->waiting; }
 
  private:
   std::set<std::string> waiting;
   Time until{};
-  ReplicaSoftware found;
+  FoundOrigin found;
 };
 
 }  // namespace papayarack::origins
--- a/src/origins/originstore.h
+++ b/src/origins/originstore.h
@@ -28,9 +28,9 @@
   /// Stores a record. If the store is full, drops the record that would expire
   /// first. Returns false if nothing was stored, or something was dropped.
   bool Record(const RecordOrigin& record, Time now);
-  /// Unknown software if there is no record, or if records contradict each
-  /// other, as after two requests with the same id.
-  ReplicaSoftware Find(std::string_view request, Time now) const;
+  /// The software is unknown if records contradict each other, as after two
+  /// requests with the same id.
+  FoundOrigin Find(std::string_view request, Time now) const;
   /// Removes expired records.
   void Expire(Time now);
   std::size_t size() const { return this->records.size(); }
--- a/src/origins/tests/origins_tests.cpp
+++ b/src/origins/tests/origins_tests.cpp
@@ -20,6 +20,8 @@
 
 const ReplicaSoftware kOld{"llm", "v1"};
 const ReplicaSoftware kNew{"llm", "v2"};
+/// There is a record, which tells no software.
+const FoundOrigin kUnknownOrigin{{}, true};
 
 Time At(int ms) { return Time(seconds(100) + milliseconds(ms)); }
 
@@ -52,25 +54,30 @@
   REQUIRE(store.Record({"r", kOld, 5000}, At(0)));
 
   SECTION("as long as its caller may take the stream up") {
-    CHECK(store.Find("r", At(4999)) == kOld);
-    CHECK_FALSE(store.Find("r", At(5000)).Known());
-    CHECK_FALSE(store.Find("other", At(0)).Known());
+    CHECK(store.Find("r", At(4999)).software == kOld);
+    CHECK_FALSE(store.Find("r", At(5000)).Recorded());
+    CHECK_FALSE(store.Find("other", At(0)).Recorded());
   }
   SECTION("longer when it is recorded again") {
     CHECK(store.Record({"r", kOld, 5000}, At(3000)));
     CHECK(store.Record({"r", kOld, 10}, At(3001)));
-    CHECK(store.Find("r", At(7000)) == kOld);
+    CHECK(store.Find("r", At(7000)).software == kOld);
   }
   // Guards against a text of two versions after two requests with one id.
   SECTION("and knows none when records contradict each other") {
     store.Record({"r", kNew, 5000}, At(1));
-    CHECK_FALSE(store.Find("r", At(2)).Known());
+    CHECK(store.Find("r", At(2)) == kUnknownOrigin);
     store.Record({"r", kOld, 5000}, At(3));
-    CHECK_FALSE(store.Find("r", At(4)).Known());
+    CHECK(store.Find("r", At(4)) == kUnknownOrigin);
   }
-  SECTION("but none without an id or a version, or of excessive length") {
+  // Guards against a stream that begins at a replica of unknown version and
+  // goes on at the only version that the list shows.
+  SECTION("also that it began at unknown software") {
+    CHECK(store.Record({"s", {}, 5000}, At(0)));
+    CHECK(store.Find("s", At(1)) == kUnknownOrigin);
+  }
+  SECTION("but none without an id, or of excessive length") {
     CHECK_FALSE(store.Record({"", kOld, 5000}, At(0)));
-    CHECK_FALSE(store.Record({"s", {"llm", ""}, 5000}, At(0)));
     CHECK_FALSE(store.Record(
         {std::string(OriginStore::kMaxNameBytes + 1, 'x'), kOld, 5000}, At(0)));
     CHECK(store.size() == 1);
@@ -81,8 +88,8 @@
       store.Record({"s" + std::to_string(i), kNew, 9000}, At(1));
     }
     CHECK(store.size() == OriginStore::kMaxRecords);
-    CHECK_FALSE(store.Find("r", At(2)).Known());
-    CHECK(store.Find("s0", At(2)) == kNew);
+    CHECK_FALSE(store.Find("r", At(2)).Recorded());
+    CHECK(store.Find("s0", At(2)).software == kNew);
     store.Expire(At(9001));
     CHECK(store.size() == 0);
   }
@@ -134,28 +141,30 @@
   CHECK_FALSE(lookup.Result(At(0)).has_value());
 
   SECTION("and ends with the first that knows") {
-    lookup.Answered("b", kOld);
-    CHECK(lookup.Result(At(1)) == kOld);
-    lookup.Answered("a", kNew);
-    CHECK(lookup.Result(At(2)) == kOld);
+    const FoundOrigin first = GENERATE(
+        FoundOrigin{kOld, true}, FoundOrigin{kOld, false}, kUnknownOrigin);
+    lookup.Answered("b", first);
+    CHECK(lookup.Result(At(1)) == first);
+    lookup.Answered("a", {kNew, true});
+    CHECK(lookup.Result(At(2)) == first);
   }
   SECTION("or when the last has answered or failed") {
     lookup.Answered("b", {});
     CHECK_FALSE(lookup.Result(At(1)).has_value());
     lookup.Failed("a");
     REQUIRE(lookup.Result(At(2)).has_value());
-    CHECK_FALSE(lookup.Result(At(2))->Known());
+    CHECK_FALSE(lookup.Result(At(2))->Recorded());
   }
   // Guards against a caller that waits for a home that stands still.
   SECTION("or after a time limit") {
     lookup.Answered("b", {});
     REQUIRE(lookup.Result(At(120)).has_value());
-    CHECK_FALSE(lookup.Result(At(120))->Known());
+    CHECK_FALSE(lookup.Result(At(120))->Recorded());
   }
   SECTION("and ignores repeated replies and those of others") {
-    lookup.Answered("c", kNew);
+    lookup.Answered("c", {kNew, true});
     lookup.Answered("a", {});
-    lookup.Answered("a", kNew);
+    lookup.Answered("a", {kNew, true});
     CHECK_FALSE(lookup.Result(At(1)).has_value());
   }
 }
@@ -205,11 +214,17 @@
   const auto decide = [&services](const OriginEvidence& evidence) {
     return DecideContinuation(evidence, services);
   };
-  CHECK(std::get<ContinueWith>(decide({kOld, kNew})).software == kOld);
+  const auto recorded = [](const ReplicaSoftware& software) {
+    return FoundOrigin{software, true};
+  };
+  CHECK(std::get<ContinueWith>(decide({recorded(kOld), kNew})).software ==
+        kOld);
   CHECK(std::get<ContinueWith>(decide({{}, kNew})).software == kNew);
   CHECK(std::holds_alternative<OriginUnknown>(decide({{}, {}})));
-  CHECK(std::holds_alternative<OriginUnknown>(decide({{"llm", ""}, {}})));
-  CHECK(std::get<OriginNotOnRoute>(decide({{"gone", "v1"}, {}}))
+  CHECK(std::holds_alternative<OriginUnknown>(decide({kUnknownOrigin, kNew})));
+  CHECK(std::holds_alternative<OriginUnknown>(
+      decide({recorded({"llm", ""}), kNew})));
+  CHECK(std::get<OriginNotOnRoute>(decide({recorded({"gone", "v1"}), {}}))
             .software.service == "gone");
 }
 
--- a/src/origins/tests/originsmodel_tests.cpp
+++ b/src/origins/tests/originsmodel_tests.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "origins/continuation.h"
 #include "origins/originhomes.h"
 #include "origins/originlookup.h"
 #include "origins/originstore.h"
@@ -82,10 +83,14 @@
     this->homes[address].zone = "z" + std::to_string(Draw(3));
   }
 
-  /// The first event of a new stream is about to reach its caller.
+  /// The first event of a new stream is about to reach its caller. Its entry
+  /// does not know the software of a replica that the list does not show yet.
   void Begin() {
     const std::string request = "r" + std::to_string(this->began.size());
-    const ReplicaSoftware software{"llm", "v" + std::to_string(Draw(3))};
+    const bool listed = Draw(4) > 0;
+    const ReplicaSoftware software =
+        listed ? ReplicaSoftware{"llm", "v" + std::to_string(Draw(3))}
+               : ReplicaSoftware{};
     this->began[request] = software;
     const auto& view = this->views[static_cast<std::size_t>(Draw(kEntries))];
     for (const std::string& home : HomesToRecord(request, view)) {
@@ -136,17 +141,25 @@
         lookup.Failed(address);
         continue;
       }
-      const ReplicaSoftware reply =
+      const FoundOrigin reply =
           home->second.store.Find(stream->first, this->now);
-      reached_one_that_knows |= reply.Known();
+      reached_one_that_knows |= reply.Recorded();
       for (int copies = 1 + Draw(2); copies > 0; --copies) {
         lookup.Answered(address, reply);
       }
     }
     const auto result = lookup.Result(this->now);
     RC_ASSERT(result.has_value());
-    RC_ASSERT(!result->Known() || *result == stream->second);
-    RC_ASSERT(result->Known() == reached_one_that_knows);
+    RC_ASSERT(result->Recorded() == reached_one_that_knows);
+    RC_ASSERT(!result->Recorded() || result->software == stream->second);
+    // All that the list shows, where the stream began elsewhere.
+    const ReplicaSoftware sole{"llm", "listed"};
+    const std::vector<std::string> services = {"llm"};
+    const Continuation decision = DecideContinuation({*result, sole}, services);
+    const auto* goes_on = std::get_if<ContinueWith>(&decision);
+    const bool joined = goes_on != nullptr && result->Recorded() &&
+                        goes_on->software != stream->second;
+    RC_ASSERT_FALSE(joined);
   }
 
   Time now = Time(std::chrono::seconds(100));
