Origins of streams: no conclusion from the list for a route that has moved

What callers could see: a stream whose record is lost began at one service; its route leads to another by the time its caller takes it up. It went on at the only software of the present service (ORDER).

Cause: the conclusion from the list asks which software alone has run in the route's present service, not whether the route led there when the stream began.

Change: RouteHistory remembers since when each route has led to the same services; the conclusion is drawn only where that is as long as a stream may be open. After a configuration that moves a route, its streams without a record are refused for that time.

Evidence: read; the tests of RouteHistory show when a route counts as unchanged.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -61,7 +61,7 @@
 
 void OnlineRelay::SetFleet(const coordination::FleetKnowledge& fleet,
                            const routes::FleetConfiguration& configuration) {
-  this->stream_origins.SetFleet(fleet, MonotonicNow());
+  this->stream_origins.SetFleet(fleet, configuration, MonotonicNow());
   for (auto& [service, options] :
        OptionsByService(fleet, configuration, this->own_name, MonotonicNow())) {
     for (const placement::EngineRestart& restart :
--- a/src/nodes/internal/streamorigins.cpp
+++ b/src/nodes/internal/streamorigins.cpp
@@ -27,11 +27,22 @@
   return gates.size() >= origins::kHomes ? gates : all;
 }
 
+std::vector<std::string> ServicesOf(const routes::Route& route) {
+  std::vector<std::string> services;
+  for (const routes::WeightedService& target : route.targets) {
+    if (target.weight > 0) {
+      services.push_back(target.service);
+    }
+  }
+  return services;
+}
+
 }  // namespace
 
 StreamOrigins::~StreamOrigins() { *this->alive = false; }
 
 void StreamOrigins::SetFleet(const coordination::FleetKnowledge& fleet,
+                             const routes::FleetConfiguration& configuration,
                              Time now) {
   this->homes = HomesOf(fleet);
   std::set<ReplicaSoftware> listed;
@@ -39,6 +50,11 @@
     listed.insert(engine.Software());
   }
   this->history.SetListed(listed, now);
+  origins::RouteHistory::Services services;
+  for (const routes::Route& route : configuration.routes) {
+    services[route.Key()] = ServicesOf(route);
+  }
+  this->route_history.SetRoutes(std::move(services), now);
 }
 
 void StreamOrigins::Began(const std::string& request,
@@ -154,32 +170,30 @@
 }
 
 ReplicaSoftware StreamOrigins::SoleSoftware(
-    const std::vector<std::string>& services,
+    const routes::Route& route,
     const routes::FleetConfiguration& configuration) const {
+  const std::vector<std::string> services = ServicesOf(route);
   if (services.size() != 1) {
     return {};
   }
   std::chrono::milliseconds longest{0};
-  for (const routes::Route& route : configuration.routes) {
-    if (route.kind == routes::RouteKind::kStreaming) {
-      longest = std::max(longest, route.timeout);
+  for (const routes::Route& other : configuration.routes) {
+    if (other.kind == routes::RouteKind::kStreaming) {
+      longest = std::max(longest, other.timeout);
     }
   }
-  return this->history.SoleSince(
-      services.front(), longest * kMaxAttemptsOfCaller, MonotonicNow());
+  const Duration window = longest * kMaxAttemptsOfCaller;
+  const Time now = MonotonicNow();
+  return this->route_history.SameSince(route.Key(), window, now)
+             ? this->history.SoleSince(services.front(), window, now)
+             : ReplicaSoftware{};
 }
 
 origins::Continuation StreamOrigins::Decide(
     const origins::FoundOrigin& recorded, const routes::Route& route,
     const routes::FleetConfiguration& configuration) const {
-  std::vector<std::string> services;
-  for (const routes::WeightedService& target : route.targets) {
-    if (target.weight > 0) {
-      services.push_back(target.service);
-    }
-  }
   return origins::DecideContinuation(
-      {recorded, this->SoleSoftware(services, configuration)}, services);
+      {recorded, this->SoleSoftware(route, configuration)}, ServicesOf(route));
 }
 
 void StreamOrigins::Tick() {
--- a/src/nodes/streamorigins.h
+++ b/src/nodes/streamorigins.h
@@ -16,6 +16,7 @@
 #include "origins/originhomes.h"
 #include "origins/originlookup.h"
 #include "origins/originstore.h"
+#include "origins/routehistory.h"
 #include "origins/softwarehistory.h"
 #include "routes/fleetconfiguration.h"
 #include "transport/peerclient.h"
@@ -47,7 +48,8 @@
   StreamOrigins(const StreamOrigins&) = delete;
   StreamOrigins& operator=(const StreamOrigins&) = delete;
 
-  void SetFleet(const coordination::FleetKnowledge& fleet, Time now);
+  void SetFleet(const coordination::FleetKnowledge& fleet,
+                const routes::FleetConfiguration& configuration, Time now);
   /// The platform's list was read at `read`, with or without changes.
   void ListRead(Time read) { this->history.ListRead(read); }
   /// `software`, which may be unknown, produced the first event of `request`,
@@ -77,10 +79,10 @@
   void Ask(LookupId id, const std::string& home, const std::string& request);
   void OnReply(LookupId id, const std::string& home, std::string_view bytes);
   void OnFailed(LookupId id, const std::string& home);
-  /// The software that alone can have begun a stream; unknown if there may have
-  /// been another.
+  /// The software that alone can have begun a stream of `route`; unknown if
+  /// there may have been another.
   ReplicaSoftware SoleSoftware(
-      const std::vector<std::string>& services,
+      const routes::Route& route,
       const routes::FleetConfiguration& configuration) const;
   /// Calls back and erases the search if it is over.
   void Conclude(LookupId id);
@@ -89,6 +91,7 @@
   Metrics& metrics;
   origins::OriginStore own;
   origins::SoftwareHistory history;
+  origins::RouteHistory route_history;
   std::vector<origins::HomeOption> homes;
   std::map<LookupId, Lookup> lookups;
   LookupId last_lookup = 0;
--- a/src/origins/tests/origins_tests.cpp
+++ b/src/origins/tests/origins_tests.cpp
@@ -10,6 +10,7 @@
 #include "origins/originhomes.h"
 #include "origins/originlookup.h"
 #include "origins/originstore.h"
+#include "origins/routehistory.h"
 #include "origins/softwarehistory.h"
 
 namespace papayarack::origins {
@@ -209,6 +210,32 @@
   }
 }
 
+// Guards against a stream that began at a service which its route has left, and
+// goes on at the only software of the service to which it leads now.
+TEST_CASE("a route's services are known since their last change") {
+  constexpr Duration kWindow = seconds(20);
+  RouteHistory history;
+  history.SetRoutes({{"r", {"llm"}}, {"s", {"llm", "other"}}}, At(0));
+
+  SECTION("once it was watched for the whole window") {
+    CHECK(history.SameSince("r", kWindow, At(20000)));
+    CHECK_FALSE(history.SameSince("r", kWindow, At(19999)));
+    CHECK_FALSE(history.SameSince("unknown", kWindow, At(20000)));
+  }
+  SECTION("whatever changes at other routes, and in any order") {
+    history.SetRoutes({{"r", {"llm"}}, {"s", {"other", "llm"}}}, At(10000));
+    history.SetRoutes({{"r", {"llm"}}}, At(15000));
+    CHECK(history.SameSince("r", kWindow, At(20000)));
+  }
+  SECTION("not within the window after it led elsewhere or was away") {
+    history.SetRoutes({{"r", {"other"}}}, At(10000));
+    history.SetRoutes({{"r", {"llm"}}}, At(11000));
+    CHECK_FALSE(history.SameSince("r", kWindow, At(30999)));
+    CHECK(history.SameSince("r", kWindow, At(31000)));
+    CHECK_FALSE(history.SameSince("s", kWindow, At(40000)));
+  }
+}
+
 TEST_CASE("a stream that is taken up goes on where it began, or nowhere") {
   const std::vector<std::string> services = {"llm", "other"};
   const auto decide = [&services](const OriginEvidence& evidence) {
