Origins of streams: routes are compared when the configuration changes only

The fleet's knowledge changes with each replica and process; a configuration may have thousands of routes, whose services were compared each time. Read, not measured.

--- a/src/nodes/internal/streamorigins.cpp
+++ b/src/nodes/internal/streamorigins.cpp
@@ -50,6 +50,10 @@
     listed.insert(engine.Software());
   }
   this->history.SetListed(listed, now);
+  if (this->routes_version == configuration.version) {
+    return;
+  }
+  this->routes_version = configuration.version;
   origins::RouteHistory::Services services;
   for (const routes::Route& route : configuration.routes) {
     services[route.Key()] = ServicesOf(route);
--- a/src/nodes/streamorigins.h
+++ b/src/nodes/streamorigins.h
@@ -92,6 +92,7 @@
   origins::OriginStore own;
   origins::SoftwareHistory history;
   origins::RouteHistory route_history;
+  std::optional<std::uint64_t> routes_version;  ///< Of `route_history`.
   std::vector<origins::HomeOption> homes;
   std::map<LookupId, Lookup> lookups;
   LookupId last_lookup = 0;
