Lint: an order of pool keys and a moved call that clang-tidy accepts

clang-tidy takes a defaulted <=> for a null pointer and REQUIRE for a use after move. No change of behaviour; two comments of the gate say what happens when another replica answers.

--- a/src/gate/tests/upstreamclient_tests.cpp
+++ b/src/gate/tests/upstreamclient_tests.cpp
@@ -35,7 +35,8 @@
   call.id = 1;
   call.request_id = "r";
   call.target = "/";
-  REQUIRE(client.Start(std::move(call)));
+  const bool started = client.Start(std::move(call));
+  REQUIRE(started);
   tcp::socket socket = acceptor.accept();
   std::string request;
   asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <map>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -55,7 +56,10 @@
   struct PoolKey {
     std::string address;
     bool identified = false;
-    auto operator<=>(const PoolKey&) const = default;
+    bool operator<(const PoolKey& other) const {
+      return std::tie(this->address, this->identified) <
+             std::tie(other.address, other.identified);
+    }
   };
 
   struct Link {
--- a/src/nodes/engineowner.h
+++ b/src/nodes/engineowner.h
@@ -98,9 +98,11 @@
   void UpdateAvailability();
   void ApplyListing(const coordination::EngineInstance& listed);
   void LearnStart(std::uint64_t started_ms);
-  /// The replica at the address names itself `other`. Ignored where it may be
-  /// of another service.
+  /// The replica at the address names itself `other`; it is used only if it
+  /// must be of this service.
   void LearnId(const std::string& other);
+  /// Takes no more work, as `other` answers at the address and may be of
+  /// another service.
   void NoteReplaced(const std::string& other);
   /// How long from now on any replica at the address is of this service: until
   /// the platform may reuse the address, if the listed replica ended right
