--- a/src/nodes/batchapi.h
+++ b/src/nodes/batchapi.h
@@ -23,10 +23,12 @@
   /// Precondition: both arguments outlive it.
   BatchApi(NodeRuntime& runtime, http::HttpServer& front);
 
-  /// Who submits a batch. Both names are empty for an anonymous caller.
+  /// Who submits a batch.
   struct Submitter {
-    std::string organisation;  ///< The batch will belong to it.
-    /// Holds the key that the caller sent, also where the route needs none.
+    /// The batch will belong to it; empty: to nobody, as its route needs no
+    /// key.
+    std::string organisation;
+    /// Holds the key that the caller sent, needed or not; empty: nobody.
     std::string key_holder;
   };
 
@@ -34,7 +36,7 @@
   void Submit(http::ExchangeId exchange, const http::HttpRequest& request,
               const routes::Route& route, Submitter submitter);
   /// Any other call about a batch. Batches of other organisations are not
-  /// found.
+  /// found, or refused to a caller whose key is rejected.
   void Answer(http::ExchangeId exchange, const BatchCall& call,
               const organisations::BatchCaller& caller);
   /// Cancels the call of a caller that disconnected. False when there is none.
--- a/src/organisations/authentication.h
+++ b/src/organisations/authentication.h
@@ -35,15 +35,14 @@
 /// without a key.
 struct BatchCaller {
   std::string organisation;  ///< Empty: none.
-  /// Whether it is told that its key is rejected where it may not know of the
-  /// batch, in place of that there is no such batch.
+  /// Where it may not know of the batch: it is told that its key is rejected,
+  /// not that there is no such batch.
   bool rejected = false;
 };
 
-/// Decides who makes a call about a batch on `host`, which may be the batch of
-/// an organisation or one that was submitted without a key; nullopt where keys
-/// are outdated. A batch keeps its owner when routes change, so routes do not
-/// decide whose key is read. Thread safety: any thread.
+/// Identifies the caller of a read or an end of a batch on `host`; nullopt
+/// where keys are outdated. A batch keeps its owner when routes change, so
+/// routes do not decide whose key is read. Thread safety: any thread.
 std::optional<BatchCaller> IdentifyBatchCaller(const routes::RouteTable& table,
                                                std::string_view host,
                                                std::string_view key,
