--- a/src/nodes/internal/streamorigins.cpp
+++ b/src/nodes/internal/streamorigins.cpp
@@ -58,7 +58,7 @@
   for (const routes::Route& route : configuration.routes) {
     services[route.Key()] = ServicesOf(route);
   }
-  this->route_history.SetRoutes(std::move(services), now);
+  this->route_history.SetRoutes(services, now);
 }
 
 void StreamOrigins::Began(const std::string& request,
--- a/src/origins/internal/routehistory.cpp
+++ b/src/origins/internal/routehistory.cpp
@@ -1,13 +1,16 @@
 #include "origins/routehistory.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace papayarack::origins {
 
-void RouteHistory::SetRoutes(Services services, Time now) {
+void RouteHistory::SetRoutes(const Services& services, Time now) {
   std::map<std::string, Entry> updated;
-  for (auto& [route, targets] : services) {
+  for (const auto& [route, unordered] : services) {
+    std::vector<std::string> targets = unordered;
     std::ranges::sort(targets);
     const auto known = this->routes.find(route);
     const bool same =
--- a/src/origins/routehistory.h
+++ b/src/origins/routehistory.h
@@ -18,7 +18,7 @@
   using Services = std::map<std::string, std::vector<std::string>>;
 
   /// The routes in force lead to `services`.
-  void SetRoutes(Services services, Time now);
+  void SetRoutes(const Services& services, Time now);
   /// Whether the route has been known for the last `window` and led to the same
   /// services all the time.
   bool SameSince(const std::string& route, Duration window, Time now) const;
