Emptying stores: an order that is not committed yet counts

Cause: the leader counted the stores that would stay by the applied orders. The first of two orders that come together is in the log and not applied when the second is checked: each leaves three of four stores, both leave two. Beside it: an accepted order that came again was refused with 409 once stores were lost, and a new leader refused with 409 before all stores had reported.

Change: an order that is proposed counts like one that is applied; an accepted order is acknowledged again whatever was lost since; too few stores is "not ready" (503) while some may still have to report.

--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -116,8 +117,8 @@
   bool KnowsOtherLeader() const;
   WatchReply MakeReply(const Watcher& watcher) const;
   void Reply(StreamId stream, ResultCode code, std::string body = {});
-  void ProposeAndReply(StreamId stream, const CoordinationCommand& command);
   void FoundJobGroupWhenReady(Time now);
+  /// Stores that stay if `name` is emptied, too.
   std::size_t StoresLeftWithout(const std::string& name) const;
   StoreState StateOf(const std::string& name) const;
   void PollEngines(Time now);
@@ -147,6 +148,8 @@
   std::string announced_leader;
   bool poll_under_way = false;
   bool founding = false;
+  /// Stores whose order to be emptied is in the log and not committed yet.
+  std::set<std::string> emptying;
   consensus::Term led_term = 0;
   Time led_since{};
   asio::steady_timer timer;
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -551,16 +551,6 @@
   this->server->Finish(stream);
 }
 
-void Coordinator::ProposeAndReply(StreamId stream,
-                                  const CoordinationCommand& command) {
-  this->group->Propose(
-      EncodeVariant(command),
-      [this, stream](const Result& result, const std::string&) {
-        this->Reply(stream, result.code);
-        this->AnswerWatchers(MonotonicNow());
-      });
-}
-
 void Coordinator::OnReadConfiguration(StreamId stream,
                                       const std::string& body) {
   const bool held_given = !body.empty();
@@ -588,32 +578,48 @@
 std::size_t Coordinator::StoresLeftWithout(const std::string& name) const {
   std::size_t left = 0;
   for (const NodeReport& report : this->nodes.WithRole(NodeRole::kStore)) {
-    const bool leaves = this->state.leaving().count(report.name) > 0;
+    const bool leaves = this->state.leaving().contains(report.name) ||
+                        this->emptying.contains(report.name);
     left += report.name != name && !leaves ? 1 : 0;
   }
   return left;
 }
 
+/// An order that is not committed yet counts as well: of two that come together
+/// each would leave enough stores, and both would leave too few.
 void Coordinator::OnEmptyStore(StreamId stream, const std::string& body) {
   const auto command = DecodeMessage<EmptyStore>(body);
   if (!this->group->Leads()) {
     this->Reply(stream, ResultCode::kNotLeader);
     return;
   }
+  if (this->state.leaving().contains(command.name)) {
+    // Accepted before, whatever stores have been lost since.
+    this->Reply(stream, ResultCode::kOk);
+    return;
+  }
+  const bool settled = this->nodes.Settled(MonotonicNow());
   const NodeReport* report = this->nodes.Find(command.name);
-  const bool known = report != nullptr && report->Role() == NodeRole::kStore;
-  if (!known && this->state.leaving().count(command.name) == 0) {
-    this->Reply(stream, this->nodes.Settled(MonotonicNow())
-                            ? ResultCode::kNotFound
-                            : ResultCode::kNotReady);
+  if (report == nullptr || report->Role() != NodeRole::kStore) {
+    this->Reply(stream,
+                settled ? ResultCode::kNotFound : ResultCode::kNotReady);
     return;
   }
   if (this->StoresLeftWithout(command.name) <
       2 * this->options.tolerated_losses + 1) {
-    this->Reply(stream, ResultCode::kConflict);
+    // Those that have not reported to a new leader yet may be there.
+    this->Reply(stream,
+                settled ? ResultCode::kConflict : ResultCode::kNotReady);
     return;
   }
-  this->ProposeAndReply(stream, command);
+  this->emptying.insert(command.name);
+  this->group->Propose(EncodeVariant(CoordinationCommand(command)),
+                       [this, stream, name = command.name](const Result& result,
+                                                           const std::string&) {
+                         this->emptying.erase(name);
+                         this->Reply(stream, result.code);
+                         this->AnswerWatchers(MonotonicNow());
+                       });
 }
 
 StoreState Coordinator::StateOf(const std::string& name) const {
