Job group: the members that are reported are those of the last committed list

What an operator could see: a store is reported as emptied and its disk taken away, while its group goes back to a list in which it votes.

Cause: the job group's leader reported the list that it had proposed last. Until that is committed the next leader may not have it.

Evidence: the new test fails with the former list (a leader that is cut off tells that the leaving voter is no member) and passes after.

Change: BatchStore reports ReplicatedGroup::CommittedMembers.

--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -226,7 +226,9 @@
     this->group->RepairMembership(this->candidates, this->leaving_addresses,
                                   {2 * this->options.tolerated_losses + 1, 0});
     std::vector<std::string> addresses;
-    for (const consensus::Member& member : this->group->members().members) {
+    // A store that is no member any more may be taken away with its disk.
+    for (const consensus::Member& member :
+         this->group->CommittedMembers().members) {
       addresses.push_back(member.address);
     }
     this->members_changed(std::move(addresses), this->group->term());
--- a/src/replication/internal/replicatedgroup.cpp
+++ b/src/replication/internal/replicatedgroup.cpp
@@ -279,6 +279,10 @@
   return heard != this->sender_addresses.end() ? heard->second : std::string();
 }
 
+consensus::MemberList ReplicatedGroup::CommittedMembers() const {
+  return this->core->log().MembersAt(this->core->commit());
+}
+
 std::string ReplicatedGroup::LeaderAddress() const {
   return this->AddressOf(this->core->leader());
 }
--- a/src/replication/replicatedgroup.h
+++ b/src/replication/replicatedgroup.h
@@ -123,6 +123,9 @@
   /// Address of the leader; empty if unknown.
   std::string LeaderAddress() const;
   const consensus::MemberList& members() const { return this->core->members(); }
+  /// The last list that is committed: unlike that of members(), no later leader
+  /// goes back to an older one.
+  consensus::MemberList CommittedMembers() const;
   consensus::Index applied() const { return this->applied_index; }
 
  private:
--- a/src/replication/tests/replicatedgroup_tests.cpp
+++ b/src/replication/tests/replicatedgroup_tests.cpp
@@ -230,6 +230,37 @@
   }
 }
 
+// Guards against a store whose disk is taken away although its group needs its
+// vote: a leader that cannot commit its removal told that it is no member.
+TEST_CASE("members are those of the last committed list") {
+  Cluster cluster;
+  for (const consensus::Member& member : Three().members) {
+    cluster.Start(member.id, member.address, Three());
+  }
+  REQUIRE(cluster.RunUntil([&] { return cluster.Leader() != nullptr; }));
+  Cluster::Node* leader = cluster.Leader();
+  const std::string leader_address = leader->group->LeaderAddress();
+  const std::string leaving = leader_address == "b:1" ? "c:1" : "b:1";
+  const consensus::MemberId id = leaving == "b:1" ? 2 : 3;
+  const std::vector<std::string> leaving_addresses = {leaving};
+  for (auto& [address, node] : cluster.nodes) {
+    node->cut = address != leader_address;
+  }
+  leader->group->RepairMembership({}, leaving_addresses, {2, 0});
+  CHECK(leader->group->members().Find(id) == nullptr);
+  CHECK(leader->group->CommittedMembers().Find(id) != nullptr);
+  SECTION("once a quorum has the new list") {
+    for (auto& [address, node] : cluster.nodes) {
+      node->cut = false;
+    }
+    CHECK(cluster.RunUntil([&] {
+      Cluster::Node* now = cluster.Leader();
+      return now != nullptr &&
+             now->group->CommittedMembers().Find(id) == nullptr;
+    }));
+  }
+}
+
 // Guards against a member that spends all its time on snapshots, because each
 // saves the whole state even if the log has grown little since the last.
 TEST_CASE("snapshots of a growing state cost in proportion to its commands") {
