Batches: what a leader may have in its log is not answered "not run"

A caller who submits the work anew has it run twice.

Cause: HttpStatusOf answered every result without a status of its own with 503, kUnknownOutcome too. And GroupClient ended as kNoQuorum, which is "not run", though an earlier attempt had been sent and not answered; the refusal of a later attempt (429) hid it in the same way.

Change: GroupClient remembers an attempt that was sent and got no answer; a refusal or the end of the time is then kUnknownOutcome. What may have been done is answered 502. Reads stay at 503. The same for ends of batches and for operators' orders, which go through the same places.

--- a/src/coordination/groupclient.h
+++ b/src/coordination/groupclient.h
@@ -25,8 +25,9 @@
 class GroupClient {
  public:
   /// Called once with the leader's reply, or with kNoQuorum if no leader
-  /// answered in time. The text of a refusal names the member and the number
-  /// of attempts.
+  /// answered in time. Either becomes kUnknownOutcome where the reply is a
+  /// refusal (2xx) and a member may have done what an earlier attempt asked.
+  /// The text of a refusal names the member and the number of attempts.
   using Done = std::function<void(const Result& result, std::string body)>;
 
   /// Precondition: `search` outlives the client.
@@ -56,6 +57,9 @@
     std::unique_ptr<asio::steady_timer> timer;
     std::string target;
     bool answered = false;
+    std::size_t replied_try = 0;  ///< Number of the last try with a reply.
+    /// A member may have received a try and has not replied.
+    bool may_have_run = false;
   };
   /// Texts of results for logs.
   static std::string NoAnswerText(const Attempt& attempt);
@@ -63,6 +67,11 @@
   void Try(std::uint64_t id);
   void Later(std::uint64_t id, std::chrono::milliseconds wait);
   void OnMessage(std::uint64_t id, const std::string& message);
+  /// Try `number` has ended, in some cases after the next one has begun.
+  void OnTryEnded(std::uint64_t id, std::size_t number, transport::CallEnd end);
+  /// `code`, or that the outcome is unknown where it would tell that nothing
+  /// was done.
+  static ResultCode CodeOf(const Attempt& attempt, ResultCode code);
   /// The target did not answer.
   void OnFailure(std::uint64_t id);
   void TryNext(std::uint64_t id);
--- a/src/coordination/internal/groupclient.cpp
+++ b/src/coordination/internal/groupclient.cpp
@@ -62,7 +62,9 @@
   Attempt& attempt = found->second;
   const Duration left = attempt.deadline - MonotonicNow();
   if (left <= Duration(0)) {
-    this->End(id, {ResultCode::kNoQuorum, NoAnswerText(attempt)}, {});
+    this->End(id,
+              {CodeOf(attempt, ResultCode::kNoQuorum), NoAnswerText(attempt)},
+              {});
     return;
   }
   attempt.target = this->search.NextForCall(attempt.target);
@@ -79,15 +81,21 @@
     return now != this->attempts.end() && now->second.tries == number &&
            !now->second.answered;
   };
-  handlers.on_message = [this, id, current,
+  handlers.on_message = [this, id, number, current,
                          alive = this->alive](const std::string& message) {
     if (*alive && current()) {
       this->OnMessage(id, message);
+    } else if (*alive) {
+      this->OnTryEnded(id, number, transport::CallEnd::kLost);
     }
   };
-  handlers.on_end = [this, id, current,
-                     alive = this->alive](transport::CallEnd) {
-    if (*alive && current()) {
+  handlers.on_end = [this, id, number, current,
+                     alive = this->alive](transport::CallEnd end) {
+    if (!*alive) {
+      return;
+    }
+    this->OnTryEnded(id, number, end);
+    if (current()) {
       this->OnFailure(id);
     }
   };
@@ -130,17 +138,34 @@
     return;
   }
   const auto code = static_cast<ResultCode>(reply.code);
-  const std::string& target = this->attempts.at(id).target;
+  Attempt& attempt = this->attempts.at(id);
+  attempt.replied_try = attempt.tries;
   if (code != ResultCode::kNotLeader) {
-    this->search.Found(target);
-    this->End(id, {code, AnswerText(this->attempts.at(id), code)},
+    this->search.Found(attempt.target);
+    this->End(id, {CodeOf(attempt, code), AnswerText(attempt, code)},
               std::move(reply.body));
     return;
   }
-  this->search.Refused(target, std::move(reply.leader));
+  this->search.Refused(attempt.target, std::move(reply.leader));
   this->TryNext(id);
 }
 
+/// A member that ends a call without a reply (kFinished) does not serve it.
+void GroupClient::OnTryEnded(std::uint64_t id, std::size_t number,
+                             transport::CallEnd end) {
+  const auto found = this->attempts.find(id);
+  if (found != this->attempts.end() && end == transport::CallEnd::kLost &&
+      found->second.replied_try < number) {
+    found->second.may_have_run = true;
+  }
+}
+
+ResultCode GroupClient::CodeOf(const Attempt& attempt, ResultCode code) {
+  constexpr int kRefusals = 2;  // Hundreds of ResultCode.
+  const bool refused = static_cast<int>(code) / 100 == kRefusals;
+  return attempt.may_have_run && refused ? ResultCode::kUnknownOutcome : code;
+}
+
 void GroupClient::OnFailure(std::uint64_t id) {
   this->search.Lost(this->attempts.at(id).target);
   this->TryNext(id);
--- a/src/nodes/internal/batchapi.cpp
+++ b/src/nodes/internal/batchapi.cpp
@@ -15,12 +15,6 @@
 constexpr std::chrono::milliseconds kBatchTime{1300};
 constexpr std::chrono::milliseconds kBatchAttemptTime{600};
 
-/// A refused read may be repeated soon; 429 would mean a full quota.
-int ReadStatusOf(ResultCode code) {
-  return code == ResultCode::kOverloaded ? kServiceUnavailable
-                                         : HttpStatusOf(code, kOk);
-}
-
 }  // namespace
 
 BatchApi::BatchApi(NodeRuntime& runtime, http::HttpServer& front)
@@ -100,8 +94,7 @@
 
 void BatchApi::Answer(http::ExchangeId exchange, const BatchCall& call,
                       const organisations::BatchCaller& caller) {
-  const auto status_of = [hidden = caller.rejected](ResultCode code) {
-    const int status = ReadStatusOf(code);
+  const auto status_of = [hidden = caller.rejected](int status) {
     return hidden && status == kNotFoundStatus ? kUnauthorized : status;
   };
   std::visit(
@@ -118,7 +111,7 @@
                 [this, status_of](const Result& result,
                                   const std::string& body) {
                   if (!result.Ok()) {
-                    return EmptyResponse(status_of(result.code));
+                    return EmptyResponse(status_of(ReadStatusOf(result.code)));
                   }
                   return JsonResponse(this->runtime.dialect.write_results(
                       DecodeMessage<batches::ResultPage>(body)));
@@ -133,8 +126,8 @@
                             kBatchTime,
                             {read.query.batch, read.query.item}},
                            [status_of](const Result& result, std::string body) {
-                             http::HttpResponse response =
-                                 EmptyResponse(status_of(result.code));
+                             http::HttpResponse response = EmptyResponse(
+                                 status_of(ReadStatusOf(result.code)));
                              response.body = result.Ok() ? std::move(body) : "";
                              return response;
                            });
@@ -147,7 +140,10 @@
                  kBatchTime,
                  {end.id, {}}},
                 [status_of](const Result& result, const std::string&) {
-                  return EmptyResponse(status_of(result.code));
+                  return EmptyResponse(
+                      status_of(result.code == ResultCode::kOverloaded
+                                    ? kServiceUnavailable
+                                    : HttpStatusOf(result.code, kOk)));
                 });
           }},
       call);
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -25,7 +25,6 @@
 /// Margin of the time for which an origin is kept, for the way of the caller's
 /// last attempt.
 constexpr std::chrono::milliseconds kOriginMargin{2000};
-constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
 std::int64_t MillisSince(Time start, Time now) {
--- a/src/nodes/internal/operatorapi.cpp
+++ b/src/nodes/internal/operatorapi.cpp
@@ -132,7 +132,7 @@
       [held = known.config_version, text = known.config](
           const Result& result, const std::string& body) {
         if (!result.Ok()) {
-          return EmptyResponse(HttpStatusOf(result.code, kOk));
+          return EmptyResponse(ReadStatusOf(result.code));
         }
         auto found = DecodeMessage<coordination::SubmitConfiguration>(body);
         if (found.version == held) {
@@ -159,7 +159,7 @@
       EncodeMessage(coordination::ReadQuery{name}),
       [this](const Result& result, const std::string& body) {
         if (!result.Ok()) {
-          return EmptyResponse(HttpStatusOf(result.code, kOk));
+          return EmptyResponse(ReadStatusOf(result.code));
         }
         const auto state = DecodeMessage<coordination::StoreState>(body);
         return state.leaving
--- a/src/nodes/internal/plainresponses.cpp
+++ b/src/nodes/internal/plainresponses.cpp
@@ -30,6 +30,17 @@
       return kConflictStatus;
     case ResultCode::kOverloaded:
       return kTooMany;
+    default:
+      return Describe(code).not_run ? kServiceUnavailable : kBadGateway;
+  }
+}
+
+int ReadStatusOf(ResultCode code) {
+  switch (code) {
+    case ResultCode::kOk:
+      return kOk;
+    case ResultCode::kNotFound:
+      return kNotFoundStatus;
     default:
       return kServiceUnavailable;
   }
--- a/src/nodes/plainresponses.h
+++ b/src/nodes/plainresponses.h
@@ -16,6 +16,7 @@
 inline constexpr int kNotFoundStatus = 404;
 inline constexpr int kConflictStatus = 409;
 inline constexpr int kTooMany = 429;
+inline constexpr int kBadGateway = 502;
 inline constexpr int kServiceUnavailable = 503;
 
 /// Retry-After, in seconds, of a refusal without a better estimate: an election
@@ -26,8 +27,12 @@
 /// these functions: any thread.
 http::HttpResponse EmptyResponse(int status);
 http::HttpResponse JsonResponse(std::string body);
-/// The HTTP status for a result; `success` is used for kOk.
+/// The HTTP status for the result of a call that changes something; `success`
+/// is used for kOk. 429 and 503 promise that it was not done and never will be.
 int HttpStatusOf(ResultCode code, int success);
+/// The same for a call that changes nothing: a read that failed may be repeated
+/// soon, while 429 would mean a full quota.
+int ReadStatusOf(ResultCode code);
 
 }  // namespace papayarack::nodes
 
--- a/src/nodes/tests/nodes_tests.cpp
+++ b/src/nodes/tests/nodes_tests.cpp
@@ -7,6 +7,7 @@
 #include "http/httpserver.h"
 #include "nodes/noderuntime.h"
 #include "nodes/onlinerelay.h"
+#include "nodes/plainresponses.h"
 #include "nodes/slotmessages.h"
 
 namespace papayarack::nodes {
@@ -35,6 +36,20 @@
 
 }  // namespace
 
+// Guards against a caller who is told that a batch never runs which a leader
+// may have in its log.
+TEST_CASE("only what was not done is answered with a promise") {
+  for (const ResultCodeInfo& code : AllResultCodes()) {
+    CAPTURE(code.name);
+    const int status = HttpStatusOf(code.code, kAccepted);
+    const bool promises = status == kTooMany || status == kServiceUnavailable;
+    CHECK((code.not_run || !promises));
+  }
+  CHECK(HttpStatusOf(ResultCode::kUnknownOutcome, kAccepted) == kBadGateway);
+  CHECK(HttpStatusOf(ResultCode::kNoQuorum, kAccepted) == kServiceUnavailable);
+  CHECK(ReadStatusOf(ResultCode::kUnknownOutcome) == kServiceUnavailable);
+}
+
 // Guards against entries and gates of two versions that do not understand each
 // other: an ask without organisation counts as that of a caller without one.
 TEST_CASE("asks for a slot are compatible between versions") {
