Batch items: a run whose text does not grow is ended, whatever its replica sends

What callers saw: an item was never listed.

Items have no time of their own. Events without an id and comments kept a run alive as well.

Change: a run whose text has not grown for 5 s is ended and resumed. The rest of a refusal or failure that stops coming is ended like one that is too long, so that a failure counts as one: it was taken for a silent run.

--- a/src/nodes/batchrunner.h
+++ b/src/nodes/batchrunner.h
@@ -120,10 +120,11 @@
     http::HttpCallId call = 0;
     int status = 0;
     bool not_run = false;
-    Time due{};                      ///< Deadline of its result.
-    Time since{};                    ///< Start of the current phase.
-    Time last_heard{};               ///< When its last byte came.
-    Time last_block{};               ///< When its last complete event came.
+    Time due{};            ///< Deadline of its result.
+    Time since{};          ///< Start of the current phase.
+    Time last_heard{};     ///< When its last byte came.
+    Time last_block{};     ///< When its last complete block came, or its head.
+    Time last_event_at{};  ///< When its text grew, or its head came.
     std::size_t ignored_bytes = 0;   ///< Of a refusal's or failure's body.
     std::size_t unframed_bytes = 0;  ///< Since the last event.
     Time not_before{};               ///< No start before this, after a failure.
@@ -179,6 +180,9 @@
   void OnHead(RunId id, const http::HttpHead& head);
   void OnBody(RunId id, std::string_view bytes);
   bool AppendEvent(Run& run, const http::StreamEvent& event);
+  /// Whether nothing that its replica sends has brought the run further for too
+  /// long.
+  static bool IsSilent(const Run& run, Time now);
   /// Ends a run whose replica sends bytes beyond the limits.
   void Cut(RunId id, const char* reason);
   void OnEnd(RunId id, http::HttpEnd end);
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -27,6 +27,10 @@
 /// A run that receives no data for this long is resumed on a new connection: a
 /// fully loaded engine produces an event at least every 0.2 s.
 constexpr std::chrono::milliseconds kMaxSilence{2500};
+/// The same for a run that receives data but no event of its text: longer, as
+/// an engine that keeps its connection alive by comments may have preempted the
+/// run, and short enough for another run in the time that items have.
+constexpr std::chrono::milliseconds kMaxTimeWithoutEvent{5000};
 /// Delay before a run is retried after a refusal by the engine or a broken
 /// connection.
 constexpr std::chrono::milliseconds kRetryDelay{150};
@@ -47,6 +51,7 @@
 /// Quarantined items up to this number take no room from others.
 constexpr std::size_t kMaxItemsSetAside = 64;
 
+constexpr int kItemAnswered = 200;
 constexpr int kItemImpossible = 422;
 constexpr int kItemFailed = 500;
 
@@ -146,12 +151,19 @@
   this->Report();
   std::vector<RunId> silent;
   for (const auto& [id, run] : this->runs) {
-    if (run.phase == Phase::kRunning && now - run.last_block > kMaxSilence) {
+    if (IsSilent(run, now)) {
       silent.push_back(id);
     }
   }
   for (const RunId id : silent) {
     Run& run = this->runs.at(id);
+    if (run.phase != Phase::kRunning) {
+      continue;  // Preempted after one before it has ended.
+    }
+    if (run.status != 0 && run.status != kItemAnswered) {
+      this->Cut(id, "the rest of a refusal or failure does not come");
+      continue;
+    }
     Log(LogLevel::kWarn, "item_run_silent",
         {{"request", run.item.spec.id}, {"last_event", run.last_event}});
     this->Pause(run);
@@ -166,6 +178,12 @@
   }
 }
 
+bool BatchRunner::IsSilent(const Run& run, Time now) {
+  return run.phase == Phase::kRunning &&
+         (now - run.last_block > kMaxSilence ||
+          now - run.last_event_at > kMaxTimeWithoutEvent);
+}
+
 void BatchRunner::EngineRestarted() {
   for (auto& [id, run] : this->runs) {
     if (run.phase == Phase::kRunning) {
@@ -426,6 +444,7 @@
   run.since = MonotonicNow();
   run.last_heard = run.since;
   run.last_block = run.since;
+  run.last_event_at = run.since;
   run.ignored_bytes = 0;
   run.unframed_bytes = 0;
   run.first_event = run.last_event;
@@ -471,6 +490,7 @@
   found->second.not_run = engine.not_run;
   found->second.last_heard = MonotonicNow();
   found->second.last_block = found->second.last_heard;
+  found->second.last_event_at = found->second.last_heard;
   const bool other = engine.not_run && !engine.engine_id.empty() &&
                      engine.engine_id != this->replica.id;
   if (other && this->other_replica) {
@@ -484,7 +504,7 @@
     return;
   }
   Run& run = found->second;
-  if (run.status != 200) {
+  if (run.status != kItemAnswered) {
     run.ignored_bytes += bytes.size();
     if (run.ignored_bytes > kMaxIgnoredBytes) {
       this->Cut(id, "a refusal or failure without end");
@@ -503,8 +523,9 @@
   http::StreamEvent event;
   while (run.splitter.Next(event)) {
     run.last_block = run.last_heard;
-    if (event.IsEvent()) {
+    if (event.id.has_value()) {
       run.unframed_bytes = 0;
+      run.last_event_at = run.last_heard;
     }
     if (!this->AppendEvent(run, event)) {
       Log(LogLevel::kWarn, "item_event_out_of_order",
@@ -559,7 +580,8 @@
   }
   Run& run = found->second;
   run.call = 0;
-  const bool whole = end == http::HttpEnd::kComplete && run.status == 200 &&
+  const bool whole = end == http::HttpEnd::kComplete &&
+                     run.status == kItemAnswered &&
                      !run.splitter.HasPartialEvent() && run.any_event;
   if (whole) {
     this->NoteSurvival(run);
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -53,6 +53,8 @@
   int status = 200;
   bool silent = false;  ///< Sends a head and nothing more.
   std::string filler;   ///< Sent instead of the event, without an end.
+  /// Sent in place of the event again and again, slowly and without an end.
+  std::string drip;
   std::size_t asked = 0;
   std::vector<std::string> paths;  ///< Of all requests.
 
@@ -67,6 +69,10 @@
           exchange, this->status,
           http::Headers{{"Id", std::string(request.headers.Get("Id"))}});
       this->server->Write(exchange, this->filler);
+      if (!this->drip.empty()) {
+        this->Drip(exchange);
+        return;
+      }
       if (this->silent || !this->filler.empty()) {
         return;
       }
@@ -79,6 +85,17 @@
     return handlers;
   }
 
+  /// Ends with the test.
+  void Drip(http::ExchangeId exchange) {
+    constexpr milliseconds kBetween{50};
+    const auto timer =
+        std::make_shared<asio::steady_timer>(this->context, kBetween);
+    timer->async_wait([this, exchange, timer](std::error_code) {
+      this->server->Write(exchange, this->drip);
+      this->Drip(exchange);
+    });
+  }
+
   asio::io_context& context;
   std::uint16_t port = 0;
   std::unique_ptr<http::HttpServer> server;
@@ -657,6 +674,32 @@
                          milliseconds(1500)));
 }
 
+// Guards against an item that is never listed, as its engine sends bytes
+// without an end that keep its run alive and are no event.
+TEST_CASE("a run without events is ended however its engine stays alive") {
+  RunnerFixture fixture(2);
+  fixture.leader.on_pull = [&](Leader::Pull& pull) {
+    if (fixture.leader.pulls.size() == 1) {
+      fixture.leader.Answer(pull, {{MakeItem("1", kAmpleTime)}, {}});
+    }
+  };
+  SECTION("by lines, each followed by a blank line") {
+    fixture.engine.drip = "a line that is no event at all\n\n";
+  }
+  SECTION("by comments") { fixture.engine.drip = ":\n\n"; }
+  SECTION("by events without an id") { fixture.engine.drip = "data: x\n\n"; }
+  SECTION("by the slow body of a refusal") {
+    fixture.engine.status = 503;
+    fixture.engine.drip = "x";
+  }
+  // It runs again here, or goes back to the leader.
+  CHECK(fixture.RunUntil([&] {
+    const auto& pulls = fixture.leader.pulls;
+    return fixture.engine.asked > 1 ||
+           (!pulls.empty() && !pulls.back().asked.returned.empty());
+  }));
+}
+
 // The answer to a pull that requested nothing carries no items, so cancelling
 // it loses nothing; the leader would delay it for a second although there are
 // free slots.
