HttpClient: a connection whose request is not sent whole is not used again

Cause: a connection went back to the idle ones when the response was whole, also while the request was still being written; the next call wrote on it and replaced the memory from which the first write read.

Change: such a connection is closed.

--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -82,6 +82,8 @@
     HttpCallId call = 0;  ///< Zero while idle.
     bool connected = false;
     bool sent_any = false;
+    bool sending = false;   ///< Not all of `request` is sent.
+    bool is_head = false;   ///< The call's method is HEAD.
     bool skipping = false;  ///< Skipping a response to another call.
     bool reading = false;
     bool paused = false;
@@ -179,13 +181,14 @@
     link->skipped_bytes = 0;
     link->interim_bytes = 0;
     link->body_bytes = 0;
+    link->is_head = call.method == "HEAD";
     link->request = RequestBytes(call);
     this->Attach(link);
     this->calls.emplace(id,
                         Pending{std::move(handlers), std::move(call.identity),
                                 call.max_body_bytes, link});
+    PrepareParser(*link);
     if (reused) {
-      link->parser.Next();
       this->SendRequest(link);
     } else {
       this->Connect(link, call.peer);
@@ -193,6 +196,14 @@
     return id;
   }
 
+  /// For the next response.
+  static void PrepareParser(Link& link) {
+    link.parser.Next();
+    if (link.is_head) {
+      link.parser.ExpectNoBody();
+    }
+  }
+
   static std::string RequestBytes(const HttpCall& call) {
     std::string bytes =
         fmt::format("{} {} HTTP/1.1\r\n", call.method, call.target);
@@ -265,11 +276,13 @@
 
   void SendRequest(const LinkPtr& link) {
     link->sent_any = true;
+    link->sending = true;
     asio::async_write(link->socket, asio::buffer(link->request),
-                      [link](std::error_code, std::size_t) {
+                      [link](std::error_code error, std::size_t) {
                         // Read handles the error: the read fails as well, after
                         // it has returned any response that the peer sent
                         // before.
+                        link->sending = static_cast<bool>(error);
                       });
   }
 
@@ -346,10 +359,13 @@
     const bool interim = link->parser.status() / 100 == 1;
     if (link->skipping || interim) {
       link->skipping = false;
-      link->parser.Next();
+      PrepareParser(*link);
       return false;
     }
-    const bool keep = link->parser.KeepAlive() && rest.empty();
+    // A peer may respond before it has read the whole request. On such a
+    // connection it would take the next request for the rest of this one.
+    const bool keep =
+        link->parser.KeepAlive() && rest.empty() && !link->sending;
     this->Complete(link, keep);
     return true;
   }
