Batch items: texts that cannot stand in a request's head are refused

Cause: an item's id, path and headers come as JSON, which no HTTP parser has read, and went to the wire as they are. Found beside it: its headers could name the body's length, a transfer encoding or another host.

Change: a batch with such an item is refused with 400, and one that an earlier release accepted is given up without a run. Fields of a connection, the length of the body and the host are not taken from an item.

--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -46,6 +46,13 @@
 /// listed in `Connection`.
 void RemoveConnectionFields(Headers& headers);
 
+/// Whether texts can stand in a message's head as they are; a line break in one
+/// would begin another field, or another message. Thread safety of these
+/// functions: any thread.
+bool IsFieldName(std::string_view text);
+bool IsFieldValue(std::string_view text);
+bool IsRequestTarget(std::string_view text);
+
 /// Parses an unsigned integer of a header or query value; nothing if it is not
 /// one.
 std::optional<std::uint64_t> ParseNumber(std::string_view text);
--- a/src/http/internal/headers.cpp
+++ b/src/http/internal/headers.cpp
@@ -102,6 +102,27 @@
   }
 }
 
+bool IsFieldName(std::string_view text) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::ranges::all_of(text, [kMarks](char letter) {
+    return std::isalnum(static_cast<unsigned char>(letter)) != 0 ||
+           kMarks.find(letter) != std::string_view::npos;
+  });
+}
+
+bool IsFieldValue(std::string_view text) {
+  return std::ranges::none_of(text, [](char letter) {
+    return letter != '\t' &&
+           std::iscntrl(static_cast<unsigned char>(letter)) != 0;
+  });
+}
+
+bool IsRequestTarget(std::string_view text) {
+  return text.starts_with('/') && std::ranges::all_of(text, [](char letter) {
+           return std::isgraph(static_cast<unsigned char>(letter)) != 0;
+         });
+}
+
 std::optional<std::uint64_t> ParseNumber(std::string_view text) {
   std::uint64_t number = 0;
   const char* end = text.data() + text.size();
--- a/src/nodes/internal/batchapi.cpp
+++ b/src/nodes/internal/batchapi.cpp
@@ -5,6 +5,7 @@
 
 #include "global/logging.h"
 #include "global/variantcodec.h"
+#include "nodes/itemrequest.h"
 #include "nodes/plainresponses.h"
 
 namespace papayarack::nodes {
@@ -78,6 +79,13 @@
     this->front.Respond(exchange, EmptyResponse(kBadRequest));
     return;
   }
+  if (!std::ranges::all_of(batch.items, IsSendable)) {
+    Log(LogLevel::kInfo, "batch_unreadable",
+        {{"batch", batch.id},
+         {"text", "an item's id, path or headers cannot be sent"}});
+    this->front.Respond(exchange, EmptyResponse(kBadRequest));
+    return;
+  }
   batch.organisation = std::move(submitter.organisation);
   batch.key_holder = std::move(submitter.key_holder);
   batch.host = route.host;
--- a/src/nodes/internal/batchrunner.cpp
+++ b/src/nodes/internal/batchrunner.cpp
@@ -6,6 +6,7 @@
 
 #include "global/hash.h"
 #include "global/logging.h"
+#include "nodes/itemrequest.h"
 #include "nodes/itemtraits.h"
 #include "nodes/responselimits.h"
 
@@ -411,14 +412,17 @@
     run.not_before = MonotonicNow() + kRetryDelay;
     return;  // The leader gives the item up, or it is returned.
   }
+  if (!IsSendable(run.item.spec)) {
+    // Earlier releases accepted such items.
+    this->allocator.StartBatch();
+    this->Finish(id, run, batches::ItemEnd::kGivenUp);
+    return;
+  }
   http::HttpCall call;
   call.peer = ParseEndpoint(this->target.engine_address, "engine_address");
   call.method = kItemMethod;
   call.target = run.item.spec.path;
-  call.headers.Add("Host", run.item.host);
-  for (const batches::ItemHeader& header : run.item.spec.headers) {
-    call.headers.Set(header.name, header.value);
-  }
+  call.headers = HeadersOfItem(run.item);
   call.identity = this->dialect.identity(run.item.spec.id);
   call.headers.Set(call.identity.name, call.identity.value);
   ForwardFields fields;
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -57,6 +57,7 @@
   std::string drip;
   std::size_t asked = 0;
   std::vector<std::string> paths;  ///< Of all requests.
+  std::vector<http::HttpRequest> requests;
 
  private:
   http::HttpServerHandlers Handlers() {
@@ -65,6 +66,7 @@
                                  const http::HttpRequest& request) {
       ++this->asked;
       this->paths.emplace_back(request.Path());
+      this->requests.push_back(request);
       this->server->BeginStream(
           exchange, this->status,
           http::Headers{{"Id", std::string(request.headers.Get("Id"))}});
@@ -700,6 +702,45 @@
   }));
 }
 
+// Guards against a request that a replica finds inside an item, or an item that
+// it reads with another body or for another host: the headers of an item are a
+// caller's text.
+TEST_CASE("an item's headers cannot change how its request is read") {
+  RunnerFixture fixture(1);
+  batches::LeasedItem item = MakeItem("1", kAmpleTime);
+  fixture.leader.on_pull = [&](Leader::Pull& pull) {
+    if (fixture.leader.pulls.size() == 1) {
+      fixture.leader.Answer(pull, {{item}, {}});
+    }
+  };
+  const auto listed = [&] { return !fixture.leader.listed.empty(); };
+
+  SECTION("one with a line break is given up without a run") {
+    SECTION("in a value") {
+      item.spec.headers = {{"A", "b\r\n\r\nPOST /other HTTP/1.1"}};
+    }
+    SECTION("in a name") { item.spec.headers = {{"A: b\r\nC", "d"}}; }
+    SECTION("in its path") { item.spec.path = "/r/1 HTTP/1.1\r\nA: b"; }
+    SECTION("in its id") { item.spec.id = "1\r\nA: b"; }
+    CHECK(fixture.RunUntil(listed));
+    CHECK(fixture.engine.asked == 0);
+  }
+  SECTION(
+      "those of a connection, of the body's length and the host are not "
+      "sent") {
+    item.spec.headers = {{"Transfer-Encoding", "chunked"},
+                         {"Content-Length", "1"},
+                         {"Host", "other"},
+                         {"Kept", "yes"}};
+    REQUIRE(fixture.RunUntil(listed));
+    REQUIRE(fixture.engine.requests.size() == 1);
+    const http::HttpRequest& request = fixture.engine.requests.front();
+    CHECK(request.body == "body");
+    CHECK(request.headers.Get("Host") == "h");
+    CHECK(request.headers.Get("Kept") == "yes");
+  }
+}
+
 // The answer to a pull that requested nothing carries no items, so cancelling
 // it loses nothing; the leader would delay it for a second although there are
 // free slots.
