HTTP: a response without content has no framing of a body

Cause: HttpServer framed a streamed response without a length with chunks, whatever its status or its request's method.

Change: 1xx, 204 and 304 have no content and no framing, a 204 no length; HttpClient takes them as whole with their head. The same for the response to a HEAD request, found by reading: it had chunks or its whole body.

--- a/src/http/internal/headparser.cpp
+++ b/src/http/internal/headparser.cpp
@@ -3,10 +3,14 @@
 #include <cstdint>
 #include <utility>
 
+#include "http/internal/wire.h"
+
 namespace papayarack::http {
 
 /// Callbacks of http_parser; each returns 0 to continue.
 struct ParserHooks {
+  /// Returned after a head: the message ends there.
+  static constexpr int kSkipBody = 1;
   static HeadParser& Owner(http_parser* parser) {
     return *static_cast<HeadParser*>(parser->data);
   }
@@ -39,10 +43,10 @@
     }
     owner.head_complete = true;
     owner.to_end = owner.kind == HeadParser::Kind::kResponse &&
-                   http_message_needs_eof(parser) != 0;
+                   !owner.HasNoBody() && http_message_needs_eof(parser) != 0;
     owner.keep_alive = http_should_keep_alive(parser) != 0;
     owner.callbacks.on_head();
-    return 0;
+    return owner.HasNoBody() ? kSkipBody : 0;
   }
   static int OnBody(http_parser* parser, const char* at, std::size_t size) {
     Owner(parser).callbacks.on_body({at, size});
@@ -61,16 +65,15 @@
     owner.head_too_large = owner.head_bytes > owner.max_head_bytes;
     return owner.head_too_large ? 1 : 0;
   }
-  /// Whether a response without length or chunks ends with its connection;
+  /// Whether a response with a body, but without length or chunks, ends with
+  /// its connection;
   /// http_parser does not export its own function for this.
   static int http_message_needs_eof(const http_parser* parser) {
     constexpr std::uint64_t kNoLength = UINT64_MAX;
-    const unsigned status = parser->status_code;
-    const bool bodyless = status / 100 == 1 || status == 204 || status == 304;
     const bool has_length =
         (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0 ||
         parser->content_length != kNoLength;
-    return !bodyless && !has_length ? 1 : 0;
+    return has_length ? 0 : 1;
   }
   static const http_parser_settings& Settings() {
     static const http_parser_settings kSettings = [] {
@@ -112,6 +115,7 @@
   this->complete = false;
   this->keep_alive = false;
   this->to_end = false;
+  this->no_body = false;
 }
 
 void HeadParser::FinishField() {
@@ -121,6 +125,11 @@
   this->in_value = false;
 }
 
+bool HeadParser::HasNoBody() const {
+  return this->kind == Kind::kResponse &&
+         (this->no_body || HasNoContent(this->status()));
+}
+
 std::size_t HeadParser::Parse(std::string_view bytes) {
   if (this->complete || this->failed()) {
     return 0;
--- a/src/http/internal/headparser.h
+++ b/src/http/internal/headparser.h
@@ -37,6 +37,9 @@
   void ParseEnd();
   /// Prepares for the next message of the connection.
   void Next();
+  /// The next response is to a HEAD request, which has no body whatever its
+  /// fields say. Until Next.
+  void ExpectNoBody() { this->no_body = true; }
 
   bool failed() const { return this->error || this->head_too_large; }
   bool TooLarge() const { return this->head_too_large; }
@@ -60,6 +63,8 @@
  private:
   friend struct ParserHooks;
   void FinishField();
+  /// Whether the message whose head is complete ends with it.
+  bool HasNoBody() const;
 
   Kind kind;
   std::size_t max_head_bytes;
@@ -76,6 +81,7 @@
   bool to_end = false;
   bool error = false;
   bool head_too_large = false;
+  bool no_body = false;  ///< Of the response, as its request asked for none.
 };
 
 }  // namespace papayarack::http
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -36,6 +36,8 @@
 constexpr std::chrono::milliseconds kMinIdle{1000};
 /// One of so many connections is closed at once to make room.
 constexpr std::size_t kIdleParts = 64;
+/// A status whose response has no length (RFC 9110, section 8.6).
+constexpr int kNoContent = 204;
 /// Pause after a search for idle connections that found none.
 constexpr std::chrono::milliseconds kSearchPause{20};
 
@@ -436,7 +438,13 @@
                    const Headers& headers) const {
     std::string head =
         fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonFor(status));
-    AppendFields(head, headers);
+    if (status == kNoContent && headers.Has("Content-Length")) {
+      Headers fields = headers;
+      fields.Remove("Content-Length");
+      AppendFields(head, fields);
+    } else {
+      AppendFields(head, headers);
+    }
     if (connection.keep_alive) {
       const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
           this->limits.idle_timeout);
@@ -536,8 +544,12 @@
   connection->status = response.status;
   std::string bytes =
       this->impl->Head(*connection, response.status, response.headers);
-  bytes += fmt::format("Content-Length: {}\r\n\r\n", response.body.size());
-  bytes += response.body;
+  if (HasNoContent(response.status)) {
+    bytes += "\r\n";
+  } else {
+    bytes += fmt::format("Content-Length: {}\r\n\r\n", response.body.size());
+    bytes += connection->WantsContent() ? response.body : "";
+  }
   this->impl->Send(connection, bytes);
   this->impl->Finish(exchange);
 }
@@ -549,7 +561,9 @@
     return;
   }
   connection->status = status;
-  connection->chunked = !headers.Has("Content-Length");
+  connection->has_content = connection->WantsContent() && !HasNoContent(status);
+  connection->chunked =
+      connection->has_content && !headers.Has("Content-Length");
   std::string head = this->impl->Head(*connection, status, headers);
   if (connection->chunked) {
     head += "Transfer-Encoding: chunked\r\n";
@@ -563,7 +577,7 @@
 
 void HttpServer::Write(ExchangeId exchange, std::string_view bytes) {
   const auto connection = this->impl->Serving(exchange);
-  if (connection == nullptr || bytes.empty()) {
+  if (connection == nullptr || bytes.empty() || !connection->has_content) {
     return;
   }
   if (connection->chunked) {
--- a/src/http/internal/wire.h
+++ b/src/http/internal/wire.h
@@ -15,6 +15,12 @@
   return http_status_str(static_cast<http_status>(status));
 }
 
+/// Whether a response has no content, whatever its fields say (RFC 9110,
+/// section 6.4.1).
+constexpr bool HasNoContent(int status) {
+  return status / 100 == 1 || status == 204 || status == 304;
+}
+
 /// Appends the fields in wire format.
 inline void AppendFields(std::string& head, const Headers& headers) {
   for (const Header& field : headers.fields()) {
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -453,6 +453,28 @@
   }
 }
 
+// Guards against a call that waits for a body which never comes, or takes the
+// next response for it.
+TEST_CASE("a response without content ends with its head") {
+  asio::io_context context;
+  const std::string status =
+      GENERATE("204 No Content", "304 Not Modified", "200 OK");
+  const std::string framing =
+      GENERATE("", "Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n");
+  RawServer server(context, {"HTTP/1.1 " + status + "\r\n" + framing + "\r\n"},
+                   false);
+  HttpClient client(context);
+  HttpCall call;
+  call.peer = server.address();
+  call.method = status == "200 OK" ? "HEAD" : "GET";
+  CallRecord record;
+  client.Call(call, record.Handlers());
+  RunUntil(context, [&] { return record.ended; });
+  CHECK(record.ended);
+  CHECK(record.end == HttpEnd::kComplete);
+  CHECK(record.body.empty());
+}
+
 TEST_CASE("events are returned complete and in order") {
   const std::string stream =
       "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\nid: 3\ndata: d";
