Batch items: what nobody runs is given up after the route's longest wait

What callers could see: an accepted item whose service has no replica is neither run nor given up, for as long as its route stands.

Cause: MaxWaitS, after which an item may be given up, was read and used nowhere.

Evidence: the new test fails without the change (nothing is listed) and passes with it.

Change: the leader of the job group gives up items that no gate holds once it has known their batch for that long, by its own steady clock. That is never before the time has passed since the first send, whatever the clocks of the VMs tell.

--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -181,6 +181,9 @@
   LeasedItem Lease(const ItemRef& item, Time now) const;
   Time DueOf(const BatchState::Batch& batch, Time now) const;
   void GiveUpItemsOfRemovedRoutes();
+  void GiveUpItemsThatWaitTooLong(Time now);
+  /// Ends the items as given up. Precondition: there are some.
+  void GiveUp(ReportOutcomes report, const char* reason);
   void ForgetOldBatches(Time now);
   void DropOldBodies(Time now);
 
@@ -221,6 +224,9 @@
   /// Item of the newest body at the previous check; empty ids: none.
   ItemRef last_old_body;
   bool giving_up = false;
+  /// Since when this leader has known each open batch, by id.
+  std::map<std::string, Time> known_since;
+  Time next_wait_check{};
   asio::steady_timer read_timer;
   asio::steady_timer timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/batches/leasescheduler.h
+++ b/src/batches/leasescheduler.h
@@ -135,6 +135,11 @@
   /// would lease it to `gate`.
   bool HasWaitingFor(const std::string& service, Time now,
                      const std::string& gate = {}) const;
+  /// Whether the item was added, not removed, and no gate holds it.
+  bool IsWaiting(const ItemRef& item) const {
+    const auto found = this->items.find(item);
+    return found != this->items.end() && found->second.holder.empty();
+  }
   /// Whether quarantined traits keep the item from all services but as a trial.
   /// Precondition: it was added and not removed.
   bool NeedsTrial(const ItemRef& item) const;
--- a/src/batches/tests/removedroutes_tests.cpp
+++ b/src/batches/tests/removedroutes_tests.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include "batches/leasescheduler.h"
 #include "batches/tests/batchtable.h"
 #include "batches/tests/storepair.h"
 
@@ -145,4 +146,47 @@
   }
 }
 
+// Guards against accepted items that nobody runs and whose callers wait for
+// ever, as those of a service without a replica.
+TEST_CASE("items that nobody runs are given up after the longest wait") {
+  constexpr milliseconds kLongestWait{3500};
+  constexpr milliseconds kChecked{2500};
+  Caller caller;
+  routes::FleetConfiguration configuration =
+      Routes(kNewVersion, true)->configuration();
+  configuration.routes.back().batch.max_item_wait = kLongestWait;
+  caller.SetRoutes(
+      std::make_shared<routes::RouteTable>(std::move(configuration)));
+  const Time submitted = MonotonicNow();
+  REQUIRE(caller.Ask("/jobs/submit", OnNewRoute()).code == 0);
+  const auto waited = [submitted] { return MonotonicNow() - submitted; };
+
+  SECTION("not before") {
+    while (waited() < kLongestWait - milliseconds(500)) {
+      caller.pair.RunAll(milliseconds(300));
+      CHECK(caller.Listed() == 0);
+    }
+    caller.pair.RunAll(kChecked);
+    CHECK(caller.Listed() == 1);
+  }
+  SECTION("but not while a gate holds them") {
+    PullItems pull;
+    pull.gate = "g";
+    pull.incarnation = 1;
+    pull.service = "llm";
+    while (waited() < kLongestWait + kChecked) {
+      pull.room = pull.holding.empty() ? 1 : 0;
+      const auto pulled =
+          DecodeMessage<PulledItems>(caller.Ask("/jobs/pull", pull).body);
+      if (!pulled.items.empty()) {
+        pull.holding = {{"b", "i"}};
+      }
+    }
+    REQUIRE_FALSE(pull.holding.empty());
+    CHECK(caller.Listed() == 0);
+    caller.pair.RunAll(LeaseScheduler::kLeaseTime + kChecked);
+    CHECK(caller.Listed() == 1);
+  }
+}
+
 }  // namespace papayarack::batches
