--- a/src/coordination/internal/groupclient.cpp
+++ b/src/coordination/internal/groupclient.cpp
@@ -86,6 +86,7 @@
     if (*alive && current()) {
       this->OnMessage(id, message);
     } else if (*alive) {
+      // The try was given up before its reply came.
       this->OnTryEnded(id, number, transport::CallEnd::kLost);
     }
   };
--- a/src/nodes/internal/batchapi.cpp
+++ b/src/nodes/internal/batchapi.cpp
@@ -16,6 +16,12 @@
 constexpr std::chrono::milliseconds kBatchTime{1300};
 constexpr std::chrono::milliseconds kBatchAttemptTime{600};
 
+/// An end of a batch needs no quota, so that a busy leader's refusal is no 429.
+int EndStatusOf(ResultCode code) {
+  return code == ResultCode::kOverloaded ? kServiceUnavailable
+                                         : HttpStatusOf(code, kOk);
+}
+
 }  // namespace
 
 BatchApi::BatchApi(NodeRuntime& runtime, http::HttpServer& front)
@@ -148,10 +154,7 @@
                  kBatchTime,
                  {end.id, {}}},
                 [status_of](const Result& result, const std::string&) {
-                  return EmptyResponse(
-                      status_of(result.code == ResultCode::kOverloaded
-                                    ? kServiceUnavailable
-                                    : HttpStatusOf(result.code, kOk)));
+                  return EmptyResponse(status_of(EndStatusOf(result.code)));
                 });
           }},
       call);
