Tests: a body that no connection's buffers hold

8 MB is more than a connection holds here (4 MB to send and what the peer has not read), 32 MB more than with the larger buffers of other machines.

--- a/src/http/tests/earlyanswers_tests.cpp
+++ b/src/http/tests/earlyanswers_tests.cpp
@@ -17,7 +17,7 @@
 using std::chrono::milliseconds;
 
 /// Far more than fits into the buffers of a connection.
-constexpr std::size_t kLongBody = 8U << 20U;
+constexpr std::size_t kLongBody = 32U << 20U;
 
 /// A peer that refuses a long request before it has read its body, keeps the
 /// connection, and reads on later. It answers one request of a connection.
