--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "batches/batchstate.h"
+#include "batches/itemstogiveup.h"
 #include "batches/leasescheduler.h"
 #include "batches/readqueue.h"
 #include "coordination/fleetwatch.h"
@@ -180,8 +181,7 @@
   ItemOwner OwnerOf(const BatchState::Batch& batch) const;
   LeasedItem Lease(const ItemRef& item, Time now) const;
   Time DueOf(const BatchState::Batch& batch, Time now) const;
-  void GiveUpItemsOfRemovedRoutes();
-  void GiveUpItemsThatWaitTooLong(Time now);
+  void GiveUpItems(Time now);
   /// Ends the items as given up. Precondition: there are some.
   void GiveUp(ReportOutcomes report, const char* reason);
   void ForgetOldBatches(Time now);
@@ -224,8 +224,7 @@
   /// Item of the newest body at the previous check; empty ids: none.
   ItemRef last_old_body;
   bool giving_up = false;
-  /// Since when this leader has known each open batch, by id.
-  std::map<std::string, Time> known_since;
+  ItemsToGiveUp items_to_give_up;
   Time next_wait_check{};
   asio::steady_timer read_timer;
   asio::steady_timer timer;
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -23,8 +23,6 @@
 constexpr std::chrono::seconds kForgetInterval{20};
 /// Interval of checks for items that wait for too long.
 constexpr std::chrono::milliseconds kWaitCheckInterval{1000};
-/// Bounds the log entry that gives items up; the rest follow at later checks.
-constexpr std::size_t kMaxGivenUpAtOnce = 1000;
 /// Margin for clocks that differ between VMs or jump by seconds.
 constexpr std::chrono::milliseconds kClockMargin{60000};
 /// Result deadline of items whose route is currently unknown.
@@ -50,14 +48,6 @@
   return batch->ended ? "its batch has ended" : "it was listed long ago";
 }
 
-ItemOutcome GivenUp(const std::string& batch, const BatchState::Item& item) {
-  ItemOutcome outcome;
-  outcome.batch = batch;
-  outcome.item = item.spec.id;
-  outcome.end = static_cast<std::uint8_t>(ItemEnd::kGivenUp);
-  return outcome;
-}
-
 }  // namespace
 
 BatchStore::BatchStore(asio::io_context& context, storage::FileSystem& files,
@@ -244,8 +234,7 @@
       addresses.push_back(member.address);
     }
     this->members_changed(std::move(addresses), this->group->term());
-    this->GiveUpItemsOfRemovedRoutes();
-    this->GiveUpItemsThatWaitTooLong(now);
+    this->GiveUpItems(now);
     this->ForgetOldBatches(now);
     this->DropOldBodies(now);
     this->LogLeases(now);
@@ -259,7 +248,7 @@
 void BatchStore::OnNewTerm(Time now) {
   this->led_term = this->group->term();
   this->giving_up = false;
-  this->known_since.clear();
+  this->items_to_give_up.Reset();
   this->next_body_drop = now + this->options.body_drop_interval;
   this->last_old_body = {};
   this->leases.Reset(now);
@@ -871,68 +860,24 @@
        {"waiting", this->leases.Waiting()}});
 }
 
-/// Items whose route was removed, or takes no batches now, can never run.
-/// Giving them up ends the wait of their client. Where this member's routes are
-/// older than those that allowed the batch, its route may be one that this
-/// member does not know yet.
-void BatchStore::GiveUpItemsOfRemovedRoutes() {
+void BatchStore::GiveUpItems(Time now) {
   if (this->table == nullptr || this->giving_up) {
     return;
   }
-  const std::uint64_t version = this->table->configuration().version;
-  ReportOutcomes report;
-  for (const auto& [id, batch] : this->batch_state.batches()) {
-    if (!batch.Open() || batch.config_version > version ||
-        this->table->FindBatchRoute(batch.route_key) != nullptr) {
-      continue;
-    }
-    for (const BatchState::Item& item : batch.items) {
-      if (!item.has_result) {
-        report.outcomes.push_back(GivenUp(id, item));
-      }
-    }
-  }
-  if (!report.outcomes.empty()) {
-    this->GiveUp(std::move(report), "their route was removed");
+  ReportOutcomes unrunnable =
+      ItemsToGiveUp::OfRemovedRoutes(this->batch_state, *this->table);
+  if (!unrunnable.outcomes.empty()) {
+    this->GiveUp(std::move(unrunnable), "their route was removed");
+    return;
   }
-}
-
-/// Ends the wait for items that nothing else ends, as those whose service has
-/// no replica. Counts from when this leader learned of the batch: clocks of
-/// different VMs differ, and an item must not be given up too soon. An item
-/// that a gate holds may still be done.
-void BatchStore::GiveUpItemsThatWaitTooLong(Time now) {
-  if (this->table == nullptr || this->giving_up ||
-      now < this->next_wait_check) {
+  if (now < this->next_wait_check) {
     return;
   }
   this->next_wait_check = now + kWaitCheckInterval;
-  const auto& batches = this->batch_state.batches();
-  std::erase_if(this->known_since, [&batches](const auto& entry) {
-    const auto batch = batches.find(entry.first);
-    return batch == batches.end() || !batch->second.Open();
-  });
-  ReportOutcomes report;
-  for (const auto& [id, batch] : batches) {
-    if (!batch.Open()) {
-      continue;
-    }
-    const Time since = this->known_since.try_emplace(id, now).first->second;
-    const routes::Route* route = this->table->FindBatchRoute(batch.route_key);
-    const bool is_bounded =
-        route != nullptr && route->batch.max_item_wait > Duration(0);
-    if (!is_bounded || now - since <= route->batch.max_item_wait) {
-      continue;
-    }
-    for (const BatchState::Item& item : batch.items) {
-      if (report.outcomes.size() < kMaxGivenUpAtOnce && !item.has_result &&
-          this->leases.IsWaiting({id, item.spec.id})) {
-        report.outcomes.push_back(GivenUp(id, item));
-      }
-    }
-  }
-  if (!report.outcomes.empty()) {
-    this->GiveUp(std::move(report), "they waited for too long");
+  ReportOutcomes waiting = this->items_to_give_up.ThatWaitTooLong(
+      this->batch_state, *this->table, this->leases, now);
+  if (!waiting.outcomes.empty()) {
+    this->GiveUp(std::move(waiting), "they waited for too long");
   }
 }
 
