Tests: the slow rest of a failure counts as a failed attempt

A comment of the stand-in engine was not true: a silent one sends no head, as that waits for the body. Comments of GroupClient no longer say 2xx for codes of ours.

--- a/src/coordination/groupclient.h
+++ b/src/coordination/groupclient.h
@@ -25,9 +25,9 @@
 class GroupClient {
  public:
   /// Called once with the leader's reply, or with kNoQuorum if no leader
-  /// answered in time. Either becomes kUnknownOutcome where the reply is a
-  /// refusal (2xx) and a member may have done what an earlier attempt asked.
-  /// The text of a refusal names the member and the number of attempts.
+  /// answered in time. kNoQuorum, and a reply that refuses the call, become
+  /// kUnknownOutcome where a member may have done what an earlier attempt
+  /// asked. The text of a refusal names the member and the number of attempts.
   using Done = std::function<void(const Result& result, std::string body)>;
 
   /// Precondition: `search` outlives the client.
@@ -69,8 +69,8 @@
   void OnMessage(std::uint64_t id, const std::string& message);
   /// Try `number` has ended, in some cases after the next one has begun.
   void OnTryEnded(std::uint64_t id, std::size_t number, transport::CallEnd end);
-  /// `code`, or that the outcome is unknown where it would tell that nothing
-  /// was done.
+  /// `code`, or kUnknownOutcome where it would tell that nothing was done and
+  /// that is not known.
   static ResultCode CodeOf(const Attempt& attempt, ResultCode code);
   /// The target did not answer.
   void OnFailure(std::uint64_t id);
--- a/src/coordination/internal/groupclient.cpp
+++ b/src/coordination/internal/groupclient.cpp
@@ -162,7 +162,7 @@
 }
 
 ResultCode GroupClient::CodeOf(const Attempt& attempt, ResultCode code) {
-  constexpr int kRefusals = 2;  // Hundreds of ResultCode.
+  constexpr int kRefusals = 2;  // The codes 200 to 299 of ResultCode.
   const bool refused = static_cast<int>(code) / 100 == kRefusals;
   return attempt.may_have_run && refused ? ResultCode::kUnknownOutcome : code;
 }
--- a/src/nodes/tests/batchrunner_tests.cpp
+++ b/src/nodes/tests/batchrunner_tests.cpp
@@ -51,7 +51,7 @@
   std::string text = "made";  ///< Text of the event.
   bool ends = true;           ///< Whether the answer ends after it.
   int status = 200;
-  bool silent = false;  ///< Sends a head and nothing more.
+  bool silent = false;  ///< Sends nothing: the head waits for the body.
   std::string filler;   ///< Sent instead of the event, without an end.
   /// Sent in place of the event again and again, slowly and without an end.
   std::string drip;
@@ -702,6 +702,21 @@
   }));
 }
 
+// Guards against an item that is run for ever, as a failure whose body does not
+// end is taken for a run that broke off.
+TEST_CASE("a failure whose body does not end counts as a failed attempt") {
+  RunnerFixture fixture(2);
+  fixture.leader.on_pull = [&](Leader::Pull& pull) {
+    if (fixture.leader.pulls.size() == 1) {
+      fixture.leader.Answer(pull, {{MakeItem("1", kAmpleTime)}, {}});
+    }
+  };
+  fixture.engine.status = 500;
+  fixture.engine.drip = "x";
+  CHECK(fixture.RunUntil([&] { return !fixture.leader.listed.empty(); }));
+  CHECK(fixture.engine.asked == 1);
+}
+
 // Guards against a request that a replica finds inside an item, or an item that
 // it reads with another body or for another host: the headers of an item are a
 // caller's text.
