A silent run goes on until its request has a slot elsewhere

Callers saw requests that an entry had read and passed on end with a 502 or a cut stream, while their replica was sound: it had been silent for a second.

Cause: a run without a first event for 0.7 s, or without an event for 0.9 s, was ended before anything else could run its request. With no attempt left, or no slot elsewhere, that ended the request.

Now the run goes on, with its slot set aside, while a slot is looked for, every 0.5 s, and is ended once one is granted. If it speaks first, the search ends. A request that may not be sent again stays until its deadline.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -19,9 +19,6 @@
 constexpr std::chrono::milliseconds kSweep{25};
 /// A check later than this means that the loop stood still.
 constexpr std::chrono::milliseconds kStoodStill{100};
-/// Maximum number of engines that may answer "did not run" before the caller is
-/// told so.
-constexpr std::size_t kMaxSends = 6;
 /// Margin of the time for which an origin is kept, for the way of the caller's
 /// last attempt.
 constexpr std::chrono::milliseconds kOriginMargin{2000};
@@ -249,10 +246,15 @@
   if (found.granted && call.organisation != nullptr) {
     this->rejections.Served(MonotonicNow());
   }
+  this->EndSilentRun(id);
   this->Send(id);
 }
 
 void OnlineRelay::OnNoSlot(CallId id, const placement::NoSlot& result) {
+  if (this->calls.at(id).silent_run.has_value()) {
+    this->ReturnToSilentRun(id);
+    return;
+  }
   if (result.no_replica && this->calls.at(id).began.has_value()) {
     this->RefuseContinuation(id, result.reason,
                              "continuations_without_replica_total");
@@ -271,6 +273,7 @@
   call.response.BeginAttempt(call.request.body.size(), now);
   call.other_replica.clear();
   call.run_survived = false;
+  call.next_search = {};
   ForwardFields fields;
   fields.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(
       call.deadline - now);
@@ -312,6 +315,7 @@
   if (found == this->calls.end() || found->second.attempt != attempt) {
     return;
   }
+  this->ReturnToSilentRun(id);
   Call& call = found->second;
   call.response.HeadArrived(head.status, MonotonicNow());
   const EngineHead engine = this->dialect.read_engine_head(head);
@@ -378,6 +382,7 @@
   if (found == this->calls.end() || found->second.attempt != attempt) {
     return;
   }
+  this->ReturnToSilentRun(id);
   Call& call = found->second;
   if (call.failed_status || (!call.head_sent && !call.held_head.has_value())) {
     this->IgnoreBody(id, bytes.size());
@@ -485,6 +490,7 @@
   if (found == this->calls.end() || found->second.attempt != attempt) {
     return;
   }
+  this->ReturnToSilentRun(id);
   Call& call = found->second;
   call.engine_call = 0;
   if (end == http::HttpEnd::kNotSent) {
@@ -627,6 +633,7 @@
 }
 
 void OnlineRelay::ReleaseEngine(CallId id) {
+  this->ReturnToSilentRun(id);
   Call& call = this->calls.at(id);
   ++call.attempt;
   if (call.engine_call != 0) {
@@ -859,7 +866,7 @@
   const bool streaming = call.route->kind == routes::RouteKind::kStreaming;
   if (streaming && call.route->MayRepeat() &&
       call.response.SilentTooLong(now)) {
-    this->OnBroken(id, "the engine fell silent");
+    this->OnSilent(id);
   }
 }
 
--- a/src/nodes/internal/slotfinder.cpp
+++ b/src/nodes/internal/slotfinder.cpp
@@ -203,12 +203,40 @@
   this->searches.at(id).decisions.Restart(this->chooser, failed);
 }
 
+void SlotFinder::SetAside(RequestId id) {
+  Search& search = this->searches.at(id);
+  ++search.ask;
+  search.set_aside = {search.engine, std::exchange(search.slot, 0),
+                      std::exchange(search.granted, false)};
+}
+
+void SlotFinder::TakeBack(RequestId id) {
+  Search& search = this->searches.at(id);
+  this->ReleaseHeld(search);
+  const Held held = *std::exchange(search.set_aside, std::nullopt);
+  search.engine = held.engine;
+  search.slot = held.slot;
+  search.granted = held.granted;
+}
+
+void SlotFinder::ReleaseSetAside(RequestId id) {
+  const auto held =
+      std::exchange(this->searches.at(id).set_aside, std::nullopt);
+  if (held.has_value() && held->slot != 0) {
+    this->peers.Cancel(held->slot);
+  }
+}
+
 void SlotFinder::Release(RequestId id) {
   const auto found = this->searches.find(id);
   if (found == this->searches.end()) {
     return;
   }
-  Search& search = found->second;
+  this->ReleaseHeld(found->second);
+  this->ReleaseSetAside(id);
+}
+
+void SlotFinder::ReleaseHeld(Search& search) {
   ++search.ask;
   search.granted = false;
   if (search.slot != 0) {
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -83,6 +83,12 @@
 
  private:
   enum class Phase { kFindingOrigin, kAsking, kRunning };
+  /// A run that fell silent and goes on while its request looks for a slot
+  /// elsewhere.
+  struct SilentRun {
+    placement::EngineOption engine;
+    Time sent{};
+  };
   struct Call {
     http::ExchangeId exchange = 0;
     http::HttpRequest request;
@@ -116,9 +122,27 @@
     /// another software may begin it.
     std::optional<http::HttpHead> held_head;
     std::size_t sends = 0;
+    std::optional<SilentRun> silent_run;
+    /// No slot is looked for beside a silent run before; Time{} until its
+    /// replica falls silent.
+    Time next_search{};
   };
   using CallId = std::uint64_t;
+  /// Maximum number of engines that may answer "did not run" before the caller
+  /// is told so.
+  static constexpr std::size_t kMaxSends = 6;
 
+  /// Looks for a slot elsewhere, unless it was looked for a moment ago or the
+  /// request may not be sent again. The silent run goes on meanwhile, and as
+  /// long as no slot is found: its replica may work again in a moment.
+  void OnSilent(CallId id);
+  /// Whether a request whose run may yet end can be sent to one more replica.
+  bool MaySendAgain(const Call& call, Time now) const;
+  /// Ends the search for another slot, if one is under way: the silent run is
+  /// the request's run again.
+  void ReturnToSilentRun(CallId id);
+  /// Ends the silent run, if there is one, as its request has a slot elsewhere.
+  void EndSilentRun(CallId id);
   /// Whether the caller takes up a stream that an earlier attempt began.
   static bool IsTakeUp(const CallFields& fields);
   void FindOrigin(CallId id);
--- a/src/nodes/slotfinder.h
+++ b/src/nodes/slotfinder.h
@@ -80,7 +80,15 @@
   void Find(RequestId id, const placement::RequestTiming& timing);
   /// Makes the next Find start a new search, after a run failed at `failed`.
   void Restart(RequestId id, const placement::EngineStart& failed);
-  /// Gives back the slot of the request, or stops asking for one.
+  /// Keeps the slot held while Find looks for one elsewhere. Precondition: the
+  /// request was found a replica, and nothing is set aside for it.
+  void SetAside(RequestId id);
+  /// Ends the search, and holds again what was set aside. Precondition:
+  /// SetAside was called before.
+  void TakeBack(RequestId id);
+  /// Gives back the slot that was set aside; ignored if none was.
+  void ReleaseSetAside(RequestId id);
+  /// Gives back the slots of the request, or stops asking for one.
   void Release(RequestId id);
   /// Releases and forgets the request; ignored when it is not known.
   void Remove(RequestId id);
@@ -98,6 +106,12 @@
   std::optional<std::chrono::milliseconds> ShortestWait(RequestId id) const;
 
  private:
+  /// A replica, and the slot held there.
+  struct Held {
+    placement::EngineOption engine;
+    transport::CallId slot = 0;
+    bool granted = false;
+  };
   struct Search {
     SlotRequest request;
     placement::SlotSearch decisions;
@@ -108,9 +122,11 @@
     bool granted = false;            ///< The last ask was.
     std::uint64_t ask = 0;           ///< Identifies late callbacks.
     Time asked{};
+    std::optional<Held> set_aside = std::nullopt;
   };
 
   void Advance(RequestId id);
+  void ReleaseHeld(Search& search);
   void Perform(RequestId id, const placement::AskGate& step);
   void Perform(RequestId id, const placement::SendUngated& step);
   void Perform(RequestId id, const placement::NoSlot& step);
--- a/src/nodes/tests/slotfinder_tests.cpp
+++ b/src/nodes/tests/slotfinder_tests.cpp
@@ -241,6 +241,53 @@
   CHECK(fixture.RunUntil([&] { return fixture.first.released == 1; }));
 }
 
+// Guards against a slot that is lost while its request looks for another, and
+// against two that are held when it goes on.
+TEST_CASE("a slot that is set aside is held while another is searched for") {
+  Fixture fixture;
+  REQUIRE(fixture.Find());
+  REQUIRE(fixture.found->engine.id == "e1");
+  fixture.finder.SetAside(kRequest);
+  fixture.finder.Restart(kRequest, fixture.found->engine.Start());
+  fixture.found.reset();
+  SECTION("and held again when there is none") {
+    fixture.second.reply = ReplyOf(SlotVerdict::kBusy);
+    fixture.second.reply->expected_wait_ms = 9000;
+    REQUIRE(fixture.Find());
+    REQUIRE(fixture.none.has_value());
+    fixture.finder.TakeBack(kRequest);
+    CHECK(fixture.finder.Holds(kRequest));
+    CHECK(fixture.first.released == 0);
+  }
+  SECTION("and held again when the search is ended") {
+    fixture.second.reply.reset();
+    const Time now = MonotonicNow();
+    fixture.finder.Find(kRequest, {now, now + std::chrono::seconds(5),
+                                   std::chrono::seconds(1)});
+    REQUIRE(fixture.RunUntil([&] { return !fixture.second.asks.empty(); }));
+    fixture.finder.TakeBack(kRequest);
+    CHECK(fixture.RunUntil([&] { return fixture.second.released == 1; }));
+    CHECK(fixture.finder.Holds(kRequest));
+    CHECK(fixture.first.released == 0);
+  }
+  SECTION("and given back when there is one") {
+    REQUIRE(fixture.Find());
+    REQUIRE(fixture.found.has_value());
+    CHECK(fixture.found->engine.id == "e2");
+    fixture.finder.ReleaseSetAside(kRequest);
+    CHECK(fixture.RunUntil([&] { return fixture.first.released == 1; }));
+    CHECK(fixture.finder.Holds(kRequest));
+    CHECK(fixture.second.released == 0);
+  }
+  fixture.finder.Remove(kRequest);
+  CHECK(fixture.RunUntil([&] {
+    return fixture.first.released + fixture.second.released ==
+           static_cast<int>(fixture.first.asks.size() +
+                            fixture.second.asks.size()) -
+               (fixture.none.has_value() ? 1 : 0);
+  }));
+}
+
 // Guards against late messages of a gate that change a request which no longer
 // waits for them.
 TEST_CASE("replies to a search that was released are ignored") {
