HTTP: a request keeps to the limits on sizes in force when it began

Callers got 413 for a body that was within the limit when they sent its head, as a configuration with a lower one came meanwhile; neither 413 nor 431 is tried again. A kept connection held on to the limit of heads that it was opened with, in both directions.

Both limits are now taken when the first bytes of a request are read.

--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -102,6 +102,8 @@
   /// Connections closed as all clients together held too many bytes.
   std::uint64_t ClosedForMemory() const;
 
+  /// A request of which bytes were read keeps to the limits on sizes that were
+  /// in force when it began.
   void SetLimits(const HttpServerLimits& limits);
   /// Closes idle connections, and every other connection after its response,
   /// or after a time without a request if the response announced that it is
--- a/src/http/internal/headparser.h
+++ b/src/http/internal/headparser.h
@@ -37,6 +37,8 @@
   void ParseEnd();
   /// Prepares for the next message of the connection.
   void Next();
+  /// Of the message that begins. Precondition: nothing of it was parsed.
+  void SetMaxHeadBytes(std::size_t bytes) { this->max_head_bytes = bytes; }
   /// The next response is to a HEAD request, which has no body whatever its
   /// fields say. Until Next.
   void ExpectNoBody() { this->no_body = true; }
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -190,6 +190,10 @@
       return;
     }
     const bool fresh = !connection->parser.Started();
+    if (fresh) {
+      connection->parser.SetMaxHeadBytes(this->limits.max_header_bytes);
+      connection->max_body = this->limits.max_body_bytes;
+    }
     const std::size_t used = connection->parser.Parse(connection->unparsed);
     connection->unparsed.erase(0, used);
     if (connection->parser.failed()) {
@@ -199,7 +203,7 @@
     if (fresh && connection->parser.Started()) {
       connection->since = MonotonicNow();
     }
-    if (connection->body.size() > this->limits.max_body_bytes) {
+    if (connection->body.size() > connection->max_body) {
       this->Refuse(connection, 413);
       return;
     }
@@ -216,7 +220,7 @@
   void OnHead(const ConnectionPtr& connection) {
     const auto length =
         ParseNumber(connection->parser.headers.Get("Content-Length"));
-    if (length.value_or(0) > this->limits.max_body_bytes) {
+    if (length.value_or(0) > connection->max_body) {
       this->Refuse(connection, 413);
       return;
     }
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -40,6 +40,7 @@
   asio::ip::tcp::socket socket;
   HeadParser parser;
   std::string body;
+  std::size_t max_body = 0;  ///< Of the request being read.
   bool head_done = false;
   std::array<char, kReadChunk> chunk{};
   std::string unparsed;  ///< Read, not parsed yet.
