Log what a stream that is taken up goes on by

A search for the origin of a stream ended with "no record" alike when homes answered so, could not be reached, or were silent; and nothing said whether a continuation went by a record or by the platform's list, nor how old that list was. origin_searched now counts the three; continuation_decided names the evidence and the age of the list relative to the arrival of the request.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -179,7 +179,15 @@
   const Call& call = found->second;
   const origins::Continuation decision = this->stream_origins.Decide(
       recorded, *call.route, call.table->configuration());
-  std::visit([this, id](const auto& next) { this->Perform(id, next); },
+  const auto* next = std::get_if<origins::ContinueWith>(&decision);
+  const char* without_record = next != nullptr ? "list" : "none";
+  Log(LogLevel::kInfo, "continuation_decided",
+      {{"request", call.fields.id},
+       {"by", recorded.Recorded() ? "record" : without_record},
+       {"version", next != nullptr ? next->software.version : std::string()},
+       {"list_after_ms", (this->engines_seen - call.arrived).count() / 1000},
+       {"waited_ms", MillisSince(call.arrived, MonotonicNow())}});
+  std::visit([this, id](const auto& result) { this->Perform(id, result); },
              decision);
 }
 
--- a/src/nodes/internal/streamorigins.cpp
+++ b/src/nodes/internal/streamorigins.cpp
@@ -168,6 +168,8 @@
        {"recorded", result->Recorded()},
        {"version", result->software.version},
        {"homes", ended.asked},
+       {"without_record", ended.search.WithoutRecord()},
+       {"unreachable", ended.search.Unreachable()},
        {"unanswered", ended.search.Waiting().size()},
        {"took_ms", (now - ended.started).count() / 1000}});
   ended.found(*result);
--- a/src/origins/internal/originlookup.cpp
+++ b/src/origins/internal/originlookup.cpp
@@ -3,12 +3,19 @@
 namespace papayarack::origins {
 
 void OriginLookup::Answered(const std::string& home, const FoundOrigin& reply) {
-  const bool asked = this->waiting.erase(home) > 0;
-  if (asked && !this->found.Recorded()) {
+  if (this->waiting.erase(home) == 0) {
+    return;
+  }
+  this->without_record += reply.Recorded() ? 0 : 1;
+  if (!this->found.Recorded()) {
     this->found = reply;
   }
 }
 
+void OriginLookup::Failed(const std::string& home) {
+  this->unreachable += this->waiting.erase(home);
+}
+
 std::optional<FoundOrigin> OriginLookup::Result(Time now) const {
   if (this->found.Recorded() || this->waiting.empty() || now >= this->until) {
     return this->found;
--- a/src/origins/originlookup.h
+++ b/src/origins/originlookup.h
@@ -2,6 +2,7 @@
 #define PAPAYARACK_ORIGINS_ORIGINLOOKUP_H_
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,17 +28,23 @@
   /// `home` answered.
   void Answered(const std::string& home, const FoundOrigin& reply);
   /// `home` cannot be reached.
-  void Failed(const std::string& home) { this->waiting.erase(home); }
+  void Failed(const std::string& home);
   /// The origin; without a record if no home has one. Nothing while homes may
   /// still answer.
   std::optional<FoundOrigin> Result(Time now) const;
   /// Homes that have not answered.
   const std::set<std::string>& Waiting() const { return this->waiting; }
+  /// Number of homes that answered that they have no record.
+  std::size_t WithoutRecord() const { return this->without_record; }
+  /// Number of homes that could not be reached.
+  std::size_t Unreachable() const { return this->unreachable; }
 
  private:
   std::set<std::string> waiting;
   Time until{};
   FoundOrigin found;
+  std::size_t without_record = 0;
+  std::size_t unreachable = 0;
 };
 
 }  // namespace papayarack::origins
--- a/src/origins/tests/origins_tests.cpp
+++ b/src/origins/tests/origins_tests.cpp
@@ -155,12 +155,16 @@
     lookup.Failed("a");
     REQUIRE(lookup.Result(At(2)).has_value());
     CHECK_FALSE(lookup.Result(At(2))->Recorded());
+    CHECK(lookup.WithoutRecord() == 1);
+    CHECK(lookup.Unreachable() == 1);
   }
   // Guards against a caller that waits for a home that stands still.
   SECTION("or after a time limit") {
     lookup.Answered("b", {});
     REQUIRE(lookup.Result(At(120)).has_value());
     CHECK_FALSE(lookup.Result(At(120))->Recorded());
+    CHECK(lookup.Unreachable() == 0);
+    CHECK(lookup.Waiting().size() == 1);
   }
   SECTION("and ignores repeated replies and those of others") {
     lookup.Answered("c", {kNew, true});
