Streams: a list read before a stream began does not tell its origin

Callers saw streams of two versions: during a release an entry was out of step (cut off, or standing still) while replicas of a new version joined.

Cause: a search without a record ended in the only version of the entry's list, whether homes had answered so or were silent, and however old the list was: it may have been read before the stream began. Its age counted from the arrival of the leader's reply, so a reply that waited in a frozen process made it look new.

Now the list decides only if it was read after the request's arrival by more than the platform's lag. Such a reading shows every version that can have begun the stream, whatever homes say. The leader tells the reading as soon as it is made and reads no more often. When it was read counts from when the watch was sent. A search ends by its time limit only after what arrived in a pause of the process has been read.

--- a/src/coordination/coordinationmessages.h
+++ b/src/coordination/coordinationmessages.h
@@ -104,11 +104,16 @@
   bool wants_confirmation = false;
   /// The sender, if a member, can apply SetCreditReserves from the group's log.
   bool applies_reserves = false;
+  /// The sender needs a reading of the platform's list that begins
+  /// `engines_wanted_in_ms` after this request's receipt, or later.
+  bool wants_engines = false;
+  std::uint32_t engines_wanted_in_ms = 0;
   MSGPACK_DEFINE(self, config_version, term, nodes_revision, engines_revision,
                  takes_changes, fetching_from, fetching_version,
                  applies_changes, crashes, survived, quarantined,
                  quarantine_revision, observations, survivals, reports_traits,
-                 quarantined_ages_ms, wants_confirmation, applies_reserves)
+                 quarantined_ages_ms, wants_confirmation, applies_reserves,
+                 wants_engines, engines_wanted_in_ms)
 };
 
 struct WatchReply {
@@ -154,6 +159,10 @@
   /// Time until each of `quarantined` may be tried by one run; empty: none may,
   /// as the sender is of an earlier release.
   std::vector<std::uint32_t> trial_in_ms;
+  /// The reading that `engines` is of began this long after the sender received
+  /// the request, or before if negative. Counted in milliseconds by one clock.
+  std::int64_t engines_read_after_ms = 0;
+  bool has_engines_read = false;  ///< `engines_read_after_ms` is set.
   MSGPACK_DEFINE(code, leader, members, term, config_version, config,
                  nodes_revision, has_nodes, nodes_settled, nodes,
                  engines_revision, has_engines, engines_age_ms, engines,
@@ -161,7 +170,8 @@
                  engines_partial, engines_removed, manifest, chunks, source,
                  entries, hosts_known, quarantine_revision, has_quarantined,
                  quarantined, quarantined_ages_ms, confirmed_after_ms,
-                 is_confirmed, trial_in_ms)
+                 is_confirmed, trial_in_ms, engines_read_after_ms,
+                 has_engines_read)
 };
 
 /// Requests chunks of the configuration from any process.
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -112,7 +112,12 @@
   /// Tells when a quorum confirmed this leader.
   void AddConfirmation(const Watcher& watcher, WatchReply& reply) const;
   TransferReport TransferReportOf(const WatchRequest& request) const;
-  void TakeEngineList(std::span<const EngineInstance> list);
+  /// Precondition: the reading began at `begun` or later.
+  void TakeEngineList(std::span<const EngineInstance> list, Time begun);
+  /// Whether the list was read when the watcher wants it to be.
+  bool HasWantedReading(const Watcher& watcher) const;
+  /// Tells when the list was read.
+  void AddListReading(const Watcher& watcher, WatchReply& reply) const;
   /// Whether a caller can be referred to another member.
   bool KnowsOtherLeader() const;
   WatchReply MakeReply(const Watcher& watcher) const;
@@ -142,6 +147,8 @@
   Time next_full_text{};
   ChangeList<EngineInstance, &EngineInstance::address> engines;
   Time engines_seen{};
+  /// When the reading that `engines` is of began, at the earliest.
+  Time engines_begun{};
   Time next_poll{};
   Time next_work{};
   Time next_announcement{};
--- a/src/coordination/fleetwatch.h
+++ b/src/coordination/fleetwatch.h
@@ -34,6 +34,10 @@
   /// this moment.
   Time confirmed{};
   Time engines_seen{};  ///< When `engines` was read from the platform.
+  /// The platform's list was read at this moment or later, and `engines` was
+  /// set to what it showed. Holds however late replies arrive, unlike
+  /// `engines_seen`; zero if the leader does not tell. Never decreases.
+  Time engines_read_after{};
 };
 
 /// The parts that a reply changed.
@@ -95,8 +99,12 @@
   LeaderSearch& search() { return this->leader_search; }
   const LeaderSearch& search() const { return this->leader_search; }
   /// Sets an engine list that this process read itself while no leader
-  /// answered.
-  void TakeEngines(std::vector<EngineInstance> engines);
+  /// answered. Precondition: the reading began at `begun` or later.
+  void TakeEngines(std::vector<EngineInstance> engines, Time begun);
+  /// Asks the leader for the first reading of the platform's list that begins
+  /// at `read_after` or later; `changed` runs when it is known. Holds one wish,
+  /// the first that is not fulfilled: repeat others on `changed`.
+  void WantEngines(Time read_after);
 
  private:
   void SendWatch();
@@ -110,7 +118,9 @@
   void OnFetched(std::optional<std::string> text);
   void OnChunksUnusable(std::uint64_t version);
   void TakeNodes(const WatchReply& reply);
+  bool EnginesUsable(const WatchReply& reply) const;
   bool TakeEngineChanges(const WatchReply& reply);
+  void TakeListReading(const WatchReply& reply);
 
   transport::PeerClient& peers;
   NodeReport self;
@@ -130,7 +140,10 @@
   /// The text differs from the leader's text of the same version.
   bool text_unusable = false;
   std::uint64_t round = 0;
-  Time sent{};  ///< When the watch in flight was sent.
+  Time sent{};                 ///< When the watch in flight was sent.
+  Time wanted_reading{};       ///< As in WantEngines.
+  bool wants_engines = false;  ///< Sent in the last request.
+  bool handles_reply = false;  ///< A watch is sent after it.
   transport::CallId call = 0;
   asio::steady_timer timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/coordination/internal/coordinator.cpp
+++ b/src/coordination/internal/coordinator.cpp
@@ -227,7 +227,7 @@
   this->poll_under_way = true;
   this->next_poll = now + kPollInterval;
   this->list_engines(
-      [this, alive = this->alive](
+      [this, begun = now, alive = this->alive](
           const std::optional<std::vector<EngineInstance>>& list) {
         if (!*alive) {
           return;
@@ -236,12 +236,14 @@
         if (!list.has_value()) {
           return;
         }
-        this->TakeEngineList(*list);
+        this->TakeEngineList(*list, begun);
       });
 }
 
-void Coordinator::TakeEngineList(std::span<const EngineInstance> list) {
+void Coordinator::TakeEngineList(std::span<const EngineInstance> list,
+                                 Time begun) {
   this->engines_seen = MonotonicNow();
+  this->engines_begun = begun;
   std::set<std::string> listed;
   bool changed = false;
   for (const EngineInstance& engine : list) {
@@ -446,6 +448,7 @@
   reply.entries =
       static_cast<std::uint32_t>(this->nodes.Count(NodeRole::kEntry));
   this->AddConfirmation(watcher, reply);
+  this->AddListReading(watcher, reply);
   reply.job_founders = this->state.job_founders();
   reply.leaving.assign(this->state.leaving().begin(),
                        this->state.leaving().end());
@@ -465,6 +468,24 @@
   }
 }
 
+/// Counts from the request's receipt, too.
+void Coordinator::AddListReading(const Watcher& watcher,
+                                 WatchReply& reply) const {
+  if (this->engines_begun != Time{}) {
+    reply.engines_read_after_ms = std::chrono::floor<std::chrono::milliseconds>(
+                                      this->engines_begun - watcher.since)
+                                      .count();
+    reply.has_engines_read = true;
+  }
+}
+
+bool Coordinator::HasWantedReading(const Watcher& watcher) const {
+  const std::chrono::milliseconds wanted_in(
+      watcher.request.engines_wanted_in_ms);
+  return watcher.request.wants_engines &&
+         this->engines_begun >= watcher.since + wanted_in;
+}
+
 void Coordinator::OnWatch(StreamId stream, const std::string& body) {
   const auto request = DecodeMessage<WatchRequest>(body);
   const Time now = MonotonicNow();
@@ -512,7 +533,8 @@
       watcher.request.engines_revision = this->engines.revision();
     }
   }
-  return offered || differs || confirms || now - watcher.since >= kWatchTimeout;
+  return offered || differs || confirms || this->HasWantedReading(watcher) ||
+         now - watcher.since >= kWatchTimeout;
 }
 
 /// Called at each tick, so that changes within a tick share one reply. Entries
--- a/src/coordination/internal/fleetwatch.cpp
+++ b/src/coordination/internal/fleetwatch.cpp
@@ -22,6 +22,13 @@
   return kPause * std::min(static_cast<int>(failures), kMaxPauses);
 }
 
+/// Rounded up; zero if `time` has passed.
+std::uint32_t MillisUntil(Time time) {
+  const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(time - MonotonicNow());
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 0));
+}
+
 }  // namespace
 
 FleetWatch::FleetWatch(asio::io_context& context, transport::PeerClient& peers,
@@ -115,6 +122,9 @@
   this->crash_reports.AddTo(request, MonotonicNow());
   request.wants_confirmation =
       MonotonicNow() - this->known.confirmed > kConfirmationAge;
+  this->wants_engines = this->wanted_reading > this->known.engines_read_after;
+  request.wants_engines = this->wants_engines;
+  request.engines_wanted_in_ms = MillisUntil(this->wanted_reading);
   const auto current = [this, number, alive = this->alive] {
     return *alive && this->round == number;
   };
@@ -219,10 +229,23 @@
         MonotonicNow() - std::chrono::milliseconds(reply.engines_age_ms);
   }
   change.engines = this->TakeEngineChanges(reply);
+  this->handles_reply = true;
   this->changed(change);
+  this->handles_reply = false;
   this->SendWatch();
 }
 
+void FleetWatch::WantEngines(Time read_after) {
+  const bool fulfilled = this->known.engines_read_after >= this->wanted_reading;
+  if (fulfilled || read_after < this->wanted_reading) {
+    this->wanted_reading = read_after;
+  }
+  // A request that wants a later reading is answered too late.
+  if (!this->handles_reply && (fulfilled || !this->wants_engines)) {
+    this->ResendWatch();
+  }
+}
+
 /// Returns true if the text in force changed. Never goes back to an older
 /// version, which a leader elected on an older log could send.
 bool FleetWatch::TakeConfiguration(const WatchReply& reply) {
@@ -316,15 +339,31 @@
                [](const NodeReport& report) { return report.name; });
 }
 
-/// Returns true if the list changed. Changes only apply to the list that the
-/// request named; this process may have read the platform's list meanwhile.
-bool FleetWatch::TakeEngineChanges(const WatchReply& reply) {
+/// Changes only apply to the list that the request named; this process may have
+/// read the platform's list meanwhile.
+bool FleetWatch::EnginesUsable(const WatchReply& reply) const {
   const bool other_base =
       this->engines_revision != this->requested_engines_revision;
   const bool whole = reply.has_engines && !reply.engines_partial;
-  if (reply.engines_age_ms == kEnginesNeverRead || (other_base && !whole)) {
+  return reply.engines_age_ms != kEnginesNeverRead && (!other_base || whole);
+}
+
+/// Counts from when the watch was sent, like TakeConfirmation.
+void FleetWatch::TakeListReading(const WatchReply& reply) {
+  if (reply.has_engines_read) {
+    const Time read =
+        this->sent + std::chrono::milliseconds(reply.engines_read_after_ms);
+    this->known.engines_read_after =
+        std::max<Time>(this->known.engines_read_after, read);
+  }
+}
+
+/// Returns true if the list changed.
+bool FleetWatch::TakeEngineChanges(const WatchReply& reply) {
+  if (!this->EnginesUsable(reply)) {
     return false;
   }
+  this->TakeListReading(reply);
   this->engines_revision = reply.engines_revision;
   if (!reply.has_engines) {
     return false;
@@ -368,15 +407,16 @@
              : (MonotonicNow() - this->known.heard).count() / 1000;
 }
 
-void FleetWatch::TakeEngines(std::vector<EngineInstance> engines) {
+void FleetWatch::TakeEngines(std::vector<EngineInstance> engines, Time begun) {
   this->known.engines_seen = MonotonicNow();
-  if (this->known.engines == engines) {
-    return;
-  }
-  this->known.engines = std::move(engines);
-  this->engines_revision = 0;
+  this->known.engines_read_after =
+      std::max<Time>(this->known.engines_read_after, begun);
   FleetChange change;
-  change.engines = true;
+  change.engines = this->known.engines != engines;
+  if (change.engines) {
+    this->known.engines = std::move(engines);
+    this->engines_revision = 0;
+  }
   this->changed(change);
 }
 
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -47,8 +47,8 @@
   this->relay = std::make_unique<OnlineRelay>(
       runtime.context, this->front, *runtime.peers, *runtime.watch,
       runtime.dialect, runtime.metrics,
-      RelayLocation{runtime.options.name, runtime.options.zone,
-                    runtime.options.zones},
+      RelayOptions{runtime.options.name, runtime.options.zone,
+                   runtime.options.zones, runtime.options.list_lag},
       runtime.incarnation);
   this->quotas = std::make_unique<CallerQuotas>(
       runtime.context, *runtime.coordination, runtime.options,
@@ -202,7 +202,8 @@
     this->UpdateRelay();
     this->host.OnFleet();
   }
-  this->relay->SetListSeen(this->runtime.watch->knowledge().engines_seen);
+  const coordination::FleetKnowledge& fleet = this->runtime.watch->knowledge();
+  this->relay->SetListSeen(fleet.engines_seen, fleet.engines_read_after);
   if (this->KnowsFleet() && this->AcceptsKeys()) {
     for (EarlyRequest& held : this->startup_queue.TakeAll()) {
       this->Serve(held.exchange, std::move(held.request), held.arrived);
@@ -465,7 +466,7 @@
         // If a leader was heard again meanwhile, its list is newer.
         if (engines.has_value() &&
             this->runtime.watch->knowledge().engines_seen <= begun) {
-          this->runtime.watch->TakeEngines(std::move(*engines));
+          this->runtime.watch->TakeEngines(std::move(*engines), begun);
         }
       });
 }
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -37,20 +37,20 @@
                          transport::PeerClient& peers,
                          coordination::FleetWatch& watch,
                          const Dialect& dialect, Metrics& metrics,
-                         RelayLocation place, std::uint64_t seed)
+                         RelayOptions options, std::uint64_t seed)
     : front(front),
       dialect(dialect),
       metrics(metrics),
-      own_name(std::move(place.name)),
-      own_zone(std::move(place.zone)),
+      own_name(std::move(options.name)),
+      own_zone(std::move(options.zone)),
       engines(context),
       crash_detector(context, watch),
-      chooser(seed, place.zones),
+      chooser(seed, options.zones),
       speed_learner(this->chooser, metrics),
       slots(peers, this->chooser, this->speed_learner, this->own_zone,
             this->SlotHandlers()),
       rejections(metrics),
-      stream_origins(peers, metrics),
+      stream_origins(peers, watch, metrics, options.list_lag),
       random(seed + 1),
       sweep(context) {
   this->Sweep();
@@ -70,10 +70,10 @@
   }
 }
 
-void OnlineRelay::SetListSeen(Time seen) {
+void OnlineRelay::SetListSeen(Time seen, Time read_after) {
   this->engines_seen = seen;
-  if (seen != Time{}) {
-    this->stream_origins.ListRead(seen);
+  if (read_after != Time{}) {
+    this->stream_origins.ListRead(read_after);
   }
 }
 
@@ -160,9 +160,12 @@
       {{"request", call.fields.id},
        {"resumes", call.fields.resumes},
        {"last_event", call.response.LastEvent().value_or(0)}});
+  StreamOrigins::TakeUp take_up{call.fields.id, call.fields.resumes,
+                                call.table,     call.route,
+                                call.arrived,   call.deadline};
   const StreamOrigins::LookupId lookup = this->stream_origins.Find(
-      call.fields.resumes, [this, id](const origins::FoundOrigin& recorded) {
-        this->OnOrigin(id, recorded);
+      std::move(take_up), [this, id](const origins::Continuation& decision) {
+        this->OnOrigin(id, decision);
       });
   // The origin may have been found, and the request have ended, by now.
   const auto still = this->calls.find(id);
@@ -171,24 +174,11 @@
   }
 }
 
-void OnlineRelay::OnOrigin(CallId id, const origins::FoundOrigin& recorded) {
-  const auto found = this->calls.find(id);
-  if (found == this->calls.end()) {
-    return;
+void OnlineRelay::OnOrigin(CallId id, const origins::Continuation& decision) {
+  if (this->calls.contains(id)) {
+    std::visit([this, id](const auto& result) { this->Perform(id, result); },
+               decision);
   }
-  const Call& call = found->second;
-  const origins::Continuation decision = this->stream_origins.Decide(
-      recorded, *call.route, call.table->configuration());
-  const auto* next = std::get_if<origins::ContinueWith>(&decision);
-  const char* without_record = next != nullptr ? "list" : "none";
-  Log(LogLevel::kInfo, "continuation_decided",
-      {{"request", call.fields.id},
-       {"by", recorded.Recorded() ? "record" : without_record},
-       {"version", next != nullptr ? next->software.version : std::string()},
-       {"list_after_ms", (this->engines_seen - call.arrived).count() / 1000},
-       {"waited_ms", MillisSince(call.arrived, MonotonicNow())}});
-  std::visit([this, id](const auto& result) { this->Perform(id, result); },
-             decision);
 }
 
 void OnlineRelay::Perform(CallId id, const origins::ContinueWith& decision) {
@@ -792,7 +782,6 @@
         if (error || !*alive) {
           return;
         }
-        this->stream_origins.Tick();
         const Time now = MonotonicNow();
         const bool stood_still = now - due > kStoodStill;
         if (stood_still) {
@@ -802,6 +791,7 @@
         // left out: deadlines hold on a loop that is always late.
         if (!stood_still || std::exchange(this->check_left_out, true)) {
           this->check_left_out = false;
+          this->stream_origins.Tick();
           this->CheckAll(now);
         }
         this->Sweep();
--- a/src/nodes/internal/streamorigins.cpp
+++ b/src/nodes/internal/streamorigins.cpp
@@ -84,23 +84,37 @@
   }
 }
 
-StreamOrigins::LookupId StreamOrigins::Find(const std::string& request,
-                                            Found found) {
+void StreamOrigins::ListRead(Time read_after) {
+  this->history.ListRead(read_after);
+  this->list_read_after = read_after;
+  for (const LookupId id : this->Searched()) {
+    if (this->lookups.contains(id)) {
+      this->Decide(id);
+    }
+  }
+  this->WantReading();
+}
+
+StreamOrigins::LookupId StreamOrigins::Find(TakeUp take_up, Decided decided) {
   const Time now = MonotonicNow();
-  const origins::FoundOrigin known = this->own.Find(request, now);
+  const std::string resumes = take_up.resumes;
+  const origins::FoundOrigin known = this->own.Find(resumes, now);
+  const bool over = known.Recorded() || resumes.empty();
+  const std::vector<std::string> asked =
+      over ? std::vector<std::string>()
+           : origins::HomesToAsk(resumes, this->homes);
   const LookupId id = ++this->last_lookup;
-  if (known.Recorded() || request.empty()) {
-    found(known);
+  this->lookups.emplace(
+      id, Lookup{std::move(take_up), origins::OriginLookup(asked, now), now,
+                 asked.size(), std::nullopt, std::move(decided)});
+  if (over) {
+    this->Found(id, known);
     return id;
   }
-  const std::vector<std::string> asked =
-      origins::HomesToAsk(request, this->homes);
-  this->lookups.emplace(id, Lookup{request, origins::OriginLookup(asked, now),
-                                   now, asked.size(), std::move(found)});
   for (const std::string& home : asked) {
-    this->Ask(id, home, request);
+    this->Ask(id, home, resumes);
   }
-  this->Conclude(id);
+  this->ConcludeByAnswers(id);
   return id;
 }
 
@@ -138,77 +152,142 @@
         {{"home", home}, {"text", error.what()}});
     lookup->second.search.Failed(home);
   }
-  this->Conclude(id);
+  this->ConcludeByAnswers(id);
 }
 
 void StreamOrigins::OnFailed(LookupId id, const std::string& home) {
   const auto lookup = this->lookups.find(id);
   if (lookup != this->lookups.end()) {
     lookup->second.search.Failed(home);
-    this->Conclude(id);
+    this->ConcludeByAnswers(id);
   }
 }
 
-void StreamOrigins::Conclude(LookupId id) {
+void StreamOrigins::ConcludeByAnswers(LookupId id) {
   const auto lookup = this->lookups.find(id);
   if (lookup == this->lookups.end()) {
     return;
   }
-  const Time now = MonotonicNow();
-  const std::optional<origins::FoundOrigin> result =
-      lookup->second.search.Result(now);
-  if (!result.has_value()) {
+  const auto result = lookup->second.search.Result();
+  // A record is of use also after the time limit, while the list is awaited.
+  const bool is_over = lookup->second.found.has_value();
+  if (result.has_value() && (!is_over || result->Recorded())) {
+    LogSearch(lookup->second, *result);
+    this->Found(id, *result);
+  }
+}
+
+void StreamOrigins::ConcludeByTime(LookupId id, Time now) {
+  const auto lookup = this->lookups.find(id);
+  if (lookup == this->lookups.end()) {
     return;
   }
-  const Lookup ended = std::move(lookup->second);
-  this->lookups.erase(lookup);
+  if (lookup->second.found.has_value()) {
+    this->Decide(id);
+    return;
+  }
+  const auto result = lookup->second.search.Result(now);
+  if (result.has_value()) {
+    LogSearch(lookup->second, *result);
+    this->Found(id, *result);
+  }
+}
+
+void StreamOrigins::Found(LookupId id, const origins::FoundOrigin& found) {
+  this->lookups.at(id).found = found;
+  this->Decide(id);
+  this->WantReading();
+}
+
+void StreamOrigins::LogSearch(const Lookup& lookup,
+                              const origins::FoundOrigin& found) {
   Log(LogLevel::kInfo, "origin_searched",
-      {{"request", ended.request},
-       {"known", result->software.Known()},
-       {"recorded", result->Recorded()},
-       {"version", result->software.version},
-       {"homes", ended.asked},
-       {"without_record", ended.search.WithoutRecord()},
-       {"unreachable", ended.search.Unreachable()},
-       {"unanswered", ended.search.Waiting().size()},
-       {"took_ms", (now - ended.started).count() / 1000}});
-  ended.found(*result);
-}
-
-ReplicaSoftware StreamOrigins::SoleSoftware(
-    const routes::Route& route,
-    const routes::FleetConfiguration& configuration) const {
-  const std::vector<std::string> services = ServicesOf(route);
+      {{"request", lookup.take_up.resumes},
+       {"known", found.software.Known()},
+       {"recorded", found.Recorded()},
+       {"version", found.software.version},
+       {"homes", lookup.asked},
+       {"without_record", lookup.search.WithoutRecord()},
+       {"unreachable", lookup.search.Unreachable()},
+       {"unanswered", lookup.search.Waiting().size()},
+       {"took_ms", (MonotonicNow() - lookup.started).count() / 1000}});
+}
+
+void StreamOrigins::Decide(LookupId id) {
+  const Lookup& lookup = this->lookups.at(id);
+  const TakeUp& take_up = lookup.take_up;
+  const Time now = MonotonicNow();
+  const origins::TakeUpStep step = origins::DecideTakeUp(
+      {*lookup.found, this->SoleSoftware(take_up, now)}, this->list_read_after,
+      ServicesOf(*take_up.route),
+      {take_up.arrived, take_up.deadline, this->list_lag}, now);
+  if (const auto* decision = std::get_if<origins::Continuation>(&step)) {
+    this->End(id, *decision);
+  }
+}
+
+void StreamOrigins::End(LookupId id, const origins::Continuation& decision) {
+  const Lookup ended = std::move(this->lookups.at(id));
+  this->lookups.erase(id);
+  const TakeUp& take_up = ended.take_up;
+  const auto* next = std::get_if<origins::ContinueWith>(&decision);
+  const char* without_record = next != nullptr ? "list" : "none";
+  Log(LogLevel::kInfo, "continuation_decided",
+      {{"request", take_up.request},
+       {"by", ended.found->Recorded() ? "record" : without_record},
+       {"version", next != nullptr ? next->software.version : std::string()},
+       {"list_after_ms",
+        (this->list_read_after - take_up.arrived).count() / 1000},
+       {"waited_ms", (MonotonicNow() - take_up.arrived).count() / 1000}});
+  ended.decided(decision);
+}
+
+void StreamOrigins::WantReading() {
+  const std::vector<LookupId> waiting = this->Searched();
+  if (!waiting.empty()) {
+    // Ids are given in order of arrival.
+    const TakeUp& first = this->lookups.at(waiting.front()).take_up;
+    this->watch.WantEngines(first.arrived + this->list_lag);
+  }
+}
+
+std::vector<StreamOrigins::LookupId> StreamOrigins::Searched() const {
+  std::vector<LookupId> ids;
+  for (const auto& [id, lookup] : this->lookups) {
+    if (lookup.found.has_value()) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+ReplicaSoftware StreamOrigins::SoleSoftware(const TakeUp& take_up,
+                                            Time now) const {
+  const std::vector<std::string> services = ServicesOf(*take_up.route);
   if (services.size() != 1) {
     return {};
   }
   std::chrono::milliseconds longest{0};
-  for (const routes::Route& other : configuration.routes) {
+  for (const routes::Route& other : take_up.table->configuration().routes) {
     if (other.kind == routes::RouteKind::kStreaming) {
       longest = std::max(longest, other.timeout);
     }
   }
-  const Duration window = longest * kMaxAttemptsOfCaller;
-  const Time now = MonotonicNow();
-  return this->route_history.SameSince(route.Key(), window, now)
+  const Duration window =
+      longest * kMaxAttemptsOfCaller + (now - take_up.arrived);
+  return this->route_history.SameSince(take_up.route->Key(), window, now)
              ? this->history.SoleSince(services.front(), window, now)
              : ReplicaSoftware{};
 }
 
-origins::Continuation StreamOrigins::Decide(
-    const origins::FoundOrigin& recorded, const routes::Route& route,
-    const routes::FleetConfiguration& configuration) const {
-  return origins::DecideContinuation(
-      {recorded, this->SoleSoftware(route, configuration)}, ServicesOf(route));
-}
-
 void StreamOrigins::Tick() {
   std::vector<LookupId> ids;
   for (const auto& [id, lookup] : this->lookups) {
     ids.push_back(id);
   }
+  const Time now = MonotonicNow();
   for (const LookupId id : ids) {
-    this->Conclude(id);
+    this->ConcludeByTime(id, now);
   }
 }
 
--- a/src/nodes/nodeoptions.h
+++ b/src/nodes/nodeoptions.h
@@ -41,6 +41,8 @@
   /// Its rate limit in calls a second for all processes together; zero: not
   /// known.
   double list_calls_per_second = 0;
+  /// The list shows a change this long after it happened, at the latest.
+  std::chrono::milliseconds list_lag{1000};
   std::chrono::milliseconds grace{8000};  ///< From SIGTERM to SIGKILL.
   std::chrono::milliseconds batch_keep{120000};
   organisations::RevocationBound revocation;
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -31,11 +31,13 @@
 
 namespace papayarack::nodes {
 
-/// The process that a relay belongs to.
-struct RelayLocation {
+/// The process that a relay belongs to, and its platform.
+struct RelayOptions {
   std::string name;
   std::string zone;
   placement::ZoneSettings zones = {};  ///< Traffic to other zones.
+  /// As in NodeOptions.
+  std::chrono::milliseconds list_lag{1000};
 };
 
 /// An online request's route, its caller and when it arrived.
@@ -57,7 +59,7 @@
   /// Precondition: all reference arguments outlive the relay.
   OnlineRelay(asio::io_context& context, http::HttpServer*& front,
               transport::PeerClient& peers, coordination::FleetWatch& watch,
-              const Dialect& dialect, Metrics& metrics, RelayLocation place,
+              const Dialect& dialect, Metrics& metrics, RelayOptions options,
               std::uint64_t seed);
   ~OnlineRelay();
   OnlineRelay(const OnlineRelay&) = delete;
@@ -75,8 +77,9 @@
   void AnswerOpen();
   /// The caller has disconnected. True when the exchange was this relay's.
   bool CallerGone(http::ExchangeId exchange);
-  /// Sets the time at which the platform's list was read, changed or not.
-  void SetListSeen(Time seen);
+  /// Sets the time at which the platform's list was read, changed or not, and a
+  /// lower bound of that time. Call it after SetFleet.
+  void SetListSeen(Time seen, Time read_after);
   void SetFleet(const coordination::FleetKnowledge& fleet,
                 const routes::FleetConfiguration& configuration);
   std::size_t Open() const { return this->calls.size(); }
@@ -122,7 +125,7 @@
   /// Whether the caller takes up a stream that an earlier attempt began.
   static bool IsTakeUp(const CallFields& fields);
   void FindOrigin(CallId id);
-  void OnOrigin(CallId id, const origins::FoundOrigin& recorded);
+  void OnOrigin(CallId id, const origins::Continuation& decision);
   void Perform(CallId id, const origins::ContinueWith& decision);
   void Perform(CallId id, const origins::OriginUnknown& decision);
   void Perform(CallId id, const origins::OriginNotOnRoute& decision);
--- a/src/nodes/tests/nodes_tests.cpp
+++ b/src/nodes/tests/nodes_tests.cpp
@@ -91,7 +91,7 @@
   CHECK(shows("papayarack_configuration_version 0\n"));
   // Without a list there is no age.
   CHECK_FALSE(shows("papayarack_replica_list_age_ms"));
-  runtime.watch->TakeEngines({});
+  runtime.watch->TakeEngines({}, MonotonicNow());
   CHECK(shows("papayarack_replica_list_age_ms "));
 }
 
--- a/src/origins/internal/originlookup.cpp
+++ b/src/origins/internal/originlookup.cpp
@@ -16,11 +16,15 @@
   this->unreachable += this->waiting.erase(home);
 }
 
-std::optional<FoundOrigin> OriginLookup::Result(Time now) const {
-  if (this->found.Recorded() || this->waiting.empty() || now >= this->until) {
+std::optional<FoundOrigin> OriginLookup::Result() const {
+  if (this->found.Recorded() || this->waiting.empty()) {
     return this->found;
   }
   return std::nullopt;
 }
 
+std::optional<FoundOrigin> OriginLookup::Result(Time now) const {
+  return now >= this->until ? this->found : this->Result();
+}
+
 }  // namespace papayarack::origins
--- a/src/origins/originlookup.h
+++ b/src/origins/originlookup.h
@@ -18,7 +18,7 @@
 /// I/O. Thread safety: none.
 class OriginLookup {
  public:
-  /// Homes that have not answered by then count as not knowing: 60 round trips
+  /// Homes that have not answered by then are not waited for: 60 round trips
   /// within a region.
   static constexpr std::chrono::milliseconds kTimeout{120};
 
@@ -29,8 +29,12 @@
   void Answered(const std::string& home, const FoundOrigin& reply);
   /// `home` cannot be reached.
   void Failed(const std::string& home);
-  /// The origin; without a record if no home has one. Nothing while homes may
-  /// still answer.
+  /// The origin by the answers so far; without a record if no home has one.
+  /// Nothing while homes may still answer.
+  std::optional<FoundOrigin> Result() const;
+  /// The same, but does not wait for homes longer than kTimeout. Call it when
+  /// the answers that have arrived are read: after a pause of this process they
+  /// may be older than the timeout.
   std::optional<FoundOrigin> Result(Time now) const;
   /// Homes that have not answered.
   const std::set<std::string>& Waiting() const { return this->waiting; }
--- a/src/origins/tests/origins_tests.cpp
+++ b/src/origins/tests/origins_tests.cpp
@@ -165,6 +165,8 @@
     CHECK_FALSE(lookup.Result(At(120))->Recorded());
     CHECK(lookup.Unreachable() == 0);
     CHECK(lookup.Waiting().size() == 1);
+    // By answers alone it goes on: they may wait to be read after a pause.
+    CHECK_FALSE(lookup.Result().has_value());
   }
   SECTION("and ignores repeated replies and those of others") {
     lookup.Answered("c", {kNew, true});
