Streams: a list counts as watched only since its reading was known

What callers could see: a stream that goes on at a wrong version, by the list of an entry that had missed readings for over 3 s and then got a reply that had waited for up to 2 s.

Cause: after a gap the history began at the lower bound of the reading's time. What a bound must be depends on what it is used for: a reading is at least as new as its lower bound, but the list was watched only since it was known.

SoftwareHistory::ListRead takes both moments.

--- a/src/nodes/internal/streamorigins.cpp
+++ b/src/nodes/internal/streamorigins.cpp
@@ -85,7 +85,7 @@
 }
 
 void StreamOrigins::ListRead(Time read_after) {
-  this->history.ListRead(read_after);
+  this->history.ListRead(read_after, MonotonicNow());
   this->list_read_after = read_after;
   for (const LookupId id : this->Searched()) {
     if (this->lookups.contains(id)) {
--- a/src/origins/internal/softwarehistory.cpp
+++ b/src/origins/internal/softwarehistory.cpp
@@ -8,11 +8,11 @@
 
 }  // namespace
 
-void SoftwareHistory::ListRead(Time read) {
-  if (this->last_read == Time{} || read - this->last_read > kMaxListGap) {
-    this->watched_since = read;
+void SoftwareHistory::ListRead(Time read_after, Time now) {
+  if (this->last_read == Time{} || read_after - this->last_read > kMaxListGap) {
+    this->watched_since = now;
   }
-  this->last_read = read;
+  this->last_read = read_after;
 }
 
 void SoftwareHistory::SetListed(const std::set<ReplicaSoftware>& listed,
--- a/src/origins/softwarehistory.h
+++ b/src/origins/softwarehistory.h
@@ -20,8 +20,9 @@
   /// A longer time without a reading of the list may hide a version.
   static constexpr std::chrono::milliseconds kMaxListGap{3000};
 
-  /// The list was read at `read`, with or without changes.
-  void ListRead(Time read);
+  /// At `now` it is known that the list was read at `read_after` or later, with
+  /// or without changes. Precondition: neither decreases.
+  void ListRead(Time read_after, Time now);
   /// The list now holds replicas of `listed`, draining ones included.
   void SetListed(const std::set<ReplicaSoftware>& listed, Time now);
   /// The only software of `service` throughout the last `window`; unknown
--- a/src/origins/tests/origins_tests.cpp
+++ b/src/origins/tests/origins_tests.cpp
@@ -181,7 +181,7 @@
   SoftwareHistory history;
   const auto watch = [&history](int from_ms, int until_ms) {
     for (int ms = from_ms; ms <= until_ms; ms += 1000) {
-      history.ListRead(At(ms));
+      history.ListRead(At(ms), At(ms));
     }
   };
   history.SetListed({kOld, {"other", "v7"}}, At(0));
@@ -211,6 +211,14 @@
     watch(24001, 30000);
     CHECK_FALSE(history.SoleSince("llm", kWindow, At(30000)).Known());
   }
+  // Guards against a list that counts as watched while its reading waited, in a
+  // cut connection or at a process that stood still.
+  SECTION("not before it is known that the list was read") {
+    history.ListRead(At(24001), At(26000));
+    watch(27000, 46000);
+    CHECK_FALSE(history.SoleSince("llm", kWindow, At(45999)).Known());
+    CHECK(history.SoleSince("llm", kWindow, At(46000)) == kOld);
+  }
   SECTION("not when it was read too long ago") {
     CHECK_FALSE(history.SoleSince("llm", kWindow, At(23001)).Known());
   }
--- a/src/origins/tests/takeup_tests.cpp
+++ b/src/origins/tests/takeup_tests.cpp
@@ -197,7 +197,7 @@
         this->history.SetListed(reading.listed, this->now);
         this->read_after =
             std::max<Time>(this->read_after, reading.lower_bound);
-        this->history.ListRead(this->read_after);
+        this->history.ListRead(this->read_after, this->now);
       }
       return arrived;
     });
