Tests: a set-aside slot is released, not removed, before the fixture goes on

The test had never been run: its fixture checks the request after it was removed, which the finder does not allow.

--- a/src/nodes/tests/slotfinder_tests.cpp
+++ b/src/nodes/tests/slotfinder_tests.cpp
@@ -279,7 +279,7 @@
     CHECK(fixture.finder.Holds(kRequest));
     CHECK(fixture.second.released == 0);
   }
-  fixture.finder.Remove(kRequest);
+  fixture.finder.Release(kRequest);
   CHECK(fixture.RunUntil([&] {
     return fixture.first.released + fixture.second.released ==
            static_cast<int>(fixture.first.asks.size() +
