Log connections that are open when a process ends

What callers saw: an answer whose connection was closed in its middle, 2 ms after the end of its run, 2.95 s after the entry's SIGTERM.

Cause: not known at this commit. No line could tell a process that ends with an answer on its way from an answer that it cut itself: requests_at_end counts an answer as answered once the kernel has its bytes.

Change: connection_at_end for each connection in which bytes were read or written (eight a server): what it waits for, bytes unsent, unacknowledged and unread, time since the last write.

--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -7,8 +7,10 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "global/settings.h"
+#include "http/connectionstate.h"
 #include "http/exchangeledger.h"
 #include "http/headers.h"
 
@@ -115,6 +117,8 @@
   /// Number of requests being answered, with those whose response is complete
   /// but not sent.
   std::size_t OpenExchanges() const;
+  /// Connections of which bytes were read or written.
+  std::vector<ConnectionState> UsedConnections() const;
   /// What became of the requests that were read whole.
   const ExchangeLedger& ledger() const;
   std::uint16_t port() const;
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -41,6 +41,18 @@
 
 }  // namespace
 
+std::string_view NameOf(ConnectionPhase phase) {
+  switch (phase) {
+    case ConnectionPhase::kReading:
+      return "reading";
+    case ConnectionPhase::kServing:
+      return "serving";
+    case ConnectionPhase::kLingering:
+      return "lingering";
+  }
+  return "unknown";
+}
+
 std::string_view HttpRequest::Path() const {
   const std::string_view whole = this->target;
   return whole.substr(0, whole.find('?'));
@@ -653,6 +665,18 @@
   return this->impl->exchanges.size() + static_cast<std::size_t>(unsent);
 }
 
+std::vector<ConnectionState> HttpServer::UsedConnections() const {
+  const Time now = MonotonicNow();
+  std::vector<ConnectionState> used;
+  for (const auto& [id, connection] : this->impl->connections) {
+    const ConnectionState state = connection->State(now);
+    if (connection->Used() || state.unread > 0) {
+      used.push_back(state);
+    }
+  }
+  return used;
+}
+
 const ExchangeLedger& HttpServer::ledger() const { return this->impl->ledger; }
 
 std::uint16_t HttpServer::port() const {
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -1,6 +1,8 @@
 #ifndef PAPAYARACK_HTTP_INTERNAL_SERVERCONNECTION_H_
 #define PAPAYARACK_HTTP_INTERNAL_SERVERCONNECTION_H_
 
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <array>
 #include <asio.hpp>
@@ -12,6 +14,7 @@
 #include <utility>
 
 #include "global/timepoint.h"
+#include "http/connectionstate.h"
 #include "http/exchangeledger.h"
 #include "http/internal/headparser.h"
 
@@ -24,9 +27,20 @@
   std::uint64_t end = 0;  ///< Bytes of the connection up to its last one.
 };
 
+/// Reads how many bytes of a socket the peer has not acknowledged.
+class UnacknowledgedQuery {
+ public:
+  static int name() { return TIOCOUTQ; }
+  void* data() { return &this->bytes; }
+  std::size_t Bytes() const { return static_cast<std::size_t>(this->bytes); }
+
+ private:
+  int bytes = 0;
+};
+
 /// One connection of the server. Thread safety: none.
 struct ServerConnection {
-  enum class Phase { kReading, kServing, kLingering };
+  using Phase = ConnectionPhase;
   static constexpr std::size_t kReadChunk = 4096;
   static constexpr int kFirstRefusal = 400;
 
@@ -93,6 +107,27 @@
     return this->phase == Phase::kReading && this->AllSent() &&
            this->socket.available(ignored) > 0;
   }
+  /// Bytes that the kernel took and the client's has not acknowledged; nothing
+  /// where the system doesn't tell.
+  std::optional<std::size_t> Unacknowledged() {
+    UnacknowledgedQuery query;
+    std::error_code error;
+    this->socket.io_control(query, error);
+    return error ? std::nullopt : std::optional(query.Bytes());
+  }
+  /// Whether bytes of its client were read.
+  bool Used() const {
+    return this->exchange != 0 || this->last_written != Time{} ||
+           this->parser.Started() || !this->unparsed.empty();
+  }
+  ConnectionState State(Time now) {
+    std::error_code ignored;
+    return {this->phase, this->Unsent(), this->Unacknowledged(),
+            this->socket.available(ignored),
+            this->last_written == Time{}
+                ? std::nullopt
+                : std::optional(now - this->last_written)};
+  }
   /// All bytes of the response to `ended` are queued.
   void QueueEnd(ExchangeId ended) {
     const ExchangeOutcome outcome = this->status >= kFirstRefusal
--- a/src/nodes/internal/requestcounts.cpp
+++ b/src/nodes/internal/requestcounts.cpp
@@ -2,8 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
+#include <vector>
 
 #include "global/logging.h"
 
@@ -16,10 +18,39 @@
                               ExchangeOutcome::kStalled,
                               ExchangeOutcome::kServerEnded};
 
+/// Connections of a server that are logged at the end of the process.
+constexpr std::size_t kMaxConnectionsLogged = 8;
+
 std::int64_t Millis(Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+/// The connections in which bytes may be on their way; those whose client got
+/// bytes last come first.
+void LogConnections(const std::string& name, const http::HttpServer& server) {
+  std::vector<http::ConnectionState> open = server.UsedConnections();
+  std::ranges::sort(open, {}, [](const http::ConnectionState& state) {
+    return state.since_written.value_or(Duration::max());
+  });
+  for (std::size_t i = 0; i < std::min(open.size(), kMaxConnectionsLogged);
+       ++i) {
+    const http::ConnectionState& state = open[i];
+    Log(LogLevel::kInfo, "connection_at_end",
+        {{"server", name},
+         {"phase", std::string(http::NameOf(state.phase))},
+         {"unsent", state.unsent},
+         {"unacknowledged",
+          state.unacknowledged.has_value()
+              ? static_cast<std::int64_t>(*state.unacknowledged)
+              : -1},
+         {"unread", state.unread},
+         {"written_us", state.since_written.has_value()
+                            ? state.since_written->count()
+                            : -1},
+         {"open", open.size()}});
+  }
+}
+
 }  // namespace
 
 void RequestCounts::Include(std::string_view name,
@@ -79,6 +110,7 @@
     if (counts.read == 0) {
       continue;
     }
+    LogConnections(name, *server);
     const http::ExchangeRecord oldest =
         ledger.Oldest(now).value_or(http::ExchangeRecord{});
     const bool all_ended = counts.Open() == 0;
