An entry that stops ends once its clients have their last answers

That this is its cause is suspected: the record shows no logs.

Cause: an entry ended as soon as all responses were written to their sockets. The end of the process closes them at once: what is still on its way is lost with a VM that goes, or with a reset if the client sent more meanwhile. Class: written is taken for received.

Change: an entry ends once each client has closed its connection, or has taken nothing for a second; connections without a request are closed after a second as before, so this holds the process within the grace. Answers given at 0.7 s before the end of the grace have until 0.3 s before it instead of 50 ms.

Evidence: stopped_entry, callers 150 ms away from a VM that goes with its process: an answer broke off in 2 of 2 sections before, in none after.

--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -109,14 +109,20 @@
   void SetLimits(const HttpServerLimits& limits);
   /// Closes idle connections, and every other connection after its response,
   /// or after a time without a request if the response announced that it is
-  /// kept. New connections are still accepted, as the load balancer notices the
-  /// shutdown late.
+  /// kept. A connection whose client was told that it is closed stays open
+  /// until the client has closed it, or has taken nothing for a second. New
+  /// connections are still accepted, as the load balancer notices the shutdown
+  /// late.
   void BeginLeave();
   /// Accepts no further connections; open ones continue.
   void StopAccepting();
   /// Number of requests being answered, with those whose response is complete
   /// but not sent.
   std::size_t OpenExchanges() const;
+  /// Connections that are open, also those that wait for a request or for
+  /// their client's close. After StopAccepting they only become fewer, and
+  /// after BeginLeave each is closed once its client has its last response.
+  std::size_t OpenConnections() const;
   /// Connections of which bytes were read or written.
   std::vector<ConnectionState> UsedConnections() const;
   /// What became of the requests that were read whole.
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -508,6 +508,10 @@
     const Time now = MonotonicNow();
     std::vector<ConnectionId> expired;
     for (const auto& [id, connection] : this->connections) {
+      if (connection->phase == Phase::kLingering &&
+          connection->AcknowledgedMore()) {
+        connection->since = now;
+      }
       if (this->Expired(*connection, now) && !connection->HasUnread()) {
         expired.push_back(id);
       }
@@ -665,6 +669,10 @@
   return this->impl->exchanges.size() + static_cast<std::size_t>(unsent);
 }
 
+std::size_t HttpServer::OpenConnections() const {
+  return this->impl->connections.size();
+}
+
 std::vector<ConnectionState> HttpServer::UsedConnections() const {
   const Time now = MonotonicNow();
   std::vector<ConnectionState> used;
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -71,6 +71,7 @@
   bool keep_alive = false;
   bool head_begun = false;  ///< The head says whether it is kept alive.
   bool close_after_write = false;
+  std::size_t unacknowledged = 0;  ///< When it was looked at last.
   std::deque<QueuedResponse> responses;
   std::uint64_t taken = 0;  ///< Bytes of earlier writes, taken by the kernel.
   /// How unanswered requests end; set once the connection is closed.
@@ -115,6 +116,11 @@
     this->socket.io_control(query, error);
     return error ? std::nullopt : std::optional(query.Bytes());
   }
+  /// Whether the client has taken bytes from the kernel since the last call.
+  bool AcknowledgedMore() {
+    const std::size_t now = this->Unacknowledged().value_or(0);
+    return now < std::exchange(this->unacknowledged, now);
+  }
   /// Whether bytes of its client were read.
   bool Used() const {
     return this->exchange != 0 || this->last_written != Time{} ||
--- a/src/nodes/entrynode.h
+++ b/src/nodes/entrynode.h
@@ -41,8 +41,8 @@
   void RefuseNew();
   /// Answers the requests whose answer has not begun: the process must end.
   void AnswerOpen();
-  /// True when no caller and no operator waits and no slot is in use or
-  /// requested.
+  /// True when no caller and no operator waits or may still be receiving a
+  /// response, and no slot is in use or requested.
   bool Drained() const;
 
  private:
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -496,9 +496,12 @@
   this->relay->AnswerOpen();
 }
 
+/// A response that was written may still be on its way when the process ends,
+/// and be lost with its VM or with a reset: its caller sees an answer that
+/// breaks off. So the clients close the connections first.
 bool EntryNode::Drained() const {
-  return this->front->OpenExchanges() == 0 &&
-         this->operators->OpenCalls() == 0 && this->host.Drained();
+  return this->front->OpenConnections() == 0 &&
+         this->operators->OpenConnections() == 0 && this->host.Drained();
 }
 
 }  // namespace papayarack::nodes
--- a/src/nodes/internal/gracefulleave.cpp
+++ b/src/nodes/internal/gracefulleave.cpp
@@ -13,8 +13,10 @@
 constexpr std::chrono::milliseconds kBalancerReactionTime{2600};
 /// A store waits this long for the election of its successor.
 constexpr std::chrono::milliseconds kHandoverTime{400};
-/// Part of the grace time reserved for ending the process.
+/// Part of the grace time in which the last answers reach their callers.
 constexpr std::chrono::milliseconds kGraceMargin{700};
+/// Part of the grace time reserved for ending the process.
+constexpr std::chrono::milliseconds kEndMargin{300};
 constexpr std::chrono::milliseconds kTick{50};
 
 }  // namespace
@@ -50,7 +52,8 @@
 }
 
 bool GracefulLeave::Done(Duration waited) const {
-  return this->answered_open || this->steps.may_end(waited);
+  return this->steps.may_end(waited) ||
+         waited >= this->runtime.options.grace - kEndMargin;
 }
 
 void GracefulLeave::Await() {
@@ -68,10 +71,10 @@
       Log(LogLevel::kInfo, "stopped");
       this->runtime.context.stop();
     } else {
-      if (waited >= this->runtime.options.grace - kGraceMargin) {
-        // The answers are sent until the next look.
+      const bool must_answer =
+          waited >= this->runtime.options.grace - kGraceMargin;
+      if (must_answer && !std::exchange(this->answered_open, true)) {
         this->steps.answer_open();
-        this->answered_open = true;
       }
       this->Await();
     }
--- a/src/nodes/internal/operatorapi.cpp
+++ b/src/nodes/internal/operatorapi.cpp
@@ -51,8 +51,8 @@
   }
 }
 
-std::size_t OperatorApi::OpenCalls() const {
-  return this->control == nullptr ? 0 : this->control->OpenExchanges();
+std::size_t OperatorApi::OpenConnections() const {
+  return this->control == nullptr ? 0 : this->control->OpenConnections();
 }
 
 void OperatorApi::CallCoordination(
--- a/src/nodes/operatorapi.h
+++ b/src/nodes/operatorapi.h
@@ -23,8 +23,8 @@
   void BeginLeave();
   /// Accepts no further connections and refuses calls on open ones.
   void RefuseNew();
-  /// Calls without an answer that was sent.
-  std::size_t OpenCalls() const;
+  /// Connections that operators have not closed, nor this process.
+  std::size_t OpenConnections() const;
 
  private:
   void Listen();
