An entry that stops refuses requests that would outlast it

What callers saw: requests that came after a SIGTERM were taken and passed on, and cut without an end when the grace was over, among them requests that may not be repeated.

Cause: until the balancer lets go (2.6 s) an entry took every request, also one whose deadline comes after its own end. What is open then is answered 504 if its answer has not begun, and cut otherwise. Later requests were refused already.

Change: from the SIGTERM on, a request whose deadline comes after the end is refused at once (503, not run, another entry takes it) if it may not be repeated, or if runs of its route took longer in the last half minute than is left. The same for requests that wait for a slot. What is refused at the end is sent elsewhere at once, too.

--- a/src/nodes/entrynode.h
+++ b/src/nodes/entrynode.h
@@ -32,8 +32,9 @@
   EntryNode(const EntryNode&) = delete;
   EntryNode& operator=(const EntryNode&) = delete;
 
-  /// Reports that it is not ready, but still serves requests that arrive.
-  void BeginLeave();
+  /// Reports that it is not ready, but still serves requests that arrive, if
+  /// they can end by `answer_by`.
+  void BeginLeave(Time answer_by);
   /// Refuses new requests, so that callers retry elsewhere. Called once the
   /// balancer has had time to see that this process leaves: where few entries
   /// are left the balancer keeps sending requests here, and those accepted late
--- a/src/nodes/gracefulleave.h
+++ b/src/nodes/gracefulleave.h
@@ -14,7 +14,8 @@
 
 /// What a node does when it leaves.
 struct LeavingSteps {
-  std::function<void()> begin;
+  /// Given the time by which everything has to be answered.
+  std::function<void(Time)> begin;
   /// Called once the balancer no longer sends new callers.
   std::function<void()> refuse_new;
   /// Answers what is still open, shortly before the process must end.
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -15,8 +15,6 @@
 constexpr std::chrono::milliseconds kTick{200};
 /// Interval of checking requests that are held at start-up.
 constexpr std::chrono::milliseconds kEarlyTick{20};
-/// Retry-After where another process can take the request now.
-constexpr const char* kRetryElsewhere = "0.05";
 constexpr const char* kKeysOutdated = "the keys known here are outdated";
 
 std::string NameOf(const organisations::Authenticated& caller) {
@@ -471,8 +469,9 @@
       });
 }
 
-void EntryNode::BeginLeave() {
+void EntryNode::BeginLeave(Time answer_by) {
   this->leaving = true;
+  this->relay->BeginLeave(answer_by);
   this->host.BeginLeave();
   this->front->BeginLeave();
   this->operators->BeginLeave();
--- a/src/nodes/internal/gracefulleave.cpp
+++ b/src/nodes/internal/gracefulleave.cpp
@@ -22,20 +22,20 @@
 }  // namespace
 
 LeavingSteps StepsOf(EntryNode& entry) {
-  return {[&entry] { entry.BeginLeave(); }, [&entry] { entry.RefuseNew(); },
-          [&entry] { entry.AnswerOpen(); },
+  return {[&entry](Time answer_by) { entry.BeginLeave(answer_by); },
+          [&entry] { entry.RefuseNew(); }, [&entry] { entry.AnswerOpen(); },
           [&entry](Duration waited) {
             return waited >= kBalancerReactionTime && entry.Drained();
           }};
 }
 
 LeavingSteps StepsOf(GateNode& gate) {
-  return {[&gate] { gate.BeginLeave(); }, [] {}, [] {},
+  return {[&gate](Time) { gate.BeginLeave(); }, [] {}, [] {},
           [&gate](Duration) { return gate.Drained(); }};
 }
 
 LeavingSteps StepsOf(StoreNode& store) {
-  return {[&store] { store.BeginLeave(); }, [] {}, [] {},
+  return {[&store](Time) { store.BeginLeave(); }, [] {}, [] {},
           [&store](Duration waited) {
             return waited >= kHandoverTime && store.Drained();
           }};
@@ -47,7 +47,7 @@
 void GracefulLeave::Begin() {
   Log(LogLevel::kInfo, "stopping");
   this->began = MonotonicNow();
-  this->steps.begin();
+  this->steps.begin(this->began + this->runtime.options.grace - kGraceMargin);
   this->Await();
 }
 
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -23,6 +23,8 @@
 /// last attempt.
 constexpr std::chrono::milliseconds kOriginMargin{2000};
 constexpr int kGatewayTimeout = 504;
+constexpr const char* kEndsTooSoon =
+    "this process ends before the request may have ended";
 
 std::int64_t MillisSince(Time start, Time now) {
   return start == Time{} ? -1 : (now - start).count() / 1000;
@@ -116,6 +118,10 @@
     this->RefuseQuarantined(id, *culprit);
     return;
   }
+  if (!this->EndsInTime(this->calls.at(id), MonotonicNow())) {
+    this->RefuseElsewhere(id, kEndsTooSoon);
+    return;
+  }
   if (IsTakeUp(this->calls.at(id).fields)) {
     this->FindOrigin(id);
   } else {
@@ -526,6 +532,10 @@
   if (call.held_head.has_value()) {
     this->ForwardHead(call, *call.held_head);
   }
+  if (call.response.IsSuccess()) {
+    const Time now = MonotonicNow();
+    this->run_durations.Add(call.route->name, now - call.sent, now);
+  }
   this->front->EndStream(call.exchange);
   this->Finish(id, "answered", call.response.Status());
 }
@@ -675,6 +685,25 @@
   this->Finish(id, "refused", kServiceUnavailable);
 }
 
+void OnlineRelay::RefuseElsewhere(CallId id, const char* reason) {
+  const Call& call = this->calls.at(id);
+  Log(LogLevel::kInfo, "request_refused",
+      {{"request", call.fields.id},
+       {"route", call.route->name},
+       {"reason", reason}});
+  this->metrics.Add("online_refused_by_leaving_total");
+  this->front->Respond(call.exchange, ElsewhereResponse());
+  this->Finish(id, "refused", kServiceUnavailable);
+}
+
+bool OnlineRelay::EndsInTime(const Call& call, Time now) {
+  return !this->answer_by.has_value() ||
+         EndsBefore(*this->answer_by,
+                    {call.deadline, call.route->MayRepeat(),
+                     this->run_durations.Longest(call.route->name, now)},
+                    now);
+}
+
 void OnlineRelay::RefuseContinuation(CallId id, const char* reason,
                                      const char* metric) {
   this->metrics.Add(metric);
@@ -765,7 +794,7 @@
       continue;
     }
     if (call.ran_at.empty() && call.phase != Phase::kRunning) {
-      this->Refuse(id, kReason);
+      this->RefuseElsewhere(id, kReason);
     } else {
       this->Fail(id, kGatewayTimeout, kReason);
     }
@@ -850,6 +879,10 @@
     return;
   }
   if (call.phase != Phase::kRunning) {
+    if (call.ran_at.empty() && !this->EndsInTime(call, now)) {
+      this->RefuseElsewhere(id, kEndsTooSoon);
+      return;
+    }
     this->slots.CheckReply(id, now);
     return;
   }
--- a/src/nodes/internal/plainresponses.cpp
+++ b/src/nodes/internal/plainresponses.cpp
@@ -13,6 +13,12 @@
   return response;
 }
 
+http::HttpResponse ElsewhereResponse() {
+  http::HttpResponse response = EmptyResponse(kServiceUnavailable);
+  response.headers.Set("Retry-After", kRetryElsewhere);
+  return response;
+}
+
 http::HttpResponse JsonResponse(std::string body) {
   http::HttpResponse response;
   response.headers.Add("Content-Type", "application/json");
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -20,6 +20,7 @@
 #include "nodes/crashdetector.h"
 #include "nodes/dialect.h"
 #include "nodes/engineresponse.h"
+#include "nodes/graceperiod.h"
 #include "nodes/logthrottle.h"
 #include "nodes/rejections.h"
 #include "nodes/slotfinder.h"
@@ -73,6 +74,9 @@
   using NotRun =
       std::function<void(const std::string& organisation, Time arrived)>;
   void SetNotRun(NotRun report) { this->not_run = std::move(report); }
+  /// From now on refuses the requests that have not run and would not end by
+  /// `answer_by`, when this process must end.
+  void BeginLeave(Time answer_by) { this->answer_by = answer_by; }
   /// Ends the requests whose answer has not begun, as the process must end.
   void AnswerOpen();
   /// The caller has disconnected. True when the exchange was this relay's.
@@ -191,6 +195,10 @@
   void CountZone(const Call& call);
   void OnRestart(const placement::EngineRestart& restart);
   void Refuse(CallId id, const char* reason);
+  /// Refuses a request that did not run, for another process to take.
+  void RefuseElsewhere(CallId id, const char* reason);
+  /// Whether this process lives long enough for the request, sent `now`.
+  bool EndsInTime(const Call& call, Time now);
   /// Refuses a stream that cannot go on anywhere, so its caller has to begin
   /// anew and need not wait for that.
   void RefuseContinuation(CallId id, const char* reason, const char* metric);
@@ -228,6 +236,8 @@
   Time engines_seen{};
   NotRun not_run;
   LogThrottle zone_changes;
+  RunDurations run_durations;
+  std::optional<Time> answer_by;  ///< Set once the process leaves.
   asio::steady_timer sweep;
   bool check_left_out = false;  ///< The last one, as the loop stood still.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/nodes/plainresponses.h
+++ b/src/nodes/plainresponses.h
@@ -23,9 +23,14 @@
 /// takes 0.6 to 1.2 s.
 inline constexpr const char* kRetryAfter = "0.8";
 
+/// The same where another process can take the request now.
+inline constexpr const char* kRetryElsewhere = "0.05";
+
 /// An answer without a body; 429 and 503 get a Retry-After. Thread safety of
 /// these functions: any thread.
 http::HttpResponse EmptyResponse(int status);
+/// 503 for a request that did not run: another process can take it now.
+http::HttpResponse ElsewhereResponse();
 http::HttpResponse JsonResponse(std::string body);
 /// The HTTP status for the result of a call that changes something; `success`
 /// is used for kOk. 429 and 503 promise that it was not done and never will be.
