An entry that stops answers what waits to be accepted or is half read

What callers saw: a connection reset as the entry stopped listening, though its request was sent, or a connection that ended with a request half read.

Cause: closing a listening socket resets what the kernel has accepted and the process has not; half read requests were left to the end of the process.

What is half read at the end of the grace gets 408: not run.

Evidence: leavingserver_tests, its last two sections.

--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -123,6 +123,9 @@
   /// their client's close. After StopAccepting they only become fewer, and
   /// after BeginLeave each is closed once its client has its last response.
   std::size_t OpenConnections() const;
+  /// Refuses the requests that are not read whole yet: they get no answer
+  /// otherwise when the process ends.
+  void RefuseUnread();
   /// Connections of which bytes were read or written.
   std::vector<ConnectionState> UsedConnections() const;
   /// What became of the requests that were read whole.
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -106,6 +106,19 @@
         });
   }
 
+  /// Accepts what the kernel has accepted: closing the acceptor resets it.
+  void AcceptWaiting() {
+    std::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error && this->HasRoom()) {
+      asio::ip::tcp::socket socket(this->context);
+      this->acceptor.accept(socket, error);
+      if (!error) {
+        this->AddConnection(std::move(socket));
+      }
+    }
+  }
+
   bool HasRoom() {
     const auto full = [this] {
       return this->connections.size() >= this->limits.max_connections;
@@ -655,6 +668,7 @@
 }
 
 void HttpServer::StopAccepting() {
+  this->impl->AcceptWaiting();
   std::error_code ignored;
   this->impl->acceptor.close(ignored);
 }
@@ -673,6 +687,17 @@
   return this->impl->connections.size();
 }
 
+void HttpServer::RefuseUnread() {
+  constexpr int kRequestTimeout = 408;
+  for (auto& [id, connection] : this->impl->connections) {
+    const bool half_read = connection->phase == Impl::Phase::kReading &&
+                           connection->parser.Started();
+    if (half_read) {
+      this->impl->Refuse(connection, kRequestTimeout);
+    }
+  }
+}
+
 std::vector<ConnectionState> HttpServer::UsedConnections() const {
   const Time now = MonotonicNow();
   std::vector<ConnectionState> used;
--- a/src/http/tests/leavingserver_tests.cpp
+++ b/src/http/tests/leavingserver_tests.cpp
@@ -36,6 +36,27 @@
     CHECK(
         RunUntil(context, [&] { return echo.server->OpenConnections() == 0; }));
   }
+  // Guards against a connection that is reset with its request unread, as it
+  // waited to be accepted.
+  SECTION("answers a connection that waits to be accepted") {
+    caller.Send(kRequest);
+    echo.server->BeginLeave();
+    echo.server->StopAccepting();
+    CHECK(RunUntil(context, [&] { return caller.ended; }));
+    CHECK(caller.received.starts_with("HTTP/1.1 200"));
+  }
+  // Guards against a request that gets no answer, as its process ends before
+  // its last bytes come.
+  SECTION("refuses a request that is half read when it must end") {
+    caller.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf");
+    RunUntil(context, [&] { return !echo.server->UsedConnections().empty(); });
+    REQUIRE(echo.server->UsedConnections().size() == 1);
+    echo.server->BeginLeave();
+    echo.server->RefuseUnread();
+    CHECK(RunUntil(context, [&] { return caller.ended; }));
+    CHECK(caller.received.starts_with("HTTP/1.1 408"));
+    CHECK(echo.requests == 0);
+  }
 }
 
 }  // namespace papayarack::http
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -493,6 +493,7 @@
                  kRetryElsewhere);
   }
   this->relay->AnswerOpen();
+  this->front->RefuseUnread();
 }
 
 /// A response that was written may still be on its way when the process ends,
