A process that is late still answers what is open before it ends

What callers saw: nothing yet; found in review of the branch. A process whose loop stood still from before 0.7 s until after 0.3 s before the end of its grace ended without answering what was open.

Cause: the new time at which a process must end was looked at before the answers were given.

Change: a process ends for want of time only after it has answered.

Evidence: gracefulleave_tests, a loop that stands still for 0.9 s of a grace of 1 s: answered 0 times before, once after.

--- a/src/nodes/internal/gracefulleave.cpp
+++ b/src/nodes/internal/gracefulleave.cpp
@@ -52,8 +52,8 @@
 }
 
 bool GracefulLeave::Done(Duration waited) const {
-  return this->steps.may_end(waited) ||
-         waited >= this->runtime.options.grace - kEndMargin;
+  const bool must_end = waited >= this->runtime.options.grace - kEndMargin;
+  return this->steps.may_end(waited) || (this->answered_open && must_end);
 }
 
 void GracefulLeave::Await() {
--- a/src/nodes/internal/requestcounts.cpp
+++ b/src/nodes/internal/requestcounts.cpp
@@ -44,9 +44,8 @@
               ? static_cast<std::int64_t>(*state.unacknowledged)
               : -1},
          {"unread", state.unread},
-         {"written_us", state.since_written.has_value()
-                            ? state.since_written->count()
-                            : -1},
+         {"written_us",
+          state.since_written.has_value() ? state.since_written->count() : -1},
          {"open", open.size()}});
   }
 }
