A connection accepted as the server stops listening is answered

What callers saw: a connection reset with its request unread as an entry stopped listening; found in review.

Cause: a connection that was accepted in one turn of the loop and handed over in a later one was dropped if the server had stopped listening in between.

Change: it is served. Accepting what waits goes on after a connection that its client has left, and does not wait for one.

Evidence: leavingserver_tests, two connections of which one was accepted just now: the second was reset before, both are answered after.

--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -96,13 +96,16 @@
     this->acceptor.async_accept(
         [this, alive = this->alive](std::error_code error,
                                     asio::ip::tcp::socket socket) {
-          if (!*alive || !this->acceptor.is_open()) {
+          if (!*alive) {
             return;
           }
+          // Accepted before the acceptor was closed, where it is closed now.
           if (!error && this->HasRoom()) {
             this->AddConnection(std::move(socket));
           }
-          this->Accept();
+          if (this->acceptor.is_open()) {
+            this->Accept();
+          }
         });
   }
 
@@ -110,11 +113,16 @@
   void AcceptWaiting() {
     std::error_code error;
     this->acceptor.non_blocking(true, error);
+    // Without it a connection that its client has left makes the call wait.
+    this->acceptor.set_option(
+        asio::socket_base::enable_connection_aborted(true), error);
     while (!error && this->HasRoom()) {
       asio::ip::tcp::socket socket(this->context);
       this->acceptor.accept(socket, error);
       if (!error) {
         this->AddConnection(std::move(socket));
+      } else if (error == asio::error::connection_aborted) {
+        error.clear();
       }
     }
   }
--- a/src/http/tests/leavingserver_tests.cpp
+++ b/src/http/tests/leavingserver_tests.cpp
@@ -45,6 +45,19 @@
     CHECK(RunUntil(context, [&] { return caller.ended; }));
     CHECK(caller.received.starts_with("HTTP/1.1 200"));
   }
+  // Guards against the same for one that was accepted in the turn before.
+  SECTION("answers connections of which one was accepted just now") {
+    RawCaller second(context, echo.server->port());
+    caller.Send(kRequest);
+    second.Send(kRequest);
+    REQUIRE(context.run_one() == 1);
+    REQUIRE(echo.server->OpenConnections() == 1);
+    echo.server->BeginLeave();
+    echo.server->StopAccepting();
+    CHECK(RunUntil(context, [&] { return caller.ended && second.ended; }));
+    CHECK(caller.received.starts_with("HTTP/1.1 200"));
+    CHECK(second.received.starts_with("HTTP/1.1 200"));
+  }
   // Guards against a request that gets no answer, as its process ends before
   // its last bytes come.
   SECTION("refuses a request that is half read when it must end") {
