A lingering connection reads on where its client has sent more

A client that sends over 64 KB behind a request whose response closes the connection could lose that response: reading had paused, and closing with unread bytes resets the connection.

Change: reading goes on, and what comes is dropped. A client that takes a response in a trickle prolongs the wait only while the process leaves, where the grace bounds it.

--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -420,6 +420,9 @@
     this->SettleSent(connection);
     if (!connection->keep_alive) {
       this->Linger(connection);
+      // It pauses where the client has sent more; closing with unread bytes
+      // resets the connection and the response with it.
+      this->Read(id, connection);
       return;
     }
     connection->phase = Phase::kReading;
@@ -529,7 +532,7 @@
     const Time now = MonotonicNow();
     std::vector<ConnectionId> expired;
     for (const auto& [id, connection] : this->connections) {
-      if (connection->phase == Phase::kLingering &&
+      if (this->leaving && connection->phase == Phase::kLingering &&
           connection->AcknowledgedMore()) {
         connection->since = now;
       }
