A silent run is kept until another replica has begun to answer

What callers saw: under planned work only, a stream cut in its middle 2 ms after its run ended, 1.09 s after it began. A sound replica was silent, by this explanation of the record, which is suspected, not shown.

Cause: a run that falls silent for 0.7 s or 0.9 s goes on while a slot is looked for elsewhere; it was ended as soon as one was granted. If the replica with the slot resets the connection, no attempt is left, and the stream is cut though the silent replica would have gone on. Class: what is held is given up before its replacement is there; a slot is none yet.

Change: the silent run is kept beside the attempt until that has the head of a success, for 0.3 s at most, as two replicas may not work on one stream for long.

--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -250,7 +250,7 @@
   if (found.granted && call.organisation != nullptr) {
     this->rejections.Served(MonotonicNow());
   }
-  this->EndSilentRun(id);
+  this->KeepSilentRun(id);
   this->Send(id);
 }
 
@@ -269,7 +269,8 @@
 
 void OnlineRelay::Send(CallId id) {
   Call& call = this->calls.at(id);
-  const std::uint64_t attempt = ++call.attempt;
+  const std::uint64_t attempt = ++call.last_attempt;
+  call.attempt = attempt;
   const Time now = MonotonicNow();
   call.phase = Phase::kRunning;
   ++call.sends;
@@ -315,14 +316,20 @@
 
 void OnlineRelay::OnHead(CallId id, std::uint64_t attempt,
                          const http::HttpHead& head) {
-  const auto found = this->calls.find(id);
-  if (found == this->calls.end() || found->second.attempt != attempt) {
+  if (!this->Concerns(id, attempt)) {
     return;
   }
-  this->ReturnToSilentRun(id);
-  Call& call = found->second;
+  Call& call = this->calls.at(id);
   call.response.HeadArrived(head.status, MonotonicNow());
   const EngineHead engine = this->dialect.read_engine_head(head);
+  if (KeepsSilentRun(call)) {
+    const bool goes_on = call.response.IsSuccess() && engine.sealed;
+    if (!goes_on) {
+      this->EndAttemptBesideSilentRun(id, !engine.not_run);
+      return;
+    }
+    this->EndSilentRun(id);
+  }
   if (engine.not_run) {
     // Handled in OnEnd; the body is ignored.
     call.failed_status = true;
@@ -382,12 +389,10 @@
 
 void OnlineRelay::OnBody(CallId id, std::uint64_t attempt,
                          std::string_view bytes) {
-  const auto found = this->calls.find(id);
-  if (found == this->calls.end() || found->second.attempt != attempt) {
+  if (!this->Concerns(id, attempt)) {
     return;
   }
-  this->ReturnToSilentRun(id);
-  Call& call = found->second;
+  Call& call = this->calls.at(id);
   if (call.failed_status || (!call.head_sent && !call.held_head.has_value())) {
     this->IgnoreBody(id, bytes.size());
     return;
@@ -490,13 +495,15 @@
 }
 
 void OnlineRelay::OnEnd(CallId id, std::uint64_t attempt, http::HttpEnd end) {
-  const auto found = this->calls.find(id);
-  if (found == this->calls.end() || found->second.attempt != attempt) {
+  if (this->LoseKeptRun(id, attempt, end) || !this->Concerns(id, attempt)) {
     return;
   }
-  this->ReturnToSilentRun(id);
-  Call& call = found->second;
+  Call& call = this->calls.at(id);
   call.engine_call = 0;
+  if (KeepsSilentRun(call)) {
+    this->EndAttemptBesideSilentRun(id, end != http::HttpEnd::kNotSent);
+    return;
+  }
   if (end == http::HttpEnd::kNotSent) {
     this->chooser.Failed(call.engine.address, MonotonicNow());
     this->Retry(id);
@@ -641,9 +648,12 @@
 }
 
 void OnlineRelay::ReleaseEngine(CallId id) {
-  this->ReturnToSilentRun(id);
   Call& call = this->calls.at(id);
-  ++call.attempt;
+  if (KeepsSilentRun(call)) {
+    this->EndSilentRun(id);
+  }
+  this->ReturnToSilentRun(id);
+  call.attempt = ++call.last_attempt;
   if (call.engine_call != 0) {
     this->engines.Cancel(std::exchange(call.engine_call, 0));
   }
@@ -886,6 +896,10 @@
     this->slots.CheckReply(id, now);
     return;
   }
+  if (KeepsSilentRun(call)) {
+    this->CheckKeptRun(id, now);
+    return;
+  }
   if (call.failed_status && call.response.IgnoredTooLong(now)) {
     this->CutResponse(call, "a refusal or failure that does not end");
     this->EndFailed(id);
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -90,11 +90,20 @@
 
  private:
   enum class Phase { kFindingOrigin, kAsking, kRunning };
+  /// What belongs to a silent run while its request is sent to another replica.
+  struct KeptRun {
+    http::HttpCallId engine_call = 0;
+    EngineResponse response;
+    std::optional<http::HttpHead> held_head;
+    bool run_survived = false;
+  };
   /// A run that fell silent and goes on while its request looks for a slot
-  /// elsewhere.
+  /// elsewhere, and then until another replica has begun to answer.
   struct SilentRun {
     placement::EngineOption engine;
     Time sent{};
+    std::uint64_t attempt = 0;
+    std::optional<KeptRun> kept;  ///< Set once another replica is asked.
   };
   struct Call {
     http::ExchangeId exchange = 0;
@@ -112,6 +121,7 @@
     std::set<std::string> ran_at;  ///< Addresses where it may have run.
     http::HttpCallId engine_call = 0;
     std::uint64_t attempt = 0;  ///< Identifies late callbacks.
+    std::uint64_t last_attempt = 0;
     Time sent{};
     EngineResponse response;
     bool head_sent = false;
@@ -145,11 +155,28 @@
   void OnSilent(CallId id);
   /// Whether a request whose run may yet end can be sent to one more replica.
   bool MaySendAgain(const Call& call, Time now) const;
-  /// Ends the search for another slot, if one is under way: the silent run is
-  /// the request's run again.
+  /// Ends the search for another slot, or the attempt at another replica, if
+  /// there is a silent run: that is the request's run again.
   void ReturnToSilentRun(CallId id);
-  /// Ends the silent run, if there is one, as its request has a slot elsewhere.
+  /// Keeps the silent run, if there is one, while the request is sent to the
+  /// replica with the slot that was found.
+  void KeepSilentRun(CallId id);
+  /// Ends the attempt at another replica, which failed or refused it. It
+  /// counts as an attempt if it may have run.
+  void EndAttemptBesideSilentRun(CallId id, bool may_have_run);
+  /// Ends the silent run that is kept, as its request goes on elsewhere.
   void EndSilentRun(CallId id);
+  /// Ends a silent run that is kept for as long as two replicas may work on
+  /// one request.
+  void CheckKeptRun(CallId id, Time now);
+  /// The connection of the silent run ended; true if the request goes on at
+  /// the replica that was asked after it.
+  bool LoseKeptRun(CallId id, std::uint64_t attempt, http::HttpEnd end);
+  /// Whether a silent run is kept beside the current attempt.
+  static bool KeepsSilentRun(const Call& call);
+  /// Whether a callback of `attempt` still counts. One of a silent run makes it
+  /// the request's run again.
+  bool Concerns(CallId id, std::uint64_t attempt);
   /// Whether the caller takes up a stream that an earlier attempt began.
   static bool IsTakeUp(const CallFields& fields);
   void FindOrigin(CallId id);
--- a/standins/fleet/standinengine.cpp
+++ b/standins/fleet/standinengine.cpp
@@ -209,6 +209,16 @@
     this->Refuse(exchange, kMisdirected);
     return;
   }
+  if (this->refuse_next > 0) {
+    --this->refuse_next;
+    this->Refuse(exchange, kServiceUnavailable);
+    return;
+  }
+  if (this->abort_next > 0) {
+    --this->abort_next;
+    this->server->Abort(exchange);
+    return;
+  }
   if (!this->options.admits_all &&
       this->running.size() >= this->options.slots) {
     this->Refuse(exchange, kServiceUnavailable);
--- a/standins/fleet/standinengine.h
+++ b/standins/fleet/standinengine.h
@@ -75,6 +75,10 @@
   /// Longest continuous time with more runs than slots.
   Duration longest_overload() const { return this->longest_overload_time; }
   void CutNext(std::uint64_t runs) { this->options.cut_next = runs; }
+  /// The next requests are refused, as those of a full engine are.
+  void RefuseNext(std::uint64_t requests) { this->refuse_next = requests; }
+  /// The connections of the next requests end without a response.
+  void AbortNext(std::uint64_t requests) { this->abort_next = requests; }
   /// Delays the response to each report request.
   void DelayReports(std::chrono::milliseconds delay) {
     this->report_delay = delay;
@@ -147,6 +151,8 @@
   Duration longest_overload_time{0};
   bool unresponsive = false;
   std::chrono::milliseconds report_delay{0};
+  std::uint64_t refuse_next = 0;
+  std::uint64_t abort_next = 0;
   std::string stated_born;  ///< Empty: the start time.
   std::string crash_path;   ///< Empty: none.
   std::string crash_part;   ///< Empty: none.
