Count each field of a response against the limit of its head

Callers saw their requests end with an entry that ran out of memory, while replicas sent it answers of many tiny fields.

Cause: the limit of a response's head, 32 KB, counted only the bytes of names and values. A field of one byte takes sizeof(Header), 64 bytes, and a growing list twice that; the parser's own limit of 80 KB lets 27,000 fields of "a:" through. The trailers of a chunked body are kept with the same fields. A head that waits for the first event of its stream is kept twice.

Evidence: 300 calls at once, a route that may not be repeated, 20,000 fields each, growth of resident memory of the test's process; an entry has 110 MB, of which 56 MB are left beside its design load and what is held for slow callers.

Change: each field of a response counts sizeof(Header) beside its name and value, so some 500 empty fields are the most. Such a response ends as malformed. Heads of requests are counted as before.

--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -69,7 +69,9 @@
   /// Idle connections are closed before the peer would close them.
   std::chrono::milliseconds max_idle{3000};
   std::size_t max_idle_per_peer = 16;
-  std::size_t max_head_bytes = 32U << 10U;  ///< Also of all interim responses.
+  /// Names and values of a response's fields and trailers, and sizeof(Header)
+  /// for each; also bytes of all interim responses.
+  std::size_t max_head_bytes = 32U << 10U;
   /// Bytes of responses to earlier calls that are skipped for one call. More
   /// means that the peer is faulty, so the call is malformed.
   std::size_t max_skipped_bytes = 1U << 20U;
--- a/src/http/internal/headparser.cpp
+++ b/src/http/internal/headparser.cpp
@@ -27,8 +27,9 @@
     if (owner.in_value) {
       owner.FinishField();
     }
+    const bool begins = owner.field_name.empty();
     owner.field_name.append(at, size);
-    return Count(parser, size);
+    return Count(parser, size + (begins ? owner.FieldOverhead() : 0));
   }
   static int OnValue(http_parser* parser, const char* at, std::size_t size) {
     HeadParser& owner = Owner(parser);
@@ -124,6 +125,10 @@
   this->in_value = false;
 }
 
+std::size_t HeadParser::FieldOverhead() const {
+  return this->kind == Kind::kResponse ? sizeof(Header) : 0;
+}
+
 bool HeadParser::HasNoBody() const {
   return this->kind == Kind::kResponse &&
          (this->no_body || ForbidsBody(this->status()));
--- a/src/http/internal/headparser.h
+++ b/src/http/internal/headparser.h
@@ -65,6 +65,9 @@
  private:
   friend struct ParserHooks;
   void FinishField();
+  /// Bytes that a field counts beside its name and value. A response of many
+  /// tiny fields would otherwise take a hundred times the limit in memory.
+  std::size_t FieldOverhead() const;
   /// Whether the message whose head is complete ends with it.
   bool HasNoBody() const;
 
--- a/src/nodes/tests/endlessbytes_tests.cpp
+++ b/src/nodes/tests/endlessbytes_tests.cpp
@@ -1,9 +1,15 @@
+#include <malloc.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <fstream>
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "nodes/listreading.h"
 #include "nodes/responselimits.h"
@@ -21,6 +27,11 @@
 constexpr int kRequests = 40;
 /// Memory that one case may add: a few buffers of the limits above.
 constexpr std::size_t kFlat = 8U << 20U;
+/// Faulty calls at once.
+constexpr int kManyCalls = 300;
+/// Memory that they may add: an entry has 110 MB, takes up to 24 MB at its
+/// design load and holds up to 30 MB for slow callers.
+constexpr std::size_t kManyCallsMemory = std::size_t{110 - 24 - 30} << 20U;
 const std::string kEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
 std::size_t ResidentBytes() {
@@ -158,4 +169,91 @@
   }
 }
 
+// Guards against an entry that runs out of memory, and ends the requests of
+// other callers, because many calls meet replicas that send bytes without end:
+// each call keeps to its own limits, all of them together take too much.
+TEST_CASE("many calls with endless bytes leave memory for others") {
+  RelayFixture fixture;
+  EndlessPeer faulty(fixture.context);
+  SoundReplica sound(fixture.context);
+  fixture.route.timeout = std::chrono::seconds(2);
+  const std::string stream =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+  const std::string chunked = stream + "Transfer-Encoding: chunked\r\n\r\n";
+  std::string fields;
+  for (int i = 0; i < 20'000; ++i) {
+    fields += "a:\n";
+  }
+  bool reads = true;
+  SECTION("a head of many small fields that stalls") {
+    fixture.route.resumable = false;
+    faulty.begin = "HTTP/1.1 200 OK\r\n";
+    faulty.rest = fields;
+    faulty.stops = true;
+  }
+  SECTION("a head of many small fields before a stalled body") {
+    fixture.route.resumable = false;
+    faulty.begin = stream;
+    faulty.rest = fields + "\r\n";
+    faulty.stops = true;
+  }
+  SECTION("trailers of many small fields that stall") {
+    fixture.route.resumable = false;
+    faulty.begin = chunked + "0\r\n";
+    faulty.rest = fields;
+    faulty.stops = true;
+  }
+  SECTION("a success that is no event stream, to callers that do not read") {
+    fixture.route.kind = routes::RouteKind::kIdempotent;
+    faulty.begin = "HTTP/1.1 200 OK\r\n\r\n";
+    reads = false;
+  }
+  malloc_trim(0);
+  const std::size_t before = ResidentBytes();
+  std::size_t most = before;
+  const auto watched = [&](const auto& done) {
+    return [&] {
+      most = std::max(most, ResidentBytes());
+      return done();
+    };
+  };
+
+  fixture.SetReplicas({faulty.Address()});
+  std::vector<std::shared_ptr<const RelayFixture::Answer>> answers;
+  std::vector<asio::ip::tcp::socket> unread;
+  for (int i = 0; i < kManyCalls; ++i) {
+    if (reads) {
+      answers.push_back(fixture.Begin(std::to_string(i)));
+    } else {
+      unread.push_back(fixture.BeginUnread());
+    }
+  }
+  // Once a replica has failed, it gets no more of them.
+  fixture.RunUntil(watched([&] { return faulty.asked == kManyCalls; }),
+                   std::chrono::seconds(1));
+  CHECK(faulty.asked > kManyCalls / 2);
+  fixture.SetReplicas({sound.Address()});
+  int whole = 0;
+  constexpr int kSound = 10;
+  for (int i = 0; i < kSound; ++i) {
+    const auto answer = fixture.Begin("sound " + std::to_string(i));
+    fixture.RunUntil(watched([&] { return answer->ended; }),
+                     std::chrono::seconds(3));
+    whole += answer->whole && answer->body == kEvents ? 1 : 0;
+    fixture.RunUntil(watched([] { return false; }), milliseconds(50));
+  }
+  CHECK(whole == kSound);
+  // Callers that read nothing are dropped after kMaxCallerStall.
+  CHECK(fixture.RunUntil(watched([&] {
+                           return faulty.open == 0 &&
+                                  std::ranges::all_of(answers,
+                                                      [](const auto& answer) {
+                                                        return answer->ended;
+                                                      });
+                         }),
+                         std::chrono::seconds(6)));
+  INFO("calls grew memory by " << ((most - before) >> 10U) << " KB");
+  CHECK(most - before < kManyCallsMemory);
+}
+
 }  // namespace papayarack::nodes
--- a/src/nodes/tests/relayfixture.h
+++ b/src/nodes/tests/relayfixture.h
@@ -87,12 +87,21 @@
 
   /// Sends one request through the front server and waits for its end.
   Answer Ask() {
+    const auto answer = this->Begin("");
+    this->RunUntil([&answer] { return answer->ended; },
+                   std::chrono::seconds(8));
+    return *answer;
+  }
+
+  /// Sends one request with `body`; the answer changes while the loop runs.
+  std::shared_ptr<const Answer> Begin(std::string body) {
     const auto answer = std::make_shared<Answer>();
     const Time begun = MonotonicNow();
     http::HttpCall call;
     call.peer = {"127.0.0.1", this->front_server.port()};
     call.method = "POST";
     call.target = "/";
+    call.body = std::move(body);
     http::HttpCallHandlers handlers;
     handlers.on_head = [answer](const http::HttpHead& head) {
       answer->status = head.status;
@@ -106,9 +115,18 @@
       answer->took = MonotonicNow() - begun;
     };
     this->caller.Call(std::move(call), std::move(handlers));
-    this->RunUntil([&answer] { return answer->ended; },
-                   std::chrono::seconds(8));
-    return *answer;
+    return answer;
+  }
+
+  /// Sends one request whose answer is never read.
+  asio::ip::tcp::socket BeginUnread() {
+    asio::ip::tcp::socket socket(this->context);
+    socket.connect(
+        {asio::ip::make_address("127.0.0.1"), this->front_server.port()});
+    asio::write(socket,
+                asio::buffer(std::string("POST / HTTP/1.1\r\nHost: h\r\n"
+                                         "Content-Length: 0\r\n\r\n")));
+    return socket;
   }
 
   bool RunUntil(const std::function<bool()>& done, Duration longest) {
