Bound the incomplete events of all streams of an entry together

Callers saw their requests end with an entry that ran out of memory, while replicas sent others of its callers bytes that form no event.

Cause: the limits hold for each stream. 256 KB may wait for the end of an event, and the time limit is looked at only as bytes arrive, so a replica that sends 200 KB and then nothing has them kept until the deadline where the request may not be repeated. A request that was to be tried elsewhere kept the bytes of its last attempt while it looked for a slot, and the splitter kept its memory after Clear.

Change: a process holds at most 16 MB of incomplete events for its streams; beyond that the stream that holds most ends as one without events does. The bytes of an attempt are given back as it ends, and the splitter gives memory back after a long event. The time limit is not extended to replicas that fall silent: a sound one may be silent for a second, and its request may have no other run.

--- a/src/http/eventsplitter.h
+++ b/src/http/eventsplitter.h
@@ -1,6 +1,7 @@
 #ifndef PAPAYARACK_HTTP_EVENTSPLITTER_H_
 #define PAPAYARACK_HTTP_EVENTSPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,10 +29,18 @@
   /// of any method. False when more bytes are needed.
   bool Next(StreamEvent& event);
   /// True when bytes of an incomplete event are buffered.
-  bool HasPartialEvent() const { return this->pending.size() > this->taken; }
+  bool HasPartialEvent() const { return this->PartialBytes() > 0; }
+  /// Buffered bytes after the event returned last.
+  std::size_t PartialBytes() const {
+    return this->pending.size() - this->taken;
+  }
+  /// Drops what is buffered, and its memory.
   void Clear();
 
  private:
+  /// Gives memory back after an event that was far longer than what is left.
+  void DropSpareMemory();
+
   std::string pending;
   std::size_t taken = 0;    ///< Bytes of the event returned last.
   std::size_t scanned = 0;  ///< Bytes of `pending` without an event's end.
--- a/src/http/internal/eventsplitter.cpp
+++ b/src/http/internal/eventsplitter.cpp
@@ -7,6 +7,9 @@
 namespace papayarack::http {
 namespace {
 
+/// Memory that a stream keeps between events.
+constexpr std::size_t kMaxSpareBytes = 16U << 10U;
+
 /// Removes the next line from `text` and returns it without its line end.
 std::string_view TakeLine(std::string_view& text) {
   const std::size_t end = text.find('\n');
@@ -50,6 +53,7 @@
   constexpr std::size_t kOverlap = 2;
   this->pending.erase(0, this->taken);
   this->taken = 0;
+  this->DropSpareMemory();
   const std::size_t end = EventEnd(this->pending, this->scanned);
   if (end == std::string_view::npos) {
     // Scanning every byte once keeps data without an event from costing time
@@ -79,8 +83,15 @@
   return true;
 }
 
+void EventSplitter::DropSpareMemory() {
+  if (this->pending.capacity() > kMaxSpareBytes &&
+      this->pending.size() < this->pending.capacity() / 4) {
+    this->pending.shrink_to_fit();
+  }
+}
+
 void EventSplitter::Clear() {
-  this->pending.clear();
+  std::string().swap(this->pending);
   this->taken = 0;
   this->scanned = 0;
 }
--- a/src/nodes/engineresponse.h
+++ b/src/nodes/engineresponse.h
@@ -44,6 +44,8 @@
   void ContinueAfter(std::uint64_t event);
   /// An attempt begins that sends a body of `request_bytes`.
   void BeginAttempt(std::size_t request_bytes, Time now);
+  /// The attempt is over: drops what came of an incomplete event.
+  void EndAttempt() { this->splitter.Clear(); }
   void HeadArrived(int status, Time now);
   /// Whether the bodies that are passed on are event streams. Call before
   /// AddBody.
@@ -60,6 +62,10 @@
   bool IgnoredTooLong(Time now) const;
   /// Whether the stream ended inside an event.
   bool EndedInsideEvent() const;
+  /// Bytes held of an event that is not complete.
+  std::size_t PartialEventBytes() const {
+    return this->splitter.PartialBytes();
+  }
   /// Whether the engine of a stream has been silent for too long.
   bool SilentTooLong(Time now) const;
   /// Leaves `time`, in which this process read nothing, out of the silence.
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -275,6 +275,7 @@
   ++call.sends;
   call.sent = now;
   call.response.BeginAttempt(call.request.body.size(), now);
+  this->partial_events.Remove(id);
   call.other_replica.clear();
   call.run_survived = false;
   call.next_search = {};
@@ -410,16 +411,14 @@
   switch (fault) {
     case EngineResponse::BodyFault::kNone:
       this->PauseIfSlow(call);
+      this->BoundPartialEvents(id);
       return;
     case EngineResponse::BodyFault::kOutOfOrder:
       this->OnBroken(id, "an event out of order");
       return;
-    case EngineResponse::BodyFault::kUnframed: {
-      constexpr const char* kReason = "bytes that form no event";
-      this->CutResponse(call, kReason);
-      this->OnBroken(id, kReason);
+    case EngineResponse::BodyFault::kUnframed:
+      this->OnUnframed(id, "bytes that form no event");
       return;
-    }
     case EngineResponse::BodyFault::kEndlessFailure: {
       constexpr const char* kReason = "a failure without end";
       this->CutResponse(call, kReason);
@@ -429,6 +428,20 @@
   }
 }
 
+void OnlineRelay::BoundPartialEvents(CallId id) {
+  this->partial_events.Set(id, this->calls.at(id).response.PartialEventBytes());
+  while (const auto largest =
+             this->partial_events.LargestBeyond(kMaxAllUnframedBytes)) {
+    this->OnUnframed(*largest, "incomplete events of all streams");
+  }
+}
+
+void OnlineRelay::OnUnframed(CallId id, const char* reason) {
+  this->ReturnToSilentRun(id);
+  this->CutResponse(this->calls.at(id), reason);
+  this->OnBroken(id, reason);
+}
+
 void OnlineRelay::PauseIfSlow(Call& call) {
   if (call.engine_call == 0 ||
       !call.response.Pause(this->front->Unsent(call.exchange))) {
@@ -644,6 +657,8 @@
   this->ReturnToSilentRun(id);
   Call& call = this->calls.at(id);
   ++call.attempt;
+  call.response.EndAttempt();
+  this->partial_events.Remove(id);
   if (call.engine_call != 0) {
     this->engines.Cancel(std::exchange(call.engine_call, 0));
   }
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -22,6 +22,7 @@
 #include "nodes/engineresponse.h"
 #include "nodes/graceperiod.h"
 #include "nodes/logthrottle.h"
+#include "nodes/partialevents.h"
 #include "nodes/rejections.h"
 #include "nodes/slotfinder.h"
 #include "nodes/speedlearner.h"
@@ -173,6 +174,11 @@
   void OnBody(CallId id, std::uint64_t attempt, std::string_view bytes);
   /// Passes on bytes of a response.
   void ForwardBody(CallId id, std::string_view bytes);
+  /// Ends the streams that hold most of an incomplete event while all hold too
+  /// much. The call may have ended afterwards.
+  void BoundPartialEvents(CallId id);
+  /// The replica sends an event stream of bytes that form no event.
+  void OnUnframed(CallId id, const char* reason);
   /// Handles bytes of a refusal or failure that is not passed on.
   void IgnoreBody(CallId id, std::size_t bytes);
   /// Stops reading from the replica while its caller reads too slowly.
@@ -233,6 +239,7 @@
   std::unordered_map<CallId, Call> calls;
   std::unordered_map<http::ExchangeId, CallId> by_exchange;
   CallId last_call = 0;
+  PartialEvents partial_events;
   Time engines_seen{};
   NotRun not_run;
   LogThrottle zone_changes;
--- a/src/nodes/responselimits.h
+++ b/src/nodes/responselimits.h
@@ -25,6 +25,10 @@
 /// longer than this. Bounds the time where such bytes arrive slowly.
 constexpr std::chrono::milliseconds kMaxUnframedTime{100};
 constexpr std::size_t kMinUnframedBytes = 4U << 10U;
+/// The same of all streams of a process together, without what was forwarded.
+/// Where it is exceeded, the stream that holds most ends: one beyond
+/// kMinUnframedBytes, as an entry has at most 3,000 callers.
+constexpr std::size_t kMaxAllUnframedBytes = 16U << 20U;
 /// Body of a failure that is passed on to the caller.
 constexpr std::size_t kMaxFailureBytes = 256U << 10U;
 /// Body of a load report, which is a few fields.
