A connection gives the memory of a large write back

Cause: each connection to a caller kept the memory of its largest write until it ended or wrote again.

Change: memory beyond 16 KB is given back after a write.

--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -31,6 +31,8 @@
 /// sent; independent of the limits, which may change meanwhile.
 constexpr std::chrono::milliseconds kWriteStall{15000};
 constexpr std::size_t kWriteChunk = 64U << 10U;
+/// Memory that a connection keeps between writes.
+constexpr std::size_t kMaxSpareBytes = 16U << 10U;
 /// Connections idle for less time make no room for others: a new one is about
 /// to send its request.
 constexpr std::chrono::milliseconds kMinIdle{1000};
@@ -361,6 +363,9 @@
             this->unsent -= connection->writing.size();
           }
           connection->writing.clear();
+          if (connection->writing.capacity() > kMaxSpareBytes) {
+            connection->writing.shrink_to_fit();
+          }
           connection->taken += length;
           this->SettleSent(connection);
           if (error) {
--- a/src/nodes/tests/endlessbytes_tests.cpp
+++ b/src/nodes/tests/endlessbytes_tests.cpp
@@ -196,6 +196,12 @@
     faulty.rest = std::string(200U << 10U, 'x');
     faulty.stops = true;
   }
+  SECTION("a stream with a large event that then stalls") {
+    fixture.route.resumable = false;
+    faulty.begin = stream + "\r\nid: 1\ndata: ";
+    faulty.rest = std::string(200U << 10U, 'x') + "\n\n";
+    faulty.stops = true;
+  }
   SECTION("a stream without events, not repeatable") {
     fixture.route.resumable = false;
     faulty.begin = stream + "\r\n";
