A replica that a silent request was sent to counts as an attempt

What callers saw: nothing; found in reading the diff. Where the silent replica spoke first, the one that was asked beside it did not count against the most attempts of the route, though it may have begun to run the request.

--- a/src/nodes/internal/silentruns.cpp
+++ b/src/nodes/internal/silentruns.cpp
@@ -67,8 +67,12 @@
   if (found == this->calls.end()) {
     return false;
   }
-  const Call& call = found->second;
+  Call& call = found->second;
   if (call.silent_run.has_value() && call.silent_run->attempt == attempt) {
+    if (KeepsSilentRun(call)) {
+      // The other replica may have begun to run it.
+      call.ran_at.insert(call.engine.address);
+    }
     this->ReturnToSilentRun(id);
   }
   return call.attempt == attempt;
