A silent run is kept only for a caller that has its first event

Cause: suspected to be requests that wait for their first event in a full replica: they fall silent and then held two replicas for up to 0.3 s.

Change: where the caller has nothing yet, the silent run ends at the grant as before; the rest of the change holds for streams that have begun, which are what breaks off.

--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -160,7 +160,8 @@
   /// there is a silent run: that is the request's run again.
   void ReturnToSilentRun(CallId id);
   /// Keeps the silent run, if there is one, while the request is sent to the
-  /// replica with the slot that was found.
+  /// replica with the slot that was found; ends it if the caller has nothing of
+  /// its response yet.
   void KeepSilentRun(CallId id);
   /// Ends the attempt at another replica, which failed or refused it. It
   /// counts as an attempt if it may have run.
