--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -101,7 +101,7 @@
           if (!*alive) {
             return;
           }
-          // Accepted before the acceptor was closed, where it is closed now.
+          // The acceptor may have been closed since it accepted this one.
           if (!error && this->HasRoom()) {
             this->AddConnection(std::move(socket));
           }
@@ -115,7 +115,7 @@
   void AcceptWaiting() {
     std::error_code error;
     this->acceptor.non_blocking(true, error);
-    // Without it a connection that its client has left makes the call wait.
+    // Without this option a connection that its client has left blocks accept.
     this->acceptor.set_option(
         asio::socket_base::enable_connection_aborted(true), error);
     while (!error && this->HasRoom()) {
@@ -425,8 +425,8 @@
     this->SettleSent(connection);
     if (!connection->keep_alive) {
       this->Linger(connection);
-      // It pauses where the client has sent more; closing with unread bytes
-      // resets the connection and the response with it.
+      // Reading paused if the client has sent much more. Closing with unread
+      // bytes resets the connection, and the response is lost.
       this->Read(id, connection);
       return;
     }
--- a/src/nodes/internal/silentruns.cpp
+++ b/src/nodes/internal/silentruns.cpp
@@ -111,8 +111,8 @@
   call.silent_run->kept =
       KeptRun{std::exchange(call.engine_call, 0), call.response,
               std::exchange(call.held_head, std::nullopt), call.run_survived};
-  // Under overload many requests wait for their first event. Each would hold
-  // two replicas, and its caller has nothing yet that could break off.
+  // A caller without a response has nothing yet that could break off, so its
+  // request need not hold two replicas.
   if (!call.head_sent) {
     this->EndSilentRun(id);
   }
