Streams: the wait for a list covers the period in which it is read

What callers saw: a stream whose record nobody has was refused (503) at each entry in turn, though only one version can have begun it.

Cause: the list decides if it was read later than the platform's lag after the request's arrival. The wait ended 1.5 s after the arrival. Where the lag is 1 s, the default, 0.5 s were left, and the leader reads every 0.5 s and a little more: who arrived just after a reading began was refused some ms before the next one was told. The next try came 1.5 s later, three periods, so it met the same moment. Class: a time limit that is the sum of two others, without what it takes to go from one to the other. Where the lag is 0.8 s, as on the users' sites, 0.7 s were left.

Change: the wait is the lag and 0.7 s, at most 1.7 s of the 2 s after which callers leave. With a lag of 0.8 s it is 1.5 s as before.

--- a/src/coordination/tests/listreadings_tests.cpp
+++ b/src/coordination/tests/listreadings_tests.cpp
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
+#include <vector>
 
 #include "groupmembers.h"
 
@@ -123,4 +125,58 @@
   }
 }
 
+// Guards against streams that are refused because they arrived just after a
+// reading began: the next one came too late for them.
+TEST_CASE("a reading comes in time for each process that waits for it") {
+  constexpr milliseconds kLag{800};
+  constexpr milliseconds kListTakes{100};
+  // What a stream waits beyond the platform's lag.
+  constexpr milliseconds kInTime{700};
+  constexpr int kWanted = 120;
+  constexpr milliseconds kBetween{5};
+  asio::io_context context;
+  Member member(context, 1);
+  asio::steady_timer list(context);
+  member.Found(context, {{{1, member.host.Address(), true}}},
+               [&](const auto& done) {
+                 list.expires_after(kListTakes);
+                 list.async_wait([done](std::error_code error) {
+                   if (!error) {
+                     done(std::vector<EngineInstance>{});
+                   }
+                 });
+               });
+  Host process(context);
+  std::vector<Time> wanted;
+  Duration longest{};
+  std::unique_ptr<FleetWatch> watch;
+  const auto want_next = [&] {
+    std::erase_if(wanted, [&](Time time) {
+      const bool read = watch->knowledge().engines_read_after >= time;
+      longest = read ? std::max(longest, MonotonicNow() - time) : longest;
+      return read;
+    });
+    if (!wanted.empty()) {
+      watch->WantEngines(wanted.front());
+    }
+  };
+  watch = std::make_unique<FleetWatch>(
+      context, process.peers, Report("p", process.Address()),
+      std::vector<std::string>{member.host.Address()},
+      [&](const FleetChange&) { want_next(); });
+  watch->Start();
+  RunUntil(
+      context, [&] { return watch->knowledge().engines_read_after != Time{}; },
+      kElected);
+  const Time first = MonotonicNow() + kLag;
+  for (int i = 0; i < kWanted; ++i) {
+    wanted.push_back(first + i * kBetween);
+  }
+  want_next();
+  RunUntil(
+      context, [&] { return wanted.empty(); }, kElected);
+  CHECK(wanted.empty());
+  CHECK(longest < kInTime);
+}
+
 }  // namespace papayarack::coordination
--- a/src/origins/internal/takeup.cpp
+++ b/src/origins/internal/takeup.cpp
@@ -12,8 +12,9 @@
   if (!by_list || list_read_after >= needed) {
     return DecideContinuation(evidence, services);
   }
-  const Time until =
-      std::min<Time>(timing.arrived + kMaxListWait, timing.deadline);
+  const Duration wait =
+      std::min<Duration>(timing.list_lag + kListReadingTime, kMaxListWait);
+  const Time until = std::min<Time>(timing.arrived + wait, timing.deadline);
   if (now < until && needed < until) {
     return AwaitListReading{needed};
   }
--- a/src/origins/takeup.h
+++ b/src/origins/takeup.h
@@ -11,9 +11,12 @@
 
 namespace papayarack::origins {
 
+/// What a request waits for the list beyond the platform's lag: the list is
+/// read every 0.5 s, and a reading takes some time to become known.
+inline constexpr std::chrono::milliseconds kListReadingTime{700};
 /// Callers leave a stream that is silent for 2 s; what is left of that is for
 /// the way to a replica.
-inline constexpr std::chrono::milliseconds kMaxListWait{1500};
+inline constexpr std::chrono::milliseconds kMaxListWait{1700};
 
 /// A request that takes a stream up.
 struct TakeUpTiming {
