--- a/src/origins/internal/takeup.cpp
+++ b/src/origins/internal/takeup.cpp
@@ -12,8 +12,8 @@
   if (!by_list || list_read_after >= needed) {
     return DecideContinuation(evidence, services);
   }
-  const Duration wait =
-      std::min<Duration>(timing.list_lag + kListReadingTime, kMaxListWait);
+  const Duration wait = std::clamp<Duration>(timing.list_lag + kListReadingTime,
+                                             kMinListWait, kMaxListWait);
   const Time until = std::min<Time>(timing.arrived + wait, timing.deadline);
   if (now < until && needed < until) {
     return AwaitListReading{needed};
--- a/src/origins/takeup.h
+++ b/src/origins/takeup.h
@@ -14,6 +14,8 @@
 /// What a request waits for the list beyond the platform's lag: the list is
 /// read every 0.5 s, and a reading takes some time to become known.
 inline constexpr std::chrono::milliseconds kListReadingTime{700};
+/// A large list is read less often, so a short lag shortens no wait.
+inline constexpr std::chrono::milliseconds kMinListWait{1500};
 /// Callers leave a stream that is silent for 2 s; what is left of that is for
 /// the way to a replica.
 inline constexpr std::chrono::milliseconds kMaxListWait{1700};
--- a/src/origins/tests/takeup_tests.cpp
+++ b/src/origins/tests/takeup_tests.cpp
@@ -75,7 +75,7 @@
     CHECK(Waits(Step(by_list, 799, 999, kLag, 1000)));
     CHECK(IsRefused(Step(by_list, 799, 1000, kLag, 1000)));
   }
-  SECTION("which the list is read within, whatever the platform's lag") {
+  SECTION("which the list is read within, for lags of up to 1 s") {
     // The list is read every 0.5 s, at the leader's ticks of 20 ms.
     constexpr int kReadingPeriod = 520;
     for (const int lag : {200, 800, 1000}) {
@@ -85,6 +85,8 @@
       CHECK(GoesOnAt(Step(by_list, read, read + 101, milliseconds(lag))) ==
             kOld);
     }
+    CHECK(Waits(Step(by_list, 199, 1499, milliseconds(200))));
+    CHECK(IsRefused(Step(by_list, 199, 1500, milliseconds(200))));
     CHECK(IsRefused(Step(by_list, 999, 1700, milliseconds(1000))));
     CHECK(IsRefused(Step(by_list, 1199, 1700, milliseconds(1200))));
   }
