A failure that is passed on reaches its caller whole or not at all

Cause: the head of a failure was passed on at once, so nothing was left to tell the caller when the rest did not come. Class: what cannot be taken back is sent before it is known to be good. Streams have held their heads for this reason since long.

Change: head and body are held until the failure is complete, 256 KB and 1.5 s at most (a sound replica may be silent for a second, and callers leave after 2 s). Otherwise the caller gets 502, or another attempt where its route allows one. What is held counts against the 16 MB for incomplete events of all streams.

Two tests change with the design and are as strict: a failure that is not repeated is held (kHoldWhole, not kForward), and its bytes are kept (FailureBody) instead of forwarded.

--- a/src/nodes/engineresponse.h
+++ b/src/nodes/engineresponse.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "global/timepoint.h"
@@ -44,15 +45,17 @@
   void ContinueAfter(std::uint64_t event);
   /// An attempt begins that sends a body of `request_bytes`.
   void BeginAttempt(std::size_t request_bytes, Time now);
-  /// The attempt is over: drops what came of an incomplete event.
-  void EndAttempt() { this->splitter.Clear(); }
+  /// The attempt is over: drops what came of an incomplete event, or of a
+  /// failure.
+  void EndAttempt();
   void HeadArrived(int status, Time now);
   /// Whether the bodies that are passed on are event streams. Call before
   /// AddBody.
   void SetEvents(bool events) { this->is_events = events; }
   /// Handles bytes of a body that is passed on: calls `forward` with each
   /// complete event, or with all bytes when the response is no event stream.
-  /// What follows a fault is not forwarded.
+  /// What follows a fault is not forwarded. The body of a failure is kept, see
+  /// FailureBody.
   BodyFault AddBody(std::string_view bytes, Time now, const Forward& forward);
   /// Handles bytes of a refusal or failure that is not passed on. False when
   /// they exceed the limit.
@@ -62,10 +65,14 @@
   bool IgnoredTooLong(Time now) const;
   /// Whether the stream ended inside an event.
   bool EndedInsideEvent() const;
-  /// Bytes held of an event that is not complete.
-  std::size_t PartialEventBytes() const {
-    return this->splitter.PartialBytes();
+  /// Bytes held of an event that is not complete, or of a failure.
+  std::size_t HeldBytes() const {
+    return this->splitter.PartialBytes() + this->failure.size();
   }
+  /// Whether a failure that is passed on has not ended for too long.
+  bool FailureTooLong(Time now) const;
+  /// What came of the body of a failure that is passed on.
+  std::string_view FailureBody() const { return this->failure; }
   /// Whether the engine of a stream has been silent for too long.
   bool SilentTooLong(Time now) const;
   /// Leaves `time`, in which this process read nothing, out of the silence.
@@ -103,11 +110,12 @@
   Time first_event{};
   Run current;
   http::EventSplitter splitter;
+  Time last_head{};
   Time last_heard{};
   Time last_block{};     ///< When the head or a complete event or comment came.
   Time last_event_at{};  ///< When the head or an event came.
   std::size_t ignored_bytes = 0;   ///< Of a body that is not passed on.
-  std::size_t failure_bytes = 0;   ///< Of a failure that is passed on.
+  std::string failure;             ///< Body of one that is passed on.
   std::size_t unframed_bytes = 0;  ///< Since the last event.
   bool paused = false;
 };
--- a/src/nodes/forwarding.h
+++ b/src/nodes/forwarding.h
@@ -16,10 +16,11 @@
 /// What happens to a response that an engine begins.
 enum class HeadVerdict : std::uint8_t {
   kForward,  ///< The caller gets the head now.
-  kHold,    ///< An event stream: the caller gets the head with its first event.
-  kGoOn,    ///< The caller has a head; the body continues what it has.
-  kIgnore,  ///< A failure that the caller does not get.
-  kBroken,  ///< A success without the mark of a complete engine's response.
+  kHold,  ///< An event stream: the caller gets the head with its first event.
+  kHoldWhole,  ///< A failure: the caller gets it once it is complete.
+  kGoOn,       ///< The caller has a head; the body continues what it has.
+  kIgnore,     ///< A failure that the caller does not get.
+  kBroken,     ///< A success without the mark of a complete engine's response.
 };
 
 /// Whether the head belongs to an event stream.
@@ -29,7 +30,8 @@
 /// `head_sent`: the caller has the head of an earlier attempt. `can_repeat`:
 /// another attempt is possible. A failure is passed on when no further attempt
 /// is possible, unless its status would tell the caller that the request did
-/// not run.
+/// not run. It is held until it is complete: the caller of one that breaks off
+/// or has no end gets another response in its place.
 HeadVerdict JudgeHead(const http::HttpHead& head, const EngineHead& engine,
                       bool head_sent, bool can_repeat);
 
--- a/src/nodes/internal/engineresponse.cpp
+++ b/src/nodes/internal/engineresponse.cpp
@@ -26,17 +26,22 @@
 void EngineResponse::BeginAttempt(std::size_t request_bytes, Time now) {
   this->current = {};
   this->current.bytes = request_bytes;
-  this->splitter.Clear();
+  this->EndAttempt();
   this->last_heard = now;
   this->last_block = now;
   this->ignored_bytes = 0;
-  this->failure_bytes = 0;
   this->unframed_bytes = 0;
   this->paused = false;
 }
 
+void EngineResponse::EndAttempt() {
+  this->splitter.Clear();
+  std::string().swap(this->failure);
+}
+
 void EngineResponse::HeadArrived(int status, Time now) {
   this->status = status;
+  this->last_head = now;
   this->RestartSilence(now);
 }
 
@@ -60,11 +65,14 @@
   if (this->is_events) {
     return this->AddEvents(bytes, forward);
   }
-  this->failure_bytes += this->IsSuccess() ? 0 : bytes.size();
-  if (this->failure_bytes > kMaxFailureBytes) {
+  if (this->IsSuccess()) {
+    forward(bytes);
+    return BodyFault::kNone;
+  }
+  if (this->failure.size() + bytes.size() > kMaxFailureBytes) {
     return BodyFault::kEndlessFailure;
   }
-  forward(bytes);
+  this->failure.append(bytes);
   return BodyFault::kNone;
 }
 
@@ -112,6 +120,10 @@
   return now - this->last_heard > kMaxIgnoredTime;
 }
 
+bool EngineResponse::FailureTooLong(Time now) const {
+  return now - this->last_head > kMaxFailureTime;
+}
+
 bool EngineResponse::EndedInsideEvent() const {
   return this->is_events && this->splitter.HasPartialEvent();
 }
@@ -124,8 +136,8 @@
 }
 
 void EngineResponse::Excuse(Duration time, Time now) {
-  for (Time* last :
-       {&this->last_heard, &this->last_block, &this->last_event_at}) {
+  for (Time* last : {&this->last_head, &this->last_heard, &this->last_block,
+                     &this->last_event_at}) {
     *last = std::min<Time>(*last + time, now);
   }
 }
--- a/src/nodes/internal/forwarding.cpp
+++ b/src/nodes/internal/forwarding.cpp
@@ -22,7 +22,10 @@
   if (!success && (head_sent || can_repeat || PromisesNotRun(head.status))) {
     return HeadVerdict::kIgnore;
   }
-  if (success && !engine.sealed) {
+  if (!success) {
+    return HeadVerdict::kHoldWhole;
+  }
+  if (!engine.sealed) {
     return HeadVerdict::kBroken;
   }
   if (head_sent) {
--- a/src/nodes/internal/onlinerelay.cpp
+++ b/src/nodes/internal/onlinerelay.cpp
@@ -354,6 +354,10 @@
       call.response.SetEvents(true);
       call.held_head = head;
       return;
+    case HeadVerdict::kHoldWhole:
+      call.response.SetEvents(false);
+      call.held_head = head;
+      return;
     case HeadVerdict::kGoOn:
       return;
     case HeadVerdict::kIgnore:
@@ -422,26 +426,23 @@
       this->OnBroken(id, "an event out of order");
       return;
     case EngineResponse::BodyFault::kUnframed:
-      this->OnUnframed(id, "bytes that form no event");
+      this->OnUnusable(id, "bytes that form no event");
       return;
-    case EngineResponse::BodyFault::kEndlessFailure: {
-      constexpr const char* kReason = "a failure without end";
-      this->CutResponse(call, kReason);
-      this->Fail(id, kBadGateway, kReason);
+    case EngineResponse::BodyFault::kEndlessFailure:
+      this->OnUnusable(id, "a failure without end");
       return;
-    }
   }
 }
 
 void OnlineRelay::BoundPartialEvents(CallId id) {
-  this->partial_events.Set(id, this->calls.at(id).response.PartialEventBytes());
+  this->partial_events.Set(id, this->calls.at(id).response.HeldBytes());
   while (const auto largest =
              this->partial_events.LargestBeyond(kMaxAllUnframedBytes)) {
-    this->OnUnframed(*largest, "incomplete events of all streams");
+    this->OnUnusable(*largest, "incomplete events of all streams");
   }
 }
 
-void OnlineRelay::OnUnframed(CallId id, const char* reason) {
+void OnlineRelay::OnUnusable(CallId id, const char* reason) {
   this->ReturnToSilentRun(id);
   this->CutResponse(this->calls.at(id), reason);
   this->OnBroken(id, reason);
@@ -555,6 +556,8 @@
   if (call.response.IsSuccess()) {
     const Time now = MonotonicNow();
     this->run_durations.Add(call.route->name, now - call.sent, now);
+  } else {
+    this->front->Write(call.exchange, call.response.FailureBody());
   }
   this->front->EndStream(call.exchange);
   this->Finish(id, "answered", call.response.Status());
@@ -920,6 +923,12 @@
     this->EndFailed(id);
     return;
   }
+  const bool holds_failure = call.held_head.has_value() &&
+                             !call.failed_status && !call.response.IsSuccess();
+  if (holds_failure && call.response.FailureTooLong(now)) {
+    this->OnUnusable(id, "a failure that does not end");
+    return;
+  }
   if (!this->CheckCaller(id) || call.response.Paused()) {
     return;
   }
--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -205,8 +205,9 @@
   /// Ends the streams that hold most of an incomplete event while all hold too
   /// much. The call may have ended afterwards.
   void BoundPartialEvents(CallId id);
-  /// The replica sends an event stream of bytes that form no event.
-  void OnUnframed(CallId id, const char* reason);
+  /// Ends a response that is not to go on: bytes that form no event, or a
+  /// failure without end.
+  void OnUnusable(CallId id, const char* reason);
   /// Handles bytes of a refusal or failure that is not passed on.
   void IgnoreBody(CallId id, std::size_t bytes);
   /// Stops reading from the replica while its caller reads too slowly.
--- a/src/nodes/responselimits.h
+++ b/src/nodes/responselimits.h
@@ -25,12 +25,15 @@
 /// longer than this. Bounds the time where such bytes arrive slowly.
 constexpr std::chrono::milliseconds kMaxUnframedTime{100};
 constexpr std::size_t kMinUnframedBytes = 4U << 10U;
-/// The same of all streams of a process together, without what was forwarded.
-/// Where it is exceeded, the stream that holds most ends: one beyond
-/// kMinUnframedBytes, as an entry has at most 3,000 callers.
+/// The same of all streams of a process together, without what was forwarded,
+/// and of the failures that are passed on. Where it is exceeded, the response
+/// that holds most ends: one beyond kMinUnframedBytes, as an entry has at most
+/// 3,000 callers.
 constexpr std::size_t kMaxAllUnframedBytes = 16U << 20U;
-/// Body of a failure that is passed on to the caller.
+/// Body of a failure that is passed on to the caller, once it is complete.
 constexpr std::size_t kMaxFailureBytes = 256U << 10U;
+/// Time from its head to its end; a sound replica may be silent for a second.
+constexpr std::chrono::milliseconds kMaxFailureTime{1500};
 /// Body of a load report, which is a few fields.
 constexpr std::size_t kMaxReportBodyBytes = 64U << 10U;
 /// Body of a page of the platform's list. 5,000 replicas on one page, the
--- a/src/nodes/tests/endlessbytes_tests.cpp
+++ b/src/nodes/tests/endlessbytes_tests.cpp
@@ -123,6 +123,61 @@
   CHECK(ResidentBytes() < before + kFlat);
 }
 
+// Guards against a caller that gets part of a failure, and then a connection
+// that breaks, because its replica's failure has no end or breaks off.
+TEST_CASE("a failure reaches its caller whole or not at all") {
+  constexpr int kBadGateway = 502;
+  RelayFixture fixture;
+  fixture.route.max_attempts = 1;
+  EndlessPeer faulty(fixture.context);
+  SECTION("one without end") { faulty.begin = "HTTP/1.1 500 Failed\r\n\r\n"; }
+  SECTION("one without end, in chunks") {
+    faulty.begin = "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n";
+    faulty.rest = "8\r\nfailure.\r\n";
+  }
+  SECTION("one that stalls") {
+    faulty.begin = "HTTP/1.1 500 Failed\r\nContent-Length: 8\r\n\r\nfail";
+    faulty.rest = "";
+    faulty.stops = true;
+  }
+  SECTION("one that is no complete chunk") {
+    faulty.begin =
+        "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "8\r\nfailure.\r\n";
+    faulty.rest = "no chunk\r\n";
+  }
+  fixture.SetReplicas({faulty.Address()});
+  const RelayFixture::Answer answer = fixture.Ask();
+  CHECK(answer.whole);
+  CHECK(answer.status == kBadGateway);
+  CHECK(answer.body.empty());
+  // Callers leave an answer that is silent for 2 s.
+  CHECK(answer.took < std::chrono::seconds(2));
+  CHECK(fixture.RunUntil([&] { return faulty.open == 0; }, kTarget));
+}
+
+// Guards against failures whose bodies are lost on the way to their callers.
+TEST_CASE("a failure that ends reaches its caller as it is") {
+  RelayFixture fixture;
+  fixture.route.max_attempts = 1;
+  EndlessPeer failing(fixture.context);
+  failing.stops = true;
+  failing.rest = "";
+  SECTION("of stated length") {
+    failing.begin = "HTTP/1.1 500 Failed\r\nContent-Length: 4\r\n\r\nbody";
+  }
+  SECTION("in chunks") {
+    failing.begin =
+        "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4\r\nbody\r\n0\r\n\r\n";
+  }
+  fixture.SetReplicas({failing.Address()});
+  const RelayFixture::Answer answer = fixture.Ask();
+  CHECK(answer.whole);
+  CHECK(answer.status == 500);
+  CHECK(answer.body == "body");
+}
+
 // Guards against a process that runs out of memory while it collects a page of
 // the list, or a report, that never ends.
 TEST_CASE("a body that is collected is bounded") {
@@ -209,6 +264,12 @@
   SECTION("a stream without events, repeatable") {
     faulty.begin = stream + "\r\n";
   }
+  SECTION("a failure that stalls") {
+    fixture.route.resumable = false;
+    faulty.begin = "HTTP/1.1 500 Failed\r\n\r\n";
+    faulty.rest = std::string(200U << 10U, 'x');
+    faulty.stops = true;
+  }
   SECTION("a head of many small fields that stalls") {
     fixture.route.resumable = false;
     faulty.begin = "HTTP/1.1 200 OK\r\n";
--- a/src/nodes/tests/engineresponse_tests.cpp
+++ b/src/nodes/tests/engineresponse_tests.cpp
@@ -95,7 +95,8 @@
     Forwarded failure(false, 400);
     CHECK(failure.Add(longest, 0) == Fault::kNone);
     CHECK(failure.Add("x", 1) == Fault::kEndlessFailure);
-    CHECK(failure.bytes == longest);
+    CHECK(failure.bytes.empty());
+    CHECK(failure.response.FailureBody() == longest);
   }
   SECTION("a failure that is not passed on, in bytes and in time") {
     Forwarded failure(false, 500);
--- a/src/nodes/tests/forwarding_tests.cpp
+++ b/src/nodes/tests/forwarding_tests.cpp
@@ -21,8 +21,8 @@
 TEST_CASE("which heads of engines a caller gets") {
   SECTION("a failure once no further attempt is possible") {
     CHECK(Judge(500, false, true) == HeadVerdict::kIgnore);
-    CHECK(Judge(500, false, false) == HeadVerdict::kForward);
-    CHECK(Judge(400, false, false) == HeadVerdict::kForward);
+    CHECK(Judge(500, false, false) == HeadVerdict::kHoldWhole);
+    CHECK(Judge(400, false, false) == HeadVerdict::kHoldWhole);
   }
   SECTION("no failure that says that the request did not run") {
     for (const int status : {408, 421, 429, 503}) {
@@ -44,7 +44,7 @@
   SECTION("no success without the engine's mark") {
     CHECK(JudgeHead({200, {}}, {}, false, false) == HeadVerdict::kBroken);
     CHECK(JudgeHead({200, {}}, {}, true, false) == HeadVerdict::kBroken);
-    CHECK(JudgeHead({500, {}}, {}, false, false) == HeadVerdict::kForward);
+    CHECK(JudgeHead({500, {}}, {}, false, false) == HeadVerdict::kHoldWhole);
   }
 }
 
