A silent run that is taken back counts against the bound on held bytes again

Found in review, read only: sending a request to another replica beside a silent run takes the run's incomplete event (up to 256 KB) out of the account of all streams, and going back to the run did not put it in again. Many such calls at once could exceed the 16 MB. No run showed it and no test has it: the pattern needs a replica that sends bytes of no event and then nothing, and another one that refuses. nodes_tests on silent runs and endless bytes pass.

--- a/src/nodes/internal/silentruns.cpp
+++ b/src/nodes/internal/silentruns.cpp
@@ -91,6 +91,7 @@
     this->chooser.Ended(call.engine.address);
     call.engine_call = run.kept->engine_call;
     call.response = std::move(run.kept->response);
+    this->partial_events.Set(id, call.response.HeldBytes());
     call.held_head = std::move(run.kept->held_head);
     call.run_survived = run.kept->run_survived;
     call.failed_status = false;
