An entry that stops answers reads of batches that wait for results

Cause: the same as for requests that outlast the grace: what cannot be kept is promised. The wait has no upper limit and was compared with nothing, and the answers at the end of the grace left calls to the job group out.

Change: from the signal on a read waits no longer than the entry can answer it. At the end of the grace reads are answered 503 (not done, another entry at once), and other calls, whose outcome is not known, 502.

Found in review.

--- a/src/nodes/batchapi.h
+++ b/src/nodes/batchapi.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -41,6 +42,11 @@
               const organisations::BatchCaller& caller);
   /// Cancels the call of a caller that disconnected. False when there is none.
   bool CallerGone(http::ExchangeId exchange);
+  /// From now on waits for no results beyond `answer_by`, when this process
+  /// must end.
+  void BeginLeave(Time answer_by) { this->answer_by = answer_by; }
+  /// Answers the calls in progress, as the process must end.
+  void AnswerOpen();
   bool Empty() const { return this->job_calls.empty(); }
 
  private:
@@ -60,6 +66,8 @@
     Time begun{};
   };
 
+  /// How long a read may wait for results.
+  std::chrono::milliseconds WaitFor(std::uint32_t wanted_ms) const;
   void CallJobs(
       http::ExchangeId exchange, JobCall job,
       std::function<http::HttpResponse(const Result&, std::string)> answer);
@@ -68,6 +76,7 @@
   http::HttpServer& front;
   /// Calls in progress, cancelled when their callers disconnect.
   std::unordered_map<http::ExchangeId, OpenCall> job_calls;
+  std::optional<Time> answer_by;  ///< Set once the process leaves.
 };
 
 }  // namespace papayarack::nodes
--- a/src/nodes/internal/batchapi.cpp
+++ b/src/nodes/internal/batchapi.cpp
@@ -15,6 +15,8 @@
 /// request.
 constexpr std::chrono::milliseconds kBatchTime{1300};
 constexpr std::chrono::milliseconds kBatchAttemptTime{600};
+constexpr const char* kReadPath = "/jobs/read";
+constexpr const char* kBodyPath = "/jobs/body";
 
 /// An end of a batch needs no quota, so that a busy leader's refusal is no 429.
 int EndStatusOf(ResultCode code) {
@@ -43,6 +45,31 @@
   return true;
 }
 
+void BatchApi::AnswerOpen() {
+  for (const auto& [exchange, open] : std::exchange(this->job_calls, {})) {
+    this->runtime.jobs->Cancel(open.call);
+    const bool reads = open.path == kReadPath || open.path == kBodyPath;
+    Log(LogLevel::kInfo, "batch_call_refused",
+        {{"call", open.path},
+         {"batch", open.about.batch},
+         {"item", open.about.item},
+         {"text", "this process ends"},
+         {"took_ms", (MonotonicNow() - open.begun).count() / 1000}});
+    this->front.Respond(
+        exchange, reads ? ElsewhereResponse() : EmptyResponse(kBadGateway));
+  }
+}
+
+std::chrono::milliseconds BatchApi::WaitFor(std::uint32_t wanted_ms) const {
+  const std::chrono::milliseconds wanted(wanted_ms);
+  if (!this->answer_by.has_value()) {
+    return wanted;
+  }
+  const auto left = std::chrono::floor<std::chrono::milliseconds>(
+      *this->answer_by - MonotonicNow() - kBatchTime);
+  return std::clamp(left, std::chrono::milliseconds(0), wanted);
+}
+
 void BatchApi::CallJobs(
     http::ExchangeId exchange, JobCall job,
     std::function<http::HttpResponse(const Result&, std::string)> answer) {
@@ -115,13 +142,15 @@
       Overloaded{
           [](const std::monostate&) {},
           [&](const BatchResultsCall& read) {
-            const std::chrono::milliseconds time =
-                kBatchTime + std::chrono::milliseconds(read.query.wait_ms);
+            const std::chrono::milliseconds wait =
+                this->WaitFor(read.query.wait_ms);
+            const std::chrono::milliseconds time = kBatchTime + wait;
             batches::ReadResults query = read.query;
+            query.wait_ms = static_cast<std::uint32_t>(wait.count());
             query.organisation = caller.organisation;
             this->CallJobs(
                 exchange,
-                {"/jobs/read", EncodeMessage(query), time, {read.query.id, {}}},
+                {kReadPath, EncodeMessage(query), time, {read.query.id, {}}},
                 [this, status_of](const Result& result,
                                   const std::string& body) {
                   if (!result.Ok()) {
@@ -135,7 +164,7 @@
             batches::ReadItemBody query = read.query;
             query.organisation = caller.organisation;
             this->CallJobs(exchange,
-                           {"/jobs/body",
+                           {kBodyPath,
                             EncodeMessage(query),
                             kBatchTime,
                             {read.query.batch, read.query.item}},
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -472,6 +472,7 @@
 void EntryNode::BeginLeave(Time answer_by) {
   this->leaving = true;
   this->relay->BeginLeave(answer_by);
+  this->batches->BeginLeave(answer_by);
   this->host.BeginLeave();
   this->front->BeginLeave();
   this->operators->BeginLeave();
@@ -493,6 +494,7 @@
                  kRetryElsewhere);
   }
   this->relay->AnswerOpen();
+  this->batches->AnswerOpen();
   this->front->RefuseUnread();
 }
 
