--- a/src/nodes/onlinerelay.h
+++ b/src/nodes/onlinerelay.h
@@ -137,7 +137,7 @@
     std::optional<Time> broken_at;  ///< When a stream that had begun broke.
     StreamOrigins::LookupId origin_lookup = 0;
     /// Head of an event stream that has not delivered an event: until then
-    /// another software may begin it.
+    /// another software may begin it. Or of a failure that is not complete.
     std::optional<http::HttpHead> held_head;
     std::size_t sends = 0;
     std::optional<SilentRun> silent_run;
@@ -202,8 +202,8 @@
   void OnBody(CallId id, std::uint64_t attempt, std::string_view bytes);
   /// Passes on bytes of a response.
   void ForwardBody(CallId id, std::string_view bytes);
-  /// Ends the streams that hold most of an incomplete event while all hold too
-  /// much. The call may have ended afterwards.
+  /// Ends the responses that hold most of an incomplete event or failure while
+  /// all hold too much. The call may have ended afterwards.
   void BoundPartialEvents(CallId id);
   /// Ends a response that is not to go on: bytes that form no event, or a
   /// failure without end.
--- a/src/nodes/partialevents.h
+++ b/src/nodes/partialevents.h
@@ -8,7 +8,8 @@
 
 namespace papayarack::nodes {
 
-/// Bytes of incomplete events that all streams of a process hold together.
+/// Bytes of incomplete events, and of failures that are not complete, that all
+/// responses of a process hold together.
 /// Decides which stream is to end where many faulty replicas send bytes that
 /// form no event: each of them may keep to the limits of one stream. Does no
 /// I/O. Thread safety: none.
