--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -183,13 +183,17 @@
         self.network = f"127.{random.SystemRandom().randrange(20, 250)}"
         self.port = self.free_base()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
-        self.processes, self.first, self.peak_mb = {}, True, {}
+        self.processes, self.first = {}, True
         self.entries = [f"{self.network}.1.{i + 1}" for i in range(entries)]
         self.stores = [f"{self.network}.2.{i + 1}" for i in range(stores)]
         self.engines = [engine_type(f"{self.network}.3.{i + 1}", self.port + 8, f"i-{i}", record, **engine_options)
                         for i in range(engines)]
         self.list_host = f"{self.network}.9.1"
         self.tolerate = 1
+        self.bounds = {"SeedLagS": 3, "ReuseAfterS": 2, "ContactMs": 3000, "AckMs": 4000, "CatchUpS": 4.7, "DrainMs": 3000,
+                       "GraceS": 8, "LossSlackMs": 200, "ConfigApplyMs": 2000, "RollbackSlackMs": 250, "MaxStretchMs": 5000,
+                       "RecoverS": 12, "PassMs": 120, "AgainS": 0, "FinishS": 18, "StatusS": 120, "CancelMs": 3000,
+                       "SettleMs": 1000, "QuotaOver": 0.1}  # As in kivu-counters.
         self.memory_mb = {"entry": 260, "store": 290, "gate": 192}  # As in kivu-counters.
         self.watching = False
         self.loop = asyncio.new_event_loop()
@@ -229,11 +233,7 @@
                  f"Bootstrap={'true' if self.first else 'false'}", "LossCounts=true", "Limits.Cores=1",
                  f"Limits.MemoryMb={memory}", "Limits.MaxFds=4100", "Limits.LinkMbps=1000.0",
                  "Contracts=base,drain,config,cost,recover,batch,stream,engine", f"Tolerate.Machines={self.tolerate}",
-                 "Tolerate.Zones=0", "Tolerate.Regions=0", "Bounds.SeedLagS=3", "Bounds.ReuseAfterS=2",
-                 "Bounds.ContactMs=3000", "Bounds.AckMs=4000", "Bounds.CatchUpS=4.7", "Bounds.DrainMs=3000",
-                 "Bounds.GraceS=8", "Bounds.LossSlackMs=200", "Bounds.ConfigApplyMs=2000", "Bounds.RollbackSlackMs=250",
-                 "Bounds.MaxStretchMs=5000", "Bounds.RecoverS=12", "Bounds.PassMs=120", "Bounds.FinishS=18",
-                 "Bounds.StatusS=120", "Bounds.CancelMs=3000", "Bounds.SettleMs=1000", "Bounds.QuotaOver=0.1",
+                 "Tolerate.Zones=0", "Tolerate.Regions=0", *[f"Bounds.{name}={value}" for name, value in self.bounds.items()],
                  "ConfigMode=highest", f"Cloud.Address={self.list_host}:{self.port + 9}", "Cloud.RatePerS=47.0",
                  "Cloud.MaxLagMs=800"]
         if kind == "entry":
@@ -293,7 +293,7 @@
         self.watcher.start()
 
     def watch(self):
-        page, due = os.sysconf("SC_PAGE_SIZE"), {}
+        due = {}
         while self.watching:
             for name, process in list(self.processes.items()):
                 if process.poll() is not None:
@@ -304,17 +304,30 @@
                         self.restarts[name] = self.restarts.get(name, 0) + 1
                         self.start(name)
                     continue
-                try:
-                    with open(f"/proc/{process.pid}/statm", encoding="ascii") as file:
-                        resident = int(file.read().split()[1]) * page / (1 << 20)
-                except (OSError, IndexError):
-                    continue
+                resident = self.high_water_mb(process.pid)
                 self.peak_between[name] = max(self.peak_between.get(name, 0), resident)
                 if resident > self.memory_mb[name.split("-")[0]]:
                     process.kill()
+                    process.wait()
                     self.over_limit[name] = self.over_limit.get(name, 0) + 1
                     self.record(f"platform: {name} uses {resident:.0f} MB of {self.memory_mb[name.split('-')[0]]}: killed")
-            time.sleep(0.001)
+            time.sleep(0.002)
+
+    def check_platform(self):
+        """Without the platform nothing would be started again, and the case would say nothing."""
+        if not self.watcher.is_alive():
+            raise CannotRun("the platform's watch has ended")
+
+    def high_water_mb(self, pid):
+        """The most resident memory that a process had, as the system counted it: no peak between two looks is missed."""
+        try:
+            with open(f"/proc/{pid}/status", encoding="ascii") as file:
+                for line in file:
+                    if line.startswith("VmHWM"):
+                        return int(line.split()[1]) / 1024
+        except (OSError, IndexError):
+            pass
+        return 0
 
     def kill_together(self, names):
         for name in names:
@@ -326,14 +339,7 @@
         self.processes[name].send_signal(number)
 
     def resident_mb(self, name):
-        try:
-            with open(f"/proc/{self.processes[name].pid}/status", encoding="ascii") as file:
-                for line in file:
-                    if line.startswith("VmHWM"):
-                        return int(line.split()[1]) // 1024
-        except OSError:
-            pass
-        return 0
+        return round(self.high_water_mb(self.processes[name].pid))
 
     def ended(self):
         return {name: process.returncode for name, process in self.processes.items() if process.poll() is not None}
