Review case 6: a store that loses its disk in a quiet time never starts again

With no batch job kept any more, the state that a new store installs has no result texts. A second loss of a disk, 10 s later and so borne by itself, takes the quorum: a job accepted between the two can't be read.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Case 6: many large batch jobs come at once. TROUBLE=0: a few of them, one after the other.
+# Case 6: a store loses its disk while no batch job is kept, and later another store does. TROUBLE=0: none does.
 cd "$(dirname "$0")" && exec python3 -B case.py
