--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -296,23 +296,29 @@
         due = {}
         while self.watching:
             for name, process in list(self.processes.items()):
-                if process.poll() is not None:
-                    if name not in due:
-                        due[name] = time.monotonic() + 0.5
-                    elif time.monotonic() >= due[name]:
-                        del due[name]
-                        self.restarts[name] = self.restarts.get(name, 0) + 1
-                        self.start(name)
-                    continue
-                resident = self.high_water_mb(process.pid)
-                self.peak_between[name] = max(self.peak_between.get(name, 0), resident)
-                if resident > self.memory_mb[name.split("-")[0]]:
-                    process.kill()
-                    process.wait()
-                    self.over_limit[name] = self.over_limit.get(name, 0) + 1
-                    self.record(f"platform: {name} uses {resident:.0f} MB of {self.memory_mb[name.split('-')[0]]}: killed")
+                try:
+                    self.look_at(name, process, due)
+                except Exception as error:  # The watch goes on whatever one look meets.
+                    self.record(f"platform: {name}: {error!r}")
             time.sleep(0.002)
 
+    def look_at(self, name, process, due):
+        if process.poll() is not None:
+            if name not in due:
+                due[name] = time.monotonic() + 0.5
+            elif time.monotonic() >= due[name]:
+                del due[name]
+                self.restarts[name] = self.restarts.get(name, 0) + 1
+                self.start(name)
+            return
+        resident, limit = self.high_water_mb(process.pid), self.memory_mb[name.split("-")[0]]
+        self.peak_between[name] = max(self.peak_between.get(name, 0), resident)
+        if resident > limit:
+            process.kill()
+            process.wait()
+            self.over_limit[name] = self.over_limit.get(name, 0) + 1
+            self.record(f"platform: {name} uses {resident:.0f} MB of {limit}: killed")
+
     def check_platform(self):
         """Without the platform nothing would be started again, and the case would say nothing."""
         if not self.watcher.is_alive():
