Review case: a returning job leader leases finished items

A store that led, followed and leads again answers pulls from its former leases until its next tick. Items that were finished meanwhile reach replicas without their body and headers.

--- /dev/null
+++ b/review/part-one/a/case.py
@@ -0,0 +1,62 @@
+"""A store that led before leads again, and leases items from what it knew when it last led."""
+
+import asyncio
+import os
+import signal
+import sys
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(HERE)), "lib-3"))
+import smallfleet  # noqa: E402  pylint: disable=wrong-import-position
+
+GATES, FREEZE_S, CATCH_UP_S, ROUNDS_S = 18, 1.6, 4.8, 84
+
+
+async def scenario(folder, trouble):
+    fleet = smallfleet.SmallFleet(folder, replicas=GATES, events=10, event_s=0.02, slots=4)
+    sent = {}
+
+    def changed():
+        """Runs that reached a replica with another body or other headers than the client's."""
+        return [run for replica in fleet.replicas for run in replica.seen if run.request not in sent
+                or run.body != sent[run.request].body
+                or any(run.headers.get(name.lower()) != value for name, value in sent[run.request].headers.items())]
+
+    async def accept(batches):
+        for _ in range(batches):
+            batch, items = fleet.new_batch(100)
+            sent.update({item.id: item for item in items})
+            await fleet.accept(batch, items)
+
+    try:
+        if not await fleet.start(smallfleet.configuration(1)):
+            raise RuntimeError("the fleet did not start")
+        end = time.monotonic() + ROUNDS_S
+        rounds = 0
+        while time.monotonic() < end and not changed():
+            rounds += 1
+            await accept(4)
+            leader = f"store-{fleet.job_leader()}"
+            if trouble:
+                fleet.signal(leader, signal.SIGSTOP)
+            await asyncio.sleep(FREEZE_S)
+            if trouble:
+                fleet.signal(leader, signal.SIGCONT)
+            await asyncio.sleep(CATCH_UP_S)
+            await accept(6)
+            await asyncio.sleep(0.1)
+            if trouble:
+                await fleet.restart(f"store-{fleet.job_leader()}")
+            await asyncio.sleep(CATCH_UP_S)
+        wrong = changed()
+        for run in wrong:
+            fleet.record.note(f"changed: {run.replica} ran {run.request} {run.path} with Model {run.headers.get('model')}, body {run.body!r}; "
+                              f"the client sent Model m, body {sent[run.request].body!r}")
+        fleet.record.note(f"{rounds} rounds, {sum(len(replica.seen) for replica in fleet.replicas)} runs, {len(wrong)} changed")
+        return f"UNASKED: {len(wrong)} items reached replicas without the client's body and headers, after {rounds} rounds" if wrong else None
+    finally:
+        fleet.stop()
+
+
+smallfleet.run(HERE, scenario)
