--- a/review/lib-3/smallfleet.py
+++ b/review/lib-3/smallfleet.py
@@ -406,6 +406,7 @@
         print("the program of the deploy file isn't built")
         sys.exit(2)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))  # So that the processes are ended.
     code = 2
     try:
         async def main():
