--- a/review/part-one/a/case.py
+++ b/review/10/case.py
@@ -7,14 +7,16 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(HERE)), "lib-3"))
+sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib-3"))
 import smallfleet  # noqa: E402  pylint: disable=wrong-import-position
 
-GATES, FREEZE_S, CATCH_UP_S, ROUNDS_S = 18, 1.6, 4.8, 84
+GATES, FREEZE_S, CATCH_UP_S, ROUNDS_S = 18, 1.6, 4.8, 90
+# The site's burst of batch jobs: 6 times the sheet's 1.03 a second for 3 s, "batch jobs of about 10".
+JOBS, JOB_ITEMS, BURST_S = 18, 10, 3.0
 
 
 async def scenario(folder, trouble):
-    fleet = smallfleet.SmallFleet(folder, replicas=GATES, events=10, event_s=0.02, slots=4)
+    fleet = smallfleet.SmallFleet(folder, replicas=GATES, events=10, event_s=0.1, slots=2)
     sent = {}
 
     def changed():
@@ -23,9 +25,12 @@
                 or run.body != sent[run.request].body
                 or any(run.headers.get(name.lower()) != value for name, value in sent[run.request].headers.items())]
 
-    async def accept(batches):
-        for _ in range(batches):
-            batch, items = fleet.new_batch(100)
+    async def burst():
+        """Jobs at an even pace; ends once all are accepted."""
+        begun = time.monotonic()
+        for number in range(JOBS):
+            await asyncio.sleep(max(0.0, begun + number * BURST_S / JOBS - time.monotonic()))
+            batch, items = fleet.new_batch(JOB_ITEMS)
             sent.update({item.id: item for item in items})
             await fleet.accept(batch, items)
 
@@ -36,19 +41,18 @@
         rounds = 0
         while time.monotonic() < end and not changed():
             rounds += 1
-            await accept(4)
+            await burst()
             leader = f"store-{fleet.job_leader()}"
             if trouble:
                 fleet.signal(leader, signal.SIGSTOP)
             await asyncio.sleep(FREEZE_S)
             if trouble:
                 fleet.signal(leader, signal.SIGCONT)
-            await asyncio.sleep(CATCH_UP_S)
-            await accept(6)
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(CATCH_UP_S - BURST_S)
+            await burst()
             if trouble:
                 await fleet.restart(f"store-{fleet.job_leader()}")
-            await asyncio.sleep(CATCH_UP_S)
+            await asyncio.sleep(CATCH_UP_S - BURST_S)
         wrong = changed()
         for run in wrong:
             fleet.record.note(f"changed: {run.replica} ran {run.request} {run.path} with Model {run.headers.get('model')}, body {run.body!r}; "
--- a/review/part-one/a/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # See claim.txt. TROUBLE=0: without the disruption.
-exec python3 "$(dirname "$0")/case.py"
+cd "$(dirname "$0")" && exec timeout 118 python3 -B case.py
