A head that is none is no answer, and no request

What callers saw: answers with status 000, and answers in whose head a field's name held a blank, with that line passed on or with a body that was not the replica's.

Cause: http_parser is built lenient, and nothing checked what it let through: a status of any number of digits, any version, a blank inside a field's name or before its colon, a line that continues the one before (which a reader beside this one takes for another field), and a transfer coding other than chunked, whose body then ended with the connection.

Change: all heads are checked behind HeadParser, so wherever answers are read from an engine, the platform's list or a load report, and for requests as well. A status is three digits from 100 to 599, names and values have the bytes of RFC 9110, a head has no continued line and no transfer coding but chunked. Such an answer ends its attempt as a malformed one does (it may have run); such a request is answered 400.

--- a/src/http/internal/headparser.cpp
+++ b/src/http/internal/headparser.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/headparser.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <utility>
 
@@ -11,6 +12,8 @@
 struct ParserHooks {
   /// Returned after a head: the message ends there.
   static constexpr int kSkipBody = 1;
+  /// Returned after a head or a part of it: the message is malformed.
+  static constexpr int kMalformed = -1;
   static HeadParser& Owner(http_parser* parser) {
     return *static_cast<HeadParser*>(parser->data);
   }
@@ -24,6 +27,9 @@
   }
   static int OnName(http_parser* parser, const char* at, std::size_t size) {
     HeadParser& owner = Owner(parser);
+    if (size > 0 && !IsFieldName({at, size})) {
+      return kMalformed;
+    }
     if (owner.in_value) {
       owner.FinishField();
     }
@@ -33,6 +39,9 @@
   }
   static int OnValue(http_parser* parser, const char* at, std::size_t size) {
     HeadParser& owner = Owner(parser);
+    if (!IsFieldValue({at, size})) {
+      return kMalformed;
+    }
     owner.in_value = true;
     owner.field_value.append(at, size);
     return Count(parser, size);
@@ -42,6 +51,9 @@
     if (!owner.field_name.empty()) {
       owner.FinishField();
     }
+    if (!owner.HasKnownFraming()) {
+      return kMalformed;
+    }
     owner.head_complete = true;
     owner.to_end = owner.kind == HeadParser::Kind::kResponse &&
                    !owner.HasNoBody() && http_message_needs_eof(parser) != 0;
@@ -96,7 +108,8 @@
                        Callbacks callbacks)
     : kind(kind),
       max_head_bytes(max_head_bytes),
-      callbacks(std::move(callbacks)) {
+      callbacks(std::move(callbacks)),
+      lines(kind) {
   this->Next();
 }
 
@@ -104,6 +117,7 @@
   http_parser_init(&this->parser,
                    this->kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   this->parser.data = this;
+  this->lines.Next();
   this->target.clear();
   this->headers = {};
   this->head_bytes = 0;
@@ -134,10 +148,25 @@
          (this->no_body || ForbidsBody(this->status()));
 }
 
+bool HeadParser::HasKnownFraming() const {
+  const auto codings =
+      std::ranges::count_if(this->headers.fields(), [](const Header& field) {
+        return SameName(field.name, "Transfer-Encoding");
+      });
+  const bool chunked =
+      SameName(this->headers.Get("Transfer-Encoding"), "chunked");
+  return this->parser.http_major == 1 &&
+         (codings == 0 || (codings == 1 && chunked));
+}
+
 std::size_t HeadParser::Parse(std::string_view bytes) {
   if (this->complete || this->failed()) {
     return 0;
   }
+  if (!this->head_complete && !this->lines.Accept(bytes)) {
+    this->error = true;
+    return 0;
+  }
   const std::size_t used = http_parser_execute(
       &this->parser, &ParserHooks::Settings(), bytes.data(), bytes.size());
   const auto code = HTTP_PARSER_ERRNO(&this->parser);
--- a/src/http/internal/headparser.h
+++ b/src/http/internal/headparser.h
@@ -8,15 +8,19 @@
 #include <string_view>
 
 #include "http/headers.h"
+#include "http/internal/headlines.h"
 
 namespace papayarack::http {
 
 /// Wraps the incremental HTTP/1.1 parser http_parser and collects the header
 /// fields before on_head. It stops after each message, so that the bytes of the
-/// next one are never parsed as part of it. Thread safety: none.
+/// next one are never parsed as part of it. What http_parser accepts against
+/// RFC 9110 and 9112 fails here: a status, field name, field value or version
+/// that is none, a continued field, and a transfer coding other than chunked.
+/// Thread safety: none.
 class HeadParser {
  public:
-  enum class Kind { kRequest, kResponse };
+  using Kind = HeadLines::Kind;
 
   /// Called for one message, in this order.
   struct Callbacks {
@@ -70,10 +74,13 @@
   std::size_t FieldOverhead() const;
   /// Whether the message whose head is complete ends with it.
   bool HasNoBody() const;
+  /// Whether the version and the transfer coding are known.
+  bool HasKnownFraming() const;
 
   Kind kind;
   std::size_t max_head_bytes;
   Callbacks callbacks;
+  HeadLines lines;
   http_parser parser{};
   std::size_t head_bytes = 0;
   std::string field_name;
--- a/src/http/tests/brokenheads_tests.cpp
+++ b/src/http/tests/brokenheads_tests.cpp
@@ -7,6 +7,8 @@
 #include <string_view>
 
 #include "http/httpclient.h"
+#include "http/httpserver.h"
+#include "http/internal/headparser.h"
 #include "http/tests/serverfixtures.h"
 
 namespace papayarack::http {
@@ -147,4 +149,108 @@
   }
 }
 
+// Guards against a success made of what is no answer, with the field or the
+// body of a replica in trouble.
+TEST_CASE("a response whose head is malformed is no response") {
+  const auto bytes = GENERATE(
+      std::string("HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 000\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 099 Low\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 999 High\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 20 Short\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 0200 Long\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 2000 Long\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/9.9 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: "
+                  "2\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nBad : x\r\nContent-Length: "
+                  "2\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nB\x01"
+                  "ad: x\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nB\x7f"
+                  "ad: x\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nContent Length: 3\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nA: b\x01\r\nContent-Length: "
+                  "2\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nA: b\r\n x: y\r\nContent-Length: "
+                  "2\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\n x: y\r\nContent-Length: "
+                  "2\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\tx\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, "
+                  "identity\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "2\r\nok\r\n0\r\nBad Name: x\r\n\r\n"));
+  const bool in_pieces = GENERATE(false, true);
+  CAPTURE(bytes, in_pieces);
+  HeadParser parser(HeadParser::Kind::kResponse, std::size_t{1} << 15U,
+                    {[] {}, [](std::string_view) {}, [] {}});
+  std::string_view rest = bytes;
+  while (!rest.empty() && !parser.failed() && !parser.MessageComplete()) {
+    const std::size_t size = in_pieces ? 1 : rest.size();
+    parser.Parse(rest.substr(0, size));
+    rest.remove_prefix(size);
+  }
+  CHECK(parser.failed());
+
+  asio::io_context context;
+  CuttingPeer peer(context);
+  HttpClient client(context);
+  peer.last = bytes;
+  CHECK(Ask(context, client, peer, "r").end == HttpEnd::kMalformed);
+}
+
+// The counterpart: what is unusual but allowed goes on.
+TEST_CASE("a response whose head is unusual is a response") {
+  const auto bytes = GENERATE(
+      std::string("HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+      std::string("HTTP/1.1 599 Odd\r\nA:\r\nContent-Length:2\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\r\nA: b \t c\xe4\r\nContent-Length: 2  "
+                  "\r\n\r\nok"),
+      std::string("HTTP/1.1 200 OK\nContent-Length: 2\n\nok"),
+      std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
+                  "2;a=b\r\nok\r\n0\r\nA: b\r\n\r\n"));
+  const bool in_pieces = GENERATE(false, true);
+  CAPTURE(bytes, in_pieces);
+  std::string body;
+  HeadParser parser(
+      HeadParser::Kind::kResponse, std::size_t{1} << 15U,
+      {[] {}, [&](std::string_view part) { body.append(part); }, [] {}});
+  std::string_view rest = bytes;
+  while (!rest.empty() && !parser.failed() && !parser.MessageComplete()) {
+    const std::size_t size = in_pieces ? 1 : rest.size();
+    parser.Parse(rest.substr(0, size));
+    rest.remove_prefix(size);
+  }
+  CHECK_FALSE(parser.failed());
+  CHECK(parser.MessageComplete());
+  CHECK(body == "ok");
+}
+
+// Guards against one client's bytes that become another request: a server
+// beside this one reads them in another way.
+TEST_CASE("a request whose head is malformed is refused") {
+  const auto bytes = GENERATE(
+      std::string("GET / HTTP/1.1\r\nHost: h\r\nBad Name: x\r\n\r\n"),
+      std::string("GET / HTTP/1.1\r\nHost: h\r\nBad : x\r\n\r\n"),
+      std::string("GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n"),
+      std::string("GET / HTTP/9.9\r\nHost: h\r\n\r\n"),
+      std::string("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, "
+                  "identity\r\n\r\n0\r\n\r\n"),
+      std::string("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                  "chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+  CAPTURE(bytes);
+  asio::io_context context;
+  EchoServer server(context);
+  RawCaller caller(context, server.server->port());
+  caller.Send(bytes);
+  RunUntil(context, [&] { return !caller.received.empty(); });
+  CHECK(caller.received.starts_with("HTTP/1.1 400"));
+  CHECK(server.requests == 0);
+}
+
 }  // namespace papayarack::http
