A trailer is no field of the head

A request's trailers, but for the last one, were added to its fields. A caller could so add a field that is read after the head was complete.

Cause: http_parser reports trailers by the callbacks of fields, and the parser kept them with the fields of the head.

Change: trailers are checked and counted like fields, and dropped (RFC 9110, section 6.5.1, asks for that unless a field is known to allow it).

Evidence: the new test saw the first of two trailers among the fields before the change; after it none.

--- a/src/http/internal/headparser.cpp
+++ b/src/http/internal/headparser.cpp
@@ -133,7 +133,10 @@
 }
 
 void HeadParser::FinishField() {
-  this->headers.Add(this->field_name, this->field_value);
+  // A trailer may not stand for a field of the head (RFC 9110, section 6.5.1).
+  if (!this->head_complete) {
+    this->headers.Add(this->field_name, this->field_value);
+  }
   this->field_name.clear();
   this->field_value.clear();
   this->in_value = false;
--- a/src/http/internal/headparser.h
+++ b/src/http/internal/headparser.h
@@ -17,7 +17,7 @@
 /// next one are never parsed as part of it. What http_parser accepts against
 /// RFC 9110 and 9112 fails here: a status, field name, field value or version
 /// that is none, a continued field, and a transfer coding other than chunked.
-/// Thread safety: none.
+/// Trailers are checked and dropped. Thread safety: none.
 class HeadParser {
  public:
   using Kind = HeadLines::Kind;
--- a/src/http/tests/brokenheads_tests.cpp
+++ b/src/http/tests/brokenheads_tests.cpp
@@ -253,4 +253,29 @@
   CHECK(server.requests == 0);
 }
 
+// Guards against a request that is served with fields that its head lacks, for
+// which the caller's key or organisation was not checked.
+TEST_CASE("a trailer is no field of the head") {
+  asio::io_context context;
+  std::unique_ptr<HttpServer> server;
+  Headers seen;
+  HttpServerHandlers handlers;
+  handlers.on_request = [&](ExchangeId exchange, const HttpRequest& request) {
+    seen = request.headers;
+    server->Respond(exchange, {});
+  };
+  handlers.on_gone = [](ExchangeId) {};
+  server = std::make_unique<HttpServer>(context, kAnyPort, HttpServerLimits{},
+                                        handlers);
+  RawCaller caller(context, server->port());
+  caller.Send(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nok\r\n0\r\nX-First: a\r\nX-Second: b\r\n\r\n");
+  RunUntil(context, [&] { return !caller.received.empty(); });
+  CHECK(caller.received.starts_with("HTTP/1.1 200"));
+  CHECK(seen.Has("Host"));
+  CHECK_FALSE(seen.Has("X-First"));
+  CHECK_FALSE(seen.Has("X-Second"));
+}
+
 }  // namespace papayarack::http
