A response that a reset cuts is not complete

What callers saw: a part of an answer as a complete one. The replica had answered a long upload at once, with a 200 that had no length, sent a part of its body, and reset the connection while the upload was still being written.

Cause: the write that fails takes the socket's error with it. The read then returns an orderly end, which completes a body without a length.

Change: where the request was not sent whole, an end of the connection is no end of a response without a length; the call is broken, and its caller's connection is closed without the last chunk. A replica that ends such a response in order before it has read the request cannot be told from this, and is treated alike.

--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -412,8 +412,11 @@
   }
 
   void OnEnd(const LinkPtr& link, bool orderly) {
-    if (orderly && link->parser.HeadComplete() && !link->skipping &&
-        link->parser.RunsToConnectionEnd()) {
+    // A write that fails takes the error of a reset with it; the read then sees
+    // an orderly end, where the response was cut.
+    const bool whole_request_sent = !link->sending;
+    if (orderly && whole_request_sent && link->parser.HeadComplete() &&
+        !link->skipping && link->parser.RunsToConnectionEnd()) {
       link->parser.ParseEnd();
       if (link->parser.MessageComplete()) {
         this->Complete(link, false);
--- a/src/http/tests/brokenheads_tests.cpp
+++ b/src/http/tests/brokenheads_tests.cpp
@@ -1,5 +1,6 @@
 #include <asio.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -278,4 +279,46 @@
   CHECK_FALSE(seen.Has("X-Second"));
 }
 
+// Guards against a part of a response that is taken for a whole one: its peer
+// answered at once, without a length, and reset the connection while the
+// request was still being written.
+TEST_CASE("a response without a length that is cut by a reset is broken") {
+  constexpr std::size_t kUpload = 32U << 20U;  // Fits into no buffers.
+  constexpr int kRuns = 8;
+  constexpr std::chrono::milliseconds kUntilReset{50};
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  HttpClient client(context);
+  for (int run = 0; run < kRuns; ++run) {
+    CAPTURE(run);
+    HttpCall call;
+    call.peer = {"127.0.0.1", acceptor.local_endpoint().port()};
+    call.method = "POST";
+    call.target = "/";
+    call.body.assign(kUpload, 'u');
+    std::optional<HttpEnd> end;
+    std::string body;
+    HttpCallHandlers handlers;
+    handlers.on_head = [](const HttpHead&) {};
+    handlers.on_body = [&](std::string_view bytes) { body.append(bytes); };
+    handlers.on_end = [&](HttpEnd how) { end = how; };
+    client.Call(call, handlers);
+    std::optional<tcp::socket> peer;
+    asio::steady_timer reset(context);
+    acceptor.async_accept([&](std::error_code, tcp::socket socket) {
+      peer = std::move(socket);
+      asio::write(*peer,
+                  asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
+      reset.expires_after(kUntilReset);
+      reset.async_wait([&](std::error_code) {
+        peer->set_option(asio::socket_base::linger(true, 0));
+        peer->close();
+      });
+    });
+    RunUntil(context, [&] { return end.has_value(); });
+    CHECK(body == "part");
+    CHECK(end == HttpEnd::kBroken);
+  }
+}
+
 }  // namespace papayarack::http
