An upstream's answer needs a final status

What callers saw: nothing in a run of the product's own interface; found while looking for the cause of answers with status 000 wherever answers are read.

Cause: cpp-httplib takes any three digits for a status, and the gate passed them on.

Change: a status outside of 200 to 599 breaks the answer; the request may have run.

Evidence: the new test saw 000, 099, 600 and 999 as complete answers before the change (20 and 0200 were held by the library), none after.

--- a/src/gate/internal/upstreamclient.cpp
+++ b/src/gate/internal/upstreamclient.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::seconds kConnectTimeout{1};
 constexpr std::chrono::milliseconds kPollInterval{200};
 
+/// Whether a response with this status ends a request (RFC 9110, section 15).
+constexpr bool IsFinal(int status) { return status >= 200 && status < 600; }
+
 }  // namespace
 
 struct UpstreamClient::Impl {
@@ -89,6 +92,9 @@
     }
     request.response_handler = [this,
                                 &call](const httplib::Response& response) {
+      if (!IsFinal(response.status)) {
+        return false;
+      }
       this->handlers.on_head(call.id, response.status,
                              response.get_header_value("Content-Type"));
       return true;
--- a/src/gate/tests/upstreamclient_tests.cpp
+++ b/src/gate/tests/upstreamclient_tests.cpp
@@ -71,4 +71,19 @@
   }
 }
 
+// Guards against a status that is none and is passed on as an answer.
+TEST_CASE("an upstream's answer whose status is none is broken") {
+  const auto status = GENERATE("000", "099", "600", "999", "20", "0200");
+  CAPTURE(status);
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  const Ended ended =
+      Ask(acceptor,
+          "HTTP/1.1 " + std::string(status) +
+              " None\r\nContent-Length: 2\r\n\r\nok",
+          false);
+  CHECK(ended.end == UpstreamEnd::kBroken);
+  CHECK_FALSE(ended.has_head);
+}
+
 }  // namespace papayarack::gate
