Bound the memory of all requests of a process together

What callers saw: an entry ended as it ran out of memory, and with it the connections of all its callers, beside clients that sent many bodies and stopped short of their end, or bodies without end.

Cause: each request is bounded (4 MiB) and so is the number of connections (3,000), but not their product. A refused request kept its body's memory until its connection had closed, a field that takes 4 bytes on the wire took 64 in memory, and a request that was sent on was held three times.

A request counts with its body's capacity and its fields' size from its first byte to the end of its response, twice once it is served. Where all hold more than 27.5 MB, the one that takes the longest time for each of its bytes is answered 503 with Retry-After and is not run; a quarter is for requests of 64 KB at most, so ordinary callers are served beside large ones; a single request is never refused. The server gives a refused request's memory back at once, the client sends head and body apart instead of a copy of both, and drops the body once it is sent. Behind a request that is being answered 16 KB are read ahead instead of 64, which 3,000 clients can hold on the smallest entry.

--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -13,6 +13,7 @@
 #include "http/connectionstate.h"
 #include "http/exchangeledger.h"
 #include "http/headers.h"
+#include "http/requestmemory.h"
 
 namespace asio {
 class io_context;
@@ -68,15 +69,18 @@
 };
 
 /// An event-driven HTTP/1.1 server. It answers malformed requests with 400, 413
-/// or 431 and requests that arrive too slowly with 408, and closes their
-/// connection; they never reach the owner. Thread safety: none, the loop's
-/// thread.
+/// or 431, requests that arrive too slowly with 408 and those for which there
+/// is no memory with 503, and closes their connection; they never reach the
+/// owner. Thread safety: none, the loop's thread.
 class HttpServer {
  public:
-  /// Binds immediately. Precondition: `context` outlives the server. Throws
-  /// ResultError(kBadInput) when the address cannot be bound.
+  /// Binds immediately. `memory` is shared with other servers of the process;
+  /// null: the server has its own. Precondition: `context` and `memory` outlive
+  /// the server. Throws ResultError(kBadInput) when the address cannot be
+  /// bound.
   HttpServer(asio::io_context& context, const Endpoint& listen,
-             HttpServerLimits limits, HttpServerHandlers handlers);
+             HttpServerLimits limits, HttpServerHandlers handlers,
+             RequestMemory* memory = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/src/http/internal/headparser.h
+++ b/src/http/internal/headparser.h
@@ -56,6 +56,10 @@
   /// Whether the connection may carry another message after this one.
   bool KeepAlive() const { return this->keep_alive; }
   bool RunsToConnectionEnd() const { return this->to_end; }
+  /// Memory of the target and the fields that were read, in bytes.
+  std::size_t HeldBytes() const {
+    return this->head_bytes + this->headers.fields().size() * sizeof(Header);
+  }
   int status() const { return static_cast<int>(this->parser.status_code); }
   bool HttpOneZero() const {
     return this->parser.http_major == 1 && this->parser.http_minor == 0;
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -78,11 +78,12 @@
     PoolKey pool;
     /// Hashes of the identities of all calls that it has carried.
     std::vector<std::size_t> carried;
-    std::string request;  ///< Bytes of the request, sent or being sent.
+    std::string request_head;  ///< Sent or being sent, as the body.
+    std::string request_body;
     HttpCallId call = 0;  ///< Zero while idle.
     bool connected = false;
     bool sent_any = false;
-    bool sending = false;   ///< Not all of `request` is sent.
+    bool sending = false;   ///< Not all of the request is sent.
     bool is_head = false;   ///< The call's method is HEAD.
     bool skipping = false;  ///< Skipping a response to another call.
     bool reading = false;
@@ -182,7 +183,8 @@
     link->interim_bytes = 0;
     link->body_bytes = 0;
     link->is_head = call.method == "HEAD";
-    link->request = RequestBytes(call);
+    link->request_head = RequestHead(call);
+    link->request_body = std::move(call.body);
     this->Attach(link);
     this->calls.emplace(id,
                         Pending{std::move(handlers), std::move(call.identity),
@@ -204,7 +206,7 @@
     }
   }
 
-  static std::string RequestBytes(const HttpCall& call) {
+  static std::string RequestHead(const HttpCall& call) {
     std::string bytes =
         fmt::format("{} {} HTTP/1.1\r\n", call.method, call.target);
     AppendFields(bytes, call.headers);
@@ -215,7 +217,6 @@
       bytes += fmt::format("Content-Length: {}\r\n", call.body.size());
     }
     bytes += "\r\n";
-    bytes += call.body;
     return bytes;
   }
 
@@ -277,12 +278,15 @@
   void SendRequest(const LinkPtr& link) {
     link->sent_any = true;
     link->sending = true;
-    asio::async_write(link->socket, asio::buffer(link->request),
+    const std::array<asio::const_buffer, 2> parts = {
+        asio::buffer(link->request_head), asio::buffer(link->request_body)};
+    asio::async_write(link->socket, parts,
                       [link](std::error_code error, std::size_t) {
                         // Read handles the error: the read fails as well, after
                         // it has returned any response that the peer sent
                         // before.
                         link->sending = static_cast<bool>(error);
+                        link->request_body = {};
                       });
   }
 
@@ -392,7 +396,7 @@
     }
     link->since = MonotonicNow();
     link->paused = false;
-    link->request.clear();
+    link->request_head.clear();
     link->idle_limit = this->options.max_idle;
     if (const auto announced = AnnouncedIdleTimeout(link->parser.headers)) {
       link->idle_limit = std::min(link->idle_limit, *announced - kIdleMargin);
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -21,12 +21,13 @@
 using ConnectionId = std::uint64_t;
 
 /// Bytes of pipelined requests that a client may send before its response.
-constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
+constexpr std::size_t kMaxPipelinedBytes = 16U << 10U;
 /// Interval of timeout checks; timeouts are seconds long.
 constexpr std::chrono::milliseconds kSweepInterval{250};
 /// How long to wait for a refused client to close the connection: closing with
 /// unread bytes resets it, and the client would not receive the response.
 constexpr std::chrono::milliseconds kLinger{1000};
+constexpr int kServiceUnavailable = 503;
 /// How long a client may take nothing of a response that is complete but not
 /// sent; independent of the limits, which may change meanwhile.
 constexpr std::chrono::milliseconds kWriteStall{15000};
@@ -73,8 +74,10 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   Impl(asio::io_context& context, const Endpoint& listen,
-       HttpServerLimits limits, HttpServerHandlers handlers)
+       HttpServerLimits limits, HttpServerHandlers handlers,
+       RequestMemory* shared)
       : context(context),
+        memory(shared != nullptr ? *shared : this->own_memory),
         limits(limits),
         handlers(std::move(handlers)),
         ledger(this->handlers.on_cut),
@@ -91,6 +94,7 @@
     for (auto& [id, connection] : this->connections) {
       std::error_code ignored;
       connection->socket.close(ignored);
+      this->memory.Remove(connection->memory);
     }
   }
 
@@ -174,6 +178,8 @@
     auto connection = std::make_shared<Connection>(
         std::move(socket), this->limits.max_header_bytes);
     connection->since = MonotonicNow();
+    connection->memory =
+        this->memory.Add([this, id] { this->RefuseForMemory(id); });
     this->connections.emplace(id, connection);
     this->Read(id, connection);
   }
@@ -228,6 +234,7 @@
     if (fresh) {
       connection->parser.SetMaxHeadBytes(this->limits.max_header_bytes);
       connection->max_body = this->limits.max_body_bytes;
+      connection->body_too_large = false;
     }
     const std::size_t used = connection->parser.Parse(connection->unparsed);
     connection->unparsed.erase(0, used);
@@ -238,7 +245,7 @@
     if (fresh && connection->parser.Started()) {
       connection->since = MonotonicNow();
     }
-    if (connection->body.size() > connection->max_body) {
+    if (connection->body_too_large) {
       this->Refuse(connection, 413);
       return;
     }
@@ -246,12 +253,36 @@
       connection->since = MonotonicNow();
       this->OnHead(connection);
     }
-    if (connection->parser.MessageComplete() &&
-        connection->phase == Phase::kReading) {
+    if (connection->phase == Phase::kReading && connection->parser.Started()) {
+      this->KeepOrDeliver(id, connection);
+    }
+  }
+
+  /// Refuses a request for which there is no memory: it did not run.
+  void KeepOrDeliver(ConnectionId id, const ConnectionPtr& connection) {
+    const Time now = MonotonicNow();
+    const bool complete = connection->parser.MessageComplete();
+    const bool fits = complete
+                          ? this->memory.Serve(connection->memory,
+                                               connection->ServedBytes(), now)
+                          : this->memory.Hold(connection->memory,
+                                              connection->HeldBytes(), now);
+    if (!fits) {
+      this->Refuse(connection, kServiceUnavailable);
+    } else if (complete) {
       this->Deliver(id, connection);
     }
   }
 
+  /// Makes room for the requests of others.
+  void RefuseForMemory(ConnectionId id) {
+    const auto found = this->connections.find(id);
+    if (found != this->connections.end() &&
+        found->second->phase == Phase::kReading) {
+      this->Refuse(found->second, kServiceUnavailable);
+    }
+  }
+
   void OnHead(const ConnectionPtr& connection) {
     const auto length =
         ParseNumber(connection->parser.headers.Get("Content-Length"));
@@ -285,8 +316,11 @@
   /// Answers a request that cannot be parsed; the rest of its bytes is
   /// discarded.
   void Refuse(const ConnectionPtr& connection, int status) {
-    const std::string head =
+    std::string head =
         fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonFor(status));
+    if (status == kServiceUnavailable) {
+      head += "Retry-After: 1\r\n";
+    }
     this->Send(connection,
                head + "Content-Length: 0\r\nConnection: close\r\n\r\n");
     this->Linger(connection);
@@ -295,8 +329,8 @@
   void Linger(const ConnectionPtr& connection) {
     connection->phase = Phase::kLingering;
     connection->since = MonotonicNow();
-    connection->unparsed.clear();
-    connection->body.clear();
+    connection->ForgetRequest();
+    this->memory.Release(connection->memory);
     connection->close_after_write = true;
     this->ShutdownAfterWrites(connection);
   }
@@ -430,6 +464,7 @@
       this->Read(id, connection);
       return;
     }
+    this->memory.Release(connection->memory);
     connection->phase = Phase::kReading;
     connection->exchange = 0;
     connection->since = MonotonicNow();
@@ -454,6 +489,7 @@
     }
     const ConnectionPtr connection = found->second;
     this->connections.erase(found);
+    this->memory.Remove(connection->memory);
     std::error_code ignored;
     connection->socket.close(ignored);
     this->unsent -= connection->Unsent();
@@ -558,6 +594,8 @@
   }
 
   asio::io_context& context;
+  RequestMemory own_memory;
+  RequestMemory& memory;  ///< The owner's, or `own_memory`.
   HttpServerLimits limits;
   HttpServerHandlers handlers;
   ExchangeLedger ledger;
@@ -577,9 +615,10 @@
 };
 
 HttpServer::HttpServer(asio::io_context& context, const Endpoint& listen,
-                       HttpServerLimits limits, HttpServerHandlers handlers)
-    : impl(std::make_unique<Impl>(context, listen, limits,
-                                  std::move(handlers))) {}
+                       HttpServerLimits limits, HttpServerHandlers handlers,
+                       RequestMemory* memory)
+    : impl(std::make_unique<Impl>(context, listen, limits, std::move(handlers),
+                                  memory)) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -17,6 +17,7 @@
 #include "http/connectionstate.h"
 #include "http/exchangeledger.h"
 #include "http/internal/headparser.h"
+#include "http/requestmemory.h"
 
 namespace papayarack::http {
 
@@ -48,13 +49,15 @@
       : socket(std::move(accepted)),
         parser(HeadParser::Kind::kRequest, max_head,
                {[this] { this->head_done = true; },
-                [this](std::string_view bytes) { this->body.append(bytes); },
+                [this](std::string_view bytes) { this->AppendBody(bytes); },
                 [] {}}) {}
 
   asio::ip::tcp::socket socket;
   HeadParser parser;
   std::string body;
-  std::size_t max_body = 0;  ///< Of the request being read.
+  std::size_t max_body = 0;     ///< Of the request being read.
+  bool body_too_large = false;  ///< The same; not all of it is kept.
+  MemoryHolderId memory = 0;    ///< In the RequestMemory of the server.
   bool head_done = false;
   std::array<char, kReadChunk> chunk{};
   std::string unparsed;  ///< Read, not parsed yet.
@@ -81,6 +84,33 @@
   Time since{};         ///< Start of the wait that a timeout limits.
   Time last_written{};  ///< When the client last took bytes.
 
+  /// Grows the body from a power of two, so that one of the largest size takes
+  /// no more memory than its bytes.
+  void AppendBody(std::string_view bytes) {
+    this->body_too_large = this->body_too_large ||
+                           this->body.size() + bytes.size() > this->max_body;
+    if (this->body_too_large) {
+      return;
+    }
+    if (this->body.empty()) {
+      this->body.reserve(std::min(kReadChunk, this->max_body));
+    }
+    this->body.append(bytes);
+  }
+  /// Memory of the request being read, in bytes.
+  std::size_t HeldBytes() const {
+    return this->body.capacity() + this->parser.HeldBytes();
+  }
+  /// Memory of the same request while it is served: it is kept until its
+  /// response is complete, and copied to be sent on.
+  std::size_t ServedBytes() const { return 2 * this->HeldBytes(); }
+  /// Gives back the memory of the request that was read.
+  void ForgetRequest() {
+    this->unparsed = {};
+    this->body = {};
+    this->parser.Next();
+  }
+
   /// Whether the response to the request just read may have a body.
   bool WantsBody() const { return this->parser.method() != "HEAD"; }
   bool AllSent() const {
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -138,7 +138,7 @@
   handlers.on_cut = this->runtime.request_counts.CutReporter("front");
   this->owned_front = std::make_unique<http::HttpServer>(
       this->runtime.context, *this->runtime.options.front,
-      http::HttpServerLimits{}, std::move(handlers));
+      http::HttpServerLimits{}, std::move(handlers), &this->runtime.request_memory);
   this->front = this->owned_front.get();
   this->runtime.request_counts.Include("front", *this->front);
   this->batches = std::make_unique<BatchApi>(this->runtime, *this->front);
@@ -171,7 +171,8 @@
   handlers.on_cut = this->runtime.request_counts.CutReporter("ready");
   this->ready = std::make_unique<http::HttpServer>(
       this->runtime.context, *this->runtime.options.ready,
-      http::HttpServerLimits{}, std::move(handlers));
+      http::HttpServerLimits{}, std::move(handlers),
+      &this->runtime.request_memory);
   this->runtime.request_counts.Include("ready", *this->ready);
 }
 
--- a/src/nodes/internal/noderuntime.cpp
+++ b/src/nodes/internal/noderuntime.cpp
@@ -83,7 +83,7 @@
   handlers.on_cut = this->request_counts.CutReporter("metrics");
   this->metrics_server = std::make_unique<http::HttpServer>(
       this->context, *this->options.metrics, http::HttpServerLimits{},
-      std::move(handlers));
+      std::move(handlers), &this->request_memory);
   this->request_counts.Include("metrics", *this->metrics_server);
 }
 
@@ -210,6 +210,10 @@
   transport::ExportTransportMetrics(this->server->Totals(),
                                     this->peers->Totals(), this->metrics);
   this->request_counts.Export(this->metrics);
+  this->metrics.Set("request_memory_bytes",
+                    static_cast<double>(this->request_memory.held()));
+  this->metrics.SetTotal("requests_refused_for_memory_total",
+                         this->request_memory.refused());
   if (this->watch != nullptr) {
     const coordination::FleetKnowledge& fleet = this->watch->knowledge();
     this->metrics.Set("configuration_version",
@@ -234,10 +238,21 @@
     this->backlog.Update(
         transport::TotalBacklog(this->server->Totals(), this->peers->Totals()),
         MonotonicNow());
+    this->LogRefusalsForMemory();
     this->CheckBacklog();
   });
 }
 
+void NodeRuntime::LogRefusalsForMemory() {
+  const std::uint64_t refused = this->request_memory.refused();
+  const std::uint64_t before = std::exchange(this->refusals_logged, refused);
+  if (refused != before) {
+    Log(LogLevel::kWarn, "requests_refused_for_memory",
+        {{"refused", refused - before},
+         {"held_bytes", this->request_memory.held()}});
+  }
+}
+
 /// Searches the platform's list for processes that know a leader, as a process
 /// that starts while all its seeds are gone could not join otherwise. Each
 /// listed replica has a gate on its VM, and every gate knows the members.
--- a/src/nodes/noderuntime.h
+++ b/src/nodes/noderuntime.h
@@ -59,6 +59,7 @@
   asio::io_context context{1};
   Metrics metrics;
   RequestCounts request_counts;
+  http::RequestMemory request_memory;  ///< Of all HTTP servers.
   /// Null when this process cannot be a member of a group.
   std::unique_ptr<storage::FileSystem> files;
   std::uint64_t member = 0;  ///< Identity of `files`; zero without them.
@@ -84,6 +85,7 @@
   void ScheduleLeaderSearch();
   void SearchLeader();
   void CheckBacklog();
+  void LogRefusalsForMemory();
   void ServeMetrics();
   http::HttpResponse HandleMetricsRequest(std::string_view path);
   /// The known quarantined fingerprints as a JSON list.
@@ -98,6 +100,7 @@
   ListReaderState search_reader;
   std::unique_ptr<asio::steady_timer> backlog_timer;
   transport::BacklogMonitor backlog;
+  std::uint64_t refusals_logged = 0;  ///< Of `request_memory`.
   OriginServer origin_server{this->server, this->dispatch, this->metrics};
   LoopDelayMonitor loop_delay_monitor{this->context, this->metrics};
 };
