A client that goes on sending is not read without end

What callers saw: an entry that was busy with clients whose requests had been refused or had run out of time.

Cause: a connection whose time was over was spared as long as it had unread bytes, which one that never stops sending always has. After a refusal, all that a client sent in a second was read.

Change: it is spared once. After a refusal 4 MiB are read at most.

Evidence: the new test on the code before: a client that sends chunks of one byte is read for the 3 s of the test, where 0.3 s is the limit, and one whose request was refused gets rid of more than the 16 MiB that are allowed. Both pass after.

--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -27,6 +27,8 @@
 /// How long to wait for a refused client to close the connection: closing with
 /// unread bytes resets it, and the client would not receive the response.
 constexpr std::chrono::milliseconds kLinger{1000};
+/// Bytes of such a client that are read meanwhile.
+constexpr std::size_t kMaxLingerBytes = 4U << 20U;
 constexpr int kServiceUnavailable = 503;
 /// How long a client may take nothing of a response that is complete but not
 /// sent; independent of the limits, which may change meanwhile.
@@ -212,6 +214,12 @@
                std::string_view bytes) {
     if (connection->phase != Phase::kLingering) {
       connection->unparsed.append(bytes);
+    } else {
+      connection->lingered += bytes.size();
+      if (connection->lingered > kMaxLingerBytes) {
+        this->Drop(id, ExchangeOutcome::kLeft);
+        return;
+      }
     }
     this->Parse(id, connection);
     const auto still = this->connections.find(id);
@@ -235,6 +243,7 @@
       connection->parser.SetMaxHeadBytes(this->limits.max_header_bytes);
       connection->max_body = this->limits.max_body_bytes;
       connection->body_too_large = false;
+      connection->spared = false;
     }
     const std::size_t used = connection->parser.Parse(connection->unparsed);
     connection->unparsed.erase(0, used);
@@ -577,7 +586,12 @@
           connection->AcknowledgedMore()) {
         connection->since = now;
       }
-      if (this->Expired(*connection, now) && !connection->HasUnread()) {
+      // What was sent in time is read first; a client that goes on sending is
+      // not spared again.
+      const bool expires =
+          this->Expired(*connection, now) &&
+          (!connection->HasUnread() || std::exchange(connection->spared, true));
+      if (expires) {
         expired.push_back(id);
       }
     }
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -58,6 +58,8 @@
   std::size_t max_body = 0;     ///< Of the request being read.
   bool body_too_large = false;  ///< The same; not all of it is kept.
   MemoryHolderId memory = 0;    ///< In the RequestMemory of the server.
+  std::size_t lingered = 0;     ///< Bytes read after the last response.
+  bool spared = false;          ///< Expired, but with bytes to be read.
   bool head_done = false;
   std::array<char, kReadChunk> chunk{};
   std::string unparsed;  ///< Read, not parsed yet.
--- a/src/http/tests/slowclients_tests.cpp
+++ b/src/http/tests/slowclients_tests.cpp
@@ -1,9 +1,11 @@
 #include <asio.hpp>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "http/httpclient.h"
 #include "http/httpserver.h"
@@ -120,4 +122,50 @@
   }
 }
 
+// Guards against a client that is read for ever as it never stops sending.
+TEST_CASE("a client that goes on sending is not read without end") {
+  asio::io_context context;
+  HttpServerLimits limits;
+  limits.body_timeout = std::chrono::milliseconds(300);
+  std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
+  std::string more;
+  SECTION("in a request that does not end") {
+    limits.max_body_bytes = std::size_t{1} << 30U;
+    head += "Transfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 10000; ++i) {
+      more += "1\r\nx\r\n";
+    }
+  }
+  SECTION("after its request was refused") {
+    limits.max_body_bytes = 100;
+    head += "Content-Length: 101\r\n\r\n";
+    more.assign(1U << 16U, 'x');
+  }
+  EchoServer server(context, limits);
+  asio::io_context own;
+  tcp::socket socket(own);
+  socket.connect({asio::ip::make_address("127.0.0.1"), server.server->port()});
+  std::atomic<bool> closed = false;
+  std::atomic<std::size_t> sent = 0;
+  std::thread sender([&] {
+    std::error_code error;
+    asio::write(socket, asio::buffer(head), error);
+    while (!error) {
+      sent += asio::write(socket, asio::buffer(more), error);
+    }
+    closed = true;
+  });
+  const bool closed_in_time = RunUntil(context, [&] { return closed.load(); });
+  std::error_code ignored;
+  socket.shutdown(tcp::socket::shutdown_both, ignored);
+  sender.join();
+  CHECK(closed_in_time);
+  CHECK(server.requests == 0);
+  if (limits.max_body_bytes == 100) {
+    constexpr std::size_t kReadAfterRefusal = 4U << 20U;
+    constexpr std::size_t kKernel = 12U << 20U;  // Of one connection.
+    CHECK(sent < kReadAfterRefusal + kKernel);
+  }
+}
+
 }  // namespace papayarack::http
