Callers leave descriptors and memory to the process

What callers saw: no answer from an entry beside clients that only open connections; the entry used more than a core meanwhile.

Cause: each of four servers takes 3,000 connections, and the smallest entry has 4,100 descriptors for everything. Without a free one no replica, peer or file can be opened. An accept that fails was asked again at once, for ever.

Change: what callers may take comes from what the VM has: the settings' MaxFds and the system's limit for the process, the lower one, less a sixth or 128 for the process itself. Readiness, operators and metrics have up to 128 connections each, the front the rest up to 3,000, so none takes another's room. An accept that fails waits 50 ms, at the address of peers as well. The memory for requests is a quarter of the settings' MemoryMb, 110 where it is not stated. Each start logs these numbers.

--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -41,6 +41,8 @@
 constexpr std::chrono::milliseconds kMinIdle{1000};
 /// One of so many connections is closed at once to make room.
 constexpr std::size_t kIdleParts = 64;
+/// Pause after a connection could not be accepted.
+constexpr std::chrono::milliseconds kAcceptPause{50};
 /// Pause after a search for idle connections that found none.
 constexpr std::chrono::milliseconds kSearchPause{20};
 
@@ -84,6 +86,7 @@
         handlers(std::move(handlers)),
         ledger(this->handlers.on_cut),
         acceptor(context),
+        accept_pause(context),
         sweep(context) {
     ListenOn(this->acceptor, listen);
     this->Accept();
@@ -111,7 +114,24 @@
           if (!error && this->HasRoom()) {
             this->AddConnection(std::move(socket));
           }
-          if (this->acceptor.is_open()) {
+          if (!this->acceptor.is_open()) {
+            return;
+          }
+          if (error) {
+            this->AcceptLater();
+          } else {
+            this->Accept();
+          }
+        });
+  }
+
+  /// Accepting fails at once as long as no descriptor is free; without a pause
+  /// the loop does nothing else.
+  void AcceptLater() {
+    this->accept_pause.expires_after(kAcceptPause);
+    this->accept_pause.async_wait(
+        [this, alive = this->alive](std::error_code error) {
+          if (!error && *alive && this->acceptor.is_open()) {
             this->Accept();
           }
         });
@@ -614,6 +634,7 @@
   HttpServerHandlers handlers;
   ExchangeLedger ledger;
   asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer accept_pause;
   asio::steady_timer sweep;
   std::unordered_map<ConnectionId, ConnectionPtr> connections;
   std::unordered_map<ExchangeId, ConnectionId> exchanges;
--- a/src/nodes/internal/entrynode.cpp
+++ b/src/nodes/internal/entrynode.cpp
@@ -136,9 +136,11 @@
     }
   };
   handlers.on_cut = this->runtime.request_counts.CutReporter("front");
+  http::HttpServerLimits limits;
+  limits.max_connections = this->runtime.caller_room.front_connections;
   this->owned_front = std::make_unique<http::HttpServer>(
-      this->runtime.context, *this->runtime.options.front,
-      http::HttpServerLimits{}, std::move(handlers), &this->runtime.request_memory);
+      this->runtime.context, *this->runtime.options.front, limits,
+      std::move(handlers), &this->runtime.request_memory);
   this->front = this->owned_front.get();
   this->runtime.request_counts.Include("front", *this->front);
   this->batches = std::make_unique<BatchApi>(this->runtime, *this->front);
@@ -171,7 +173,7 @@
   handlers.on_cut = this->runtime.request_counts.CutReporter("ready");
   this->ready = std::make_unique<http::HttpServer>(
       this->runtime.context, *this->runtime.options.ready,
-      http::HttpServerLimits{}, std::move(handlers),
+      LimitsForOthers(this->runtime.caller_room), std::move(handlers),
       &this->runtime.request_memory);
   this->runtime.request_counts.Include("ready", *this->ready);
 }
@@ -184,6 +186,7 @@
       this->runtime.table->configuration();
   if (change.config) {
     http::HttpServerLimits limits;
+    limits.max_connections = this->runtime.caller_room.front_connections;
     limits.max_header_bytes = configuration.limits.max_header_bytes;
     limits.max_body_bytes = configuration.limits.max_body_bytes;
     limits.header_timeout = configuration.limits.header_timeout;
--- a/src/nodes/internal/noderuntime.cpp
+++ b/src/nodes/internal/noderuntime.cpp
@@ -45,8 +45,14 @@
 NodeRuntime::NodeRuntime(NodeOptions given, const Dialect& dialect)
     : options(std::move(given)),
       dialect(dialect),
+      caller_room(RoomFor(WithProcessLimits(this->options.limits))),
+      request_memory(this->caller_room.request_bytes),
       incarnation(RandomNumber()),
       search_backoff(this->incarnation) {
+  Log(LogLevel::kInfo, "caller_room",
+      {{"front_connections", this->caller_room.front_connections},
+       {"other_connections", this->caller_room.other_connections},
+       {"request_bytes", this->caller_room.request_bytes}});
   // If no entry has a disk, the seeds keep the coordination group in memory: a
   // seed that restarts is a new member, as after the loss of a disk.
   const bool in_memory = this->options.data_folder.empty() &&
@@ -82,7 +88,7 @@
   handlers.on_gone = [](http::ExchangeId) {};
   handlers.on_cut = this->request_counts.CutReporter("metrics");
   this->metrics_server = std::make_unique<http::HttpServer>(
-      this->context, *this->options.metrics, http::HttpServerLimits{},
+      this->context, *this->options.metrics, LimitsForOthers(this->caller_room),
       std::move(handlers), &this->request_memory);
   this->request_counts.Include("metrics", *this->metrics_server);
 }
@@ -249,7 +255,8 @@
   if (refused != before) {
     Log(LogLevel::kWarn, "requests_refused_for_memory",
         {{"refused", refused - before},
-         {"held_bytes", this->request_memory.held()}});
+         {"held_bytes", this->request_memory.held()},
+         {"most_bytes", this->caller_room.request_bytes}});
   }
 }
 
--- a/src/nodes/internal/operatorapi.cpp
+++ b/src/nodes/internal/operatorapi.cpp
@@ -34,7 +34,7 @@
   handlers.on_cut = this->runtime.request_counts.CutReporter("control");
   this->control = std::make_unique<http::HttpServer>(
       this->runtime.context, *this->runtime.options.control,
-      http::HttpServerLimits{}, std::move(handlers),
+      LimitsForOthers(this->runtime.caller_room), std::move(handlers),
       &this->runtime.request_memory);
   this->runtime.request_counts.Include("control", *this->control);
 }
--- a/src/nodes/nodeoptions.h
+++ b/src/nodes/nodeoptions.h
@@ -9,6 +9,7 @@
 
 #include "coordination/coordinationmessages.h"
 #include "global/settings.h"
+#include "nodes/callerroom.h"
 #include "organisations/keytrust.h"
 #include "placement/zonepolicy.h"
 #include "quotas/quotalimits.h"
@@ -45,6 +46,7 @@
   std::chrono::milliseconds list_lag{1000};
   std::chrono::milliseconds grace{8000};  ///< From SIGTERM to SIGKILL.
   std::chrono::milliseconds batch_keep{120000};
+  VmLimits limits;
   organisations::RevocationBound revocation;
   quotas::QuotaTolerance quota_tolerance;
   placement::ZoneSettings zones;          ///< Entry: traffic to other zones.
--- a/src/nodes/noderuntime.h
+++ b/src/nodes/noderuntime.h
@@ -13,6 +13,7 @@
 #include "global/metrics.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
+#include "nodes/callerroom.h"
 #include "nodes/dialect.h"
 #include "nodes/listpolling.h"
 #include "nodes/listreading.h"
@@ -59,6 +60,7 @@
   asio::io_context context{1};
   Metrics metrics;
   RequestCounts request_counts;
+  CallerRoom caller_room;
   http::RequestMemory request_memory;  ///< Of all HTTP servers.
   /// Null when this process cannot be a member of a group.
   std::unique_ptr<storage::FileSystem> files;
--- a/src/transport/internal/peerserver.cpp
+++ b/src/transport/internal/peerserver.cpp
@@ -20,6 +20,8 @@
 /// Number of checks for silence within one silent_after. A silent connection is
 /// closed up to one check interval late.
 constexpr int kChecksPerTimeout = 5;
+/// Pause after a connection could not be accepted.
+constexpr std::chrono::milliseconds kAcceptPause{50};
 
 }  // namespace
 
@@ -48,6 +50,7 @@
         options(options),
         loop(shared...),
         acceptor(this->loop.context()),
+        accept_pause(this->loop.context()),
         timer(this->loop.context()) {
     ListenOn(this->acceptor, listen);
     this->bound_port = this->acceptor.local_endpoint().port();
@@ -61,6 +64,7 @@
     this->loop.Stop([this] {
       this->stopping = true;
       this->acceptor.close();
+      this->accept_pause.cancel();
       this->timer.cancel();
       auto closing = std::exchange(this->connections, {});
       for (auto& [id, connection] : closing) {
@@ -108,9 +112,7 @@
             // No file descriptor was free, or the peer disconnected while
             // queued. Without another accept this process would never accept a
             // connection again.
-            if (this->acceptor.is_open()) {
-              this->Accept();
-            }
+            this->AcceptLater();
             return;
           }
           this->AddConnection(std::move(socket));
@@ -118,6 +120,18 @@
         });
   }
 
+  /// Accepting fails at once as long as no descriptor is free; without a pause
+  /// the loop does nothing else.
+  void AcceptLater() {
+    this->accept_pause.expires_after(kAcceptPause);
+    this->accept_pause.async_wait(
+        [this, alive = this->alive](std::error_code error) {
+          if (!error && *alive && !this->stopping && this->acceptor.is_open()) {
+            this->Accept();
+          }
+        });
+  }
+
   void AddConnection(asio::ip::tcp::socket socket) {
     const std::uint64_t id = ++this->last_connection;
     Http2Session::Callbacks callbacks;
@@ -238,6 +252,7 @@
   Loop loop;
   asio::io_context& context{loop.context()};
   asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer accept_pause;
   asio::steady_timer timer;
   std::uint16_t bound_port = 0;
   std::map<std::uint64_t, Connection> connections;
