Test of a slow caller: wait for the end of the response, not its last event

What was seen: in one run of all tests beside load, "gets the whole response once it reads" missed the last chunk; 5 bytes were held unsent.

Cause: the test waited until all events had arrived, and then checked at once for what follows them: the last chunk, which is those 5 bytes, and that nothing is unsent. The end of the response is a write of its own and may come later.

Change: it waits, for the same 2 s, for the last chunk and for nothing unsent; all checks stay.

--- a/src/nodes/tests/slowcaller_tests.cpp
+++ b/src/nodes/tests/slowcaller_tests.cpp
@@ -172,8 +172,12 @@
     caller.Read();
     REQUIRE(fixture.RunUntil([&] { return fixture.relay.Open() == 0; },
                              seconds(25)));
-    fixture.RunUntil([&] { return EventsOf(caller.received) == kEvents; },
-                     seconds(2));
+    fixture.RunUntil(
+        [&] {
+          return caller.received.ends_with("0\r\n\r\n") &&
+                 fixture.front_server.UnsentTotal() == 0;
+        },
+        seconds(2));
     CHECK(EventsOf(caller.received) == kEvents);
     CHECK(caller.received.ends_with("0\r\n\r\n"));
     CHECK(fixture.Shows("papayarack_online_answered_total 1"));
