A term begins before anything is answered in it

Cause: what a leader knows only while it leads was dropped by its periodic work, up to 20 ms after it led; calls were answered from the moment on that it led. A pull in between got items from the leases of the term before, whose results had moved body and headers away.

Evidence: a line for each lease of an item that does not wait, in a trial on a scratch copy: the store led term 3 (0 ms), leased an item that has a result in its own state while no term had begun (5 ms), began the term (17 ms). That rules out a state that lags, a former term that was still begun, and a gate that kept the item.

Change: ReplicatedGroup tells its owner when a term in which it leads begins or ends, with all entries of earlier terms applied, and Leads is true only after that. Every message, timer and confirmation of the writer passes there, so no call can come before it, and leading that is lost and won again between two ticks is seen too. Callers that wait are referred to another leader when the term ends. Whatever the cause, an item that does not wait is not leased any more; item_not_leased says so.

--- a/src/batches/batchstore.h
+++ b/src/batches/batchstore.h
@@ -163,7 +163,11 @@
   void SyncLeases(const std::string& batch, Time now);
   void SyncLease(const ItemRef& item, Time now);
   void ReassignLeases();
-  void OnNewTerm(Time now);
+  /// A new leader knows which items wait from its state. It learns from the
+  /// gates which of them are running.
+  void BeginTerm(Time now);
+  /// Refers callers that wait for results or items to another leader.
+  void RefuseWaiting();
   /// Returns the size of the answer in bytes.
   std::size_t AnswerReader(StreamId stream, const Reader& reader);
   /// Whether there is such a batch for callers of `organisation`.
@@ -174,11 +178,14 @@
   bool ShouldAnswer(const PullItems& pull, const std::set<ItemRef>& removed,
                     Time now) const;
   bool AnswerPuller(StreamId stream, const Puller& puller, Time now);
+  /// Leases items to a gate that pulls.
+  std::vector<LeasedItem> TakeItems(const PullItems& pull, Time now);
   void AnswerPullers(Time now);
   /// Where the item may run under the current routes.
   Eligibility EligibilityOf(const ItemRef& item) const;
   /// The batch's organisation with its priority in the current configuration.
   ItemOwner OwnerOf(const BatchState::Batch& batch) const;
+  /// Precondition: the item waits.
   LeasedItem Lease(const ItemRef& item, Time now) const;
   Time DueOf(const BatchState::Batch& batch, Time now) const;
   void GiveUpItems(Time now);
@@ -216,7 +223,6 @@
   std::map<ItemRef, PendingOutcome> outcomes;
   std::map<StreamId, PendingReport> reporters;
   ProposalId last_proposal = 0;
-  consensus::Term led_term = 0;
   Time next_tasks{};
   Time next_forget{};
   Time next_lease_log{};
--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -36,6 +36,15 @@
 constexpr const char* kReadPath = "/jobs/read";
 constexpr const char* kBodyPath = "/jobs/body";
 
+/// Why a lease of an item that does not wait cannot be given.
+const char* NotWaitingReason(const BatchState& state, const ItemRef& ref) {
+  const BatchState::Batch* batch = state.Find(ref.batch);
+  if (batch == nullptr) {
+    return "its batch is unknown";
+  }
+  return batch->ended ? "its batch has ended" : "it has a result";
+}
+
 /// Why the state holds no body of an item.
 const char* MissingBodyReason(const BatchState& state, const ItemRef& ref) {
   const BatchState::Batch* batch = state.Find(ref.batch);
@@ -68,6 +77,13 @@
   this->environment = coordination::MakeGroupEnvironment(
       context, kJobGroup, options.address, peers, server, dispatch, this->group,
       std::move(storage_failed));
+  this->environment.led_term_changed =
+      [this](std::optional<consensus::Term> led_term) {
+        this->RefuseWaiting();
+        if (led_term.has_value()) {
+          this->BeginTerm(MonotonicNow());
+        }
+      };
   this->Register(dispatch);
   if (consensus::HasGroup(files, kJobGroup)) {
     this->StartGroup();
@@ -176,7 +192,7 @@
 }
 
 void BatchStore::ReassignLeases() {
-  if (this->led_term != 0) {
+  if (this->Leads()) {
     this->leases.Reassign(
         [this](const ItemRef& item) { return this->EligibilityOf(item); });
   }
@@ -210,18 +226,9 @@
 
 void BatchStore::RunPeriodicTasks(Time now) {
   if (!this->group->Leads()) {
-    this->led_term = 0;
-    for (const auto& [stream, reader] : std::exchange(this->readers, {})) {
-      this->Reply(stream, ResultCode::kNotLeader);
-    }
-    for (const auto& [stream, puller] : std::exchange(this->pullers, {})) {
-      this->Reply(stream, ResultCode::kNotLeader);
-    }
+    this->RefuseWaiting();
     return;
   }
-  if (this->led_term != this->group->term()) {
-    this->OnNewTerm(now);
-  }
   if (now >= this->next_tasks) {
     this->next_tasks = now + kTaskInterval;
     this->leases.Expire(now);
@@ -243,10 +250,16 @@
   this->AnswerPullers(now);
 }
 
-/// A new leader knows which items wait from its state. It learns from the gates
-/// which of them are running.
-void BatchStore::OnNewTerm(Time now) {
-  this->led_term = this->group->term();
+void BatchStore::RefuseWaiting() {
+  for (const auto& [stream, reader] : std::exchange(this->readers, {})) {
+    this->Reply(stream, ResultCode::kNotLeader);
+  }
+  for (const auto& [stream, puller] : std::exchange(this->pullers, {})) {
+    this->Reply(stream, ResultCode::kNotLeader);
+  }
+}
+
+void BatchStore::BeginTerm(Time now) {
   this->giving_up = false;
   this->items_to_give_up.Reset();
   this->next_body_drop = now + this->options.body_drop_interval;
@@ -480,7 +493,7 @@
        {"code", static_cast<int>(code)},
        {"callers", ended.mapped().size()},
        {"took_ms", (now - requested_at).count() / 1000}});
-  if (this->led_term != 0) {
+  if (this->Leads()) {
     this->SyncLeases(id, now);
   }
   for (const StreamId waiting : ended.mapped()) {
@@ -580,7 +593,7 @@
 /// Updates leases and answers readers after a command was applied.
 void BatchStore::OnApplied() {
   const BatchState::Changes changes = this->batch_state.TakeChanges();
-  if (this->led_term == 0) {
+  if (!this->Leads()) {
     return;
   }
   const Time now = MonotonicNow();
@@ -790,19 +803,36 @@
   return leased;
 }
 
-bool BatchStore::AnswerPuller(StreamId stream, const Puller& puller, Time now) {
-  PulledItems pulled;
-  pulled.stop = this->leases.ToStop(puller.pull.holding);
-  for (const ItemRef& item : this->leases.Take(
-           puller.pull.gate, puller.pull.service, puller.pull.room, now)) {
-    pulled.items.push_back(this->Lease(item, now));
-    if (pulled.items.back().is_trial) {
-      Log(LogLevel::kInfo, "item_trial_leased",
+/// An item that does not wait has no body any more, and a replica would run
+/// something that no client sent.
+std::vector<LeasedItem> BatchStore::TakeItems(const PullItems& pull, Time now) {
+  std::vector<LeasedItem> items;
+  for (const ItemRef& item :
+       this->leases.Take(pull.gate, pull.service, pull.room, now)) {
+    if (!this->batch_state.IsWaiting(item)) {
+      Log(LogLevel::kError, "item_not_leased",
           {{"batch", item.batch},
            {"request", item.item},
-           {"gate", puller.pull.gate}});
+           {"gate", pull.gate},
+           {"term", this->group->term()},
+           {"applied", this->group->applied()},
+           {"reason", NotWaitingReason(this->batch_state, item)}});
+      this->leases.Remove(item, now);
+      continue;
+    }
+    items.push_back(this->Lease(item, now));
+    if (items.back().is_trial) {
+      Log(LogLevel::kInfo, "item_trial_leased",
+          {{"batch", item.batch}, {"request", item.item}, {"gate", pull.gate}});
     }
   }
+  return items;
+}
+
+bool BatchStore::AnswerPuller(StreamId stream, const Puller& puller, Time now) {
+  PulledItems pulled;
+  pulled.stop = this->leases.ToStop(puller.pull.holding);
+  pulled.items = this->TakeItems(puller.pull, now);
   if (pulled.items.empty() && pulled.stop.empty() && now < puller.until) {
     return false;
   }
--- a/src/replication/internal/replicatedgroup.cpp
+++ b/src/replication/internal/replicatedgroup.cpp
@@ -186,7 +186,7 @@
 }
 
 void ReplicatedGroup::Read(ReadDone done) {
-  if (!this->core->LeaderReady()) {
+  if (!this->Leads()) {
     done(false);
     return;
   }
@@ -221,6 +221,7 @@
   if (std::exchange(this->processing, true)) {
     return;
   }
+  this->UpdateLedTerm();
   bool more = true;
   while (more) {
     consensus::RaftReady ready = this->core->TakeReady();
@@ -232,6 +233,7 @@
     for (const consensus::Entry& entry : ready.committed) {
       this->Apply(entry);
     }
+    this->UpdateLedTerm();
     for (const std::uint64_t token : ready.reads_ready) {
       this->EndReadRound(token, true);
     }
@@ -259,6 +261,26 @@
   this->processing = false;
 }
 
+/// If only a timer compared the terms, calls that come before it would be
+/// answered from what the owner knew when it led before.
+void ReplicatedGroup::UpdateLedTerm() {
+  std::optional<consensus::Term> term;
+  if (this->core->LeaderReady()) {
+    term = this->core->term();
+  }
+  const bool applied = this->applied_index >= this->core->commit();
+  if (term != this->led_term && !applied) {
+    term.reset();
+  }
+  if (term == this->led_term) {
+    return;
+  }
+  this->led_term = term;
+  if (this->environment.led_term_changed) {
+    this->environment.led_term_changed(term);
+  }
+}
+
 void ReplicatedGroup::SendAll(
     const std::vector<consensus::RaftMessage>& messages) {
   for (const consensus::RaftMessage& message : messages) {
@@ -428,7 +450,7 @@
 void ReplicatedGroup::RepairMembership(
     std::span<const Candidate> candidates,
     std::span<const std::string> leaving_addresses, const GroupSize& size) {
-  if (!this->core->LeaderReady()) {
+  if (!this->Leads()) {
     return;
   }
   const std::vector<MemberHealth> health = this->Health(leaving_addresses);
--- a/src/replication/replicatedgroup.h
+++ b/src/replication/replicatedgroup.h
@@ -58,6 +58,12 @@
   std::function<Time()> now;
   /// Called when the disk failed permanently.
   std::function<void(const std::string& reason)> storage_failed;
+  /// Called on the loop when a term in which this member leads begins or ends:
+  /// before Leads becomes true, with all entries of earlier terms applied, and
+  /// before any entry of a later leader is applied. What the owner knows only
+  /// while it leads belongs to one term and is dropped here. May be empty. Must
+  /// not call the group, other than its const methods.
+  std::function<void(std::optional<consensus::Term> led_term)> led_term_changed;
 };
 
 /// How often a snapshot replaces the log.
@@ -114,10 +120,12 @@
   /// Serialises this member's whole state, for a member that is too far behind.
   std::string ExportState() const;
 
-  bool Leads() const { return this->core->LeaderReady(); }
-  /// See RaftCore::QuorumContact.
+  /// Whether this member leads and GroupEnvironment::led_term_changed was
+  /// called for its term. Thread safety: the loop's thread.
+  bool Leads() const { return this->led_term.has_value(); }
+  /// See RaftCore::QuorumContact; nullopt unless Leads.
   std::optional<Time> QuorumContact() const {
-    return this->core->QuorumContact();
+    return this->Leads() ? this->core->QuorumContact() : std::nullopt;
   }
   consensus::Term term() const { return this->core->term(); }
   /// Address of the leader; empty if unknown.
@@ -135,6 +143,8 @@
   };
 
   void ProcessReady();
+  /// Begins or ends the term in which this member leads.
+  void UpdateLedTerm();
   /// Called when the writer has synced `batch` and all before it.
   void Synced(const consensus::RaftBatch& batch);
   void TransferWhenDiskStalls();
@@ -181,6 +191,8 @@
                               ///< idle.
   Time resends_logged{};
   std::uint64_t logged_resends = 0;
+  /// The term in which this member leads, once the owner knows of it.
+  std::optional<consensus::Term> led_term;
   consensus::RaftRole last_role = consensus::RaftRole::kFollower;
   consensus::MemberId last_leader = 0;
   /// False once the group is destroyed; checked by callbacks that the writer
--- a/src/replication/tests/replicatedgroup_tests.cpp
+++ b/src/replication/tests/replicatedgroup_tests.cpp
@@ -2,6 +2,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include "replication/replicatedgroup.h"
@@ -42,7 +43,18 @@
     std::string applied;
     std::unique_ptr<ReplicatedGroup> group;
     bool cut = false;
+
+    void CheckLedTerm() const {
+      CHECK(this->group->Leads() == this->led_term.has_value());
+      if (this->led_term.has_value()) {
+        CHECK(this->group->term() == *this->led_term);
+      }
+    }
     std::size_t saved_bytes = 0;  ///< Total state size of all snapshots.
+    /// As told by the group.
+    std::optional<consensus::Term> led_term;
+    /// The state when the term began.
+    std::string applied_before_term;
   };
   Loop loop;
   GroupLimits limits;
@@ -83,6 +95,7 @@
         if (target != this->nodes.end() && !target->second->cut &&
             !this->nodes.at(address)->cut) {
           target->second->group->Step(message);
+          target->second->CheckLedTerm();
         }
       });
     };
@@ -96,6 +109,11 @@
     };
     environment.now = [this] { return this->now; };
     environment.storage_failed = [](const std::string&) {};
+    environment.led_term_changed =
+        [&node](std::optional<consensus::Term> led_term) {
+          node.led_term = led_term;
+          node.applied_before_term = node.applied;
+        };
     node.group = std::make_unique<ReplicatedGroup>(
         node.files, options, this->limits, std::move(state),
         std::move(environment));
@@ -149,6 +167,31 @@
     cluster.Leader()->group->Read([&read](bool ok) { read = ok; });
     CHECK(cluster.RunUntil([&] { return read; }));
   }
+  // Guards against a leader that answers from what it knew when it led before:
+  // CheckLedTerm runs after each message.
+  SECTION("a member leads only in terms that its owner knows of") {
+    Cluster::Node* leader = cluster.Leader();
+    const consensus::Term former = leader->group->term();
+    leader->group->TransferLeadership();
+    REQUIRE(cluster.RunUntil([&] {
+      return cluster.Leader() != nullptr && cluster.Leader() != leader;
+    }));
+    CHECK_FALSE(leader->led_term.has_value());
+    bool second_committed = false;
+    cluster.Leader()->group->Propose(
+        "y", [&](const Result& result, const std::string&) {
+          second_committed = result.Ok();
+        });
+    REQUIRE(cluster.RunUntil([&] { return second_committed; }));
+    REQUIRE(cluster.RunUntil([&] {
+      if (!leader->group->Leads() && cluster.Leader() != nullptr) {
+        cluster.Leader()->group->TransferLeadership();
+      }
+      return leader->group->Leads();
+    }));
+    CHECK(*leader->led_term > former);
+    CHECK(leader->applied_before_term == "xy");
+  }
   // Guards against a leader with a stalled disk whose loop blocks, together
   // with everything else that runs on it.
   SECTION("a leader with a stalled disk transfers leadership") {
