--- a/src/batches/internal/resulttexts.cpp
+++ b/src/batches/internal/resulttexts.cpp
@@ -85,6 +85,12 @@
   this->plan = {};
 }
 
+bool ResultTexts::MoveIsWritten() const {
+  return this->plan.ref.length > 0 && this->files.Exists(this->plan.file) &&
+         this->files.Size(this->plan.file) >=
+             this->plan.file_offset + this->plan.ref.length;
+}
+
 void ResultTexts::DropBefore(std::uint64_t offset) {
   this->blobs.DropBefore(std::min(offset, this->files_end));
 }
@@ -103,6 +109,11 @@
 }
 
 void ResultTexts::Import(std::uint64_t first, std::string_view bytes) {
+  // Otherwise the append below would first cut off what the last move wrote,
+  // and a loss of power then leaves a snapshot without its texts.
+  if (this->MoveIsWritten()) {
+    this->Archived();
+  }
   const std::uint64_t end = first + bytes.size();
   // Texts that are only in memory count as missing, because `bytes` contains
   // them too.
--- a/src/batches/resulttexts.h
+++ b/src/batches/resulttexts.h
@@ -57,10 +57,14 @@
   std::string Export(std::uint64_t first) const;
   /// Stores bytes that begin at offset `first` in files, except those already
   /// stored. Writes and syncs at once, and removes nothing that a snapshot on
-  /// the disk may refer to. Call Open afterwards.
+  /// the disk may refer to. Call Open afterwards. Precondition: no function
+  /// that Archive returned is running.
   void Import(std::uint64_t first, std::string_view bytes);
 
  private:
+  /// Whether the files hold all texts of the move in progress.
+  bool MoveIsWritten() const;
+
   storage::FileSystem& files;
   storage::BlobStore blobs;
   std::map<std::uint64_t, std::string> recent;  ///< By offset.
--- a/src/batches/tests/resulttexts_tests.cpp
+++ b/src/batches/tests/resulttexts_tests.cpp
@@ -15,6 +15,24 @@
   texts.Archived();
 }
 
+/// A disk that loses its power at a sync, after it has done what was cut off
+/// before.
+class LosesPowerAtSync : public storage::MemoryFileSystem {
+ public:
+  void Truncate(const std::string& name, std::uint64_t size) override {
+    MemoryFileSystem::Truncate(name, size);
+    MemoryFileSystem::SyncFile(name);
+  }
+  void SyncFile(const std::string& name) override {
+    if (this->loses_power) {
+      throw ResultError(ResultCode::kStorageDamaged, "the power is lost");
+    }
+    MemoryFileSystem::SyncFile(name);
+  }
+
+  bool loses_power = false;
+};
+
 }  // namespace
 
 // Guards against a store limited to 130 MB that runs out of memory. Load: 32
@@ -92,6 +110,26 @@
   }
 }
 
+// Guards against a store that ends at each start: a snapshot was durable, and
+// the power was lost while an import wrote the texts that it refers to anew.
+TEST_CASE("an import keeps the texts of a snapshot that was just written") {
+  LosesPowerAtSync files;
+  {
+    ResultTexts texts(files);
+    texts.Add("kept");
+    MoveToFiles(texts);
+    texts.Add(" written");
+    texts.Archive()();
+    files.loses_power = true;
+    CHECK_THROWS_AS(texts.Import(0, "kept written imported"), ResultError);
+    files.loses_power = false;
+    files.Crash(0);
+  }
+  ResultTexts restarted(files);
+  restarted.Open(12);
+  CHECK(restarted.Read({4, 8, Hash64(" written")}) == " written");
+}
+
 TEST_CASE("a member that was far behind stores imported texts after a gap") {
   storage::MemoryFileSystem files;
   ResultTexts texts(files);
