Remove segments of the log one by one

Cause: the disk keeps or loses each removal since the last sync of the folder by itself, and several were made without one; the last segment that stays was cut, durably, before the removal of later ones was. Both leave records missing between two segments, with which the log does not open.

Change: before a segment is removed, the removal before it is synced; where the end is removed, it goes from the end, and the cut comes last. One removal, the usual number, costs no more syncs than before.

--- a/src/storage/internal/segmentedlog.cpp
+++ b/src/storage/internal/segmentedlog.cpp
@@ -236,11 +236,26 @@
   }
 }
 
+/// The disk keeps or loses each removal since the last sync independently. One
+/// at a time is not synced, as a power loss would else leave a gap between
+/// segments, with which the log does not open.
+void SegmentedLog::RemoveSegment(SegmentMap::iterator segment) {
+  if (this->folder_dirty) {
+    this->files.SyncFolder();
+  }
+  this->files.Remove(segment->second.name);
+  this->segments.erase(segment);
+  this->folder_dirty = true;
+}
+
+/// Later segments are gone for good before the last one that stays is cut.
 void SegmentedLog::TruncateFrom(std::uint64_t from) {
   while (!this->segments.empty() && this->segments.rbegin()->first >= from) {
-    this->files.Remove(this->segments.rbegin()->second.name);
-    this->segments.erase(std::prev(this->segments.end()));
-    this->folder_dirty = true;
+    this->RemoveSegment(std::prev(this->segments.end()));
+  }
+  if (this->folder_dirty) {
+    this->files.SyncFolder();
+    this->folder_dirty = false;
   }
   this->last_number = 0;
   if (!this->segments.empty()) {
@@ -262,26 +277,19 @@
     this->file_dirty = true;
   }
   this->Sync();
-  if (this->folder_dirty) {
-    this->files.SyncFolder();
-    this->folder_dirty = false;
-  }
 }
 
 void SegmentedLog::DropBefore(std::uint64_t below) {
   while (this->segments.size() > 1 &&
          this->segments.begin()->second.last < below) {
-    this->files.Remove(this->segments.begin()->second.name);
-    this->segments.erase(this->segments.begin());
-    this->folder_dirty = true;
+    this->RemoveSegment(this->segments.begin());
   }
 }
 
 void SegmentedLog::Clear() {
-  for (const auto& [first, segment] : this->segments) {
-    this->files.Remove(segment.name);
+  while (!this->segments.empty()) {
+    this->RemoveSegment(std::prev(this->segments.end()));
   }
-  this->segments.clear();
   this->last_number = 0;
   this->batch_first = 0;
   this->file_dirty = false;
--- a/src/storage/segmentedlog.h
+++ b/src/storage/segmentedlog.h
@@ -62,17 +62,20 @@
     std::uint64_t bytes = 0;
     std::uint64_t last = 0;
   };
+  /// By the number of the first record.
+  using SegmentMap = std::map<std::uint64_t, Segment>;
+
   std::string SegmentName(std::uint64_t first) const;
   void ReadSegment(Segment& segment, bool is_last, const Visitor& visitor,
                    LogOpenReport& report);
   void SyncWhatWasRead();
   void StartSegment(std::uint64_t first);
+  void RemoveSegment(SegmentMap::iterator segment);
 
   FileSystem& files;
   std::string prefix;
   std::uint64_t segment_bytes;
-  std::map<std::uint64_t, Segment>
-      segments;  ///< By the number of the first record.
+  SegmentMap segments;
   std::uint64_t last_number = 0;
   /// Number of the first record since the last sync; zero if all is synced.
   std::uint64_t batch_first = 0;
--- a/src/storage/tests/storage_tests.cpp
+++ b/src/storage/tests/storage_tests.cpp
@@ -1,7 +1,9 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <climits>
 #include <filesystem>
+#include <utility>
 
 #include "global/resultcode.h"
 #include "storage/blobstore.h"
@@ -34,8 +36,107 @@
   }
 }
 
+/// Thrown where the power is lost.
+struct PowerLost {};
+
+/// A disk that loses its power before one of its operations that change names
+/// or sizes.
+class FailingDisk : public MemoryFileSystem {
+ public:
+  /// Loses the power before the operation after the next `operations` ones.
+  void FailAfter(int operations) { this->left = operations; }
+  /// The disk after the loss. Of the removals that were not synced, it has done
+  /// the one at `position` alone, if there are as many.
+  void Recover(std::size_t position) {
+    this->left = INT_MAX;
+    const std::vector<std::string> unsynced = std::exchange(this->removals, {});
+    this->Crash(0);
+    if (position < unsynced.size()) {
+      MemoryFileSystem::Remove(unsynced[position]);
+      MemoryFileSystem::SyncFolder();
+    }
+  }
+
+  void Remove(const std::string& name) override {
+    this->CountOperation();
+    MemoryFileSystem::Remove(name);
+    this->removals.push_back(name);
+  }
+  void Truncate(const std::string& name, std::uint64_t size) override {
+    this->CountOperation();
+    MemoryFileSystem::Truncate(name, size);
+  }
+  void SyncFile(const std::string& name) override {
+    this->CountOperation();
+    MemoryFileSystem::SyncFile(name);
+  }
+  void SyncFolder() override {
+    this->CountOperation();
+    MemoryFileSystem::SyncFolder();
+    this->removals.clear();
+  }
+
+ private:
+  void CountOperation() {
+    if (this->left-- == 0) {
+      throw PowerLost();
+    }
+  }
+
+  int left = INT_MAX;
+  std::vector<std::string> removals;  ///< Since the last sync of the folder.
+};
+
+/// Removes records in `removal`, with a power loss at each of its operations
+/// and each outcome for the names that it removed. Returns how often the log
+/// did not open afterwards, or not with each of the first `kept` records.
+template <typename Removal>
+int BrokenOpenings(const Removal& removal, std::size_t kept) {
+  constexpr int kOperations = 20;
+  constexpr std::size_t kOutcomes = 6;
+  int broken = 0;
+  for (int operation = 0; operation < kOperations; ++operation) {
+    for (std::size_t outcome = 0; outcome < kOutcomes; ++outcome) {
+      FailingDisk disk;
+      SegmentedLog log(disk, "raft", kSmallSegment);
+      log.Open([](std::uint64_t, std::string_view) {});
+      Fill(log, 1, 30);
+      log.Sync();
+      disk.FailAfter(operation);
+      try {
+        removal(log);
+      } catch (const PowerLost&) {
+      }
+      disk.Recover(outcome);
+      try {
+        broken += ReadAll(disk).size() < kept ? 1 : 0;
+      } catch (const ResultError&) {
+        ++broken;
+      }
+    }
+  }
+  return broken;
+}
+
 }  // namespace
 
+// Guards against a member that does not start after a power loss: the disk had
+// done some of the removals of segments and not the others, or a segment was
+// cut while a later one was still there, so that records between were missing.
+TEST_CASE("a power loss while records are removed leaves a log that opens") {
+  SECTION("at its end") {
+    CHECK(BrokenOpenings([](SegmentedLog& log) { log.TruncateFrom(4); }, 3) ==
+          0);
+  }
+  SECTION("at its start") {
+    CHECK(BrokenOpenings([](SegmentedLog& log) { log.DropBefore(28); }, 1) ==
+          0);
+  }
+  SECTION("all of them") {
+    CHECK(BrokenOpenings([](SegmentedLog& log) { log.Clear(); }, 0) == 0);
+  }
+}
+
 TEST_CASE("a segmented log") {
   MemoryFileSystem files;
   SegmentedLog log(files, "raft", kSmallSegment);
