--- a/src/storage/internal/blobstore.cpp
+++ b/src/storage/internal/blobstore.cpp
@@ -42,7 +42,15 @@
                       fmt::format("{}: {} bytes on disk, the snapshot needs {}",
                                   this->prefix, this->LengthOnDisk(), length));
   }
-  while (!this->segments.empty() && this->segments.rbegin()->first >= length) {
+  // Retention may have removed the files before `length`. Without any file left
+  // the end of the store would be unknown at the next start.
+  if (!this->segments.empty() && this->segments.begin()->first > length) {
+    this->files.Append(this->SegmentName(length), {});
+    this->files.SyncFile(this->SegmentName(length));
+    this->files.SyncFolder();
+    this->segments[length] = 0;
+  }
+  while (!this->segments.empty() && this->segments.rbegin()->first > length) {
     this->files.Remove(this->SegmentName(this->segments.rbegin()->first));
     this->segments.erase(std::prev(this->segments.end()));
   }
--- a/src/storage/tests/storage_tests.cpp
+++ b/src/storage/tests/storage_tests.cpp
@@ -295,6 +295,21 @@
     BlobStore reopened(files, "blob", 64);
     CHECK_THROWS_AS(reopened.Open(blobs.length() + 1), ResultError);
   }
+  // Guards against a member that ends at each start: retention removed files,
+  // it started from an older snapshot, and once more before it had caught up.
+  SECTION("opens again at a length before its first file") {
+    blobs.DropBefore(blobs.length());
+    for (int start = 0; start < 2; ++start) {
+      BlobStore reopened(files, "blob", 64);
+      reopened.Open(refs.at(3).offset);
+      CHECK(reopened.length() == refs.at(3).offset);
+      // The disk has done its removals by the next start.
+      files.SyncFolder();
+    }
+    BlobStore reopened(files, "blob", 64);
+    reopened.Open(refs.at(3).offset);
+    CHECK(reopened.Read(reopened.Append("result 3")) == "result 3");
+  }
   SECTION("removes dropped segments and keeps the offsets of the others") {
     blobs.DropBefore(refs.at(15).offset);
     CHECK_THROWS_AS(blobs.Read(refs.at(0)), ResultError);
