--- a/src/control/internal/groupmember.cpp
+++ b/src/control/internal/groupmember.cpp
@@ -316,19 +316,25 @@
     return;
   }
   try {
-    if (blob_start != this->blob_store.length()) {
-      this->blob_store.Reset(blob_start);
+    // Files before a gap stay: the snapshot on the disk refers to them until
+    // the fetched one is durable, and then retention removes them.
+    if (blob_start > this->blob_store.length()) {
+      this->blob_store.SkipTo(blob_start);
     }
     const std::uint64_t size =
         this->files.Exists(blob_file) ? this->files.Size(blob_file) : 0;
-    for (std::uint64_t offset = 0; offset < size; offset += kCopyChunkBytes) {
+    const std::uint64_t held = this->blob_store.length() - blob_start;
+    for (std::uint64_t offset = held; offset < size;
+         offset += kCopyChunkBytes) {
       this->blob_store.Append(
           this->files.Read(blob_file, offset, kCopyChunkBytes));
     }
     this->blob_store.Sync();
+    // In force before it is durable: a member that has made a state durable
+    // which it cannot load ends at each further start.
+    this->machine.Load(state);
     this->log.InstallSnapshot(meta, state);
     this->files.Remove(blob_file);
-    this->machine.Load(state);
     this->core->SnapshotInstalled(meta);
     this->applied = meta.index;
     this->applied_term = meta.term;
--- a/src/storage/blobstore.h
+++ b/src/storage/blobstore.h
@@ -66,11 +66,10 @@
   /// Removes whole segments that end at or before `offset`.
   void DropBefore(std::uint64_t offset);
   std::uint64_t length() const { return this->total; }
-  /// Removes everything and continues at logical offset `start`.
-  void Reset(std::uint64_t start);
   /// Continues at logical offset `start`, beyond the current length; leaves a
-  /// gap.
-  void SkipTo(std::uint64_t start) { this->total = start; }
+  /// gap. Durable on return, so that a store without further bytes opens at
+  /// `start`, too; keeps the files before.
+  void SkipTo(std::uint64_t start);
   /// Logical offset of the first retained byte.
   std::uint64_t FirstKept() const;
 
@@ -80,6 +79,8 @@
   std::string SegmentName(std::uint64_t start) const;
   void LoadSegments();
   bool NeedsSegment() const;
+  /// Makes an empty segment durable.
+  void AddSegment(std::uint64_t start);
 
   FileSystem& files;
   std::string prefix;
--- a/src/storage/internal/blobstore.cpp
+++ b/src/storage/internal/blobstore.cpp
@@ -45,10 +45,7 @@
   // Retention may have removed the files before `length`. Without any file left
   // the end of the store would be unknown at the next start.
   if (!this->segments.empty() && this->segments.begin()->first > length) {
-    this->files.Append(this->SegmentName(length), {});
-    this->files.SyncFile(this->SegmentName(length));
-    this->files.SyncFolder();
-    this->segments[length] = 0;
+    this->AddSegment(length);
   }
   while (!this->segments.empty() && this->segments.rbegin()->first > length) {
     this->files.Remove(this->SegmentName(this->segments.rbegin()->first));
@@ -187,14 +184,18 @@
   }
 }
 
-void BlobStore::Reset(std::uint64_t start) {
-  for (const auto& [offset, size] : this->segments) {
-    this->files.Remove(this->SegmentName(offset));
-  }
-  this->segments.clear();
+void BlobStore::AddSegment(std::uint64_t start) {
+  const std::string name = this->SegmentName(start);
+  this->files.Append(name, {});
+  this->files.SyncFile(name);
+  this->files.SyncFolder();
+  this->segments[start] = 0;
+}
+
+void BlobStore::SkipTo(std::uint64_t start) {
+  this->Sync();
+  this->AddSegment(start);
   this->total = start;
-  this->dirty = false;
-  this->folder_dirty = true;
 }
 
 std::uint64_t BlobStore::FirstKept() const {
