--- a/src/batches/internal/batchstore.cpp
+++ b/src/batches/internal/batchstore.cpp
@@ -36,7 +36,7 @@
 constexpr const char* kReadPath = "/jobs/read";
 constexpr const char* kBodyPath = "/jobs/body";
 
-/// Why a lease of an item that does not wait cannot be given.
+/// Why the item does not wait. Precondition: it does not.
 const char* NotWaitingReason(const BatchState& state, const ItemRef& ref) {
   const BatchState::Batch* batch = state.Find(ref.batch);
   if (batch == nullptr) {
--- a/src/coordination/tests/emptystores_tests.cpp
+++ b/src/coordination/tests/emptystores_tests.cpp
@@ -9,7 +9,7 @@
 namespace papayarack::coordination {
 namespace {
 
-/// Calls `answered`, which may be empty, with each reply.
+/// Sends a request to `to`; `answered`, which may be empty, gets each reply.
 void Ask(Host& caller, Host& to, const std::string& path,
          const std::string& body, std::function<void(std::string)> answered) {
   transport::CallHandlers handlers;
--- a/src/replication/internal/replicatedgroup.cpp
+++ b/src/replication/internal/replicatedgroup.cpp
@@ -261,8 +261,9 @@
   this->processing = false;
 }
 
-/// If only a timer compared the terms, calls that come before it would be
-/// answered from what the owner knew when it led before.
+/// Runs for each message, timer and confirmation of the writer. If only a timer
+/// compared the terms, calls between would be answered from what the owner knew
+/// when it led before.
 void ReplicatedGroup::UpdateLedTerm() {
   std::optional<consensus::Term> term;
   if (this->core->LeaderReady()) {
--- a/src/replication/replicatedgroup.h
+++ b/src/replication/replicatedgroup.h
@@ -60,11 +60,12 @@
   std::function<Time()> now;
   /// Called when the disk failed permanently.
   std::function<void(const std::string& reason)> storage_failed;
-  /// Called on the loop when a term in which this member leads begins or ends:
-  /// before Leads becomes true, with all entries of earlier terms applied, and
-  /// before any entry of a later leader is applied. What the owner knows only
-  /// while it leads belongs to one term and is dropped here. May be empty. Must
-  /// not call the group, other than its const methods.
+  /// Called on the loop when a term in which this member leads begins (with the
+  /// term) or ends (with nullopt). It begins with all entries of earlier terms
+  /// applied and before this member answers anything in it; it ends before any
+  /// entry of a later leader is applied. What the owner knows only while it
+  /// leads belongs to one term and is dropped here. May be empty. Must not call
+  /// the group, other than its const methods.
   std::function<void(std::optional<consensus::Term> led_term)> led_term_changed;
 };
 
@@ -126,8 +127,9 @@
   /// Serialises this member's whole state, for a member that is too far behind.
   std::string ExportState() const;
 
-  /// Whether this member leads and GroupEnvironment::led_term_changed was
-  /// called for its term. Thread safety: the loop's thread.
+  /// Whether this member leads; first true when
+  /// GroupEnvironment::led_term_changed is called for its term. Thread safety:
+  /// the loop's thread.
   bool Leads() const { return this->led_term.has_value(); }
   /// See RaftCore::QuorumContact; nullopt unless Leads.
   std::optional<Time> QuorumContact() const {
@@ -192,7 +194,7 @@
   std::function<void()> snapshot_saved;
   std::optional<consensus::SnapshotMeta> last_snapshot;
   bool fetch_under_way = false;
-  Time next_fetch{};
+  Time next_fetch{};  ///< No state is fetched before this.
   bool processing = false;
   Time last_disk_progress{};  ///< When the disk last completed a write or was
                               ///< idle.
--- a/src/storage/blobstore.h
+++ b/src/storage/blobstore.h
@@ -79,7 +79,7 @@
   std::string SegmentName(std::uint64_t start) const;
   void LoadSegments();
   bool NeedsSegment() const;
-  /// Makes an empty segment durable.
+  /// Adds an empty segment; durable on return.
   void AddSegment(std::uint64_t start);
 
   FileSystem& files;
--- a/src/storage/internal/segmentedlog.cpp
+++ b/src/storage/internal/segmentedlog.cpp
@@ -236,9 +236,9 @@
   }
 }
 
-/// The disk keeps or loses each removal since the last sync independently. One
-/// at a time is not synced, as a power loss would else leave a gap between
-/// segments, with which the log does not open.
+/// A power loss keeps or undoes each removal since the last sync independently,
+/// so at most one may be unsynced: of two, the disk could keep the one between
+/// segments that stay, and a log with such a gap does not open.
 void SegmentedLog::RemoveSegment(SegmentMap::iterator segment) {
   if (this->folder_dirty) {
     this->files.SyncFolder();
@@ -248,7 +248,8 @@
   this->folder_dirty = true;
 }
 
-/// Later segments are gone for good before the last one that stays is cut.
+/// The removal of later segments is durable before the last one that stays is
+/// cut, so that no segment follows a cut one after a power loss.
 void SegmentedLog::TruncateFrom(std::uint64_t from) {
   while (!this->segments.empty() && this->segments.rbegin()->first >= from) {
     this->RemoveSegment(std::prev(this->segments.end()));
